--- /dev/null
+++ b/Daemons/zinnialedged/daemon.cpp
@@ -0,0 +1,120 @@
+#include "Daemons/zinnialedged/daemon.h"
+
+#include "Kernel/event_log.h"
+#include "Kernel/try.h"
+#include "Services/callers/caller_service.h"
+#include "Services/decisions/decision_service.h"
+#include "Services/operators/operator_service.h"
+#include "Services/peers/peer_service.h"
+#include "Services/platform/platform_service.h"
+#include "Services/targets/target_service.h"
+#include <boost/json.hpp>
+#include <future>
+#include <thread>
+
+namespace zinnialedge::daemons {
+
+using kernel::log_level;
+using kernel::logEvent;
+using services::callers::caller_service;
+using services::decisions::decision_service;
+using services::operators::operator_service;
+using services::peers::peer_service;
+using services::platform::platform_service;
+using services::targets::target_service;
+
+static constexpr std::chrono::milliseconds idleCheckInterval { 20 };
+/// Requests in flight end by their deadlines, of which none is longer than a minute.
+static constexpr std::chrono::seconds longestLeaving { 70 };
+static constexpr std::chrono::seconds serviceAnswerTimeout { 1 };
+
+/// Later processes get higher numbers, also on another VM of the same name.
+static std::uint64_t makeIncarnation()
+{
+    auto const sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+}
+
+errors::error_or<std::unique_ptr<daemon>> daemon::create(configuration::daemon_settings const& settings)
+{
+    std::unique_ptr<daemon> made { new daemon(settings) };
+    TRY_VOID(made->wire());
+    return made;
+}
+
+daemon::daemon(configuration::daemon_settings settings)
+    : m_settings(std::move(settings))
+    , m_incarnation(makeIncarnation())
+{
+}
+
+errors::error_or<void> daemon::wire()
+{
+    auto const clock = kernel::makeSteadyClock();
+    services::decisions::decision_settings deciding;
+    deciding.engine = {
+        .daemon = m_settings.name,
+        .incarnation = m_incarnation,
+        .capacity = m_settings.limits.queries,
+        .leafCallCapacity = m_settings.limits.leafCalls,
+        .ticketCapacity = m_settings.limits.tickets,
+        .partnerShares = m_settings.partnerShares,
+    };
+    auto const decisions = std::make_shared<decision_service>(deciding, clock, kernel::makeRandom());
+    auto const callPrefix = m_settings.name + "-" + std::to_string(m_incarnation) + "-";
+    auto const targets = std::make_shared<target_service>(callPrefix, clock, *decisions, m_settings.limits.leafCalls);
+    auto const peers = TRY(peer_service::create(m_settings.peers, *decisions));
+    auto const callers = TRY(caller_service::create({ m_settings.callers, m_settings.limits.callerConnections, m_settings.limits.bodyBytes }, clock, *decisions));
+    auto const platform = std::make_shared<platform_service>(m_settings.platform, kernel::makeRandom(), *decisions);
+    boost::json::object const about { { "daemon", m_settings.name }, { "partner", m_settings.partner }, { "data_centre", m_settings.dataCentre }, { "incarnation", m_incarnation }, { "version", ZINNIALEDGE_VERSION } };
+    auto const operators = TRY(operator_service::create(m_settings.operators, boost::json::serialize(about), m_registry));
+
+    m_settings.callers.port = callers->port();
+    m_settings.peers.port = peers->port();
+    m_settings.operators.port = operators->port();
+    platform->setRegistration({
+        .name = m_settings.name,
+        .partner = m_settings.partner,
+        .region = m_settings.region,
+        .dataCentre = m_settings.dataCentre,
+        .incarnation = m_incarnation,
+        .callers = m_settings.callers,
+        .peers = m_settings.peers,
+    });
+    // They stop in the opposite order: the decisions last, since the others put events into its rings.
+    m_registry.add(decisions);
+    m_registry.add(targets);
+    m_registry.add(peers);
+    m_registry.add(platform);
+    m_registry.add(callers);
+    m_registry.add(operators);
+    return {};
+}
+
+void daemon::start()
+{
+    m_registry.startAll();
+    logEvent(log_level::info, "ready", { { "callers", toString(m_settings.callers) }, { "operators", toString(m_settings.operators) }, { "peers", toString(m_settings.peers) } });
+}
+
+bool daemon::isIdle()
+{
+    auto const waiting = std::make_shared<std::promise<std::size_t>>();
+    auto answer = waiting->get_future();
+    bool const isAsked = m_registry.find<caller_service>(caller_service::serviceName).requestWaitingCount([waiting](std::size_t count) { waiting->set_value(count); });
+    return isAsked && answer.wait_for(serviceAnswerTimeout) == std::future_status::ready && answer.get() == 0;
+}
+
+void daemon::leave()
+{
+    logEvent(log_level::info, "leaving");
+    if (!m_registry.find<caller_service>(caller_service::serviceName).beginLeaving())
+        logEvent(log_level::warn, "leaving_not_announced");
+    auto const giveUpAt = std::chrono::steady_clock::now() + longestLeaving;
+    while (!isIdle() && std::chrono::steady_clock::now() < giveUpAt)
+        std::this_thread::sleep_for(idleCheckInterval);
+    m_registry.stopAll();
+    logEvent(log_level::info, "stopped");
+}
+
+}
--- /dev/null
+++ b/Kernel/duty.cpp
@@ -0,0 +1,133 @@
+#include "Kernel/duty.h"
+
+#include "Kernel/verify.h"
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+namespace zinnialedge::kernel {
+
+static constexpr std::size_t maximumWaitingTasks = 1024;
+
+duty::duty(std::string name)
+    : m_name(std::move(name))
+{
+}
+
+duty::~duty()
+{
+    VERIFY(!m_thread.joinable());
+}
+
+bool duty::post(task work)
+{
+    {
+        std::lock_guard const lock(m_tasksMutex);
+        if (m_tasks.size() >= maximumWaitingTasks)
+            return false;
+        m_tasks.push_back(std::move(work));
+        m_hasTasks = true;
+    }
+    wake();
+    return true;
+}
+
+void duty::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void duty::stop()
+{
+    m_isStopping = true;
+    interrupt();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+std::size_t duty::drainInboxes()
+{
+    std::size_t count = 0;
+    for (auto& drain : m_drains)
+        count += drain();
+    runPostedTasks();
+    return count;
+}
+
+void duty::runPostedTasks()
+{
+    if (!m_hasTasks.exchange(false))
+        return;
+    std::vector<task> tasks;
+    {
+        std::lock_guard const lock(m_tasksMutex);
+        tasks.swap(m_tasks);
+    }
+    for (auto& work : tasks)
+        work();
+}
+
+deciding_duty::deciding_duty(std::string name, clock_hook clock, std::function<time_point()> onWake)
+    : duty(std::move(name))
+    , m_clock(std::move(clock))
+    , m_onWake(std::move(onWake))
+{
+}
+
+deciding_duty::~deciding_duty() = default;
+
+void deciding_duty::wake()
+{
+    // One pending signal is enough: the consumer drains every ring after it has cleared the flag.
+    if (!m_isWakePending.exchange(true))
+        m_signal.release();
+}
+
+void deciding_duty::run()
+{
+    while (!isStopping()) {
+        drainInboxes();
+        auto const next = m_onWake();
+        auto const now = m_clock();
+        // A timer that is due must not sleep, yet a signal given meanwhile has to be taken before the flag is cleared.
+        bool const isSignalled = next > now ? m_signal.try_acquire_for(next - now) : m_signal.try_acquire();
+        if (isSignalled)
+            m_isWakePending = false;
+    }
+}
+
+void deciding_duty::interrupt()
+{
+    wake();
+}
+
+io_duty::io_duty(std::string name)
+    : duty(std::move(name))
+    , m_context(std::make_unique<boost::asio::io_context>(1))
+{
+}
+
+io_duty::~io_duty() = default;
+
+void io_duty::wake()
+{
+    if (m_isWakePending.exchange(true))
+        return;
+    boost::asio::post(*m_context, [this] {
+        m_isWakePending = false;
+        drainInboxes();
+    });
+}
+
+void io_duty::run()
+{
+    auto const guard = boost::asio::make_work_guard(*m_context);
+    m_context->run();
+}
+
+void io_duty::interrupt()
+{
+    m_context->stop();
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/configuration/json_reader.cpp
@@ -0,0 +1,207 @@
+#include "Libraries/zinnialedge/configuration/json_reader.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <boost/json.hpp>
+
+namespace zinnialedge::configuration {
+
+namespace json = boost::json;
+
+json_reader::json_reader(json::value const& root, std::vector<std::string>& problems, std::string path)
+    : m_object(root.if_object())
+    , m_problems(problems)
+    , m_path(std::move(path))
+{
+    if (!m_object)
+        m_problems.push_back((m_path.empty() ? "(root)" : m_path) + ": expected an object");
+}
+
+std::string json_reader::pathOf(std::string_view name) const
+{
+    return m_path.empty() ? std::string { name } : m_path + "." + std::string { name };
+}
+
+json::value const* json_reader::find(std::string_view name)
+{
+    m_known.emplace_back(name);
+    return m_object ? m_object->if_contains(name) : nullptr;
+}
+
+void json_reader::report(std::string_view name, std::string_view expected)
+{
+    if (m_object)
+        m_problems.push_back(pathOf(name) + ": expected " + std::string { expected });
+}
+
+bool json_reader::has(std::string_view name) const
+{
+    return m_object && m_object->contains(name);
+}
+
+std::string json_reader::text(std::string_view name, std::optional<std::string> fallback)
+{
+    auto const* value = find(name);
+    if (!value && fallback)
+        return std::move(*fallback);
+    if (value && value->is_string() && (!value->get_string().empty() || fallback))
+        return std::string { value->get_string() };
+    report(name, "a text that is not empty");
+    return {};
+}
+
+bool json_reader::flag(std::string_view name, std::optional<bool> fallback)
+{
+    auto const* value = find(name);
+    if (!value && fallback)
+        return *fallback;
+    if (value && value->is_bool())
+        return value->get_bool();
+    report(name, "true or false");
+    return false;
+}
+
+std::uint64_t json_reader::number(std::string_view name, std::uint64_t minimum, std::uint64_t maximum, std::optional<std::uint64_t> fallback)
+{
+    auto const* value = find(name);
+    if (!value && fallback)
+        return *fallback;
+    if (value && value->is_number()) {
+        json::error_code failure;
+        auto const read = value->to_number<std::uint64_t>(failure);
+        if (!failure && read >= minimum && read <= maximum)
+            return read;
+    }
+    report(name, "a whole number from " + std::to_string(minimum) + " to " + std::to_string(maximum));
+    return minimum;
+}
+
+std::chrono::milliseconds json_reader::milliseconds(std::string_view name, std::uint64_t minimum, std::uint64_t maximum, std::optional<std::chrono::milliseconds> fallback)
+{
+    std::optional<std::uint64_t> number;
+    if (fallback)
+        number = static_cast<std::uint64_t>(fallback->count());
+    return std::chrono::milliseconds { this->number(name, minimum, maximum, number) };
+}
+
+std::size_t json_reader::choice(std::string_view name, std::vector<std::string_view> const& words, std::optional<std::size_t> fallback)
+{
+    auto const* value = find(name);
+    if (!value && fallback)
+        return *fallback;
+    if (value && value->is_string()) {
+        auto const found = std::find(words.begin(), words.end(), std::string_view { value->get_string() });
+        if (found != words.end())
+            return static_cast<std::size_t>(found - words.begin());
+    }
+    std::string expected = "one of";
+    for (auto const& word : words)
+        expected += " " + std::string { word };
+    report(name, expected);
+    return 0;
+}
+
+model::endpoint json_reader::endpoint(std::string_view name, bool mayPortBeZero)
+{
+    model::endpoint place;
+    object(name, true, [&](json_reader& reader) {
+        place.address = reader.text("address");
+        boost::system::error_code failure;
+        if (!place.address.empty())
+            boost::asio::ip::make_address(place.address, failure);
+        if (failure)
+            reader.report("address", "an IP number");
+        place.port = static_cast<std::uint16_t>(reader.number("port", mayPortBeZero ? 0 : 1, 65535));
+    });
+    return place;
+}
+
+void json_reader::object(std::string_view name, bool isNeeded, std::function<void(json_reader&)> const& read)
+{
+    auto const* value = find(name);
+    if (!value) {
+        if (isNeeded)
+            report(name, "an object");
+        return;
+    }
+    json_reader reader { *value, m_problems, pathOf(name) };
+    read(reader);
+    reader.finish();
+}
+
+void json_reader::list(std::string_view name, bool isNeeded, std::function<void(json_reader&)> const& read)
+{
+    auto const* value = find(name);
+    if (!value && !isNeeded)
+        return;
+    auto const* items = value ? value->if_array() : nullptr;
+    if (!items) {
+        report(name, "a list of objects");
+        return;
+    }
+    for (std::size_t index = 0; index < items->size(); ++index) {
+        json_reader reader { (*items)[index], m_problems, pathOf(name) + "[" + std::to_string(index) + "]" };
+        read(reader);
+        reader.finish();
+    }
+}
+
+std::vector<std::string> json_reader::texts(std::string_view name)
+{
+    std::vector<std::string> read;
+    auto const* value = find(name);
+    if (!value)
+        return read;
+    auto const* items = value->if_array();
+    bool const isRight = items && std::all_of(items->begin(), items->end(), [](auto const& item) { return item.is_string(); });
+    if (!isRight) {
+        report(name, "a list of texts");
+        return read;
+    }
+    for (auto const& item : *items)
+        read.emplace_back(item.get_string());
+    return read;
+}
+
+std::vector<std::uint64_t> json_reader::numbers(std::string_view name)
+{
+    std::vector<std::uint64_t> read;
+    auto const* value = find(name);
+    if (!value)
+        return read;
+    auto const* items = value->if_array();
+    if (!items) {
+        report(name, "a list of whole numbers");
+        return read;
+    }
+    for (auto const& item : *items) {
+        json::error_code failure;
+        if (item.is_number())
+            read.push_back(item.to_number<std::uint64_t>(failure));
+        if (!item.is_number() || failure)
+            report(name, "a list of whole numbers");
+    }
+    return read;
+}
+
+void json_reader::finish()
+{
+    if (!m_object)
+        return;
+    for (auto const& [name, value] : *m_object) {
+        if (std::find(m_known.begin(), m_known.end(), std::string_view { name }) == m_known.end())
+            m_problems.push_back(pathOf(name) + ": unknown field");
+    }
+}
+
+std::optional<json::value> parseJson(std::string_view text, std::vector<std::string>& problems)
+{
+    json::error_code failure;
+    auto value = json::parse(text, failure);
+    if (!failure)
+        return value;
+    problems.push_back("(root): expected JSON: " + failure.message());
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/configuration/object_cache.cpp
@@ -0,0 +1,33 @@
+#include "Libraries/zinnialedge/configuration/object_cache.h"
+
+namespace zinnialedge::configuration {
+
+static std::size_t sizeOf(stored_object const& object)
+{
+    return object.key.size() + (object.body ? object.body->size() : 0);
+}
+
+bool object_cache::offer(stored_object object)
+{
+    auto& known = m_objects[object.key];
+    if (object.version <= known.version)
+        return false;
+    m_bytes += sizeOf(object);
+    m_bytes -= known.version > 0 ? sizeOf(known) : 0;
+    known = std::move(object);
+    return true;
+}
+
+stored_object const* object_cache::find(std::string const& key) const
+{
+    auto const found = m_objects.find(key);
+    return found == m_objects.end() ? nullptr : &found->second;
+}
+
+void object_cache::forEach(std::string const& prefix, std::function<void(stored_object const&)> const& visit) const
+{
+    for (auto each = m_objects.lower_bound(prefix); each != m_objects.end() && each->first.starts_with(prefix); ++each)
+        visit(each->second);
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/configuration/service_codec.cpp
@@ -0,0 +1,130 @@
+#include "Libraries/zinnialedge/configuration/service_codec.h"
+
+#include "Libraries/zinnialedge/configuration/json_reader.h"
+#include <boost/algorithm/string/join.hpp>
+#include <boost/json.hpp>
+#include <set>
+
+namespace zinnialedge::configuration {
+
+namespace json = boost::json;
+
+static constexpr std::uint64_t maximumShards = 4096;
+static constexpr std::uint64_t maximumDeadlineMilliseconds = 60'000;
+static constexpr std::uint64_t maximumConnections = 10'000;
+static constexpr std::uint64_t maximumGroupSize = 64;
+
+static model::request_declaration parseRequest(json_reader& reader)
+{
+    return {
+        .name = reader.text("name"),
+        .isUrgent = reader.flag("urgent", false),
+        .isRepeatable = reader.flag("repeatable", true),
+        .isOverAllShards = reader.flag("all_shards", true),
+    };
+}
+
+static model::target_declaration parseTarget(json_reader& reader, std::uint32_t shardCount)
+{
+    return {
+        .name = reader.text("name"),
+        .place = reader.endpoint("at", false),
+        .shard = static_cast<std::uint32_t>(reader.number("shard", 0, shardCount - 1)),
+        .slots = static_cast<std::uint32_t>(reader.number("slots", 1, maximumConnections, 2)),
+        .connectionCap = static_cast<std::uint32_t>(reader.number("connections", 1, maximumConnections, 25)),
+        .isDraining = reader.flag("draining", false),
+    };
+}
+
+static model::service_declaration parseFields(json_reader& reader)
+{
+    model::service_declaration service;
+    service.name = reader.text("name");
+    service.partner = reader.text("partner");
+    service.epoch = reader.number("epoch", 1, std::numeric_limits<std::uint64_t>::max(), 1);
+    service.shardCount = static_cast<std::uint32_t>(reader.number("shards", 1, maximumShards));
+    service.coverage = static_cast<model::coverage_policy>(reader.choice("coverage", { "whole", "partial" }, 0));
+    service.deadline = reader.milliseconds("deadline_ms", 1, maximumDeadlineMilliseconds, service.deadline);
+    service.softDeadline = reader.milliseconds("soft_deadline_ms", 1, maximumDeadlineMilliseconds, std::min(service.softDeadline, service.deadline));
+    service.softSharePercent = static_cast<std::uint32_t>(reader.number("soft_share_percent", 1, 100, service.softSharePercent));
+    service.hedgePercent = static_cast<std::uint32_t>(reader.number("hedge_percent", 0, 100, service.hedgePercent));
+    service.groupSize = static_cast<std::uint32_t>(reader.number("group_size", 1, maximumGroupSize, service.groupSize));
+    reader.list("requests", true, [&](json_reader& item) { service.requests.push_back(parseRequest(item)); });
+    reader.list("targets", false, [&](json_reader& item) { service.targets.push_back(parseTarget(item, service.shardCount)); });
+    if (service.softDeadline > service.deadline)
+        reader.report("soft_deadline_ms", "no more than deadline_ms");
+    return service;
+}
+
+static void checkUniqueNames(model::service_declaration const& service, std::vector<std::string>& problems)
+{
+    std::set<std::string_view> names;
+    for (auto const& target : service.targets) {
+        if (!names.insert(target.name).second)
+            problems.push_back("targets: expected unique names, but " + target.name + " stands twice");
+    }
+    names.clear();
+    for (auto const& request : service.requests) {
+        if (!names.insert(request.name).second)
+            problems.push_back("requests: expected unique names, but " + request.name + " stands twice");
+    }
+}
+
+errors::error_or<model::service_declaration> parseService(std::string_view text)
+{
+    std::vector<std::string> problems;
+    auto const value = parseJson(text, problems);
+    model::service_declaration service;
+    if (value) {
+        json_reader reader { *value, problems };
+        service = parseFields(reader);
+        reader.finish();
+        checkUniqueNames(service, problems);
+    }
+    if (!problems.empty())
+        return errors::fail(errors::error_kind::malformed_command, boost::algorithm::join(problems, "; "));
+    return service;
+}
+
+static json::value toJson(model::request_declaration const& request)
+{
+    return { { "name", request.name }, { "urgent", request.isUrgent }, { "repeatable", request.isRepeatable }, { "all_shards", request.isOverAllShards } };
+}
+
+static json::value toJson(model::target_declaration const& target)
+{
+    return {
+        { "name", target.name },
+        { "at", { { "address", target.place.address }, { "port", target.place.port } } },
+        { "shard", target.shard },
+        { "slots", target.slots },
+        { "connections", target.connectionCap },
+        { "draining", target.isDraining },
+    };
+}
+
+json::value toJson(model::service_declaration const& service)
+{
+    json::array requests;
+    for (auto const& request : service.requests)
+        requests.push_back(toJson(request));
+    json::array targets;
+    for (auto const& target : service.targets)
+        targets.push_back(toJson(target));
+    return {
+        { "name", service.name },
+        { "partner", service.partner },
+        { "epoch", service.epoch },
+        { "shards", service.shardCount },
+        { "coverage", model::toString(service.coverage) },
+        { "deadline_ms", service.deadline.count() },
+        { "soft_deadline_ms", service.softDeadline.count() },
+        { "soft_share_percent", service.softSharePercent },
+        { "hedge_percent", service.hedgePercent },
+        { "group_size", service.groupSize },
+        { "requests", std::move(requests) },
+        { "targets", std::move(targets) },
+    };
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/configuration/service_codec.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "Libraries/zinnialedge/errors/error_kind.h"
+#include "Libraries/zinnialedge/model/service_declaration.h"
+#include <boost/json/value.hpp>
+
+namespace zinnialedge::configuration {
+
+/// Reads a service object as the store holds it; the error names every wrong field.
+errors::error_or<model::service_declaration> parseService(std::string_view text);
+boost::json::value toJson(model::service_declaration const&);
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/errors/error_kind.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace zinnialedge::errors {
+
+/// The closed list of everything that can go wrong for a caller or an operator.
+enum class error_kind {
+    malformed_request,
+    request_too_large,
+    unknown_route,
+    unknown_service,
+    unknown_request_kind,
+    missing_key,
+    deadline_too_short,
+    deadline_out_of_range,
+    overloaded,
+    over_share,
+    no_live_target,
+    deadline_exceeded,
+    outcome_unknown,
+    ticket_required,
+    ticket_expired,
+    ticket_memory_full,
+    not_in_group,
+    leaving,
+    cut_off,
+    store_unavailable,
+    conflict,
+    not_permitted,
+    malformed_command,
+    internal,
+};
+
+/// Whether the request may have been run by a target.
+enum class run_state {
+    no,
+    maybe,
+    yes,
+};
+
+/// What a caller is told for a kind of error.
+struct error_answer {
+    std::string_view name;
+    int httpStatus;
+    run_state ran;
+    bool isRetryable;
+    std::string_view meaning;
+};
+
+error_answer const& answerFor(error_kind);
+std::optional<error_kind> parseErrorKind(std::string_view name);
+std::string_view toString(run_state);
+/// How many kinds there are; they are numbered from zero.
+std::size_t errorKindCount();
+
+/// An error with what happened and, when it helps, when to come back.
+struct error {
+    error_kind kind { error_kind::internal };
+    std::string message;
+    std::optional<std::chrono::milliseconds> retryAfter;
+
+    bool operator==(error const&) const = default;
+};
+
+template <typename T>
+using error_or = tl::expected<T, error>;
+
+tl::unexpected<error> fail(error_kind, std::string message);
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/limits/admission.cpp
@@ -0,0 +1,65 @@
+#include "Libraries/zinnialedge/limits/admission.h"
+
+#include "Kernel/verify.h"
+#include <algorithm>
+
+namespace zinnialedge::limits {
+
+/// The part of each unused guarantee that stays free, so that a share is there at once when its partner comes back.
+static constexpr std::uint32_t reservePercent = 25;
+
+admission::admission(std::uint32_t capacity)
+    : m_capacity(capacity)
+{
+}
+
+void admission::setShares(std::map<std::string, std::uint32_t> percentOfPartner)
+{
+    m_percent = std::move(percentOfPartner);
+}
+
+std::uint32_t admission::guaranteeOf(std::string const& partner) const
+{
+    auto const found = m_percent.find(partner);
+    return found == m_percent.end() ? 0 : m_capacity * found->second / 100;
+}
+
+std::uint32_t admission::unusedGuaranteesOfOthers(std::string const& partner) const
+{
+    std::uint32_t unused = 0;
+    for (auto const& [other, percent] : m_percent) {
+        if (other == partner)
+            continue;
+        auto const guarantee = m_capacity * percent / 100;
+        unused += guarantee - std::min(guarantee, inFlightOf(other));
+    }
+    return unused;
+}
+
+std::uint32_t admission::inFlightOf(std::string const& partner) const
+{
+    auto const found = m_inFlight.find(partner);
+    return found == m_inFlight.end() ? 0 : found->second;
+}
+
+bool admission::tryEnter(std::string const& partner)
+{
+    bool const isWithinGuarantee = inFlightOf(partner) < guaranteeOf(partner);
+    auto const kept = unusedGuaranteesOfOthers(partner) * reservePercent / 100;
+    bool const isLent = m_total + kept < m_capacity;
+    if (!isWithinGuarantee && !isLent)
+        return false;
+    ++m_inFlight[partner];
+    ++m_total;
+    return true;
+}
+
+void admission::leave(std::string const& partner)
+{
+    auto const found = m_inFlight.find(partner);
+    VERIFY(found != m_inFlight.end() && found->second > 0);
+    --found->second;
+    --m_total;
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/limits/concurrency_limit.cpp
@@ -0,0 +1,34 @@
+#include "Libraries/zinnialedge/limits/concurrency_limit.h"
+
+#include <algorithm>
+
+namespace zinnialedge::limits {
+
+static constexpr double minimumLimit = 1;
+static constexpr double decreaseFactor = 0.7;
+
+concurrency_limit::concurrency_limit(std::uint32_t initial, std::uint32_t maximum)
+    : m_value(std::max(minimumLimit, static_cast<double>(std::min(initial, maximum))))
+    , m_maximum(std::max(minimumLimit, static_cast<double>(maximum)))
+{
+}
+
+void concurrency_limit::noteSuccess(bool wasAtLimit)
+{
+    // Only a limit that was reached says anything about the next larger one.
+    if (wasAtLimit)
+        m_value = std::min(m_maximum, m_value + 1 / m_value);
+}
+
+void concurrency_limit::noteShed()
+{
+    m_value = std::max(minimumLimit, m_value * decreaseFactor);
+}
+
+void concurrency_limit::setMaximum(std::uint32_t maximum)
+{
+    m_maximum = std::max(minimumLimit, static_cast<double>(maximum));
+    m_value = std::min(m_value, m_maximum);
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/limits/token_bucket.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+
+namespace zinnialedge::limits {
+
+/// A budget that grows by a fraction of a token for each unit of paid work, up to a burst.
+class token_bucket {
+public:
+    token_bucket(double tokensPerEarning, double burst);
+
+    void earn(std::uint64_t times = 1);
+    [[nodiscard]] bool take();
+    double tokens() const { return m_tokens; }
+
+private:
+    double m_tokensPerEarning;
+    double m_burst;
+    double m_tokens;
+};
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/membership/directory.cpp
@@ -0,0 +1,56 @@
+#include "Libraries/zinnialedge/membership/directory.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace zinnialedge::membership {
+
+void directory::note(daemon_record record)
+{
+    auto& known = m_daemons[record.name];
+    if (record.incarnation >= known.incarnation)
+        known = std::move(record);
+}
+
+void directory::remove(std::string const& name)
+{
+    m_daemons.erase(name);
+}
+
+daemon_record const* directory::find(std::string const& name) const
+{
+    auto const found = m_daemons.find(name);
+    return found == m_daemons.end() ? nullptr : &found->second;
+}
+
+std::vector<daemon_record> directory::daemonsFor(std::string const& service, std::string const& dataCentre) const
+{
+    struct ranked_daemon {
+        int distance { 0 };
+        std::uint64_t rank { 0 };
+        daemon_record const* daemon { nullptr };
+    };
+    std::string region;
+    for (auto const& [name, daemon] : m_daemons) {
+        if (daemon.dataCentre == dataCentre)
+            region = daemon.region;
+    }
+    std::vector<ranked_daemon> ranked;
+    for (auto const& [name, daemon] : m_daemons) {
+        if (daemon.isLeaving)
+            continue;
+        int const distance = daemon.dataCentre == dataCentre ? 0 : daemon.region == region ? 1
+                                                                                           : 2;
+        auto const text = service + "\n" + name;
+        ranked.push_back({ distance, XXH3_64bits(text.data(), text.size()), &daemon });
+    }
+    std::sort(ranked.begin(), ranked.end(), [](auto const& left, auto const& right) {
+        return std::tie(left.distance, left.rank) < std::tie(right.distance, right.rank);
+    });
+    std::vector<daemon_record> daemons;
+    for (auto const& each : ranked)
+        daemons.push_back(*each.daemon);
+    return daemons;
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -0,0 +1,605 @@
+#include "Libraries/zinnialedge/queries/query_engine.h"
+
+#include "Kernel/try.h"
+#include "Kernel/verify.h"
+#include <algorithm>
+
+namespace zinnialedge::queries {
+
+using errors::error;
+using errors::error_kind;
+using kernel::time_point;
+
+static constexpr std::chrono::milliseconds maximumDeadline { 60'000 };
+static constexpr double hedgeQuantile = 0.95;
+static constexpr std::chrono::microseconds initialHedgeDelay { 10'000 };
+static constexpr double budgetBurst = 20;
+static constexpr double retryBudgetPercent = 10;
+static constexpr std::chrono::milliseconds overloadRetryAfter { 50 };
+static constexpr std::chrono::milliseconds noLeafRetryAfter { 500 };
+
+query_engine::query_engine(engine_settings settings, kernel::random_hook random)
+    : m_settings(std::move(settings))
+    , m_random(std::move(random))
+    , m_admission(m_settings.capacity)
+    , m_tickets(m_settings.daemon, m_settings.incarnation, m_settings.ticketCapacity)
+{
+    m_admission.setShares(m_settings.partnerShares);
+}
+
+actions query_engine::step(event const& happened, time_point now)
+{
+    m_actions.clear();
+    std::visit([&](auto const& each) { handle(each, now); }, happened);
+    return std::move(m_actions);
+}
+
+std::optional<time_point> query_engine::nextTimer() const
+{
+    if (m_timers.empty())
+        return std::nullopt;
+    return m_timers.top().at;
+}
+
+query* query_engine::find(query_id id)
+{
+    auto const found = m_queries.find(id);
+    return found == m_queries.end() ? nullptr : &found->second;
+}
+
+query_engine::service_limits& query_engine::limitsOf(std::string const& service)
+{
+    auto const found = m_limits.find(service);
+    VERIFY(found != m_limits.end());
+    return found->second;
+}
+
+// Declarations and leaf status.
+
+void query_engine::handle(service_declared const& declared, time_point)
+{
+    auto const& service = *declared.declaration;
+    double const hedgeShare = service.hedgePercent / 100.0;
+    auto const found = m_limits.find(service.name);
+    limits::token_bucket const hedgeBudget { hedgeShare, hedgeShare > 0 ? budgetBurst : 0 };
+    if (found == m_limits.end())
+        m_limits.emplace(service.name, service_limits { hedgeBudget, { retryBudgetPercent / 100, budgetBurst }, { hedgeQuantile, initialHedgeDelay } });
+    else
+        found->second.hedgeBudget = hedgeBudget;
+    for (auto const& change : m_leafs.declare(declared.declaration))
+        m_actions.emplace_back(change_leaf_connections { change, service.name, m_leafs.at(change.handle).name() });
+}
+
+void query_engine::handle(service_removed const& removed, time_point)
+{
+    for (auto const& change : m_leafs.remove(removed.name))
+        m_actions.emplace_back(change_leaf_connections { change, removed.name, m_leafs.at(change.handle).name() });
+}
+
+void query_engine::noteLeafStatus(routing::leaf_handle handle, leaf_status const& status)
+{
+    auto& leaf = m_leafs.at(handle);
+    bool const isPinStale = leaf.versions() != status.versions || leaf.epochs() != status.epochs;
+    auto const stateBefore = leaf.state();
+    leaf.noteStatus(status.epochs, status.versions, status.load, status.isDraining);
+    if (isPinStale || leaf.state() != stateBefore)
+        m_leafs.forgetPin(leaf.service());
+}
+
+void query_engine::handle(leaf_status_seen const& seen, time_point)
+{
+    if (seen.status)
+        noteLeafStatus(seen.leaf, *seen.status);
+}
+
+// Arrival.
+
+errors::error_or<void> query_engine::check(model::query_request const& request, model::service_declaration const* service) const
+{
+    if (!service)
+        return errors::fail(error_kind::unknown_service, "no service " + request.service);
+    auto const* kind = service->findRequest(request.requestKind);
+    if (!kind)
+        return errors::fail(error_kind::unknown_request_kind, request.service + " has no request " + request.requestKind);
+    if (!kind->isOverAllShards && request.key.empty())
+        return errors::fail(error_kind::missing_key, request.requestKind + " needs a key");
+    if (request.deadline < std::chrono::milliseconds::zero() || request.deadline > maximumDeadline)
+        return errors::fail(error_kind::deadline_out_of_range, "deadline_ms must be from 1 to " + std::to_string(maximumDeadline.count()));
+    if (!kind->isRepeatable && request.ticket.empty())
+        return errors::fail(error_kind::ticket_required, request.requestKind + " is not repeatable; ask /directory for a ticket prefix");
+    return {};
+}
+
+void query_engine::refuse(caller_token caller, model::query_request const& request, error reason)
+{
+    ++m_counters.refusals;
+    m_actions.emplace_back(answer_caller { caller, request.id, tl::unexpected(std::move(reason)) });
+}
+
+void query_engine::handle(query_arrived const& arrived, time_point now)
+{
+    ++m_counters.queries;
+    auto const& request = arrived.request;
+    auto const service = m_leafs.findService(request.service);
+    if (auto const checked = check(request, service.get()); !checked) {
+        refuse(arrived.caller, request, checked.error());
+        return;
+    }
+    bool const isRepeatable = service->findRequest(request.requestKind)->isRepeatable;
+    if (!isRepeatable && !claimTicket(arrived, now))
+        return;
+    admit(arrived, service, now);
+}
+
+bool query_engine::claimTicket(query_arrived const& arrived, time_point now)
+{
+    auto const& request = arrived.request;
+    auto const parsed = parseTicket(request.ticket);
+    if (!parsed) {
+        refuse(arrived.caller, request, { error_kind::malformed_request, "ticket: expected a prefix from /directory, '~' and a suffix", {} });
+        return false;
+    }
+    if (!m_tickets.isOwn(*parsed)) {
+        // A relayed request whose ticket names an earlier process of this daemon has an outcome that nobody knows.
+        if (request.isRelayed || parsed->daemon == m_settings.daemon)
+            refuse(arrived.caller, request, { error_kind::outcome_unknown, "the process that the ticket names is gone", {} });
+        else
+            m_actions.emplace_back(relay_query { arrived.caller, parsed->daemon, request });
+        return false;
+    }
+    switch (m_tickets.claim(request.ticket, *parsed, now)) {
+    case ticket_claim::granted:
+        return true;
+    case ticket_claim::running:
+        if (auto* running = find(m_runningTickets[request.ticket]))
+            running->callers.push_back(arrived.caller);
+        return false;
+    case ticket_claim::settled: {
+        auto result = m_tickets.outcomeOf(request.ticket);
+        if (result)
+            result->isRemembered = true;
+        m_actions.emplace_back(answer_caller { arrived.caller, request.id, std::move(result) });
+        return false;
+    }
+    case ticket_claim::expired:
+        refuse(arrived.caller, request, { error_kind::ticket_expired, "the ticket has expired", std::chrono::milliseconds { 0 } });
+        return false;
+    case ticket_claim::memory_full:
+        refuse(arrived.caller, request, { error_kind::ticket_memory_full, "too many unexpired tickets", noLeafRetryAfter });
+        return false;
+    }
+    VERIFY(false);
+}
+
+std::vector<std::uint32_t> query_engine::shardsOf(model::query_request const& request, model::service_declaration const& service, model::snapshot pin) const
+{
+    auto const* map = m_leafs.findMap(service.name, pin.epoch);
+    VERIFY(map);
+    auto const shardCount = static_cast<std::uint32_t>(map->leafsOfShard.size());
+    if (!service.findRequest(request.requestKind)->isOverAllShards)
+        return { model::shardOfKey(request.key, shardCount) };
+    std::vector<std::uint32_t> shards(shardCount);
+    for (std::uint32_t shard = 0; shard < shardCount; ++shard)
+        shards[shard] = shard;
+    return shards;
+}
+
+void query_engine::admit(query_arrived const& arrived, std::shared_ptr<model::service_declaration const> service, time_point now)
+{
+    auto const& request = arrived.request;
+    auto const refuseUnrun = [&](error reason) {
+        m_tickets.release(request.ticket);
+        refuse(arrived.caller, request, std::move(reason));
+    };
+    auto const pin = m_leafs.choosePin(service->name);
+    if (!pin) {
+        refuseUnrun({ error_kind::no_live_target, "no leaf of " + service->name + " serves any version", noLeafRetryAfter });
+        return;
+    }
+    auto const shards = shardsOf(request, *service, *pin);
+    if (m_calls.size() + 2 * shards.size() > m_settings.leafCallCapacity) {
+        refuseUnrun({ error_kind::overloaded, "too many calls to leafs are in flight", overloadRetryAfter });
+        return;
+    }
+    if (!m_admission.tryEnter(service->partner)) {
+        refuseUnrun({ error_kind::over_share, service->partner + " has no room left on this daemon", overloadRetryAfter });
+        return;
+    }
+    auto const* kind = service->findRequest(request.requestKind);
+    auto const deadline = request.deadline.count() > 0 ? request.deadline : service->deadline;
+    auto const id = ++m_lastQuery;
+    auto& added = m_queries[id];
+    added.id = id;
+    added.callers = { arrived.caller };
+    added.request = std::make_shared<model::query_request const>(request);
+    added.service = service;
+    added.isUrgent = kind->isUrgent;
+    added.isRepeatable = kind->isRepeatable;
+    added.pin = *pin;
+    added.arrivedAt = now;
+    added.deadline = now + std::max<std::chrono::milliseconds>(deadline - m_settings.returnMargin, std::chrono::milliseconds { 1 });
+    for (auto const shard : shards)
+        added.shards.emplace_back().shard = shard;
+    if (!added.isRepeatable)
+        m_runningTickets[request.ticket] = id;
+    m_timers.push({ added.deadline, id, 0, timer_kind::deadline });
+    if (service->coverage == model::coverage_policy::partial && kind->isOverAllShards)
+        m_timers.push({ std::min(added.deadline, now + service->softDeadline), id, 0, timer_kind::soft_deadline });
+    scatter(added, now);
+}
+
+// Scattering.
+
+void query_engine::scatter(query& scattered, time_point now)
+{
+    auto const id = scattered.id;
+    for (std::uint32_t place = 0; place < scattered.shards.size(); ++place) {
+        requestShard(scattered, place, false, now);
+        // A shard without a leaf may settle the whole query.
+        if (!m_queries.contains(id))
+            return;
+    }
+}
+
+void query_engine::requestShard(query& asking, std::uint32_t place, bool isHedge, time_point now)
+{
+    auto& shard = asking.shards[place];
+    auto const choice = m_leafs.choose(asking.service->name, asking.pin, shard.shard, shard.asked, now, m_random);
+    if (choice.chosen) {
+        send(asking, place, *choice.chosen, isHedge, now);
+        return;
+    }
+    if (choice.isWorthWaiting) {
+        waitForRoom(asking, place, isHedge);
+        return;
+    }
+    if (shard.calls.empty() && !shard.isWaiting)
+        miss(asking, place, shard.asked.empty() ? model::missing_reason::no_leaf : shard.reasonSoFar);
+}
+
+void query_engine::send(query& asking, std::uint32_t place, routing::leaf_handle leaf, bool isHedge, time_point now)
+{
+    auto& shard = asking.shards[place];
+    auto& limits = limitsOf(asking.service->name);
+    auto const call = ++m_lastCall;
+    m_leafs.at(leaf).noteSent(now);
+    shard.calls.push_back({ call, leaf, now, isHedge });
+    shard.asked.push_back(leaf);
+    shard.isWaiting = false;
+    asking.mayHaveRun = true;
+    m_calls.emplace(call, call_owner { asking.id, place, shard.shard, leaf, now, asking.pin, asking.isRepeatable ? std::string {} : asking.request->ticket });
+    ++m_counters.leafCalls;
+    if (isHedge) {
+        ++m_counters.hedges;
+    } else {
+        limits.hedgeBudget.earn();
+        limits.retryBudget.earn();
+        if (asking.isRepeatable && !shard.isHedged)
+            m_timers.push({ now + limits.hedgeDelay.value(), asking.id, place, timer_kind::hedge });
+    }
+    m_actions.emplace_back(send_leaf_call { call, leaf, shard.shard, asking.pin, asking.deadline, asking.isUrgent, asking.isRepeatable, asking.request });
+}
+
+void query_engine::waitForRoom(query& asking, std::uint32_t place, bool isHedge)
+{
+    auto& shard = asking.shards[place];
+    shard.isWaiting = true;
+    auto& queue = m_waiting[{ asking.service->name, asking.pin.epoch, shard.shard }];
+    auto& line = asking.isUrgent ? queue.urgent : queue.ordinary;
+    line.push_back({ asking.id, place, isHedge });
+}
+
+void query_engine::dispatchWaiting(shard_key const& key, time_point now)
+{
+    auto const found = m_waiting.find(key);
+    if (found == m_waiting.end())
+        return;
+    while (dispatchFirst(found->second.urgent, now)) { }
+    while (dispatchFirst(found->second.ordinary, now)) { }
+    if (found->second.urgent.empty() && found->second.ordinary.empty())
+        m_waiting.erase(found);
+}
+
+bool query_engine::dispatchFirst(std::deque<waiting_shard>& line, time_point now)
+{
+    while (!line.empty()) {
+        auto const first = line.front();
+        auto* asking = find(first.query);
+        if (!asking || asking->shards[first.place].isSettled() || !asking->shards[first.place].isWaiting) {
+            line.pop_front();
+            continue;
+        }
+        auto const& shard = asking->shards[first.place];
+        auto const choice = m_leafs.choose(asking->service->name, asking->pin, shard.shard, shard.asked, now, m_random);
+        if (!choice.chosen)
+            return false;
+        line.pop_front();
+        send(*asking, first.place, *choice.chosen, first.isHedge, now);
+        return true;
+    }
+    return false;
+}
+
+void query_engine::hedge(query& asking, std::uint32_t place, time_point now)
+{
+    auto& shard = asking.shards[place];
+    if (!asking.isRepeatable || shard.isSettled() || shard.isHedged || shard.calls.size() != 1)
+        return;
+    auto const choice = m_leafs.choose(asking.service->name, asking.pin, shard.shard, shard.asked, now, m_random);
+    if (!choice.chosen && !choice.isWorthWaiting)
+        return;
+    if (!limitsOf(asking.service->name).hedgeBudget.take())
+        return;
+    shard.isHedged = true;
+    requestShard(asking, place, true, now);
+}
+
+// Gathering.
+
+void query_engine::handle(leaf_call_ended const& ended, time_point now)
+{
+    auto const found = m_calls.find(ended.call);
+    if (found == m_calls.end()) {
+        ++m_counters.lateReplies;
+        return;
+    }
+    auto const owner = found->second;
+    m_calls.erase(found);
+    auto& leaf = m_leafs.at(owner.leaf);
+    leaf.noteEnded(owner.sentAt, now, ended.outcome.kind == leaf_outcome_kind::answered);
+    if (ended.outcome.status)
+        noteLeafStatus(owner.leaf, *ended.outcome.status);
+    if (ended.outcome.refusal == leaf_refusal::shed)
+        leaf.noteShed();
+    if (ended.outcome.refusal == leaf_refusal::draining) {
+        leaf.noteRefusedAsDraining();
+        m_leafs.forgetPin(leaf.service());
+    }
+    auto const service = leaf.service();
+    auto* asking = find(owner.query);
+    bool const isCurrent = asking && asking->pin == owner.pin && !asking->shards[owner.place].isSettled();
+    if (!isCurrent) {
+        ++m_counters.lateReplies;
+        settleLateReply(owner, ended.outcome);
+    } else {
+        auto& shard = asking->shards[owner.place];
+        std::erase_if(shard.calls, [&](auto const& call) { return call.call == ended.call; });
+        if (ended.outcome.kind == leaf_outcome_kind::answered)
+            limitsOf(service).hedgeDelay.add(std::chrono::duration_cast<std::chrono::microseconds>(now - owner.sentAt));
+        switch (ended.outcome.kind) {
+        case leaf_outcome_kind::answered:
+            accept(*asking, owner.place, ended.outcome, now);
+            break;
+        case leaf_outcome_kind::refused:
+            handleRefusal(*asking, owner.place, ended.outcome, now);
+            break;
+        case leaf_outcome_kind::failed:
+            handleFailure(*asking, owner.place, ended.outcome, now);
+            break;
+        }
+    }
+    // FIXME: A leaf that moved to another shard in a newer epoch should wake the calls that wait there too.
+    dispatchWaiting({ service, owner.pin.epoch, owner.shard }, now);
+}
+
+void query_engine::settleLateReply(call_owner const& owner, leaf_outcome const& outcome)
+{
+    if (owner.ticket.empty() || outcome.kind != leaf_outcome_kind::answered)
+        return;
+    model::answer answer { owner.ticket, outcome.reflects, { 1, 1, {} }, outcome.rows, false };
+    m_tickets.settle(owner.ticket, std::move(answer));
+}
+
+void query_engine::accept(query& asking, std::uint32_t place, leaf_outcome const& outcome, time_point now)
+{
+    auto& shard = asking.shards[place];
+    if (outcome.shard != shard.shard || outcome.reflects != asking.pin) {
+        // A reply for something else must never be merged; the leaf is not to be trusted with this shard now.
+        ++m_counters.mismatchedReplies;
+        leaf_outcome failed;
+        failed.reason = "the reply is for another shard or snapshot";
+        handleFailure(asking, place, failed, now);
+        return;
+    }
+    shard.isAnswered = true;
+    shard.isWaiting = false;
+    shard.rows = outcome.rows;
+    cancelCalls(shard);
+    ++asking.settledShards;
+    ++asking.answeredShards;
+    settleIfComplete(asking);
+}
+
+void query_engine::handleRefusal(query& asking, std::uint32_t place, leaf_outcome const& outcome, time_point now)
+{
+    if (!asking.isRepeatable) {
+        // Its one sending is spent, but the leaf says that it did not run.
+        asking.mayHaveRun = false;
+        miss(asking, place, outcome.refusal == leaf_refusal::shed ? model::missing_reason::overloaded : model::missing_reason::no_leaf);
+        return;
+    }
+    switch (outcome.refusal) {
+    case leaf_refusal::version_gone:
+    case leaf_refusal::wrong_epoch: {
+        auto const reason = outcome.refusal == leaf_refusal::version_gone ? model::missing_reason::version_gone : model::missing_reason::repartitioned;
+        asking.shards[place].reasonSoFar = reason;
+        auto const choice = m_leafs.choose(asking.service->name, asking.pin, asking.shards[place].shard, asking.shards[place].asked, now, m_random);
+        bool const canAskElsewhere = choice.chosen || choice.isWorthWaiting || !asking.shards[place].calls.empty();
+        if (!canAskElsewhere && repin(asking, now))
+            return;
+        retryOrMiss(asking, place, reason, now);
+        return;
+    }
+    case leaf_refusal::shed:
+        retryOrMiss(asking, place, model::missing_reason::overloaded, now);
+        return;
+    case leaf_refusal::none:
+    case leaf_refusal::draining:
+    case leaf_refusal::cancelled:
+    case leaf_refusal::deadline:
+        retryOrMiss(asking, place, model::missing_reason::no_leaf, now);
+        return;
+    }
+}
+
+void query_engine::handleFailure(query& asking, std::uint32_t place, leaf_outcome const& outcome, time_point now)
+{
+    if (!asking.isRepeatable) {
+        asking.mayHaveRun = outcome.mayHaveBeenSent;
+        miss(asking, place, model::missing_reason::failed);
+        return;
+    }
+    retryOrMiss(asking, place, model::missing_reason::failed, now);
+}
+
+void query_engine::retryOrMiss(query& asking, std::uint32_t place, model::missing_reason reason, time_point now)
+{
+    auto& shard = asking.shards[place];
+    shard.reasonSoFar = reason;
+    if (!shard.calls.empty() || shard.isWaiting)
+        return;
+    auto const choice = m_leafs.choose(asking.service->name, asking.pin, shard.shard, shard.asked, now, m_random);
+    bool const isPossible = choice.chosen || choice.isWorthWaiting;
+    if (!isPossible || !limitsOf(asking.service->name).retryBudget.take()) {
+        miss(asking, place, reason);
+        return;
+    }
+    ++m_counters.retries;
+    requestShard(asking, place, false, now);
+}
+
+void query_engine::miss(query& asking, std::uint32_t place, model::missing_reason reason)
+{
+    asking.shards[place].missing = reason;
+    ++asking.settledShards;
+    settleIfComplete(asking);
+}
+
+bool query_engine::repin(query& asking, time_point now)
+{
+    auto const pin = m_leafs.choosePin(asking.service->name);
+    if (!pin || *pin == asking.pin || !asking.lifecycle.repin())
+        return false;
+    ++m_counters.repins;
+    for (auto& shard : asking.shards)
+        cancelCalls(shard);
+    asking.service = m_leafs.findService(asking.service->name);
+    asking.pin = *pin;
+    asking.settledShards = 0;
+    asking.answeredShards = 0;
+    asking.shards.clear();
+    for (auto const shard : shardsOf(*asking.request, *asking.service, *pin))
+        asking.shards.emplace_back().shard = shard;
+    scatter(asking, now);
+    return true;
+}
+
+void query_engine::cancelCalls(shard_progress& shard)
+{
+    for (auto const& call : shard.calls)
+        m_actions.emplace_back(cancel_leaf_call { call.call, call.leaf });
+    shard.calls.clear();
+}
+
+// Settling.
+
+void query_engine::settleIfComplete(query& asking)
+{
+    bool const isComplete = asking.settledShards == asking.shards.size();
+    if (isComplete || (asking.isSoftDeadlinePast && hasSoftShare(asking)))
+        settle(asking, resultOf(asking));
+}
+
+bool query_engine::hasSoftShare(query const& asking) const
+{
+    return asking.answeredShards * 100 >= asking.shards.size() * asking.service->softSharePercent;
+}
+
+model::answer_or_error query_engine::resultOf(query& asking)
+{
+    bool const isSingle = !asking.service->findRequest(asking.request->requestKind)->isOverAllShards;
+    if (asking.answeredShards > 0)
+        return mergeAnswer(asking);
+    if (!asking.isRepeatable && asking.mayHaveRun)
+        return errors::fail(error_kind::outcome_unknown, "the request was sent, but no reply came");
+    auto const reason = asking.shards.front().missing.value_or(asking.shards.front().reasonSoFar);
+    auto const text = isSingle ? "shard " + std::to_string(asking.shards.front().shard) : std::string { "no shard answered" };
+    if (asking.mayHaveRun)
+        return errors::fail(error_kind::deadline_exceeded, text + ": " + std::string { toString(reason) });
+    return tl::unexpected(error { error_kind::no_live_target, text + ": " + std::string { toString(reason) }, noLeafRetryAfter });
+}
+
+void query_engine::settleAtDeadline(query& asking)
+{
+    settle(asking, resultOf(asking));
+}
+
+void query_engine::settleAtSoftDeadline(query& asking)
+{
+    asking.isSoftDeadlinePast = true;
+    if (hasSoftShare(asking))
+        settle(asking, resultOf(asking));
+}
+
+void query_engine::settle(query& asking, model::answer_or_error result)
+{
+    asking.lifecycle.settle();
+    if (asking.isRepeatable) {
+        for (auto& shard : asking.shards)
+            cancelCalls(shard);
+    } else {
+        m_runningTickets.erase(asking.request->ticket);
+        bool const isUnrun = !result && errors::answerFor(result.error().kind).ran == errors::run_state::no;
+        if (isUnrun)
+            m_tickets.release(asking.request->ticket);
+        else
+            m_tickets.settle(asking.request->ticket, result);
+    }
+    if (result) {
+        ++m_counters.answers;
+        m_counters.partialAnswers += result->covered.isWhole() ? 0 : 1;
+    } else {
+        ++m_counters.refusals;
+    }
+    m_admission.leave(asking.service->partner);
+    for (auto const caller : asking.callers)
+        m_actions.emplace_back(answer_caller { caller, asking.request->id, result });
+    m_queries.erase(asking.id);
+}
+
+// Timers, relays and callers that leave.
+
+void query_engine::handle(timer_due const&, time_point now)
+{
+    while (!m_timers.empty() && m_timers.top().at <= now) {
+        auto const due = m_timers.top();
+        m_timers.pop();
+        auto* asking = find(due.query);
+        if (!asking)
+            continue;
+        switch (due.kind) {
+        case timer_kind::deadline:
+            settleAtDeadline(*asking);
+            break;
+        case timer_kind::soft_deadline:
+            settleAtSoftDeadline(*asking);
+            break;
+        case timer_kind::hedge:
+            if (due.place < asking->shards.size())
+                hedge(*asking, due.place, now);
+            break;
+        }
+    }
+}
+
+void query_engine::handle(relay_ended const& ended, time_point)
+{
+    m_actions.emplace_back(answer_caller { ended.caller, ended.result ? ended.result->id : std::string {}, ended.result });
+}
+
+void query_engine::handle(caller_left const&, time_point)
+{
+    // FIXME: A repeatable query whose only caller is gone could be cancelled to spare the leafs.
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include "Libraries/zinnialedge/limits/admission.h"
+#include "Libraries/zinnialedge/limits/moving_quantile.h"
+#include "Libraries/zinnialedge/limits/token_bucket.h"
+#include "Libraries/zinnialedge/queries/query.h"
+#include "Libraries/zinnialedge/queries/ticket_book.h"
+#include <deque>
+#include <map>
+#include <queue>
+#include <unordered_map>
+
+namespace zinnialedge::queries {
+
+struct engine_settings {
+    std::string daemon;
+    std::uint64_t incarnation { 0 };
+    /// The most queries in flight at once.
+    std::uint32_t capacity { 1024 };
+    /// The most calls to leafs in flight at once; the rings that carry replies have this size.
+    std::size_t leafCallCapacity { 32'768 };
+    std::size_t ticketCapacity { 100'000 };
+    /// Guaranteed shares of the capacity in percent, by partner.
+    std::map<std::string, std::uint32_t> partnerShares;
+    /// How long before its deadline a query is answered, so that the answer arrives in time.
+    std::chrono::milliseconds returnMargin { 2 };
+};
+
+/// Counts since the process started.
+struct engine_counters {
+    std::uint64_t queries { 0 };
+    std::uint64_t answers { 0 };
+    std::uint64_t partialAnswers { 0 };
+    std::uint64_t refusals { 0 };
+    std::uint64_t leafCalls { 0 };
+    std::uint64_t hedges { 0 };
+    std::uint64_t retries { 0 };
+    std::uint64_t repins { 0 };
+    std::uint64_t lateReplies { 0 };
+    std::uint64_t mismatchedReplies { 0 };
+};
+
+/// All decisions on queries, without I/O: the same events at the same times give the same actions.
+class query_engine {
+public:
+    query_engine(engine_settings, kernel::random_hook);
+
+    actions step(event const&, kernel::time_point now);
+    /// When the next timer event is due.
+    std::optional<kernel::time_point> nextTimer() const;
+
+    std::string issueTicketPrefix(kernel::time_point now) const { return m_tickets.issuePrefix(now); }
+    engine_counters const& counters() const { return m_counters; }
+    routing::leaf_table const& leafs() const { return m_leafs; }
+    std::size_t queriesInFlight() const { return m_queries.size(); }
+    std::size_t rememberedTickets() const { return m_tickets.size(); }
+    limits::admission const& admission() const { return m_admission; }
+
+private:
+    enum class timer_kind {
+        deadline,
+        soft_deadline,
+        hedge,
+    };
+
+    struct timer {
+        kernel::time_point at;
+        query_id query { 0 };
+        std::uint32_t place { 0 };
+        timer_kind kind { timer_kind::deadline };
+
+        bool operator>(timer const& other) const { return at > other.at; }
+    };
+
+    /// What is kept of each service besides its leafs.
+    struct service_limits {
+        limits::token_bucket hedgeBudget;
+        limits::token_bucket retryBudget;
+        limits::moving_quantile hedgeDelay;
+    };
+
+    /// A shard of a query that waits for room at a leaf.
+    struct waiting_shard {
+        query_id query { 0 };
+        std::uint32_t place { 0 };
+        bool isHedge { false };
+    };
+
+    struct shard_queue {
+        std::deque<waiting_shard> urgent;
+        std::deque<waiting_shard> ordinary;
+    };
+
+    struct call_owner {
+        query_id query { 0 };
+        std::uint32_t place { 0 };
+        std::uint32_t shard { 0 };
+        routing::leaf_handle leaf { 0 };
+        kernel::time_point sentAt;
+        model::snapshot pin;
+        /// The ticket that a late reply settles, when the query is gone by then.
+        std::string ticket;
+    };
+
+    /// One shard of a service in one partition epoch.
+    struct shard_key {
+        std::string service;
+        std::uint64_t epoch { 0 };
+        std::uint32_t shard { 0 };
+
+        auto operator<=>(shard_key const&) const = default;
+    };
+
+    void handle(query_arrived const&, kernel::time_point);
+    void handle(caller_left const&, kernel::time_point);
+    void handle(leaf_call_ended const&, kernel::time_point);
+    void handle(leaf_status_seen const&, kernel::time_point);
+    void handle(service_declared const&, kernel::time_point);
+    void handle(service_removed const&, kernel::time_point);
+    void handle(relay_ended const&, kernel::time_point);
+    void handle(timer_due const&, kernel::time_point);
+
+    // Arrival.
+    errors::error_or<void> check(model::query_request const&, model::service_declaration const*) const;
+    /// False when the ticket's holder is elsewhere, or the request is settled, running or refused: then it is dealt with.
+    bool claimTicket(query_arrived const&, kernel::time_point);
+    void admit(query_arrived const&, std::shared_ptr<model::service_declaration const>, kernel::time_point);
+    void refuse(caller_token, model::query_request const&, errors::error);
+    std::vector<std::uint32_t> shardsOf(model::query_request const&, model::service_declaration const&, model::snapshot) const;
+
+    // Scattering.
+    void scatter(query&, kernel::time_point);
+    void requestShard(query&, std::uint32_t place, bool isHedge, kernel::time_point);
+    void send(query&, std::uint32_t place, routing::leaf_handle, bool isHedge, kernel::time_point);
+    void waitForRoom(query&, std::uint32_t place, bool isHedge);
+    void dispatchWaiting(shard_key const&, kernel::time_point);
+    bool dispatchFirst(std::deque<waiting_shard>&, kernel::time_point);
+    void hedge(query&, std::uint32_t place, kernel::time_point);
+
+    // Gathering.
+    void accept(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
+    void handleRefusal(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
+    void handleFailure(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
+    void retryOrMiss(query&, std::uint32_t place, model::missing_reason, kernel::time_point);
+    void miss(query&, std::uint32_t place, model::missing_reason);
+    bool repin(query&, kernel::time_point);
+    void cancelCalls(shard_progress&);
+    void noteLeafStatus(routing::leaf_handle, leaf_status const&);
+    void settleLateReply(call_owner const&, leaf_outcome const&);
+
+    // Settling.
+    void settleIfComplete(query&);
+    void settleAtDeadline(query&);
+    void settleAtSoftDeadline(query&);
+    bool hasSoftShare(query const&) const;
+    model::answer_or_error resultOf(query&);
+    void settle(query&, model::answer_or_error);
+
+    service_limits& limitsOf(std::string const& service);
+    query* find(query_id);
+
+    engine_settings m_settings;
+    kernel::random_hook m_random;
+    routing::leaf_table m_leafs;
+    limits::admission m_admission;
+    ticket_book m_tickets;
+    engine_counters m_counters;
+    std::map<std::string, service_limits> m_limits;
+    std::map<shard_key, shard_queue> m_waiting;
+    std::unordered_map<query_id, query> m_queries;
+    std::unordered_map<call_id, call_owner> m_calls;
+    std::unordered_map<std::string, query_id> m_runningTickets;
+    std::priority_queue<timer, std::vector<timer>, std::greater<>> m_timers;
+    query_id m_lastQuery { 0 };
+    call_id m_lastCall { 0 };
+    actions m_actions;
+};
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/routing/leaf_table.cpp
@@ -0,0 +1,204 @@
+#include "Libraries/zinnialedge/routing/leaf_table.h"
+
+#include "Kernel/verify.h"
+#include <algorithm>
+#include <set>
+
+namespace zinnialedge::routing {
+
+/// The part of a leaf's connections that stays free while the members of a group change.
+static constexpr std::uint32_t connectionReservePercent = 15;
+static constexpr std::size_t keptMaps = 2;
+
+std::uint32_t connectionShare(model::target_declaration const& target, std::uint32_t groupSize)
+{
+    auto const usable = target.connectionCap * (100 - connectionReservePercent) / 100;
+    return std::max<std::uint32_t>(1, usable / std::max<std::uint32_t>(1, groupSize));
+}
+
+std::vector<leaf_change> leaf_table::declare(std::shared_ptr<model::service_declaration const> declaration)
+{
+    auto& routes = m_services[declaration->name];
+    routes.declaration = declaration;
+    partition_map map { declaration->epoch, std::vector<std::vector<leaf_handle>>(declaration->shardCount) };
+    std::vector<leaf_change> changes;
+    for (auto const& target : declaration->targets) {
+        auto const handle = declareLeaf(routes, target);
+        map.leafsOfShard[target.shard].push_back(handle);
+        changes.push_back({ handle, target.place, at(handle).connectionShare() });
+    }
+    if (!routes.maps.empty() && routes.maps.front().epoch == map.epoch)
+        routes.maps.front() = std::move(map);
+    else
+        routes.maps.insert(routes.maps.begin(), std::move(map));
+    if (routes.maps.size() > keptMaps)
+        routes.maps.resize(keptMaps);
+    auto retired = retireLeafs(routes);
+    changes.insert(changes.end(), retired.begin(), retired.end());
+    routes.isPinKnown = false;
+    return changes;
+}
+
+leaf_handle leaf_table::declareLeaf(service_routes& routes, model::target_declaration const& target)
+{
+    auto const share = connectionShare(target, routes.declaration->groupSize);
+    auto const found = routes.handles.find(target.name);
+    if (found != routes.handles.end()) {
+        at(found->second).redeclare(target, share);
+        return found->second;
+    }
+    auto const handle = static_cast<leaf_handle>(m_leafs.size());
+    m_leafs.emplace_back(routes.declaration->name, target, share);
+    routes.handles.emplace(target.name, handle);
+    return handle;
+}
+
+std::vector<leaf_change> leaf_table::retireLeafs(service_routes& routes)
+{
+    std::set<leaf_handle> kept;
+    for (auto const& map : routes.maps) {
+        for (auto const& leafs : map.leafsOfShard)
+            kept.insert(leafs.begin(), leafs.end());
+    }
+    std::vector<leaf_change> changes;
+    for (auto entry = routes.handles.begin(); entry != routes.handles.end();) {
+        if (kept.contains(entry->second)) {
+            ++entry;
+            continue;
+        }
+        at(entry->second).noteGone();
+        changes.push_back({ entry->second, at(entry->second).place(), 0 });
+        entry = routes.handles.erase(entry);
+    }
+    return changes;
+}
+
+std::vector<leaf_change> leaf_table::remove(std::string const& service)
+{
+    auto const found = m_services.find(service);
+    if (found == m_services.end())
+        return {};
+    found->second.maps.clear();
+    auto changes = retireLeafs(found->second);
+    m_services.erase(found);
+    return changes;
+}
+
+std::shared_ptr<model::service_declaration const> leaf_table::findService(std::string const& name) const
+{
+    auto const found = m_services.find(name);
+    return found == m_services.end() ? nullptr : found->second.declaration;
+}
+
+std::vector<std::string> leaf_table::serviceNames() const
+{
+    std::vector<std::string> names;
+    for (auto const& [name, routes] : m_services)
+        names.push_back(name);
+    return names;
+}
+
+leaf& leaf_table::at(leaf_handle handle)
+{
+    VERIFY(handle < m_leafs.size());
+    return m_leafs[handle];
+}
+
+leaf const& leaf_table::at(leaf_handle handle) const
+{
+    VERIFY(handle < m_leafs.size());
+    return m_leafs[handle];
+}
+
+partition_map const* leaf_table::findMap(std::string const& service, std::uint64_t epoch) const
+{
+    auto const found = m_services.find(service);
+    if (found == m_services.end())
+        return nullptr;
+    for (auto const& map : found->second.maps) {
+        if (map.epoch == epoch)
+            return &map;
+    }
+    return nullptr;
+}
+
+void leaf_table::forgetPin(std::string const& service)
+{
+    auto const found = m_services.find(service);
+    if (found != m_services.end())
+        found->second.isPinKnown = false;
+}
+
+std::optional<model::snapshot> leaf_table::choosePin(std::string const& service)
+{
+    auto const found = m_services.find(service);
+    if (found == m_services.end())
+        return std::nullopt;
+    auto& routes = found->second;
+    if (!routes.isPinKnown) {
+        routes.pin = findPin(routes);
+        routes.isPinKnown = true;
+    }
+    return routes.pin;
+}
+
+std::size_t leaf_table::countServedShards(partition_map const& map, std::uint64_t version) const
+{
+    return static_cast<std::size_t>(std::count_if(map.leafsOfShard.begin(), map.leafsOfShard.end(), [&](auto const& leafs) {
+        return std::any_of(leafs.begin(), leafs.end(), [&](leaf_handle handle) {
+            return at(handle).isTakingNewWork() && at(handle).isServing(map.epoch, version);
+        });
+    }));
+}
+
+std::optional<model::snapshot> leaf_table::findPin(service_routes const& routes) const
+{
+    std::optional<model::snapshot> best;
+    double bestCover = 0;
+    for (auto const& map : routes.maps) {
+        std::set<std::uint64_t, std::greater<>> versions;
+        for (auto const& leafs : map.leafsOfShard) {
+            for (auto const handle : leafs)
+                versions.insert(at(handle).versions().begin(), at(handle).versions().end());
+        }
+        for (auto const version : versions) {
+            double const cover = static_cast<double>(countServedShards(map, version)) / static_cast<double>(map.leafsOfShard.size());
+            // Newer epochs and versions come first, so an older one must cover more to be preferred.
+            if (cover > bestCover) {
+                best = model::snapshot { map.epoch, version };
+                bestCover = cover;
+            }
+        }
+    }
+    return best;
+}
+
+leaf_choice leaf_table::choose(std::string const& service, model::snapshot pin, std::uint32_t shard, std::span<leaf_handle const> excluded, kernel::time_point now, kernel::random_hook const& random) const
+{
+    auto const* map = findMap(service, pin.epoch);
+    if (!map || shard >= map->leafsOfShard.size())
+        return {};
+    leaf_choice choice;
+    std::vector<leaf_handle> candidates;
+    for (auto const handle : map->leafsOfShard[shard]) {
+        auto const& each = at(handle);
+        bool const isExcluded = std::find(excluded.begin(), excluded.end(), handle) != excluded.end();
+        if (isExcluded || !each.isTakingNewWork() || !each.isServing(pin.epoch, pin.version))
+            continue;
+        choice.isWorthWaiting = true;
+        if (each.hasRoom())
+            candidates.push_back(handle);
+    }
+    if (candidates.empty())
+        return choice;
+    auto const first = random() % candidates.size();
+    choice.chosen = candidates[first];
+    if (candidates.size() == 1)
+        return choice;
+    auto const second = (first + 1 + random() % (candidates.size() - 1)) % candidates.size();
+    if (at(candidates[second]).expectedDelayMicroseconds(now) < at(candidates[first]).expectedDelayMicroseconds(now))
+        choice.chosen = candidates[second];
+    return choice;
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/routing/leaf_table.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "Kernel/clock.h"
+#include "Libraries/zinnialedge/model/query.h"
+#include "Libraries/zinnialedge/routing/leaf.h"
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace zinnialedge::routing {
+
+/// Which leafs own each shard in one partition epoch.
+struct partition_map {
+    std::uint64_t epoch { 0 };
+    std::vector<std::vector<leaf_handle>> leafsOfShard;
+};
+
+/// The result of looking for a leaf for a call.
+struct leaf_choice {
+    /// Set when a leaf can take the call now.
+    std::optional<leaf_handle> chosen;
+    /// True when a leaf could take it later: all that may are at their limit.
+    bool isWorthWaiting { false };
+};
+
+/// What changed for the connections to leafs.
+struct leaf_change {
+    leaf_handle handle { 0 };
+    model::endpoint place;
+    /// Zero: close them all.
+    std::uint32_t connections { 0 };
+};
+
+/// All leafs of the services that this daemon serves, their partition maps, and the choice among them.
+class leaf_table {
+public:
+    /// Takes over a declaration. The map of the epoch before stays until every shard serves the new one.
+    std::vector<leaf_change> declare(std::shared_ptr<model::service_declaration const>);
+    std::vector<leaf_change> remove(std::string const& service);
+
+    std::shared_ptr<model::service_declaration const> findService(std::string const& name) const;
+    std::vector<std::string> serviceNames() const;
+    leaf& at(leaf_handle);
+    leaf const& at(leaf_handle) const;
+    std::size_t size() const { return m_leafs.size(); }
+
+    /// The newest snapshot that every shard can serve, or else the one with the widest cover.
+    std::optional<model::snapshot> choosePin(std::string const& service);
+    /// Called when what a leaf serves, or whether it takes work, has changed.
+    void forgetPin(std::string const& service);
+
+    partition_map const* findMap(std::string const& service, std::uint64_t epoch) const;
+    /// The better of two leafs of the shard that serve the snapshot, take work and are not excluded.
+    leaf_choice choose(std::string const& service, model::snapshot, std::uint32_t shard, std::span<leaf_handle const> excluded, kernel::time_point now, kernel::random_hook const&) const;
+
+private:
+    struct service_routes {
+        std::shared_ptr<model::service_declaration const> declaration;
+        /// Newest first.
+        std::vector<partition_map> maps;
+        std::map<std::string, leaf_handle> handles;
+        std::optional<model::snapshot> pin;
+        bool isPinKnown { false };
+    };
+
+    leaf_handle declareLeaf(service_routes&, model::target_declaration const&);
+    std::vector<leaf_change> retireLeafs(service_routes&);
+    std::size_t countServedShards(partition_map const&, std::uint64_t version) const;
+    std::optional<model::snapshot> findPin(service_routes const&) const;
+
+    std::map<std::string, service_routes> m_services;
+    std::vector<leaf> m_leafs;
+};
+
+/// How many connections to one leaf a member of the service's group may hold.
+std::uint32_t connectionShare(model::target_declaration const&, std::uint32_t groupSize);
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/wire/http_server.cpp
@@ -0,0 +1,259 @@
+#include "Libraries/zinnialedge/wire/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <set>
+
+namespace zinnialedge::wire {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+class http_connection_session;
+
+class http_server::implementation : public std::enable_shared_from_this<implementation> {
+public:
+    implementation(asio::io_context& context, http_server_limits limits, http_handler handler)
+        : m_context(context)
+        , m_acceptor(context)
+        , m_limits(std::move(limits))
+        , m_handler(std::move(handler))
+    {
+    }
+
+    errors::error_or<void> open(model::endpoint const& place);
+    void accept();
+    void remove(http_connection_session* session) { m_sessions.erase(session); }
+    void cutConnections();
+
+    asio::io_context& context() { return m_context; }
+    tcp::acceptor& acceptor() { return m_acceptor; }
+    http_server_limits const& limits() const { return m_limits; }
+    http_handler const& handler() const { return m_handler; }
+    std::size_t connectionCount() const { return m_sessions.size(); }
+
+private:
+    void admit(tcp::socket);
+
+    asio::io_context& m_context;
+    tcp::acceptor m_acceptor;
+    http_server_limits m_limits;
+    http_handler m_handler;
+    std::set<http_connection_session*> m_sessions;
+};
+
+/// One connection: reads a request, waits for its answer, writes it, and reads the next.
+class http_connection_session : public std::enable_shared_from_this<http_connection_session> {
+public:
+    http_connection_session(tcp::socket socket, std::shared_ptr<http_server::implementation> server)
+        : m_stream(std::move(socket))
+        , m_server(std::move(server))
+    {
+    }
+
+    ~http_connection_session() { m_server->remove(this); }
+    http_connection_session(http_connection_session const&) = delete;
+    http_connection_session& operator=(http_connection_session const&) = delete;
+
+    void waitForRequest()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(m_server->limits().bodyBytes);
+        if (m_buffer.size() > 0) {
+            readRequest();
+            return;
+        }
+        m_stream.expires_after(m_server->limits().idleTimeout);
+        // A request that begins to arrive has less time than an idle connection, so the first bytes are read alone.
+        m_stream.async_read_some(m_buffer.prepare(initialReadBytes), [self = shared_from_this()](beast::error_code failure, std::size_t bytes) {
+            if (failure)
+                return;
+            self->m_buffer.commit(bytes);
+            self->readRequest();
+        });
+    }
+
+    void cut()
+    {
+        beast::error_code ignored;
+        m_stream.socket().close(ignored);
+    }
+
+private:
+    static constexpr std::size_t initialReadBytes = 4096;
+
+    void readRequest()
+    {
+        m_stream.expires_after(m_server->limits().readTimeout);
+        http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code failure, std::size_t) { self->handleRead(failure); });
+    }
+
+    void handleRead(beast::error_code failure)
+    {
+        if (failure == http::error::body_limit || failure == http::error::header_limit) {
+            refuse({ errors::error_kind::request_too_large, "the request is larger than " + std::to_string(m_server->limits().bodyBytes) + " bytes", {} });
+            return;
+        }
+        if (failure.category() == http::make_error_code(http::error::end_of_stream).category() && failure != http::error::end_of_stream) {
+            refuse({ errors::error_kind::malformed_request, "not HTTP: " + failure.message(), {} });
+            return;
+        }
+        if (failure)
+            return;
+        m_stream.expires_never();
+        auto message = m_parser->release();
+        m_isKeepAlive = message.keep_alive();
+        m_version = message.version();
+        http_request request { std::string { message.method_string() }, std::string { message.target() }, std::move(message.body()), {} };
+        for (auto const& field : message) {
+            auto name = toLowerCase(field.name_string());
+            request.headers[std::move(name)] = std::string { field.value() };
+        }
+        m_server->handler()(std::move(request), [self = shared_from_this()](http_response response) { self->write(std::move(response)); });
+    }
+
+    void refuse(errors::error const& error)
+    {
+        m_isKeepAlive = false;
+        m_version = 11;
+        auto const& describe = m_server->limits().describeError;
+        write({ errors::answerFor(error.kind).httpStatus, describe ? describe(error) : error.message, {} });
+    }
+
+    void write(http_response response)
+    {
+        m_response = {};
+        m_response.version(m_version);
+        m_response.result(static_cast<unsigned>(response.status));
+        m_response.set(http::field::content_type, response.contentType);
+        for (auto const& [name, value] : response.headers)
+            m_response.set(name, value);
+        m_response.keep_alive(m_isKeepAlive);
+        m_response.body() = std::move(response.body);
+        m_response.prepare_payload();
+        m_stream.expires_after(m_server->limits().readTimeout);
+        http::async_write(m_stream, m_response, [self = shared_from_this()](beast::error_code failure, std::size_t) { self->handleWritten(failure); });
+    }
+
+    void handleWritten(beast::error_code failure)
+    {
+        if (failure)
+            return;
+        if (m_isKeepAlive) {
+            waitForRequest();
+            return;
+        }
+        beast::error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    http::response<http::string_body> m_response;
+    std::shared_ptr<http_server::implementation> m_server;
+    unsigned m_version { 11 };
+    bool m_isKeepAlive { true };
+};
+
+errors::error_or<void> http_server::implementation::open(model::endpoint const& place)
+{
+    beast::error_code failure;
+    auto const address = asio::ip::make_address(place.address, failure);
+    if (failure)
+        return errors::fail(errors::error_kind::internal, "not an IP number: " + place.address);
+    tcp::endpoint const local { address, place.port };
+    m_acceptor.open(local.protocol(), failure);
+    if (!failure)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    if (!failure)
+        m_acceptor.bind(local, failure);
+    if (!failure)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    if (failure)
+        return errors::fail(errors::error_kind::internal, "can't listen on " + toString(place) + ": " + failure.message());
+    return {};
+}
+
+void http_server::implementation::accept()
+{
+    m_acceptor.async_accept([self = shared_from_this()](beast::error_code failure, tcp::socket socket) {
+        if (failure == asio::error::operation_aborted)
+            return;
+        if (!failure)
+            self->admit(std::move(socket));
+        self->accept();
+    });
+}
+
+void http_server::implementation::admit(tcp::socket socket)
+{
+    bool const hasRoom = m_sessions.size() < m_limits.connections;
+    if (!hasRoom || (m_limits.admitConnection && !m_limits.admitConnection()))
+        return;
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto const session = std::make_shared<http_connection_session>(std::move(socket), shared_from_this());
+    m_sessions.insert(session.get());
+    if (m_limits.openingDelay.count() == 0) {
+        session->waitForRequest();
+        return;
+    }
+    auto const timer = std::make_shared<asio::steady_timer>(m_context, m_limits.openingDelay);
+    timer->async_wait([session, timer](beast::error_code) { session->waitForRequest(); });
+}
+
+void http_server::implementation::cutConnections()
+{
+    for (auto* session : m_sessions)
+        session->cut();
+}
+
+errors::error_or<std::unique_ptr<http_server>> http_server::listen(asio::io_context& context, model::endpoint const& place, http_server_limits limits, http_handler handler)
+{
+    auto const made = std::make_shared<implementation>(context, std::move(limits), std::move(handler));
+    if (auto opened = made->open(place); !opened)
+        return tl::unexpected(opened.error());
+    made->accept();
+    return std::unique_ptr<http_server> { new http_server(made) };
+}
+
+http_server::http_server(std::shared_ptr<implementation> made)
+    : m_implementation(std::move(made))
+{
+}
+
+http_server::~http_server()
+{
+    stopAccepting();
+}
+
+std::uint16_t http_server::port() const
+{
+    beast::error_code ignored;
+    return m_implementation->acceptor().local_endpoint(ignored).port();
+}
+
+std::size_t http_server::connectionCount() const
+{
+    return m_implementation->connectionCount();
+}
+
+void http_server::stopAccepting()
+{
+    beast::error_code ignored;
+    m_implementation->acceptor().close(ignored);
+}
+
+void http_server::cutConnections()
+{
+    m_implementation->cutConnections();
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/wire/peer_codec.cpp
@@ -0,0 +1,149 @@
+#include "Libraries/zinnialedge/wire/peer_codec.h"
+
+#include "Libraries/zinnialedge/wire/generated/peer_messages_types.h"
+#include <boost/endian/conversion.hpp>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace zinnialedge::wire {
+
+using apache::thrift::TException;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+static generated::RelayedQuery toThrift(model::query_request const& request)
+{
+    generated::RelayedQuery query;
+    query.__set_id(request.id);
+    query.__set_serviceName(request.service);
+    query.__set_requestKind(request.requestKind);
+    query.__set_key(request.key);
+    query.__set_body(request.body);
+    query.__set_ticket(request.ticket);
+    query.__set_idempotencyKey(request.idempotencyKey);
+    query.__set_deadlineMilliseconds(request.deadline.count());
+    return query;
+}
+
+static model::query_request fromThrift(generated::RelayedQuery const& query)
+{
+    return {
+        .id = query.id,
+        .service = query.serviceName,
+        .requestKind = query.requestKind,
+        .key = query.key,
+        .body = query.body,
+        .ticket = query.ticket,
+        .idempotencyKey = query.idempotencyKey,
+        .deadline = std::chrono::milliseconds { query.deadlineMilliseconds },
+        .isRelayed = true,
+    };
+}
+
+static generated::RelayedAnswer toThrift(model::answer const& answer)
+{
+    generated::RelayedAnswer relayed;
+    relayed.__set_id(answer.id);
+    relayed.__set_epoch(static_cast<std::int64_t>(answer.reflects.epoch));
+    relayed.__set_version(static_cast<std::int64_t>(answer.reflects.version));
+    relayed.__set_shardsAsked(static_cast<std::int32_t>(answer.covered.asked));
+    relayed.__set_shardsAnswered(static_cast<std::int32_t>(answer.covered.answered));
+    for (auto const& missing : answer.covered.missing) {
+        auto& added = relayed.missing.emplace_back();
+        added.__set_shard(static_cast<std::int32_t>(missing.shard));
+        added.__set_reason(static_cast<std::int32_t>(missing.reason));
+    }
+    for (auto const& row : answer.rows) {
+        auto& added = relayed.rows.emplace_back();
+        added.__set_key(row.key);
+        added.__set_value(row.value);
+    }
+    relayed.__set_isRemembered(answer.isRemembered);
+    return relayed;
+}
+
+static model::answer fromThrift(generated::RelayedAnswer const& relayed)
+{
+    model::answer answer;
+    answer.id = relayed.id;
+    answer.reflects = { static_cast<std::uint64_t>(relayed.epoch), static_cast<std::uint64_t>(relayed.version) };
+    answer.covered.asked = static_cast<std::uint32_t>(relayed.shardsAsked);
+    answer.covered.answered = static_cast<std::uint32_t>(relayed.shardsAnswered);
+    for (auto const& missing : relayed.missing)
+        answer.covered.missing.push_back({ static_cast<std::uint32_t>(missing.shard), static_cast<model::missing_reason>(missing.reason) });
+    for (auto const& row : relayed.rows)
+        answer.rows.push_back({ row.key, row.value });
+    answer.isRemembered = relayed.isRemembered;
+    return answer;
+}
+
+static generated::RelayedError toThrift(errors::error const& error)
+{
+    generated::RelayedError relayed;
+    relayed.__set_kind(std::string { errors::answerFor(error.kind).name });
+    relayed.__set_message(error.message);
+    if (error.retryAfter)
+        relayed.__set_retryAfterMilliseconds(error.retryAfter->count());
+    return relayed;
+}
+
+static errors::error fromThrift(generated::RelayedError const& relayed)
+{
+    errors::error error { errors::parseErrorKind(relayed.kind).value_or(errors::error_kind::internal), relayed.message, std::nullopt };
+    if (relayed.__isset.retryAfterMilliseconds)
+        error.retryAfter = std::chrono::milliseconds { relayed.retryAfterMilliseconds };
+    return error;
+}
+
+std::string encodePeerMessage(peer_message const& message)
+{
+    generated::PeerMessage encoded;
+    encoded.__set_call(static_cast<std::int64_t>(message.call));
+    if (auto const* query = std::get_if<model::query_request>(&message.content)) {
+        encoded.__set_query(toThrift(*query));
+    } else {
+        auto const& result = std::get<model::answer_or_error>(message.content);
+        if (result)
+            encoded.__set_answer(toThrift(*result));
+        else
+            encoded.__set_error(toThrift(result.error()));
+    }
+    auto const buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocolT<TMemoryBuffer> protocol { buffer };
+    encoded.write(&protocol);
+    auto const bytes = buffer->getBufferAsString();
+    std::string framed(peerLengthBytes, '\0');
+    boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(framed.data()), static_cast<std::uint32_t>(bytes.size()));
+    return framed + bytes;
+}
+
+errors::error_or<peer_message> decodePeerMessage(std::string_view bytes)
+{
+    generated::PeerMessage decoded;
+    try {
+        std::string copy { bytes };
+        auto const buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(copy.data()), static_cast<std::uint32_t>(copy.size()));
+        TCompactProtocolT<TMemoryBuffer> protocol { buffer };
+        decoded.read(&protocol);
+    } catch (TException const& failure) {
+        return errors::fail(errors::error_kind::malformed_request, std::string { "not a peer message: " } + failure.what());
+    }
+    peer_message message;
+    message.call = static_cast<std::uint64_t>(decoded.call);
+    if (decoded.__isset.query)
+        message.content = fromThrift(decoded.query);
+    else if (decoded.__isset.answer)
+        message.content = model::answer_or_error { fromThrift(decoded.answer) };
+    else if (decoded.__isset.error)
+        message.content = model::answer_or_error { tl::unexpected(fromThrift(decoded.error)) };
+    else
+        return errors::fail(errors::error_kind::malformed_request, "the peer message is empty");
+    return message;
+}
+
+std::size_t decodePeerLength(std::string_view bytes)
+{
+    return boost::endian::load_big_u32(reinterpret_cast<unsigned char const*>(bytes.data()));
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/wire/peer_codec.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Libraries/zinnialedge/model/query.h"
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace zinnialedge::wire {
+
+/// A message between daemons over TCP.
+struct peer_message {
+    std::uint64_t call { 0 };
+    std::variant<model::query_request, model::answer_or_error> content;
+};
+
+/// With the length in front.
+std::string encodePeerMessage(peer_message const&);
+/// The bytes of one message without its length.
+errors::error_or<peer_message> decodePeerMessage(std::string_view bytes);
+
+/// Bytes of the length in front of a message.
+inline constexpr std::size_t peerLengthBytes = 4;
+inline constexpr std::size_t maximumPeerMessageBytes = 16 << 20;
+std::size_t decodePeerLength(std::string_view bytes);
+
+}
--- /dev/null
+++ b/Services/callers/caller_service.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "Kernel/duty.h"
+#include "Kernel/registry.h"
+#include "Libraries/zinnialedge/wire/http_server.h"
+#include "Services/callers/latency_metrics.h"
+#include "Services/decisions/decision_service.h"
+#include <unordered_map>
+
+namespace zinnialedge::services::callers {
+
+struct caller_settings {
+    model::endpoint place;
+    std::size_t connections { 4096 };
+    std::size_t bodyBytes { 65'536 };
+};
+
+/// Serves the callers over HTTP: POST /query, GET /directory, GET /health.
+class caller_service final : public kernel::service {
+public:
+    static errors::error_or<std::shared_ptr<caller_service>> create(caller_settings const&, kernel::clock_hook, decisions::decision_service&);
+
+    std::string const& name() const override { return m_duty.name(); }
+    void start() override { m_duty.start(); }
+    void stop() override { m_duty.stop(); }
+    bool requestState(kernel::state_receiver) override;
+    bool requestMetrics(kernel::state_receiver) override;
+
+    std::uint16_t port() const { return m_server->port(); }
+    /// Takes no new requests from now on; those in flight are answered.
+    [[nodiscard]] bool beginLeaving();
+    /// Asks how many callers wait for an answer.
+    [[nodiscard]] bool requestWaitingCount(std::function<void(std::size_t)>);
+
+    static constexpr char const* serviceName = "callers";
+
+private:
+    struct waiting_caller {
+        wire::http_responder respond;
+        std::string service;
+        kernel::time_point since;
+    };
+
+    caller_service(caller_settings const&, kernel::clock_hook, decisions::decision_service&);
+    errors::error_or<void> listen(caller_settings const&);
+    void handleRequest(wire::http_request const&, wire::http_responder const&);
+    void handleQuery(wire::http_request const&, wire::http_responder const&);
+    void handleDirectory(wire::http_request const&, wire::http_responder const&);
+    void submit(decisions::caller_event&&, queries::caller_token, waiting_caller, std::string const& requestId);
+    void handleAction(decisions::caller_action&&);
+    void answer(queries::answer_caller const&);
+    void answer(decisions::directory_answered const&);
+
+    kernel::io_duty m_duty;
+    kernel::clock_hook m_clock;
+    decisions::decision_service& m_decisions;
+    std::unique_ptr<wire::http_server> m_server;
+    std::unordered_map<queries::caller_token, waiting_caller> m_waiting;
+    queries::caller_token m_lastToken { 0 };
+    latency_metrics m_metrics;
+    std::uint64_t m_overloadedRefusals { 0 };
+    bool m_isLeaving { false };
+};
+
+}
--- /dev/null
+++ b/Services/callers/latency_metrics.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace zinnialedge::services::callers {
+
+/// Latency histograms by service and outcome.
+class latency_metrics {
+public:
+    latency_metrics();
+    ~latency_metrics();
+
+    void add(std::string const& service, std::string const& outcome, std::chrono::microseconds);
+    /// In the Prometheus text format.
+    std::string describe() const;
+
+private:
+    class histogram;
+    struct series {
+        std::string service;
+        std::string outcome;
+        auto operator<=>(series const&) const = default;
+    };
+
+    std::map<series, std::unique_ptr<histogram>> m_histograms;
+};
+
+}
--- /dev/null
+++ b/Services/decisions/decision_service.cpp
@@ -0,0 +1,173 @@
+#include "Services/decisions/decision_service.h"
+
+#include "Kernel/event_log.h"
+#include "Libraries/zinnialedge/configuration/service_codec.h"
+
+namespace zinnialedge::services::decisions {
+
+using kernel::log_level;
+using kernel::logEvent;
+
+/// How long the thread sleeps when no timer is set.
+static constexpr std::chrono::seconds idleWait { 1 };
+/// Half of the ring is kept for replies, the other half is for status reports.
+static constexpr std::size_t targetEventsPerCall = 2;
+
+decision_service::decision_service(decision_settings settings, kernel::clock_hook clock, kernel::random_hook random)
+    : m_settings(std::move(settings))
+    , m_clock(clock)
+    , m_duty(serviceName, std::move(clock), [this] { return handleTimers(); })
+    , m_engine(m_settings.engine, std::move(random))
+    , m_callerInbox(m_duty.makeInbox<caller_event>(m_settings.callerEvents, [this](caller_event&& event) { handle(std::move(event)); }))
+    , m_targetInbox(m_duty.makeInbox<target_event>(targetEventsPerCall * m_settings.engine.leafCallCapacity, [this](target_event&& event) { handle(std::move(event)); }))
+    , m_platformInbox(m_duty.makeInbox<platform_event>(m_settings.platformEvents, [this](platform_event&& event) { handle(std::move(event)); }))
+    , m_peerInbox(m_duty.makeInbox<peer_event>(m_settings.peerEvents, [this](peer_event&& event) { handle(std::move(event)); }))
+{
+}
+
+kernel::time_point decision_service::handleTimers()
+{
+    auto const now = m_clock();
+    if (auto const next = m_engine.nextTimer(); next && *next <= now)
+        stepQueries(queries::timer_due {});
+    return m_engine.nextTimer().value_or(now + idleWait);
+}
+
+void decision_service::handle(caller_event&& event)
+{
+    std::visit(
+        [this](auto&& each) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(each)>, directory_asked>)
+                answerDirectory(each);
+            else
+                stepQueries(queries::event { std::forward<decltype(each)>(each) });
+        },
+        std::move(event));
+}
+
+void decision_service::handle(target_event&& event)
+{
+    std::visit([this](auto&& each) { stepQueries(queries::event { std::forward<decltype(each)>(each) }); }, std::move(event));
+}
+
+void decision_service::handle(peer_event&& event)
+{
+    std::visit([this](auto&& each) { stepQueries(queries::event { std::forward<decltype(each)>(each) }); }, std::move(event));
+}
+
+void decision_service::handle(platform_event&& event)
+{
+    if (auto* object = std::get_if<configuration::stored_object>(&event)) {
+        handleObject(*object);
+        return;
+    }
+    m_isStoreReachable = std::get<store_state_changed>(event).isReachable;
+    logEvent(log_level::info, m_isStoreReachable ? "store_reachable" : "store_unreachable");
+}
+
+void decision_service::handleObject(configuration::stored_object const& object)
+{
+    if (!m_objects.offer(object))
+        return;
+    std::string_view const servicePrefix { configuration::servicePrefix };
+    std::string_view const daemonPrefix { configuration::daemonPrefix };
+    if (object.key.starts_with(servicePrefix))
+        handleService(object, object.key.substr(servicePrefix.size()));
+    else if (object.key.starts_with(daemonPrefix))
+        handleDaemon(object, object.key.substr(daemonPrefix.size()));
+}
+
+void decision_service::handleService(configuration::stored_object const& object, std::string const& service)
+{
+    if (!object.body) {
+        stepQueries(queries::service_removed { service });
+        return;
+    }
+    auto parsed = configuration::parseService(*object.body);
+    if (!parsed || parsed->name != service) {
+        // The last good declaration stays in force.
+        logEvent(log_level::error, "declaration_refused", { { "key", object.key }, { "version", object.version }, { "reason", parsed ? "the name is not that of the key" : parsed.error().message } });
+        return;
+    }
+    logEvent(log_level::info, "declaration_in_force", { { "service", service }, { "version", object.version }, { "epoch", parsed->epoch } });
+    stepQueries(queries::service_declared { std::make_shared<model::service_declaration const>(std::move(*parsed)) });
+}
+
+void decision_service::handleDaemon(configuration::stored_object const& object, std::string const& daemon)
+{
+    if (!object.body) {
+        m_directory.remove(daemon);
+        return;
+    }
+    auto parsed = membership::parseDaemonRecord(*object.body);
+    if (!parsed) {
+        logEvent(log_level::error, "daemon_record_refused", { { "key", object.key }, { "reason", parsed.error().message } });
+        return;
+    }
+    m_directory.note(std::move(*parsed));
+}
+
+void decision_service::answerDirectory(directory_asked const& asked)
+{
+    directory_answered answered { asked.caller, errors::fail(errors::error_kind::unknown_service, "no service " + asked.service) };
+    if (m_engine.leafs().findService(asked.service))
+        answered.result = membership::directory_answer { asked.service, m_directory.daemonsFor(asked.service, asked.dataCentre), m_engine.issueTicketPrefix(m_clock()) };
+    bool const isTaken = m_callerOutbox->push(caller_action { std::move(answered) });
+    VERIFY(isTaken);
+}
+
+void decision_service::stepQueries(queries::event const& event)
+{
+    for (auto& action : m_engine.step(event, m_clock()))
+        perform(std::move(action));
+}
+
+void decision_service::perform(queries::action&& action)
+{
+    // The rings are as large as what may be in flight, so none of them can be full.
+    bool isTaken = true;
+    std::visit(
+        [&](auto&& each) {
+            using action_type = std::decay_t<decltype(each)>;
+            if constexpr (std::is_same_v<action_type, queries::answer_caller>) {
+                if (each.caller & peerTokenBit)
+                    isTaken = m_peerOutbox->push(peer_action { std::forward<decltype(each)>(each) });
+                else
+                    isTaken = m_callerOutbox->push(caller_action { std::forward<decltype(each)>(each) });
+            } else if constexpr (std::is_same_v<action_type, queries::relay_query>) {
+                relay(std::forward<decltype(each)>(each));
+            } else {
+                isTaken = m_targetOutbox->push(target_action { std::forward<decltype(each)>(each) });
+            }
+        },
+        std::move(action));
+    VERIFY(isTaken);
+}
+
+void decision_service::relay(queries::relay_query&& relayed)
+{
+    auto const* daemon = m_directory.find(relayed.daemon);
+    if (!daemon) {
+        stepQueries(queries::relay_ended { relayed.caller, errors::fail(errors::error_kind::outcome_unknown, "the daemon that the ticket names is gone") });
+        return;
+    }
+    bool const isTaken = m_peerOutbox->push(peer_action { relay_to_daemon { relayed.caller, daemon->peers, std::move(relayed.request) } });
+    VERIFY(isTaken);
+}
+
+bool decision_service::requestState(kernel::state_receiver receiver)
+{
+    return m_duty.post([this, receiver = std::move(receiver)] { receiver(describeState()); });
+}
+
+bool decision_service::requestMetrics(kernel::state_receiver receiver)
+{
+    return m_duty.post([this, receiver = std::move(receiver)] { receiver(describeMetrics()); });
+}
+
+bool decision_service::requestQueriesInFlight(std::function<void(std::size_t)> receiver)
+{
+    return m_duty.post([this, receiver = std::move(receiver)] { receiver(m_engine.queriesInFlight()); });
+}
+
+}
--- /dev/null
+++ b/Services/decisions/decision_service.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "Kernel/duty.h"
+#include "Kernel/registry.h"
+#include "Libraries/zinnialedge/queries/query_engine.h"
+#include "Services/decisions/messages.h"
+#include <memory>
+
+namespace zinnialedge::services::decisions {
+
+struct decision_settings {
+    queries::engine_settings engine;
+    std::size_t callerEvents { 8192 };
+    std::size_t platformEvents { 4096 };
+    std::size_t peerEvents { 8192 };
+};
+
+/// The thread that makes every decision. It has no sockets; events and actions pass through rings.
+class decision_service final : public kernel::service {
+public:
+    decision_service(decision_settings, kernel::clock_hook, kernel::random_hook);
+
+    std::string const& name() const override { return m_duty.name(); }
+    void start() override { m_duty.start(); }
+    void stop() override { m_duty.stop(); }
+    bool requestState(kernel::state_receiver) override;
+    bool requestMetrics(kernel::state_receiver) override;
+
+    // Where the other services put their events; each ring has one producer.
+    kernel::ring<caller_event>& callerInbox() { return *m_callerInbox; }
+    kernel::ring<target_event>& targetInbox() { return *m_targetInbox; }
+    kernel::ring<platform_event>& platformInbox() { return *m_platformInbox; }
+    kernel::ring<peer_event>& peerInbox() { return *m_peerInbox; }
+
+    // Where the actions go. Call before start().
+    void connectCallers(std::shared_ptr<kernel::ring<caller_action>> outbox) { m_callerOutbox = std::move(outbox); }
+    void connectTargets(std::shared_ptr<kernel::ring<target_action>> outbox) { m_targetOutbox = std::move(outbox); }
+    void connectPeers(std::shared_ptr<kernel::ring<peer_action>> outbox) { m_peerOutbox = std::move(outbox); }
+
+    /// Asks how many queries are in flight; the answer comes on the decisions' thread.
+    [[nodiscard]] bool requestQueriesInFlight(std::function<void(std::size_t)>);
+
+    static constexpr char const* serviceName = "decisions";
+
+private:
+    kernel::time_point handleTimers();
+    void handle(caller_event&&);
+    void handle(target_event&&);
+    void handle(platform_event&&);
+    void handle(peer_event&&);
+    void handleObject(configuration::stored_object const&);
+    void handleService(configuration::stored_object const&, std::string const& serviceName);
+    void handleDaemon(configuration::stored_object const&, std::string const& daemonName);
+    void answerDirectory(directory_asked const&);
+    void stepQueries(queries::event const&);
+    void perform(queries::action&&);
+    void relay(queries::relay_query&&);
+    std::string describeState() const;
+    std::string describeMetrics() const;
+
+    decision_settings m_settings;
+    kernel::clock_hook m_clock;
+    kernel::deciding_duty m_duty;
+    queries::query_engine m_engine;
+    configuration::object_cache m_objects;
+    membership::directory m_directory;
+    bool m_isStoreReachable { false };
+
+    std::shared_ptr<kernel::ring<caller_event>> m_callerInbox;
+    std::shared_ptr<kernel::ring<target_event>> m_targetInbox;
+    std::shared_ptr<kernel::ring<platform_event>> m_platformInbox;
+    std::shared_ptr<kernel::ring<peer_event>> m_peerInbox;
+    std::shared_ptr<kernel::ring<caller_action>> m_callerOutbox;
+    std::shared_ptr<kernel::ring<target_action>> m_targetOutbox;
+    std::shared_ptr<kernel::ring<peer_action>> m_peerOutbox;
+};
+
+}
--- /dev/null
+++ b/Services/decisions/decision_state.cpp
@@ -0,0 +1,83 @@
+// What the decisions' thread says of itself.
+
+#include "Services/decisions/decision_service.h"
+
+#include <array>
+#include <boost/json.hpp>
+#include <sstream>
+
+namespace zinnialedge::services::decisions {
+
+namespace json = boost::json;
+
+static json::object describe(routing::leaf const& leaf)
+{
+    json::array versions(leaf.versions().begin(), leaf.versions().end());
+    json::array epochs(leaf.epochs().begin(), leaf.epochs().end());
+    return {
+        { "service", leaf.service() },
+        { "name", leaf.name() },
+        { "at", toString(leaf.place()) },
+        { "state", routing::toString(leaf.state()) },
+        { "in_flight", leaf.inFlight() },
+        { "limit", leaf.limit() },
+        { "connections", leaf.connectionShare() },
+        { "latency_us", leaf.latency().count() },
+        { "reported_load", leaf.reportedLoad() },
+        { "epochs", std::move(epochs) },
+        { "versions", std::move(versions) },
+    };
+}
+
+struct named_counter {
+    char const* name;
+    std::uint64_t value;
+};
+
+static std::array<named_counter, 10> listCounters(queries::engine_counters const& counters)
+{
+    return { {
+        { "queries", counters.queries },
+        { "answers", counters.answers },
+        { "partial_answers", counters.partialAnswers },
+        { "refusals", counters.refusals },
+        { "leaf_calls", counters.leafCalls },
+        { "hedges", counters.hedges },
+        { "retries", counters.retries },
+        { "repins", counters.repins },
+        { "late_replies", counters.lateReplies },
+        { "mismatched_replies", counters.mismatchedReplies },
+    } };
+}
+
+std::string decision_service::describeState() const
+{
+    json::object counters;
+    for (auto const& [name, value] : listCounters(m_engine.counters()))
+        counters[name] = value;
+    json::array leafs;
+    for (routing::leaf_handle handle = 0; handle < m_engine.leafs().size(); ++handle)
+        leafs.push_back(describe(m_engine.leafs().at(handle)));
+    json::object objects;
+    m_objects.forEach("", [&](configuration::stored_object const& object) { objects[object.key] = object.version; });
+    return json::serialize(json::object {
+        { "store_reachable", m_isStoreReachable },
+        { "queries_in_flight", m_engine.queriesInFlight() },
+        { "tickets_remembered", m_engine.rememberedTickets() },
+        { "daemons_known", m_directory.size() },
+        { "counters", std::move(counters) },
+        { "objects", std::move(objects) },
+        { "leafs", std::move(leafs) },
+    });
+}
+
+std::string decision_service::describeMetrics() const
+{
+    std::ostringstream text;
+    for (auto const& [name, value] : listCounters(m_engine.counters()))
+        text << "# TYPE zinnialedge_" << name << "_total counter\nzinnialedge_" << name << "_total " << value << "\n";
+    text << "# TYPE zinnialedge_queries_in_flight gauge\nzinnialedge_queries_in_flight " << m_engine.queriesInFlight() << "\n";
+    return text.str();
+}
+
+}
--- /dev/null
+++ b/Services/decisions/messages.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Libraries/zinnialedge/configuration/object_cache.h"
+#include "Libraries/zinnialedge/membership/directory.h"
+#include "Libraries/zinnialedge/queries/events.h"
+#include <string>
+#include <variant>
+
+namespace zinnialedge::services::decisions {
+
+/// A caller asks which daemons to use.
+struct directory_asked {
+    queries::caller_token caller { 0 };
+    std::string service;
+    std::string dataCentre;
+};
+
+struct directory_answered {
+    queries::caller_token caller { 0 };
+    errors::error_or<membership::directory_answer> result;
+};
+
+/// Whether the platform's store answers.
+struct store_state_changed {
+    bool isReachable { false };
+};
+
+/// A query to be run by the daemon at that place.
+struct relay_to_daemon {
+    queries::caller_token caller { 0 };
+    model::endpoint place;
+    model::query_request request;
+};
+
+using caller_event = std::variant<queries::query_arrived, queries::caller_left, directory_asked>;
+using target_event = std::variant<queries::leaf_call_ended, queries::leaf_status_seen>;
+using platform_event = std::variant<configuration::stored_object, store_state_changed>;
+using peer_event = std::variant<queries::query_arrived, queries::relay_ended>;
+
+using caller_action = std::variant<queries::answer_caller, directory_answered>;
+using target_action = std::variant<queries::send_leaf_call, queries::cancel_leaf_call, queries::change_leaf_connections>;
+using peer_action = std::variant<queries::answer_caller, relay_to_daemon>;
+
+/// Set in the tokens of queries that came from another daemon.
+inline constexpr queries::caller_token peerTokenBit = 1ULL << 63U;
+
+}
--- /dev/null
+++ b/Services/operators/operator_service.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Kernel/duty.h"
+#include "Kernel/registry.h"
+#include "Libraries/zinnialedge/wire/http_server.h"
+
+namespace zinnialedge::services::operators {
+
+/// Serves the operators over HTTP: GET /state, GET /metrics, POST /log-level.
+class operator_service final : public kernel::service {
+public:
+    /// `about` is a JSON object with what never changes: name, version, incarnation.
+    static errors::error_or<std::shared_ptr<operator_service>> create(model::endpoint const&, std::string about, kernel::registry const&);
+
+    std::string const& name() const override { return m_duty.name(); }
+    void start() override { m_duty.start(); }
+    void stop() override { m_duty.stop(); }
+    bool requestState(kernel::state_receiver) override;
+    std::uint16_t port() const { return m_server->port(); }
+
+    static constexpr char const* serviceName = "operators";
+
+private:
+    struct collection;
+
+    operator_service(std::string about, kernel::registry const&);
+    errors::error_or<void> listen(model::endpoint const&);
+    void handleRequest(wire::http_request const&, wire::http_responder const&);
+    void collectState(wire::http_responder const&);
+    void collectMetrics(wire::http_responder const&);
+    void changeLogLevel(wire::http_request const&, wire::http_responder const&);
+    /// Hands the part of a service to the collection on this duty's thread.
+    kernel::state_receiver makeReceiver(std::shared_ptr<collection> const&, std::string const& service);
+    void finishLater(std::shared_ptr<collection> const&);
+
+    kernel::io_duty m_duty;
+    std::string m_about;
+    kernel::registry const& m_registry;
+    std::unique_ptr<wire::http_server> m_server;
+};
+
+}
--- /dev/null
+++ b/Services/peers/peer_connection.cpp
@@ -0,0 +1,99 @@
+#include "Services/peers/peer_connection.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+namespace zinnialedge::services::peers {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+peer_connection::peer_connection(tcp::socket socket, peer_connection_hooks hooks)
+    : m_socket(std::move(socket))
+    , m_hooks(std::move(hooks))
+{
+}
+
+void peer_connection::connect(model::endpoint const& place)
+{
+    error_code failure;
+    auto const address = asio::ip::make_address(place.address, failure);
+    m_socket.async_connect(tcp::endpoint { address, place.port }, [self = shared_from_this()](error_code result) {
+        if (result) {
+            self->close();
+            return;
+        }
+        self->run();
+        self->writeNext();
+    });
+}
+
+void peer_connection::run()
+{
+    error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_isOpen = true;
+    readLength();
+}
+
+void peer_connection::close()
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    error_code ignored;
+    m_socket.close(ignored);
+    m_hooks.closed();
+}
+
+void peer_connection::send(wire::peer_message const& message)
+{
+    if (m_isClosed)
+        return;
+    m_unwritten.push_back(wire::encodePeerMessage(message));
+    writeNext();
+}
+
+void peer_connection::writeNext()
+{
+    if (!m_isOpen || m_isWriting || m_unwritten.empty())
+        return;
+    m_isWriting = true;
+    m_hasWritten = true;
+    asio::async_write(m_socket, asio::buffer(m_unwritten.front()), [self = shared_from_this()](error_code failure, std::size_t) {
+        self->m_isWriting = false;
+        self->m_unwritten.pop_front();
+        if (failure)
+            self->close();
+        else
+            self->writeNext();
+    });
+}
+
+void peer_connection::readLength()
+{
+    asio::async_read(m_socket, asio::buffer(m_length), [self = shared_from_this()](error_code failure, std::size_t) {
+        auto const length = failure ? 0 : wire::decodePeerLength({ self->m_length.data(), self->m_length.size() });
+        if (failure || length > wire::maximumPeerMessageBytes)
+            self->close();
+        else
+            self->readBody(length);
+    });
+}
+
+void peer_connection::readBody(std::size_t length)
+{
+    m_body.resize(length);
+    asio::async_read(m_socket, asio::buffer(m_body), [self = shared_from_this()](error_code failure, std::size_t) {
+        auto message = failure ? errors::fail(errors::error_kind::internal, "cut") : wire::decodePeerMessage(self->m_body);
+        if (!message) {
+            self->close();
+            return;
+        }
+        self->m_hooks.received(std::move(*message));
+        self->readLength();
+    });
+}
+
+}
--- /dev/null
+++ b/Services/peers/peer_connection.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Libraries/zinnialedge/model/endpoint.h"
+#include "Libraries/zinnialedge/wire/peer_codec.h"
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+
+namespace zinnialedge::services::peers {
+
+struct peer_connection_hooks {
+    std::function<void(wire::peer_message)> received;
+    /// Called once, when the connection can't be used any more.
+    std::function<void()> closed;
+};
+
+/// One TCP connection to another daemon, for messages both ways.
+class peer_connection : public std::enable_shared_from_this<peer_connection> {
+public:
+    peer_connection(boost::asio::ip::tcp::socket, peer_connection_hooks);
+
+    /// Opens the connection; messages sent meanwhile wait for it.
+    void connect(model::endpoint const&);
+    /// Starts reading on a connection that is open.
+    void run();
+    void send(wire::peer_message const&);
+    void close();
+    /// True once a byte of any message may have left this process.
+    bool hasWritten() const { return m_hasWritten; }
+
+private:
+    void readLength();
+    void readBody(std::size_t length);
+    void writeNext();
+
+    boost::asio::ip::tcp::socket m_socket;
+    peer_connection_hooks m_hooks;
+    std::array<char, wire::peerLengthBytes> m_length {};
+    std::string m_body;
+    std::deque<std::string> m_unwritten;
+    bool m_isOpen { false };
+    bool m_isClosed { false };
+    bool m_isWriting { false };
+    bool m_hasWritten { false };
+};
+
+}
--- /dev/null
+++ b/Services/peers/peer_service.cpp
@@ -0,0 +1,184 @@
+#include "Services/peers/peer_service.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+
+namespace zinnialedge::services::peers {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using errors::error_kind;
+using tcp = asio::ip::tcp;
+
+static constexpr std::size_t actionCapacity = 16'384;
+static constexpr std::chrono::milliseconds overloadRetryAfter { 50 };
+
+errors::error_or<std::shared_ptr<peer_service>> peer_service::create(model::endpoint const& place, decisions::decision_service& decisions)
+{
+    std::shared_ptr<peer_service> made { new peer_service(decisions) };
+    if (auto listening = made->listen(place); !listening)
+        return tl::unexpected(listening.error());
+    return made;
+}
+
+peer_service::peer_service(decisions::decision_service& decisions)
+    : m_duty(serviceName)
+    , m_decisions(decisions)
+    , m_acceptor(m_duty.context())
+{
+    m_decisions.connectPeers(m_duty.makeInbox<decisions::peer_action>(actionCapacity, [this](decisions::peer_action&& action) { handle(std::move(action)); }));
+}
+
+errors::error_or<void> peer_service::listen(model::endpoint const& place)
+{
+    error_code failure;
+    tcp::endpoint const local { asio::ip::make_address(place.address, failure), place.port };
+    if (!failure)
+        m_acceptor.open(local.protocol(), failure);
+    if (!failure)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    if (!failure)
+        m_acceptor.bind(local, failure);
+    if (!failure)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    if (failure)
+        return errors::fail(error_kind::internal, "can't listen on " + toString(place) + ": " + failure.message());
+    return {};
+}
+
+std::uint16_t peer_service::port() const
+{
+    error_code ignored;
+    return m_acceptor.local_endpoint(ignored).port();
+}
+
+void peer_service::start()
+{
+    accept();
+    m_duty.start();
+}
+
+void peer_service::accept()
+{
+    m_acceptor.async_accept([this](error_code failure, tcp::socket socket) {
+        if (failure == asio::error::operation_aborted)
+            return;
+        if (!failure)
+            serve(std::move(socket));
+        accept();
+    });
+}
+
+void peer_service::serve(tcp::socket socket)
+{
+    // The hook holds the connection weakly: the connection owns its hooks.
+    auto const self = std::make_shared<std::weak_ptr<peer_connection>>();
+    auto const received = [this, self](wire::peer_message message) {
+        if (auto const origin = self->lock())
+            handleGuest(origin, std::move(message));
+    };
+    auto const made = std::make_shared<peer_connection>(std::move(socket), peer_connection_hooks { received, [] { } });
+    *self = made;
+    made->run();
+}
+
+void peer_service::handleGuest(connection const& origin, wire::peer_message message)
+{
+    auto* request = std::get_if<model::query_request>(&message.content);
+    if (!request) {
+        origin->close();
+        return;
+    }
+    ++m_guestQueries;
+    auto const token = decisions::peerTokenBit | ++m_lastGuest;
+    m_guests.emplace(token, guest_call { origin, message.call });
+    // The answers to our own relays need room in the same ring.
+    auto& inbox = m_decisions.peerInbox();
+    bool const hasRoom = m_guests.size() < actionCapacity && inbox.freeSlots() > m_relayed.size() + 1;
+    if (hasRoom && inbox.push(queries::query_arrived { token, std::move(*request) }))
+        return;
+    m_guests.erase(token);
+    origin->send({ message.call, model::answer_or_error { tl::unexpected(errors::error { error_kind::overloaded, "too many requests wait for a decision", overloadRetryAfter }) } });
+}
+
+void peer_service::handle(decisions::peer_action&& action)
+{
+    std::visit([this](auto const& each) { perform(each); }, action);
+}
+
+void peer_service::perform(queries::answer_caller const& given)
+{
+    auto const found = m_guests.find(given.caller);
+    VERIFY(found != m_guests.end());
+    auto const guest = found->second;
+    m_guests.erase(found);
+    if (auto const origin = guest.origin.lock())
+        origin->send({ guest.call, given.result });
+}
+
+peer_service::connection peer_service::connectTo(model::endpoint const& place)
+{
+    auto& known = m_connections[place];
+    if (!known) {
+        peer_connection_hooks hooks {
+            [this](wire::peer_message message) { handleAnswer(std::move(message)); },
+            [this, place] { handleClosed(place); },
+        };
+        known = std::make_shared<peer_connection>(tcp::socket { m_duty.context() }, std::move(hooks));
+        known->connect(place);
+    }
+    return known;
+}
+
+void peer_service::perform(decisions::relay_to_daemon const& relayed)
+{
+    ++m_relays;
+    auto const call = ++m_lastCall;
+    m_relayed.emplace(call, relayed_call { relayed.caller, relayed.place });
+    connectTo(relayed.place)->send({ call, relayed.request });
+}
+
+void peer_service::handleAnswer(wire::peer_message message)
+{
+    if (auto* result = std::get_if<model::answer_or_error>(&message.content))
+        finishRelay(message.call, std::move(*result));
+}
+
+void peer_service::handleClosed(model::endpoint const& place)
+{
+    m_connections.erase(place);
+    std::vector<std::uint64_t> lost;
+    for (auto const& [call, relayed] : m_relayed) {
+        if (relayed.place == place)
+            lost.push_back(call);
+    }
+    // The other daemon may have run them, and an earlier asking with the same ticket may have run there too.
+    for (auto const call : lost)
+        finishRelay(call, errors::fail(error_kind::outcome_unknown, "the connection to the daemon that the ticket names was cut"));
+}
+
+void peer_service::finishRelay(std::uint64_t call, model::answer_or_error result)
+{
+    auto const found = m_relayed.find(call);
+    if (found == m_relayed.end())
+        return;
+    queries::relay_ended ended { found->second.caller, std::move(result) };
+    m_relayed.erase(found);
+    bool const isTaken = m_decisions.peerInbox().push(std::move(ended));
+    VERIFY(isTaken);
+}
+
+bool peer_service::requestState(kernel::state_receiver receiver)
+{
+    return m_duty.post([this, receiver = std::move(receiver)] {
+        receiver(boost::json::serialize(boost::json::object {
+            { "connections", m_connections.size() },
+            { "relays", m_relays },
+            { "guest_queries", m_guestQueries },
+            { "relays_in_flight", m_relayed.size() },
+            { "guests_in_flight", m_guests.size() },
+        }));
+    });
+}
+
+}
--- /dev/null
+++ b/Services/peers/peer_service.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Kernel/duty.h"
+#include "Kernel/registry.h"
+#include "Services/decisions/decision_service.h"
+#include "Services/peers/peer_connection.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <map>
+#include <unordered_map>
+
+namespace zinnialedge::services::peers {
+
+/// Talks with the other daemons: passes whole queries on, and runs those that others pass on.
+class peer_service final : public kernel::service {
+public:
+    static errors::error_or<std::shared_ptr<peer_service>> create(model::endpoint const&, decisions::decision_service&);
+
+    std::string const& name() const override { return m_duty.name(); }
+    void start() override;
+    void stop() override { m_duty.stop(); }
+    bool requestState(kernel::state_receiver) override;
+    std::uint16_t port() const;
+
+    static constexpr char const* serviceName = "peers";
+
+private:
+    using connection = std::shared_ptr<peer_connection>;
+
+    /// A query of ours that another daemon runs.
+    struct relayed_call {
+        queries::caller_token caller { 0 };
+        model::endpoint place;
+    };
+
+    /// A query of another daemon that runs here.
+    struct guest_call {
+        std::weak_ptr<peer_connection> origin;
+        std::uint64_t call { 0 };
+    };
+
+    explicit peer_service(decisions::decision_service&);
+    errors::error_or<void> listen(model::endpoint const&);
+    void accept();
+    void serve(boost::asio::ip::tcp::socket);
+    connection connectTo(model::endpoint const&);
+    void handle(decisions::peer_action&&);
+    void perform(queries::answer_caller const&);
+    void perform(decisions::relay_to_daemon const&);
+    void handleGuest(connection const&, wire::peer_message);
+    void handleAnswer(wire::peer_message);
+    void handleClosed(model::endpoint const&);
+    void finishRelay(std::uint64_t call, model::answer_or_error);
+
+    kernel::io_duty m_duty;
+    decisions::decision_service& m_decisions;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::map<model::endpoint, connection> m_connections;
+    std::unordered_map<std::uint64_t, relayed_call> m_relayed;
+    std::unordered_map<queries::caller_token, guest_call> m_guests;
+    std::uint64_t m_lastCall { 0 };
+    std::uint64_t m_lastGuest { 0 };
+    std::uint64_t m_relays { 0 };
+    std::uint64_t m_guestQueries { 0 };
+};
+
+}
--- /dev/null
+++ b/Services/targets/leaf_pool.cpp
@@ -0,0 +1,211 @@
+#include "Services/targets/leaf_pool.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+
+namespace zinnialedge::services::targets {
+
+static constexpr std::chrono::milliseconds connectTimeout { 1000 };
+static constexpr std::chrono::milliseconds probeTimeout { 500 };
+static constexpr std::chrono::milliseconds cancelTimeout { 200 };
+/// How long after the deadline a reply is still read. A late one frees its connection, or settles a ticket.
+static constexpr std::chrono::milliseconds repeatableGrace { 1000 };
+static constexpr std::chrono::milliseconds notRepeatableGrace { 10'000 };
+static constexpr unsigned mostRefreshesToSkip { 8 };
+static constexpr int statusOk = 200;
+
+leaf_pool::leaf_pool(boost::asio::io_context& context, routing::leaf_handle handle, model::endpoint place, std::string callPrefix, leaf_pool_hooks hooks)
+    : m_context(context)
+    , m_handle(handle)
+    , m_place(std::move(place))
+    , m_callPrefix(std::move(callPrefix))
+    , m_hooks(std::move(hooks))
+{
+}
+
+void leaf_pool::resize(std::size_t connections)
+{
+    m_wanted = connections;
+    while (!m_idle.empty() && openCount() > m_wanted)
+        m_idle.pop_back();
+    openMissing();
+}
+
+void leaf_pool::openMissing()
+{
+    while (openCount() + m_opening < m_wanted)
+        openOne();
+}
+
+void leaf_pool::openOne()
+{
+    ++m_opening;
+    auto const opened = std::make_shared<wire::http_client>(m_context, m_place);
+    opened->connect(connectTimeout, [self = shared_from_this(), opened](bool isConnected) {
+        --self->m_opening;
+        if (isConnected) {
+            self->probe(opened);
+            return;
+        }
+        ++self->m_failedConnects;
+        ++self->m_failuresInARow;
+        self->m_hooks.statusSeen({ self->m_handle, std::nullopt });
+    });
+}
+
+void leaf_pool::probe(client const& probed)
+{
+    ++m_probing;
+    probed->send({ "GET", "/status", {}, {} }, probeTimeout, [self = shared_from_this(), probed](wire::http_result const& result) { self->handleProbe(probed, result); });
+}
+
+void leaf_pool::handleProbe(client const& probed, wire::http_result const& result)
+{
+    --m_probing;
+    auto const status = result && result->status == statusOk ? wire::parseLeafStatus(result->body) : std::nullopt;
+    m_hooks.statusSeen({ m_handle, status });
+    if (!status) {
+        ++m_failuresInARow;
+        return;
+    }
+    m_failuresInARow = 0;
+    giveBack(probed);
+}
+
+void leaf_pool::giveBack(client const& returned)
+{
+    if (!returned->isOpen() || openCount() >= m_wanted)
+        return;
+    m_idle.push_back(returned);
+    startWaiting();
+}
+
+leaf_pool::client leaf_pool::takeIdle()
+{
+    while (!m_idle.empty()) {
+        auto const taken = m_idle.back();
+        m_idle.pop_back();
+        if (taken->isUsable())
+            return taken;
+    }
+    return nullptr;
+}
+
+void leaf_pool::startWaiting()
+{
+    while (!m_waiting.empty()) {
+        if (isTooLate(m_waiting.front())) {
+            m_waiting.pop_front();
+            continue;
+        }
+        auto const idle = takeIdle();
+        if (!idle)
+            return;
+        auto const call = m_waiting.front();
+        m_waiting.pop_front();
+        transmit(idle, call);
+    }
+}
+
+void leaf_pool::send(queries::send_leaf_call const& call)
+{
+    if (auto const idle = takeIdle()) {
+        if (!isTooLate(call))
+            transmit(idle, call);
+        else
+            giveBack(idle);
+        return;
+    }
+    openMissing();
+    if (openCount() + m_opening == 0) {
+        reportUnsent(call.call, "no connection");
+        return;
+    }
+    m_waiting.push_back(call);
+}
+
+bool leaf_pool::isTooLate(queries::send_leaf_call const& call)
+{
+    if (m_hooks.clock() < call.deadline)
+        return false;
+    reportUnsent(call.call, "the deadline passed before the call was sent");
+    return true;
+}
+
+void leaf_pool::reportUnsent(queries::call_id call, std::string reason)
+{
+    queries::leaf_outcome outcome;
+    outcome.mayHaveBeenSent = false;
+    outcome.reason = std::move(reason);
+    m_hooks.callEnded({ call, std::move(outcome) });
+}
+
+void leaf_pool::transmit(client const& carrier, queries::send_leaf_call const& call)
+{
+    auto const remaining = std::chrono::duration_cast<std::chrono::microseconds>(call.deadline - m_hooks.clock());
+    wire::leaf_call const message {
+        .call = m_callPrefix + std::to_string(call.call),
+        .requestKind = call.request->requestKind,
+        .key = call.request->key,
+        .body = call.request->body,
+        .ticket = call.request->ticket,
+        .shard = call.shard,
+        .pin = call.pin,
+        .deadline = remaining,
+        .isUrgent = call.isUrgent,
+    };
+    m_busy.emplace(call.call, carrier);
+    auto const timeout = std::chrono::ceil<std::chrono::milliseconds>(remaining) + (call.isRepeatable ? repeatableGrace : notRepeatableGrace);
+    carrier->send(wire::formatLeafCall(message), timeout, [self = shared_from_this(), carrier, id = call.call](wire::http_result const& result) { self->handleReply(carrier, id, result); });
+}
+
+void leaf_pool::handleReply(client const& carrier, queries::call_id call, wire::http_result const& result)
+{
+    m_busy.erase(call);
+    queries::leaf_outcome outcome;
+    if (result) {
+        outcome = wire::parseLeafReply(*result, m_callPrefix + std::to_string(call));
+    } else {
+        outcome.mayHaveBeenSent = result.error().mayHaveBeenSent;
+        outcome.reason = result.error().reason;
+    }
+    m_hooks.callEnded({ call, std::move(outcome) });
+    giveBack(carrier);
+}
+
+void leaf_pool::cancel(queries::call_id call)
+{
+    auto const waiting = std::find_if(m_waiting.begin(), m_waiting.end(), [&](auto const& each) { return each.call == call; });
+    if (waiting != m_waiting.end()) {
+        m_waiting.erase(waiting);
+        reportUnsent(call, "cancelled before it was sent");
+        return;
+    }
+    if (!m_busy.contains(call))
+        return;
+    auto const idle = takeIdle();
+    if (!idle)
+        return;
+    ++m_probing;
+    wire::http_request const request { "POST", "/cancel?call=" + m_callPrefix + std::to_string(call), {}, {} };
+    idle->send(request, cancelTimeout, [self = shared_from_this(), idle](wire::http_result const&) {
+        --self->m_probing;
+        self->giveBack(idle);
+    });
+}
+
+void leaf_pool::refresh()
+{
+    if (m_refreshesToSkip > 0) {
+        --m_refreshesToSkip;
+        return;
+    }
+    // A leaf that does not answer is asked less and less often.
+    m_refreshesToSkip = std::min(m_failuresInARow, mostRefreshesToSkip);
+    std::erase_if(m_idle, [](client const& each) { return !each->isUsable(); });
+    openMissing();
+    if (auto const idle = takeIdle())
+        probe(idle);
+}
+
+}
--- /dev/null
+++ b/Services/targets/leaf_pool.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "Kernel/clock.h"
+#include "Libraries/zinnialedge/queries/events.h"
+#include "Libraries/zinnialedge/wire/http_client.h"
+#include "Libraries/zinnialedge/wire/leaf_codec.h"
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace zinnialedge::services::targets {
+
+struct leaf_pool_hooks {
+    kernel::clock_hook clock;
+    std::function<void(queries::leaf_call_ended)> callEnded;
+    std::function<void(queries::leaf_status_seen)> statusSeen;
+};
+
+/// The connections to one leaf. Each new one is tried with a status request before it carries calls.
+class leaf_pool : public std::enable_shared_from_this<leaf_pool> {
+public:
+    leaf_pool(boost::asio::io_context&, routing::leaf_handle, model::endpoint, std::string callPrefix, leaf_pool_hooks);
+
+    /// How many connections the pool may hold; zero closes it once its calls have ended.
+    void resize(std::size_t connections);
+    void send(queries::send_leaf_call const&);
+    void cancel(queries::call_id);
+    /// Asks for the leaf's status when a connection is idle, and opens connections that are missing.
+    void refresh();
+
+    model::endpoint const& place() const { return m_place; }
+    bool isClosed() const { return m_wanted == 0 && m_busy.empty() && m_opening == 0; }
+    std::size_t openCount() const { return m_idle.size() + m_busy.size() + m_probing; }
+    std::size_t busyCount() const { return m_busy.size(); }
+    std::size_t wantedCount() const { return m_wanted; }
+    std::uint64_t failedConnects() const { return m_failedConnects; }
+
+private:
+    using client = std::shared_ptr<wire::http_client>;
+
+    void openMissing();
+    void openOne();
+    void probe(client const&);
+    void handleProbe(client const&, wire::http_result const&);
+    void transmit(client const&, queries::send_leaf_call const&);
+    void handleReply(client const&, queries::call_id, wire::http_result const&);
+    void giveBack(client const&);
+    void startWaiting();
+    /// True when the call is past its deadline; it is then reported as not sent.
+    bool isTooLate(queries::send_leaf_call const&);
+    void reportUnsent(queries::call_id, std::string reason);
+    client takeIdle();
+
+    boost::asio::io_context& m_context;
+    routing::leaf_handle m_handle;
+    model::endpoint m_place;
+    std::string m_callPrefix;
+    leaf_pool_hooks m_hooks;
+    std::size_t m_wanted { 0 };
+    std::size_t m_opening { 0 };
+    std::size_t m_probing { 0 };
+    std::uint64_t m_failedConnects { 0 };
+    unsigned m_refreshesToSkip { 0 };
+    unsigned m_failuresInARow { 0 };
+    std::vector<client> m_idle;
+    std::map<queries::call_id, client> m_busy;
+    std::deque<queries::send_leaf_call> m_waiting;
+};
+
+}
--- /dev/null
+++ b/Services/targets/target_service.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Kernel/duty.h"
+#include "Kernel/registry.h"
+#include "Services/decisions/decision_service.h"
+#include "Services/targets/leaf_pool.h"
+#include <map>
+
+namespace zinnialedge::services::targets {
+
+/// Carries calls to the leafs and watches their status.
+class target_service final : public kernel::service {
+public:
+    /// `callPrefix` makes this process's calls differ from every other's.
+    target_service(std::string callPrefix, kernel::clock_hook, decisions::decision_service&, std::size_t leafCallCapacity);
+    ~target_service() override;
+
+    std::string const& name() const override { return m_duty.name(); }
+    void start() override;
+    void stop() override { m_duty.stop(); }
+    bool requestState(kernel::state_receiver) override;
+
+    static constexpr char const* serviceName = "targets";
+
+private:
+    class refresh_timer;
+
+    void handle(decisions::target_action&&);
+    void perform(queries::send_leaf_call const&);
+    void perform(queries::cancel_leaf_call const&);
+    void perform(queries::change_leaf_connections const&);
+    void refreshPools();
+    void report(decisions::target_event&&);
+    std::string describeState() const;
+
+    kernel::io_duty m_duty;
+    std::string m_callPrefix;
+    kernel::clock_hook m_clock;
+    decisions::decision_service& m_decisions;
+    std::size_t m_leafCallCapacity;
+    std::map<routing::leaf_handle, std::shared_ptr<leaf_pool>> m_pools;
+    std::unique_ptr<refresh_timer> m_timer;
+};
+
+}
--- /dev/null
+++ b/StandIns/platform/platform_standin.cpp
@@ -0,0 +1,204 @@
+#include "StandIns/platform/platform_standin.h"
+
+#include "Libraries/zinnialedge/configuration/json_reader.h"
+#include <boost/json.hpp>
+#include <charconv>
+
+namespace zinnialedge::stand_ins::platform {
+
+namespace json = boost::json;
+
+static constexpr int statusOk = 200;
+static constexpr int statusBadRequest = 400;
+static constexpr int statusNotFound = 404;
+static constexpr int statusGone = 410;
+static constexpr int statusPreconditionFailed = 412;
+static constexpr int statusUnavailable = 503;
+static constexpr std::uint64_t longestWaitMilliseconds = 60'000;
+static constexpr std::uint64_t anyNumber = std::numeric_limits<std::uint64_t>::max();
+
+static std::uint64_t parseNumber(std::string const& text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+errors::error_or<std::unique_ptr<platform_standin>> platform_standin::create(boost::asio::io_context& context, model::endpoint const& place)
+{
+    std::unique_ptr<platform_standin> made { new platform_standin(context) };
+    wire::http_server_limits limits;
+    limits.connections = 20'000;
+    auto server = wire::http_server::listen(context, place, limits, [self = made.get()](wire::http_request const& request, wire::http_responder const& respond) { self->handle(request, respond); });
+    if (!server)
+        return tl::unexpected(server.error());
+    made->m_server = std::move(*server);
+    return made;
+}
+
+platform_standin::platform_standin(boost::asio::io_context& context)
+    : m_context(context)
+{
+}
+
+void platform_standin::handle(wire::http_request const& request, wire::http_responder const& respond)
+{
+    auto const path = wire::pathOf(request);
+    if (path == "/faults") {
+        changeFaults(request, respond);
+    } else if (path == "/counts") {
+        describeCounts(respond);
+    } else if (m_faults.isOut) {
+        m_unanswered.push_back(respond);
+    } else if (m_faults.isFailing) {
+        respond({ statusUnavailable, "{}", {} });
+    } else if (m_faults.delay.count() > 0) {
+        auto const timer = std::make_shared<boost::asio::steady_timer>(m_context, m_faults.delay);
+        timer->async_wait([this, timer, request, respond](boost::system::error_code) { serve(request, respond); });
+    } else {
+        serve(request, respond);
+    }
+}
+
+void platform_standin::serve(wire::http_request const& request, wire::http_responder const& respond)
+{
+    static std::string const objectPath = "/objects/";
+    auto const path = wire::pathOf(request);
+    if (path.starts_with(objectPath)) {
+        serveObject(request, path.substr(objectPath.size()), respond);
+    } else if (path == "/objects") {
+        ++m_counts.reads;
+        respond({ statusOk, wire::formatStoreListing(m_store.list(wire::parametersOf(request)["prefix"])), {} });
+    } else if (path == "/watch") {
+        serveWatch(request, respond);
+    } else if (path == "/vms") {
+        serveVms(request, respond);
+    } else {
+        respond({ statusNotFound, "{}", {} });
+    }
+}
+
+void platform_standin::serveObject(wire::http_request const& request, std::string const& key, wire::http_responder const& respond)
+{
+    if (request.method != "GET") {
+        serveWrite(request, key, respond);
+        return;
+    }
+    ++m_counts.reads;
+    auto const* object = m_store.find(key);
+    if (!object)
+        respond({ statusNotFound, "{}", {} });
+    else
+        respond({ statusOk, *object->body, { { "ETag", '"' + std::to_string(object->version) + '"' } } });
+}
+
+static std::optional<write_condition> readCondition(wire::http_request const& request)
+{
+    auto const ifMatch = wire::headerOf(request.headers, "if-match");
+    auto const ifNoneMatch = wire::headerOf(request.headers, "if-none-match");
+    if (ifNoneMatch == "*")
+        return write_condition { 0 };
+    if (ifMatch.empty())
+        return write_condition {};
+    if (ifMatch.size() < 3 || ifMatch.front() != '"' || ifMatch.back() != '"')
+        return std::nullopt;
+    return write_condition { parseNumber(ifMatch.substr(1, ifMatch.size() - 2)) };
+}
+
+void platform_standin::serveWrite(wire::http_request const& request, std::string const& key, wire::http_responder const& respond)
+{
+    ++m_counts.writes;
+    auto const condition = readCondition(request);
+    bool const isDelete = request.method == "DELETE";
+    if (!condition || (!isDelete && request.method != "PUT")) {
+        respond({ statusBadRequest, "{}", {} });
+        return;
+    }
+    auto const body = isDelete ? std::nullopt : std::optional { request.body };
+    auto const version = m_store.write(key, body, *condition);
+    if (version)
+        answerWatches();
+    if (m_faults.repliesToLose > 0) {
+        --m_faults.repliesToLose;
+        ++m_counts.lostReplies;
+        m_unanswered.push_back(respond);
+        return;
+    }
+    if (!version)
+        respond({ statusPreconditionFailed, "{}", {} });
+    else
+        respond({ statusOk, "{}", { { "ETag", '"' + std::to_string(*version) + '"' } } });
+}
+
+void platform_standin::serveWatch(wire::http_request const& request, wire::http_responder const& respond)
+{
+    ++m_counts.watches;
+    auto parameters = wire::parametersOf(request);
+    auto const after = parseNumber(parameters["after"]);
+    auto const changes = m_store.changesAfter(after, parameters["prefix"]);
+    if (!changes) {
+        respond({ statusGone, "{}", {} });
+        return;
+    }
+    if (!changes->objects.empty()) {
+        respond({ statusOk, wire::formatStoreListing(*changes), {} });
+        return;
+    }
+    std::chrono::milliseconds const wait { static_cast<std::int64_t>(std::min(parseNumber(parameters["wait_ms"]), longestWaitMilliseconds)) };
+    auto const added = m_watches.insert(m_watches.end(), waiting_watch { after, parameters["prefix"], respond, boost::asio::steady_timer { m_context, wait } });
+    added->timer.async_wait([this, added](boost::system::error_code failure) {
+        if (failure)
+            return;
+        added->respond({ statusOk, wire::formatStoreListing({ m_store.revision(), {} }), {} });
+        m_watches.erase(added);
+    });
+}
+
+void platform_standin::answerWatches()
+{
+    for (auto each = m_watches.begin(); each != m_watches.end();) {
+        auto const changes = m_store.changesAfter(each->after, each->prefix);
+        if (!changes || changes->objects.empty()) {
+            ++each;
+            continue;
+        }
+        if (m_faults.isOut)
+            m_unanswered.push_back(each->respond);
+        else
+            each->respond({ statusOk, wire::formatStoreListing(*changes), {} });
+        each = m_watches.erase(each);
+    }
+}
+
+void platform_standin::serveVms(wire::http_request const& request, wire::http_responder const& respond)
+{
+    if (request.method == "PUT") {
+        m_vms = request.body;
+        respond({ statusOk, "{}", {} });
+        return;
+    }
+    ++m_counts.reads;
+    respond({ statusOk, m_vms, {} });
+}
+
+void platform_standin::changeFaults(wire::http_request const& request, wire::http_responder const& respond)
+{
+    std::vector<std::string> problems;
+    auto const value = configuration::parseJson(request.body, problems);
+    if (value) {
+        configuration::json_reader reader { *value, problems };
+        m_faults.isOut = reader.flag("outage", m_faults.isOut);
+        m_faults.isFailing = reader.flag("failing", m_faults.isFailing);
+        m_faults.delay = reader.milliseconds("delay_ms", 0, longestWaitMilliseconds, m_faults.delay);
+        m_faults.repliesToLose = reader.number("lose_replies", 0, anyNumber, m_faults.repliesToLose);
+        reader.finish();
+    }
+    respond({ problems.empty() ? statusOk : statusBadRequest, "{}", {} });
+}
+
+void platform_standin::describeCounts(wire::http_responder const& respond) const
+{
+    respond({ statusOk, json::serialize(json::object { { "reads", m_counts.reads }, { "writes", m_counts.writes }, { "watches", m_counts.watches }, { "lost_replies", m_counts.lostReplies }, { "revision", m_store.revision() } }), {} });
+}
+
+}
--- /dev/null
+++ b/StandIns/platform/platform_standin.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Libraries/zinnialedge/wire/http_server.h"
+#include "StandIns/platform/object_store.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+
+namespace zinnialedge::stand_ins::platform {
+
+/// Faults that can be switched while the stand-in runs.
+struct platform_faults {
+    /// Every call but those to the fault switch hangs until the caller gives up.
+    bool isOut { false };
+    /// Every call fails at once with status 503.
+    bool isFailing { false };
+    std::chrono::milliseconds delay { 0 };
+    /// So many of the next writes take effect, but their replies are lost.
+    std::uint64_t repliesToLose { 0 };
+};
+
+struct platform_counts {
+    std::uint64_t reads { 0 };
+    std::uint64_t writes { 0 };
+    std::uint64_t watches { 0 };
+    std::uint64_t lostReplies { 0 };
+};
+
+/// A small platform: object store, watches and the VM list, over HTTP.
+class platform_standin {
+public:
+    static errors::error_or<std::unique_ptr<platform_standin>> create(boost::asio::io_context&, model::endpoint const&);
+
+    std::uint16_t port() const { return m_server->port(); }
+
+private:
+    struct waiting_watch {
+        std::uint64_t after { 0 };
+        std::string prefix;
+        wire::http_responder respond;
+        boost::asio::steady_timer timer;
+    };
+
+    explicit platform_standin(boost::asio::io_context&);
+    void handle(wire::http_request const&, wire::http_responder const&);
+    void serve(wire::http_request const&, wire::http_responder const&);
+    void serveObject(wire::http_request const&, std::string const& key, wire::http_responder const&);
+    void serveWrite(wire::http_request const&, std::string const& key, wire::http_responder const&);
+    void serveWatch(wire::http_request const&, wire::http_responder const&);
+    void serveVms(wire::http_request const&, wire::http_responder const&);
+    void changeFaults(wire::http_request const&, wire::http_responder const&);
+    void describeCounts(wire::http_responder const&) const;
+    void answerWatches();
+
+    boost::asio::io_context& m_context;
+    std::unique_ptr<wire::http_server> m_server;
+    object_store m_store;
+    platform_faults m_faults;
+    platform_counts m_counts;
+    std::list<waiting_watch> m_watches;
+    /// Responders of calls that are never answered; dropping them would close the connections.
+    std::vector<wire::http_responder> m_unanswered;
+    std::string m_vms { R"({"vms":[]})" };
+};
+
+}
--- /dev/null
+++ b/StandIns/target/leaf_standin.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "Libraries/zinnialedge/wire/http_server.h"
+#include "Libraries/zinnialedge/wire/leaf_codec.h"
+#include "StandIns/target/leaf_settings.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <map>
+#include <random>
+
+namespace zinnialedge::stand_ins::target {
+
+/// Faults that can be switched while the leaf runs.
+struct leaf_faults {
+    double slowFactor { 1 };
+    bool isShedding { false };
+    bool isDraining { false };
+    /// Answers carry the name of another call.
+    bool isAnsweringOthers { false };
+    /// Answers claim another shard.
+    bool isAnsweringForOtherShard { false };
+    /// Answers carry a version that was not asked for.
+    bool isAnsweringOtherVersion { false };
+    /// Cuts the connections when an answer is due.
+    bool isCuttingReplies { false };
+    /// The load that is reported, in percent, in place of the true one.
+    std::optional<std::uint64_t> reportedLoadPercent;
+};
+
+struct leaf_counts {
+    std::uint64_t calls { 0 };
+    std::uint64_t runs { 0 };
+    std::uint64_t shed { 0 };
+    std::uint64_t cancelled { 0 };
+    std::uint64_t refusedConnections { 0 };
+    std::uint64_t mostConnections { 0 };
+};
+
+/// One leaf over HTTP: POST /search, POST /cancel, GET /status; and for tests POST /faults, GET /counts.
+class leaf_standin {
+public:
+    static errors::error_or<std::unique_ptr<leaf_standin>> create(boost::asio::io_context&, leaf_settings);
+
+    std::uint16_t port() const { return m_server->port(); }
+    leaf_settings const& settings() const { return m_settings; }
+
+private:
+    struct running_call {
+        wire::leaf_call call;
+        wire::http_responder respond;
+        std::chrono::steady_clock::time_point deadline;
+        std::shared_ptr<boost::asio::steady_timer> timer;
+    };
+
+    leaf_standin(boost::asio::io_context&, leaf_settings);
+    void handle(wire::http_request const&, wire::http_responder const&);
+    void search(wire::http_request const&, wire::http_responder const&);
+    std::optional<queries::leaf_refusal> findRefusal(wire::leaf_call const&) const;
+    void refuse(running_call const&, queries::leaf_refusal);
+    void startNext();
+    void run(running_call);
+    void finish(std::string const& call);
+    void cancel(std::string const& call, wire::http_responder const&);
+    void changeFaults(wire::http_request const&, wire::http_responder const&);
+    void describeCounts(wire::http_responder const&) const;
+    queries::leaf_status status() const;
+    std::vector<model::row> makeRows(wire::leaf_call const&) const;
+    std::chrono::microseconds drawServiceTime();
+
+    boost::asio::io_context& m_context;
+    leaf_settings m_settings;
+    std::unique_ptr<wire::http_server> m_server;
+    std::mt19937_64 m_random;
+    std::chrono::steady_clock::time_point m_startedAt { std::chrono::steady_clock::now() };
+    leaf_faults m_faults;
+    leaf_counts m_counts;
+    std::deque<running_call> m_queue;
+    std::map<std::string, running_call> m_running;
+    /// How often each request that carried a ticket was run.
+    std::map<std::string, std::uint64_t> m_runsOfTicket;
+};
+
+}
--- /dev/null
+++ b/Tests/Demo/main.cpp
@@ -0,0 +1,81 @@
+// Starts a platform, four services and four daemons, and puts a mixed load on them.
+
+#include "Tests/Support/cluster.h"
+#include <boost/json.hpp>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_uint32(seconds, 8, "how long to measure");
+DEFINE_string(csv, "", "where zl-load writes its lines");
+
+using namespace zinnialedge::tests;
+namespace json = boost::json;
+
+static json::value makeStream(char const* service, char const* request, int perSecond, bool isKeyed, bool isTicketed)
+{
+    return { { "service", service }, { "request", request }, { "per_second", perSecond }, { "keyed", isKeyed }, { "ticketed", isTicketed } };
+}
+
+static json::object makePlan(std::vector<running_daemon> const& daemons)
+{
+    auto const list = [](auto const& places) {
+        json::array items;
+        for (auto const& place : places)
+            items.push_back({ { "address", place.address }, { "port", place.port } });
+        return items;
+    };
+    std::vector<zinnialedge::model::endpoint> callers;
+    std::vector<zinnialedge::model::endpoint> operators;
+    for (auto const& daemon : daemons) {
+        callers.push_back(daemon.callers);
+        operators.push_back(daemon.operators);
+    }
+    return {
+        { "directory", list(callers) },
+        { "operators", list(operators) },
+        { "duration_ms", FLAGS_seconds * 1000 },
+        { "streams", {
+                         makeStream("lunch-portal", "menu", 40, false, false),
+                         makeStream("lunch-portal", "allergen", 40, false, false),
+                         makeStream("lunch-portal", "order-check", 40, true, false),
+                         makeStream("kitchen-desk", "order-confirmation", 40, true, true),
+                         makeStream("kerbside-app", "site-history", 40, false, false),
+                         makeStream("kerbside-app", "defects", 40, false, false),
+                         makeStream("permit-desk", "billing-record", 40, true, true),
+                         makeStream("permit-desk", "permit", 40, true, false),
+                     } },
+    };
+}
+
+int main(int argumentCount, char** arguments)
+{
+    gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
+    cluster cluster;
+    for (auto const& plan : { lunchPortalPlan(), kitchenDeskPlan(), kerbsideAppPlan(), permitDeskPlan() }) {
+        auto const& leafs = cluster.startService(plan);
+        std::cout << "started " << plan.declaration.name << " with " << leafs.size() << " leafs\n";
+    }
+    std::vector<running_daemon> daemons;
+    for (auto const* name : { "suva-1", "suva-2" })
+        daemons.push_back(cluster.startDaemon(name, "suva", "suva-a"));
+    for (auto const* name : { "amman-1", "amman-2" })
+        daemons.push_back(cluster.startDaemon(name, "amman", "amman-a"));
+    for (auto const& daemon : daemons) {
+        for (auto const* service : { "lunch-portal", "kitchen-desk", "kerbside-app", "permit-desk" }) {
+            if (!cluster.waitForLeafs(daemon, service)) {
+                std::cerr << daemon.name << " does not reach the leafs of " << service << "\n";
+                return 1;
+            }
+        }
+        std::cout << "started daemon " << daemon.name << ", callers at " << toString(daemon.callers) << ", operators at " << toString(daemon.operators) << "\n";
+    }
+    auto const planFile = cluster.folder() / "plan.json";
+    std::ofstream { planFile } << json::serialize(makePlan(daemons));
+    std::cout << "measuring for " << FLAGS_seconds << " s" << std::endl;
+    std::vector<std::string> loadArguments { "--plan=" + planFile.string() };
+    if (!FLAGS_csv.empty())
+        loadArguments.push_back("--csv=" + FLAGS_csv);
+    child_process load { "zl-load", loadArguments };
+    return load.waitForExit(std::chrono::minutes { 2 }).value_or(1);
+}
--- /dev/null
+++ b/Tests/Faults/whole_path_test.cpp
@@ -0,0 +1,146 @@
+#include "Tests/Support/cluster.h"
+#include "Utilities/zl-load/answer_check.h"
+#include <CppUTest/TestHarness.h>
+#include <boost/json.hpp>
+
+using namespace zinnialedge;
+using namespace zinnialedge::tests;
+
+TEST_GROUP(WholePath)
+{
+    std::unique_ptr<cluster> running;
+
+    void setup() override
+    {
+        running = std::make_unique<cluster>();
+        running->startService(smallPlan("lunch-portal", "suva", 3));
+        auto const& daemon = running->startDaemon("suva-1", "suva", "suva-a");
+        CHECK(running->waitForLeafs(daemon, "lunch-portal"));
+    }
+
+    void teardown() override
+    {
+        running = nullptr;
+    }
+
+    static std::uint64_t runsOf(std::vector<running_leaf> const& leafs, std::string const& ticket)
+    {
+        std::uint64_t runs = 0;
+        for (auto const& leaf : leafs) {
+            auto const counts = getJson(leaf.place, "/counts");
+            if (auto const* found = counts.at("runs_of_ticket").as_object().if_contains(ticket))
+                runs += found->to_number<std::uint64_t>();
+        }
+        return runs;
+    }
+};
+
+TEST(WholePath, AQueryOverAllShardsIsMerged)
+{
+    model::query_request request;
+    request.id = "q1";
+    request.service = "lunch-portal";
+    request.requestKind = "search";
+    auto const answer = query(running->daemon("suva-1").callers, request);
+    CHECK(answer.has_value());
+    CHECK(answer->covered.isWhole());
+    LONGS_EQUAL(3, answer->covered.asked);
+    LONGS_EQUAL(6, answer->rows.size());
+    CHECK(!utilities::load::findFault(*answer, "q1"));
+}
+
+TEST(WholePath, ATicketRunsOnceHoweverOftenItIsAsked)
+{
+    auto const& daemon = running->daemon("suva-1");
+    model::query_request request;
+    request.service = "lunch-portal";
+    request.requestKind = "confirm";
+    request.key = "order-1";
+    request.ticket = ticketPrefix(daemon.callers, "lunch-portal") + "~1";
+    auto const first = query(daemon.callers, request);
+    auto const second = query(daemon.callers, request);
+    CHECK(first.has_value());
+    CHECK(second.has_value());
+    CHECK(second->isRemembered);
+    CHECK(first->rows == second->rows);
+    LONGS_EQUAL(1, runsOf(running->leafsOf("lunch-portal"), request.ticket));
+}
+
+TEST(WholePath, ATicketOfAnotherDaemonIsRelayed)
+{
+    auto const& first = running->daemon("suva-1");
+    auto const& second = running->startDaemon("suva-2", "suva", "suva-a");
+    CHECK(running->waitForLeafs(second, "lunch-portal"));
+    CHECK(waitUntil([&] { return getJson(first.operators, "/state").at("services").at("decisions").at("daemons_known").to_number<int>() == 2; }));
+    model::query_request request;
+    request.service = "lunch-portal";
+    request.requestKind = "confirm";
+    request.key = "order-2";
+    request.ticket = ticketPrefix(second.callers, "lunch-portal") + "~1";
+    auto const relayed = query(first.callers, request);
+    auto const direct = query(second.callers, request);
+    CHECK(relayed.has_value());
+    CHECK(direct.has_value());
+    CHECK(direct->isRemembered);
+    LONGS_EQUAL(1, runsOf(running->leafsOf("lunch-portal"), request.ticket));
+}
+
+TEST(WholePath, AKilledLeafIsCoveredByItsTwin)
+{
+    auto const& daemon = running->daemon("suva-1");
+    auto& leafs = running->leafsOf("lunch-portal");
+    leafs[0].process->signal(SIGKILL);
+    CHECK(leafs[0].process->waitForExit().has_value());
+    model::query_request request;
+    request.id = "q1";
+    request.service = "lunch-portal";
+    request.requestKind = "search";
+    auto const answer = query(daemon.callers, request);
+    CHECK(answer.has_value());
+    CHECK(answer->covered.isWhole());
+    CHECK(!utilities::load::findFault(*answer, "q1"));
+}
+
+TEST(WholePath, BadInputIsRefusedAndTheDaemonGoesOn)
+{
+    auto const& place = running->daemon("suva-1").callers;
+    auto const kindOf = [&](wire::http_request const& request) {
+        auto const result = callHttp(place, request);
+        CHECK(result.has_value());
+        auto const error = boost::json::parse(result->body).at("error");
+        STRCMP_EQUAL("no", std::string { error.at("ran").as_string() }.c_str());
+        return std::string { error.at("kind").as_string() };
+    };
+    STRCMP_EQUAL("malformed_request", kindOf({ "POST", "/query", "{", {} }).c_str());
+    STRCMP_EQUAL("malformed_request", kindOf({ "POST", "/query", R"({"service":"lunch-portal","request":"search","surprise":1})", {} }).c_str());
+    STRCMP_EQUAL("malformed_request", kindOf({ "POST", "/query", R"({"service":"lunch-portal","request":"search","deadline_ms":999999999})", {} }).c_str());
+    STRCMP_EQUAL("request_too_large", kindOf({ "POST", "/query", std::string(100'000, ' '), {} }).c_str());
+    STRCMP_EQUAL("unknown_route", kindOf({ "GET", "/nothing", {}, {} }).c_str());
+    STRCMP_EQUAL("unknown_service", kindOf({ "POST", "/query", R"({"service":"nothing","request":"search"})", {} }).c_str());
+    STRCMP_EQUAL("unknown_request_kind", kindOf({ "POST", "/query", R"({"service":"lunch-portal","request":"nothing"})", {} }).c_str());
+    STRCMP_EQUAL("missing_key", kindOf({ "POST", "/query", R"({"service":"lunch-portal","request":"read"})", {} }).c_str());
+    STRCMP_EQUAL("ticket_required", kindOf({ "POST", "/query", R"({"service":"lunch-portal","request":"confirm","key":"k"})", {} }).c_str());
+    CHECK(callHttp(place, { "GET", "/health", {}, {} })->status == 200);
+}
+
+TEST(WholePath, APlannedStopAnswersWhatIsInFlight)
+{
+    auto const& daemon = running->daemon("suva-1");
+    for (auto const& leaf : running->leafsOf("lunch-portal"))
+        running->setLeafFaults(leaf, { { "slow_factor", 200 } });
+    model::answer_or_error answer = errors::fail(errors::error_kind::internal, "not asked");
+    std::thread caller { [&] {
+        model::query_request request;
+        request.id = "q1";
+        request.service = "lunch-portal";
+        request.requestKind = "search";
+        request.deadline = std::chrono::milliseconds { 5000 };
+        answer = query(daemon.callers, request);
+    } };
+    CHECK(waitUntil([&] { return getJson(daemon.operators, "/state").at("services").at("decisions").at("queries_in_flight").to_number<int>() == 1; }));
+    daemon.process->signal(SIGTERM);
+    caller.join();
+    CHECK(answer.has_value());
+    CHECK(answer->covered.isWhole());
+    LONGS_EQUAL(0, daemon.process->waitForExit().value_or(-1));
+}
--- /dev/null
+++ b/Tests/Golden/golden_sessions_test.cpp
@@ -0,0 +1,36 @@
+#include "Tests/Support/session.h"
+#include <CppUTest/TestHarness.h>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+// Each file in sessions/ is a script; the file of the same name in transcripts/ is what it must give.
+// With UPDATE_GOLDEN=1 in the environment the transcripts are written anew; read their diff before a commit.
+
+using namespace zinnialedge::tests;
+
+static std::string readFile(std::filesystem::path const& path)
+{
+    std::ifstream file { path };
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+TEST_GROUP(GoldenSessions) {};
+
+TEST(GoldenSessions, EveryScriptGivesItsTranscript)
+{
+    std::filesystem::path const folder { TESTS_FOLDER "/Golden" };
+    bool const isUpdating = std::getenv("UPDATE_GOLDEN") != nullptr;
+    std::size_t count = 0;
+    for (auto const& entry : std::filesystem::directory_iterator { folder / "sessions" }) {
+        ++count;
+        auto const transcript = session {}.run(readFile(entry.path()));
+        auto const expectedPath = folder / "transcripts" / entry.path().filename();
+        if (isUpdating)
+            std::ofstream { expectedPath } << transcript;
+        STRCMP_EQUAL_TEXT(readFile(expectedPath).c_str(), transcript.c_str(), entry.path().filename().c_str());
+    }
+    CHECK(count > 0);
+}
--- /dev/null
+++ b/Tests/Support/cluster.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "Libraries/zinnialedge/membership/daemon_record.h"
+#include "Libraries/zinnialedge/model/query.h"
+#include "Libraries/zinnialedge/model/service_declaration.h"
+#include "StandIns/target/leaf_settings.h"
+#include "Tests/Support/child_process.h"
+#include "Tests/Support/http_call.h"
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace zinnialedge::tests {
+
+/// A service to start: its declaration without targets, and what its leafs are like.
+struct service_plan {
+    model::service_declaration declaration;
+    std::uint32_t leafsPerShard { 2 };
+    stand_ins::target::leaf_settings leaf;
+    /// True: each leaf is a process of its own, so that it can be killed or frozen alone.
+    bool isProcessPerLeaf { false };
+};
+
+struct running_leaf {
+    std::string name;
+    std::uint32_t shard { 0 };
+    model::endpoint place;
+    std::shared_ptr<child_process> process;
+};
+
+struct running_daemon {
+    std::string name;
+    model::endpoint callers;
+    model::endpoint operators;
+    model::endpoint peers;
+    std::shared_ptr<child_process> process;
+};
+
+/// Real processes on loopback: one platform, leafs and daemons. They end with the object.
+class cluster {
+public:
+    cluster();
+    ~cluster();
+
+    model::endpoint const& platform() const { return m_platform; }
+    child_process& platformProcess() { return *m_platformProcess; }
+    /// Starts the leafs and declares the service in the store.
+    std::vector<running_leaf>& startService(service_plan);
+    std::vector<running_leaf>& leafsOf(std::string const& service) { return m_leafs.at(service); }
+    model::service_declaration const& declarationOf(std::string const& service) const { return m_declarations.at(service); }
+    /// Writes a changed declaration to the store.
+    void declare(model::service_declaration const&);
+    /// `adjust` may change the settings object before the daemon starts.
+    running_daemon& startDaemon(std::string const& name, std::string const& partner, std::string const& dataCentre, std::function<void(boost::json::object&)> const& adjust = {});
+    running_daemon& daemon(std::string const& name) { return m_daemons.at(name); }
+    /// Waits until the daemon can reach every leaf of the service.
+    bool waitForLeafs(running_daemon const&, std::string const& service);
+    void setLeafFaults(running_leaf const&, boost::json::value const& faults) const;
+    void setPlatformFaults(boost::json::value const& faults) const;
+    std::filesystem::path const& folder() const { return m_folder; }
+
+private:
+    std::shared_ptr<child_process> startLeafs(std::string const& name, std::vector<stand_ins::target::leaf_settings> const&, std::vector<running_leaf>&);
+    std::string writeFile(std::string const& name, std::string const& text) const;
+
+    std::filesystem::path m_folder;
+    std::shared_ptr<child_process> m_platformProcess;
+    model::endpoint m_platform;
+    std::map<std::string, std::vector<running_leaf>> m_leafs;
+    std::map<std::string, model::service_declaration> m_declarations;
+    std::map<std::string, running_daemon> m_daemons;
+};
+
+/// Sends a query to a daemon and parses what comes back. A failed connection is an `internal` error.
+model::answer_or_error query(model::endpoint const& daemon, model::query_request const&);
+/// The ticket prefix that a daemon gives out.
+std::string ticketPrefix(model::endpoint const& daemon, std::string const& service);
+
+/// The services of the brief, at today's sizes.
+service_plan lunchPortalPlan();
+service_plan kitchenDeskPlan();
+service_plan kerbsideAppPlan();
+service_plan permitDeskPlan();
+/// A service of few shards, with a process for each leaf.
+service_plan smallPlan(std::string const& name, std::string const& partner, std::uint32_t shards);
+
+}
--- /dev/null
+++ b/Tests/Support/session.cpp
@@ -0,0 +1,245 @@
+#include "Tests/Support/session.h"
+
+#include "Kernel/verify.h"
+#include "Libraries/zinnialedge/wire/leaf_codec.h"
+#include <charconv>
+
+namespace zinnialedge::tests {
+
+using std::chrono::milliseconds;
+
+static queries::engine_settings makeSettings()
+{
+    queries::engine_settings settings;
+    settings.daemon = "daemon-1";
+    settings.incarnation = 7;
+    settings.capacity = 100;
+    settings.partnerShares = { { "suva", 50 }, { "amman", 50 } };
+    return settings;
+}
+
+session::session()
+    : m_engine(makeSettings(), kernel::makeSeededRandom(1))
+{
+}
+
+static std::uint64_t numberOf(std::string const& text)
+{
+    std::uint64_t number = 0;
+    auto const result = std::from_chars(text.data(), text.data() + text.size(), number);
+    VERIFY(result.ec == std::errc {} && result.ptr == text.data() + text.size());
+    return number;
+}
+
+static std::string textOf(std::map<std::string, std::string> const& fields, std::string const& name, std::string const& fallback = {})
+{
+    auto const found = fields.find(name);
+    return found == fields.end() ? fallback : found->second;
+}
+
+static std::uint64_t numberOf(std::map<std::string, std::string> const& fields, std::string const& name, std::uint64_t fallback)
+{
+    auto const found = fields.find(name);
+    return found == fields.end() ? fallback : numberOf(found->second);
+}
+
+static std::vector<std::uint64_t> numbersOf(std::string const& text)
+{
+    std::vector<std::uint64_t> numbers;
+    std::istringstream parts { text };
+    for (std::string part; std::getline(parts, part, ',');)
+        numbers.push_back(numberOf(part));
+    return numbers;
+}
+
+std::string session::run(std::string const& script)
+{
+    std::istringstream lines { script };
+    for (std::string line; std::getline(lines, line);) {
+        if (!line.empty() && line.front() != '#')
+            runLine(line);
+    }
+    return m_transcript.str();
+}
+
+void session::runLine(std::string const& line)
+{
+    std::istringstream words { line };
+    std::string at;
+    std::string time;
+    std::string name;
+    words >> at >> time >> name;
+    VERIFY(at == "at");
+    fields read;
+    for (std::string word; words >> word;) {
+        auto const equals = word.find('=');
+        read[word.substr(0, equals)] = equals == std::string::npos ? "yes" : word.substr(equals + 1);
+    }
+    auto const until = kernel::time_point { milliseconds { numberOf(time) } };
+    runTimersUntil(until);
+    m_now = until;
+    m_transcript << line << "\n";
+    if (name != "end")
+        step(makeEvent(name, read));
+}
+
+void session::runTimersUntil(kernel::time_point until)
+{
+    for (auto next = m_engine.nextTimer(); next && *next <= until; next = m_engine.nextTimer()) {
+        m_now = std::max(m_now, *next);
+        auto const before = m_transcript.str().size();
+        std::string const line = "at " + timeText(m_now) + " timer\n";
+        m_transcript << line;
+        step(queries::timer_due {});
+        // A timer without a consequence is not part of the session.
+        if (m_transcript.str().size() == before + line.size()) {
+            auto text = m_transcript.str();
+            text.resize(before);
+            m_transcript.str(text);
+            m_transcript.seekp(0, std::ios::end);
+        }
+    }
+}
+
+std::string session::timeText(kernel::time_point time) const
+{
+    auto const microseconds = std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
+    std::ostringstream text;
+    text << microseconds / 1000;
+    if (microseconds % 1000 != 0)
+        text << '.' << microseconds % 1000 << "us";
+    return text.str();
+}
+
+queries::event session::makeDeclaration(fields const& read)
+{
+    auto declared = std::make_shared<model::service_declaration>();
+    declared->name = textOf(read, "service", "lunch-portal");
+    declared->partner = textOf(read, "partner", "suva");
+    declared->epoch = numberOf(read, "epoch", 1);
+    declared->shardCount = static_cast<std::uint32_t>(numberOf(read, "shards", 2));
+    declared->coverage = textOf(read, "coverage", "whole") == "whole" ? model::coverage_policy::whole : model::coverage_policy::partial;
+    declared->deadline = milliseconds { numberOf(read, "deadline", 80) };
+    declared->softDeadline = milliseconds { numberOf(read, "soft", 40) };
+    declared->softSharePercent = static_cast<std::uint32_t>(numberOf(read, "share", 50));
+    declared->hedgePercent = static_cast<std::uint32_t>(numberOf(read, "hedge", 5));
+    declared->requests = { { "search", true, true, true }, { "read", false, true, false }, { "confirm", false, false, false } };
+    auto const replicas = numberOf(read, "leafs", 2);
+    for (std::uint32_t shard = 0; shard < declared->shardCount; ++shard) {
+        for (std::uint64_t replica = 0; replica < replicas; ++replica) {
+            model::target_declaration target;
+            target.name = "t" + std::to_string(shard) + static_cast<char>('a' + replica);
+            target.place = { "127.0.0.1", 1 };
+            target.shard = shard;
+            target.slots = static_cast<std::uint32_t>(numberOf(read, "slots", 2));
+            declared->targets.push_back(std::move(target));
+        }
+    }
+    return queries::service_declared { std::move(declared) };
+}
+
+queries::event session::makeQuery(fields const& read)
+{
+    queries::query_arrived arrived;
+    arrived.caller = numberOf(read, "caller", 1);
+    auto& request = arrived.request;
+    request.id = "q" + std::to_string(arrived.caller);
+    request.service = textOf(read, "service", "lunch-portal");
+    request.requestKind = textOf(read, "request", "search");
+    request.key = textOf(read, "key");
+    request.deadline = milliseconds { numberOf(read, "deadline", 0) };
+    request.isRelayed = read.contains("relayed");
+    request.ticket = textOf(read, "ticket");
+    // "own:" stands for the prefix that this daemon gives out at time zero.
+    if (request.ticket.starts_with("own:"))
+        request.ticket = m_engine.issueTicketPrefix(kernel::time_point {}) + "~" + request.ticket.substr(4);
+    return arrived;
+}
+
+queries::event session::makeCallEnd(std::string const& name, fields const& read)
+{
+    queries::leaf_call_ended ended;
+    ended.call = numberOf(read, "call", 0);
+    auto const asked = m_calls.find(ended.call);
+    VERIFY(asked != m_calls.end());
+    auto& outcome = ended.outcome;
+    outcome.shard = static_cast<std::uint32_t>(numberOf(read, "shard", asked->second.shard));
+    outcome.reflects = { numberOf(read, "epoch", asked->second.pin.epoch), numberOf(read, "version", asked->second.pin.version) };
+    if (read.contains("versions"))
+        outcome.status = queries::leaf_status { numbersOf(textOf(read, "epochs", "1")), numbersOf(textOf(read, "versions")), 0, false };
+    if (name == "reply") {
+        outcome.kind = queries::leaf_outcome_kind::answered;
+        outcome.rows = { { "s" + std::to_string(outcome.shard), "v" + std::to_string(outcome.reflects.version) } };
+    } else if (name == "refuse") {
+        outcome.kind = queries::leaf_outcome_kind::refused;
+        for (auto refusal = queries::leaf_refusal::none; refusal <= queries::leaf_refusal::deadline; refusal = static_cast<queries::leaf_refusal>(static_cast<int>(refusal) + 1)) {
+            if (wire::toString(refusal) == textOf(read, "why"))
+                outcome.refusal = refusal;
+        }
+        VERIFY(outcome.refusal != queries::leaf_refusal::none);
+    } else {
+        VERIFY(name == "fail");
+        outcome.mayHaveBeenSent = !read.contains("unsent");
+    }
+    return ended;
+}
+
+queries::event session::makeEvent(std::string const& name, fields const& read)
+{
+    if (name == "declare")
+        return makeDeclaration(read);
+    if (name == "query")
+        return makeQuery(read);
+    if (name == "left")
+        return queries::caller_left { numberOf(read, "caller", 1) };
+    if (name == "status") {
+        queries::leaf_status const status { numbersOf(textOf(read, "epochs", "1")), numbersOf(textOf(read, "versions", "1")), 0, read.contains("draining") };
+        return queries::leaf_status_seen { static_cast<routing::leaf_handle>(numberOf(read, "leaf", 0)), status };
+    }
+    return makeCallEnd(name, read);
+}
+
+void session::step(queries::event const& event)
+{
+    for (auto const& action : m_engine.step(event, m_now))
+        write(action);
+}
+
+static std::string describe(model::answer_or_error const& result)
+{
+    std::ostringstream text;
+    if (!result) {
+        auto const& answer = errors::answerFor(result.error().kind);
+        text << "error=" << answer.name << " ran=" << errors::toString(answer.ran);
+        return text.str();
+    }
+    text << "epoch=" << result->reflects.epoch << " version=" << result->reflects.version << " covered=" << result->covered.answered << "/" << result->covered.asked;
+    for (auto const& missing : result->covered.missing)
+        text << " missing=" << missing.shard << ":" << model::toString(missing.reason);
+    text << " rows=";
+    for (auto const& row : result->rows)
+        text << row.key << row.value << ",";
+    if (result->isRemembered)
+        text << " remembered";
+    return text.str();
+}
+
+void session::write(queries::action const& action)
+{
+    if (auto const* send = std::get_if<queries::send_leaf_call>(&action)) {
+        m_calls[send->call] = *send;
+        m_transcript << "    send call=" << send->call << " leaf=" << send->leaf << " shard=" << send->shard << " epoch=" << send->pin.epoch
+                     << " version=" << send->pin.version << " deadline=" << timeText(send->deadline) << "\n";
+    } else if (auto const* cancel = std::get_if<queries::cancel_leaf_call>(&action)) {
+        m_transcript << "    cancel call=" << cancel->call << " leaf=" << cancel->leaf << "\n";
+    } else if (auto const* answer = std::get_if<queries::answer_caller>(&action)) {
+        m_transcript << "    answer caller=" << answer->caller << " " << describe(answer->result) << "\n";
+    } else if (auto const* relay = std::get_if<queries::relay_query>(&action)) {
+        m_transcript << "    relay caller=" << relay->caller << " daemon=" << relay->daemon << "\n";
+    } else {
+        auto const& change = std::get<queries::change_leaf_connections>(action);
+        m_transcript << "    connect leaf=" << change.change.handle << " name=" << change.name << " connections=" << change.change.connections << "\n";
+    }
+}
+
+}
--- /dev/null
+++ b/Utilities/zl-load/answer_check.cpp
@@ -0,0 +1,54 @@
+#include "Utilities/zl-load/answer_check.h"
+
+#include <charconv>
+#include <set>
+
+namespace zinnialedge::utilities::load {
+
+struct row_origin {
+    std::uint32_t shard { 0 };
+    model::snapshot reflects;
+};
+
+static std::optional<row_origin> parseOrigin(std::string const& value)
+{
+    row_origin origin;
+    auto const* end = value.data() + value.size();
+    auto const* at = value.data();
+    auto const readNumber = [&](char letter, auto& number) {
+        if (at == end || *at != letter)
+            return false;
+        auto const result = std::from_chars(at + 1, end, number);
+        at = result.ptr;
+        return result.ec == std::errc {};
+    };
+    if (!readNumber('s', origin.shard) || !readNumber('e', origin.reflects.epoch) || !readNumber('v', origin.reflects.version) || at != end)
+        return std::nullopt;
+    return origin;
+}
+
+std::optional<std::string> findFault(model::answer const& answer, std::string const& requestId)
+{
+    if (answer.id != requestId && !answer.isRemembered)
+        return "the answer is to request " + answer.id;
+    if (answer.covered.answered + answer.covered.missing.size() != answer.covered.asked)
+        return "shards answered and missing do not add up to those asked";
+    std::set<std::uint32_t> shards;
+    for (auto const& row : answer.rows) {
+        auto const origin = parseOrigin(row.value);
+        if (!origin)
+            return "unknown row " + row.value;
+        if (origin->reflects != answer.reflects)
+            return "a row of another snapshot: " + row.value;
+        shards.insert(origin->shard);
+    }
+    for (auto const& missing : answer.covered.missing) {
+        if (shards.contains(missing.shard))
+            return "shard " + std::to_string(missing.shard) + " is said to be missing, but has rows";
+    }
+    if (!answer.rows.empty() && shards.size() != answer.covered.answered)
+        return "rows of " + std::to_string(shards.size()) + " shards, but coverage says " + std::to_string(answer.covered.answered);
+    return std::nullopt;
+}
+
+}
