--- a/Libraries/zinnialedge/membership/directory.cpp
+++ b/Libraries/zinnialedge/membership/directory.cpp
@@ -36,6 +36,7 @@
             region = daemon.region;
     }
     std::vector<ranked_daemon> ranked;
+    ranked.reserve(m_daemons.size());
     for (auto const& [name, daemon] : m_daemons) {
         if (daemon.isLeaving)
             continue;
@@ -48,6 +49,7 @@
         return std::tie(left.distance, left.rank) < std::tie(right.distance, right.rank);
     });
     std::vector<daemon_record> daemons;
+    daemons.reserve(ranked.size());
     for (auto const& each : ranked)
         daemons.push_back(*each.daemon);
     return daemons;
--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -184,7 +184,7 @@
     return shards;
 }
 
-void query_engine::admit(query_arrived const& arrived, std::shared_ptr<model::service_declaration const> service, time_point now)
+void query_engine::admit(query_arrived const& arrived, std::shared_ptr<model::service_declaration const> const& service, time_point now)
 {
     auto const& request = arrived.request;
     auto const refuseUnrun = [&](error reason) {
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -124,7 +124,7 @@
     errors::error_or<void> check(model::query_request const&, model::service_declaration const*) const;
     /// False when the ticket's holder is elsewhere, or the request is settled, running or refused: then it is dealt with.
     bool claimTicket(query_arrived const&, kernel::time_point);
-    void admit(query_arrived const&, std::shared_ptr<model::service_declaration const>, kernel::time_point);
+    void admit(query_arrived const&, std::shared_ptr<model::service_declaration const> const&, kernel::time_point);
     void refuse(caller_token, model::query_request const&, errors::error);
     std::vector<std::uint32_t> shardsOf(model::query_request const&, model::service_declaration const&, model::snapshot) const;
 
--- a/Libraries/zinnialedge/routing/leaf_table.cpp
+++ b/Libraries/zinnialedge/routing/leaf_table.cpp
@@ -16,7 +16,7 @@
     return std::max<std::uint32_t>(1, usable / std::max<std::uint32_t>(1, groupSize));
 }
 
-std::vector<leaf_change> leaf_table::declare(std::shared_ptr<model::service_declaration const> declaration)
+std::vector<leaf_change> leaf_table::declare(std::shared_ptr<model::service_declaration const> const& declaration)
 {
     auto& routes = m_services[declaration->name];
     routes.declaration = declaration;
@@ -93,6 +93,7 @@
 std::vector<std::string> leaf_table::serviceNames() const
 {
     std::vector<std::string> names;
+    names.reserve(m_services.size());
     for (auto const& [name, routes] : m_services)
         names.push_back(name);
     return names;
--- a/Libraries/zinnialedge/routing/leaf_table.h
+++ b/Libraries/zinnialedge/routing/leaf_table.h
@@ -38,7 +38,7 @@
 class leaf_table {
 public:
     /// Takes over a declaration. The map of the epoch before stays until every shard serves the new one.
-    std::vector<leaf_change> declare(std::shared_ptr<model::service_declaration const>);
+    std::vector<leaf_change> declare(std::shared_ptr<model::service_declaration const> const&);
     std::vector<leaf_change> remove(std::string const& service);
 
     std::shared_ptr<model::service_declaration const> findService(std::string const& name) const;
--- a/Tests/Unit/settings_test.cpp
+++ b/Tests/Unit/settings_test.cpp
@@ -7,11 +7,11 @@
 using namespace zinnialedge::configuration;
 
 TEST_GROUP(Settings) {
-    static bool has(std::vector<std::string> const& problems, std::string const& wanted)
-    {
+    static bool has(std::vector<std::string> const& problems, std::string const& wanted) {
         return std::any_of(problems.begin(), problems.end(), [&](auto const& each) { return each.find(wanted) != std::string::npos; });
-    }
-};
+}
+}
+;
 
 TEST(Settings, EveryWrongFieldIsReportedInOneRun)
 {
