Wire: Refuse an answer whose rows are no pairs of texts

Cause: parseAnswer took rows apart with accessors that throw. Seen red: rows [1] ended the process with std::invalid_argument.

--- a/Libraries/zinnialedge/wire/caller_codec.cpp
+++ b/Libraries/zinnialedge/wire/caller_codec.cpp
@@ -83,6 +83,20 @@
     return static_cast<missing_reason>(reader.choice("reason", words));
 }
 
+static bool parseRows(json::value const& value, std::vector<model::row>& rows)
+{
+    auto const* items = value.if_array();
+    if (!items)
+        return false;
+    for (auto const& item : *items) {
+        auto const* pair = item.if_array();
+        if (!pair || pair->size() != 2 || !(*pair)[0].is_string() || !(*pair)[1].is_string())
+            return false;
+        rows.push_back({ std::string { (*pair)[0].get_string() }, std::string { (*pair)[1].get_string() } });
+    }
+    return true;
+}
+
 errors::error_or<model::answer> parseAnswer(std::string_view body)
 {
     static constexpr auto anyNumber = std::numeric_limits<std::uint64_t>::max();
@@ -105,10 +119,9 @@
             answer.covered.missing.push_back({ static_cast<std::uint32_t>(shard.number("shard", 0, anyNumber)), parseReason(shard) });
         });
     });
-    if (auto const* rows = value->get_object().if_contains("rows"); rows && rows->is_array()) {
-        for (auto const& row : rows->get_array())
-            answer.rows.push_back({ std::string { row.at(0).as_string() }, std::string { row.at(1).as_string() } });
-    }
+    auto const* rows = value->get_object().if_contains("rows");
+    if (!rows || !parseRows(*rows, answer.rows))
+        problems.emplace_back("rows: expected a list of pairs of texts");
     if (!problems.empty())
         return errors::fail(errors::error_kind::internal, boost::algorithm::join(problems, "; "));
     return answer;
