Tests: Check the query engine against a plain record on seeded schedules

Each schedule mixes late, lost, doubled and wrong replies, refusals of every kind, publication and withdrawal of versions, repartition, drains, changed and removed declarations, tickets asked again and callers that leave, on virtual time. Every action is checked against what was sent and what came back.

--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -41,6 +41,14 @@
     return m_timers.top().at;
 }
 
+std::size_t query_engine::waitingShards() const
+{
+    std::size_t count = 0;
+    for (auto const& [key, queue] : m_waiting)
+        count += queue.urgent.size() + queue.ordinary.size();
+    return count;
+}
+
 query* query_engine::find(query_id id)
 {
     auto const found = m_queries.find(id);
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -53,6 +53,8 @@
     engine_counters const& counters() const { return m_counters; }
     routing::leaf_table const& leafs() const { return m_leafs; }
     std::size_t queriesInFlight() const { return m_queries.size(); }
+    /// How many places in the queues for room are taken.
+    std::size_t waitingShards() const;
     std::size_t rememberedTickets() const { return m_tickets.size(); }
     limits::admission const& admission() const { return m_admission; }
 
--- /dev/null
+++ b/Tests/Differential/query_engine_test.cpp
@@ -0,0 +1,52 @@
+#include "Tests/Differential/query_simulation.h"
+#include <CppUTest/TestHarness.h>
+#include <csignal>
+#include <cstdlib>
+#include <unistd.h>
+
+using namespace zinnialedge::tests;
+
+// ZINNIALEDGE_SEED=N in the environment runs the schedule of that seed alone.
+
+static constexpr std::uint64_t scheduleCount = 5000;
+static std::string currentSeed;
+
+static void nameSeed(int signalNumber)
+{
+    // Only what is safe in a signal handler.
+    auto const written = write(STDERR_FILENO, currentSeed.data(), currentSeed.size());
+    static_cast<void>(written);
+    std::signal(signalNumber, SIG_DFL);
+    std::raise(signalNumber);
+}
+
+static std::string runSeed(std::uint64_t seed)
+{
+    currentSeed = "crashed with seed " + std::to_string(seed) + "\n";
+    auto const fault = query_simulation { seed }.run();
+    return fault ? "seed " + std::to_string(seed) + ": " + *fault : std::string {};
+}
+
+TEST_GROUP(QueryEngine) {
+    void setup() override {
+        std::signal(SIGABRT, nameSeed);
+std::signal(SIGSEGV, nameSeed);
+}
+
+void teardown() override
+{
+    std::signal(SIGABRT, SIG_DFL);
+    std::signal(SIGSEGV, SIG_DFL);
+}
+}
+;
+
+TEST(QueryEngine, KeepsItsPromisesOnEverySchedule)
+{
+    if (auto const* seed = std::getenv("ZINNIALEDGE_SEED")) {
+        STRCMP_EQUAL("", runSeed(std::strtoull(seed, nullptr, 10)).c_str());
+        return;
+    }
+    for (std::uint64_t seed = 1; seed <= scheduleCount; ++seed)
+        STRCMP_EQUAL("", runSeed(seed).c_str());
+}
