Queries: Give each caller of a ticket the answer under its own request id

Cause: callers who joined a running ticket, or asked a settled one again, got the id of the first request. The golden session ticket-asked-again now shows the id of each answer.

--- a/Libraries/zinnialedge/queries/query.h
+++ b/Libraries/zinnialedge/queries/query.h
@@ -35,10 +35,17 @@
     bool isSettled() const { return isAnswered || missing.has_value(); }
 };
 
+/// A caller that waits for the outcome of a query. Several wait for one when they use the same ticket.
+struct waiting_caller {
+    caller_token token { 0 };
+    std::string requestId;
+    kernel::time_point deadline;
+};
+
 /// A query that waits for leafs.
 struct query {
     query_id id { 0 };
-    std::vector<caller_token> callers;
+    std::vector<waiting_caller> callers;
     std::shared_ptr<model::query_request const> request;
     std::shared_ptr<model::service_declaration const> service;
     bool isUrgent { false };
--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -124,6 +124,19 @@
     m_actions.emplace_back(answer_caller { caller, request.id, tl::unexpected(std::move(reason)) });
 }
 
+void query_engine::giveAnswer(caller_token caller, std::string const& requestId, model::answer_or_error result)
+{
+    if (result)
+        result->id = requestId;
+    m_actions.emplace_back(answer_caller { caller, requestId, std::move(result) });
+}
+
+time_point query_engine::deadlineOf(model::query_request const& request, model::service_declaration const& service, time_point now) const
+{
+    auto const deadline = request.deadline.count() > 0 ? request.deadline : service.deadline;
+    return now + std::max<std::chrono::milliseconds>(deadline - m_settings.returnMargin, std::chrono::milliseconds { 1 });
+}
+
 void query_engine::handle(query_arrived const& arrived, time_point now)
 {
     ++m_counters.queries;
@@ -160,13 +173,13 @@
         return true;
     case ticket_claim::running:
         if (auto* running = find(m_runningTickets[request.ticket]))
-            running->callers.push_back(arrived.caller);
+            running->callers.push_back({ arrived.caller, request.id, deadlineOf(request, *m_leafs.findService(request.service), now) });
         return false;
     case ticket_claim::settled: {
         auto result = m_tickets.outcomeOf(request.ticket);
         if (result)
             result->isRemembered = true;
-        m_actions.emplace_back(answer_caller { arrived.caller, request.id, std::move(result) });
+        giveAnswer(arrived.caller, request.id, std::move(result));
         return false;
     }
     case ticket_claim::expired:
@@ -214,18 +227,17 @@
         return;
     }
     auto const* kind = service->findRequest(request.requestKind);
-    auto const deadline = request.deadline.count() > 0 ? request.deadline : service->deadline;
     auto const id = ++m_lastQuery;
     auto& added = m_queries[id];
     added.id = id;
-    added.callers = { arrived.caller };
     added.request = std::make_shared<model::query_request const>(request);
     added.service = service;
     added.isUrgent = kind->isUrgent;
     added.isRepeatable = kind->isRepeatable;
     added.pin = *pin;
     added.arrivedAt = now;
-    added.deadline = now + std::max<std::chrono::milliseconds>(deadline - m_settings.returnMargin, std::chrono::milliseconds { 1 });
+    added.deadline = deadlineOf(request, *service, now);
+    added.callers = { { arrived.caller, request.id, added.deadline } };
     for (auto const shard : shards)
         added.shards.emplace_back().shard = shard;
     if (!added.isRepeatable)
@@ -570,8 +582,8 @@
         ++m_counters.refusals;
     }
     m_admission.leave(asking.service->partner);
-    for (auto const caller : asking.callers)
-        m_actions.emplace_back(answer_caller { caller, asking.request->id, result });
+    for (auto const& caller : asking.callers)
+        giveAnswer(caller.token, caller.requestId, result);
     m_queries.erase(asking.id);
 }
 
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -128,6 +128,9 @@
     bool claimTicket(query_arrived const&, kernel::time_point);
     void admit(query_arrived const&, std::shared_ptr<model::service_declaration const> const&, kernel::time_point);
     void refuse(caller_token, model::query_request const&, errors::error);
+    /// Gives a caller the outcome of a request under the caller's own name for it.
+    void giveAnswer(caller_token, std::string const& requestId, model::answer_or_error);
+    kernel::time_point deadlineOf(model::query_request const&, model::service_declaration const&, kernel::time_point now) const;
     std::vector<std::uint32_t> shardsOf(model::query_request const&, model::service_declaration const&, model::snapshot) const;
 
     // Scattering.
--- a/Tests/Support/session.cpp
+++ b/Tests/Support/session.cpp
@@ -147,6 +147,7 @@
     request.service = textOf(read, "service", "lunch-portal");
     request.requestKind = textOf(read, "request", "search");
     request.key = textOf(read, "key");
+    request.body = textOf(read, "body");
     request.deadline = milliseconds { numberOf(read, "deadline", 0) };
     request.isRelayed = read.contains("relayed");
     request.ticket = textOf(read, "ticket");
@@ -233,7 +234,7 @@
     } else if (auto const* cancel = std::get_if<queries::cancel_leaf_call>(&action)) {
         m_transcript << "    cancel call=" << cancel->call << " leaf=" << cancel->leaf << "\n";
     } else if (auto const* answer = std::get_if<queries::answer_caller>(&action)) {
-        m_transcript << "    answer caller=" << answer->caller << " " << describe(answer->result) << "\n";
+        m_transcript << "    answer caller=" << answer->caller << " id=" << (answer->result ? answer->result->id : answer->requestId) << " " << describe(answer->result) << "\n";
     } else if (auto const* relay = std::get_if<queries::relay_query>(&action)) {
         m_transcript << "    relay caller=" << relay->caller << " daemon=" << relay->daemon << "\n";
     } else {
