--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -172,8 +172,7 @@
     case ticket_claim::granted:
         return true;
     case ticket_claim::running:
-        if (auto* running = find(m_runningTickets[request.ticket]))
-            running->callers.push_back({ arrived.caller, request.id, deadlineOf(request, *m_leafs.findService(request.service), now) });
+        join(*find(m_runningTickets.at(request.ticket)), arrived, now);
         return false;
     case ticket_claim::settled: {
         auto result = m_tickets.outcomeOf(request.ticket);
@@ -192,6 +191,14 @@
     VERIFY(false);
 }
 
+void query_engine::join(query& running, query_arrived const& arrived, time_point now)
+{
+    auto const deadline = deadlineOf(arrived.request, *running.service, now);
+    running.callers.push_back({ arrived.caller, arrived.request.id, deadline });
+    if (deadline < running.deadline)
+        m_timers.push({ deadline, running.id, 0, timer_kind::caller_deadline });
+}
+
 std::vector<std::uint32_t> query_engine::shardsOf(model::query_request const& request, model::service_declaration const& service, model::snapshot pin) const
 {
     auto const* map = m_leafs.findMap(service.name, pin.epoch);
@@ -561,6 +568,17 @@
         settle(asking, resultOf(asking));
 }
 
+void query_engine::answerImpatientCallers(query& asking, time_point now)
+{
+    std::erase_if(asking.callers, [&](waiting_caller const& caller) {
+        if (caller.deadline > now)
+            return false;
+        ++m_counters.refusals;
+        giveAnswer(caller.token, caller.requestId, errors::fail(error_kind::outcome_unknown, "the request with this ticket still runs"));
+        return true;
+    });
+}
+
 void query_engine::settle(query& asking, model::answer_or_error result)
 {
     asking.lifecycle.settle();
@@ -604,6 +622,9 @@
         case timer_kind::soft_deadline:
             settleAtSoftDeadline(*asking);
             break;
+        case timer_kind::caller_deadline:
+            answerImpatientCallers(*asking, now);
+            break;
         case timer_kind::hedge:
             if (due.place < asking->shards.size())
                 hedge(*asking, due.place, now);
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -62,6 +62,7 @@
     enum class timer_kind {
         deadline,
         soft_deadline,
+        caller_deadline,
         hedge,
     };
 
@@ -126,6 +127,8 @@
     errors::error_or<void> check(model::query_request const&, model::service_declaration const*) const;
     /// False when the ticket's holder is elsewhere, or the request is settled, running or refused: then it is dealt with.
     bool claimTicket(query_arrived const&, kernel::time_point);
+    /// Lets a caller wait for the running request with the same ticket.
+    void join(query&, query_arrived const&, kernel::time_point);
     void admit(query_arrived const&, std::shared_ptr<model::service_declaration const> const&, kernel::time_point);
     void refuse(caller_token, model::query_request const&, errors::error);
     /// Gives a caller the outcome of a request under the caller's own name for it.
@@ -157,6 +160,8 @@
     void settleIfComplete(query&);
     void settleAtDeadline(query&);
     void settleAtSoftDeadline(query&);
+    /// Answers the callers who joined with a deadline that is earlier than that of the running request.
+    void answerImpatientCallers(query&, kernel::time_point);
     bool hasSoftShare(query const&) const;
     model::answer_or_error resultOf(query&);
     void settle(query&, model::answer_or_error);
