--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -128,6 +128,7 @@
 {
     if (result)
         result->id = requestId;
+    m_queryOfCaller.erase(caller);
     m_actions.emplace_back(answer_caller { caller, requestId, std::move(result) });
 }
 
@@ -195,6 +196,7 @@
 {
     auto const deadline = deadlineOf(arrived.request, *running.service, now);
     running.callers.push_back({ arrived.caller, arrived.request.id, deadline });
+    m_queryOfCaller.emplace(arrived.caller, running.id);
     if (deadline < running.deadline)
         m_timers.push({ deadline, running.id, 0, timer_kind::caller_deadline });
 }
@@ -245,6 +247,7 @@
     added.arrivedAt = now;
     added.deadline = deadlineOf(request, *service, now);
     added.callers = { { arrived.caller, request.id, added.deadline } };
+    m_queryOfCaller.emplace(arrived.caller, id);
     for (auto const shard : shards)
         added.shards.emplace_back().shard = shard;
     if (!added.isRepeatable)
@@ -638,9 +641,27 @@
     m_actions.emplace_back(answer_caller { ended.caller, ended.result ? ended.result->id : std::string {}, ended.result });
 }
 
-void query_engine::handle(caller_left const&, time_point)
+void query_engine::handle(caller_left const& left, time_point)
 {
-    // FIXME: A repeatable query whose only caller is gone could be cancelled to spare the leafs.
+    auto const found = m_queryOfCaller.find(left.caller);
+    if (found == m_queryOfCaller.end())
+        return;
+    auto* asking = find(found->second);
+    VERIFY(asking);
+    m_queryOfCaller.erase(found);
+    std::erase_if(asking->callers, [&](waiting_caller const& caller) { return caller.token == left.caller; });
+    // One that must not be repeated goes on: its outcome is kept for whoever asks with the ticket again.
+    if (asking->callers.empty() && asking->isRepeatable)
+        abandon(*asking);
+}
+
+void query_engine::abandon(query& asking)
+{
+    ++m_counters.abandoned;
+    for (auto& shard : asking.shards)
+        cancelCalls(shard);
+    m_admission.leave(asking.service->partner);
+    m_queries.erase(asking.id);
 }
 
 }
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -32,6 +32,7 @@
     std::uint64_t answers { 0 };
     std::uint64_t partialAnswers { 0 };
     std::uint64_t refusals { 0 };
+    std::uint64_t abandoned { 0 };
     std::uint64_t leafCalls { 0 };
     std::uint64_t hedges { 0 };
     std::uint64_t retries { 0 };
@@ -165,6 +166,8 @@
     bool hasSoftShare(query const&) const;
     model::answer_or_error resultOf(query&);
     void settle(query&, model::answer_or_error);
+    /// Ends a repeatable query that nobody waits for any more.
+    void abandon(query&);
 
     service_limits& limitsOf(std::string const& service);
     query* find(query_id);
@@ -178,6 +181,7 @@
     std::map<std::string, service_limits> m_limits;
     std::map<shard_key, shard_queue> m_waiting;
     std::unordered_map<query_id, query> m_queries;
+    std::unordered_map<caller_token, query_id> m_queryOfCaller;
     std::unordered_map<call_id, call_owner> m_calls;
     std::unordered_map<std::string, query_id> m_runningTickets;
     std::priority_queue<timer, std::vector<timer>, std::greater<>> m_timers;
