--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -41,6 +41,14 @@
     return m_timers.top().at;
 }
 
+std::size_t query_engine::waitingShards() const
+{
+    std::size_t count = 0;
+    for (auto const& [key, queue] : m_waiting)
+        count += queue.urgent.size() + queue.ordinary.size();
+    return count;
+}
+
 query* query_engine::find(query_id id)
 {
     auto const found = m_queries.find(id);
@@ -116,6 +124,20 @@
     m_actions.emplace_back(answer_caller { caller, request.id, tl::unexpected(std::move(reason)) });
 }
 
+void query_engine::giveAnswer(caller_token caller, std::string const& requestId, model::answer_or_error result)
+{
+    if (result)
+        result->id = requestId;
+    m_queryOfCaller.erase(caller);
+    m_actions.emplace_back(answer_caller { caller, requestId, std::move(result) });
+}
+
+time_point query_engine::deadlineOf(model::query_request const& request, model::service_declaration const& service, time_point now) const
+{
+    auto const deadline = request.deadline.count() > 0 ? request.deadline : service.deadline;
+    return now + std::max<std::chrono::milliseconds>(deadline - m_settings.returnMargin, std::chrono::milliseconds { 1 });
+}
+
 void query_engine::handle(query_arrived const& arrived, time_point now)
 {
     ++m_counters.queries;
@@ -151,14 +173,13 @@
     case ticket_claim::granted:
         return true;
     case ticket_claim::running:
-        if (auto* running = find(m_runningTickets[request.ticket]))
-            running->callers.push_back(arrived.caller);
+        join(*find(m_runningTickets.at(request.ticket)), arrived, now);
         return false;
     case ticket_claim::settled: {
         auto result = m_tickets.outcomeOf(request.ticket);
         if (result)
             result->isRemembered = true;
-        m_actions.emplace_back(answer_caller { arrived.caller, request.id, std::move(result) });
+        giveAnswer(arrived.caller, request.id, std::move(result));
         return false;
     }
     case ticket_claim::expired:
@@ -171,6 +192,15 @@
     VERIFY(false);
 }
 
+void query_engine::join(query& running, query_arrived const& arrived, time_point now)
+{
+    auto const deadline = deadlineOf(arrived.request, *running.service, now);
+    running.callers.push_back({ arrived.caller, arrived.request.id, deadline });
+    m_queryOfCaller.emplace(arrived.caller, running.id);
+    if (deadline < running.deadline)
+        m_timers.push({ deadline, running.id, 0, timer_kind::caller_deadline });
+}
+
 std::vector<std::uint32_t> query_engine::shardsOf(model::query_request const& request, model::service_declaration const& service, model::snapshot pin) const
 {
     auto const* map = m_leafs.findMap(service.name, pin.epoch);
@@ -206,18 +236,18 @@
         return;
     }
     auto const* kind = service->findRequest(request.requestKind);
-    auto const deadline = request.deadline.count() > 0 ? request.deadline : service->deadline;
     auto const id = ++m_lastQuery;
     auto& added = m_queries[id];
     added.id = id;
-    added.callers = { arrived.caller };
     added.request = std::make_shared<model::query_request const>(request);
     added.service = service;
     added.isUrgent = kind->isUrgent;
     added.isRepeatable = kind->isRepeatable;
     added.pin = *pin;
     added.arrivedAt = now;
-    added.deadline = now + std::max<std::chrono::milliseconds>(deadline - m_settings.returnMargin, std::chrono::milliseconds { 1 });
+    added.deadline = deadlineOf(request, *service, now);
+    added.callers = { { arrived.caller, request.id, added.deadline } };
+    m_queryOfCaller.emplace(arrived.caller, id);
     for (auto const shard : shards)
         added.shards.emplace_back().shard = shard;
     if (!added.isRepeatable)
@@ -541,6 +571,17 @@
         settle(asking, resultOf(asking));
 }
 
+void query_engine::answerImpatientCallers(query& asking, time_point now)
+{
+    std::erase_if(asking.callers, [&](waiting_caller const& caller) {
+        if (caller.deadline > now)
+            return false;
+        ++m_counters.refusals;
+        giveAnswer(caller.token, caller.requestId, errors::fail(error_kind::outcome_unknown, "the request with this ticket still runs"));
+        return true;
+    });
+}
+
 void query_engine::settle(query& asking, model::answer_or_error result)
 {
     asking.lifecycle.settle();
@@ -562,8 +603,8 @@
         ++m_counters.refusals;
     }
     m_admission.leave(asking.service->partner);
-    for (auto const caller : asking.callers)
-        m_actions.emplace_back(answer_caller { caller, asking.request->id, result });
+    for (auto const& caller : asking.callers)
+        giveAnswer(caller.token, caller.requestId, result);
     m_queries.erase(asking.id);
 }
 
@@ -584,6 +625,9 @@
         case timer_kind::soft_deadline:
             settleAtSoftDeadline(*asking);
             break;
+        case timer_kind::caller_deadline:
+            answerImpatientCallers(*asking, now);
+            break;
         case timer_kind::hedge:
             if (due.place < asking->shards.size())
                 hedge(*asking, due.place, now);
@@ -597,9 +641,27 @@
     m_actions.emplace_back(answer_caller { ended.caller, ended.result ? ended.result->id : std::string {}, ended.result });
 }
 
-void query_engine::handle(caller_left const&, time_point)
+void query_engine::handle(caller_left const& left, time_point)
 {
-    // FIXME: A repeatable query whose only caller is gone could be cancelled to spare the leafs.
+    auto const found = m_queryOfCaller.find(left.caller);
+    if (found == m_queryOfCaller.end())
+        return;
+    auto* asking = find(found->second);
+    VERIFY(asking);
+    m_queryOfCaller.erase(found);
+    std::erase_if(asking->callers, [&](waiting_caller const& caller) { return caller.token == left.caller; });
+    // One that must not be repeated goes on: its outcome is kept for whoever asks with the ticket again.
+    if (asking->callers.empty() && asking->isRepeatable)
+        abandon(*asking);
+}
+
+void query_engine::abandon(query& asking)
+{
+    ++m_counters.abandoned;
+    for (auto& shard : asking.shards)
+        cancelCalls(shard);
+    m_admission.leave(asking.service->partner);
+    m_queries.erase(asking.id);
 }
 
 }
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -32,6 +32,7 @@
     std::uint64_t answers { 0 };
     std::uint64_t partialAnswers { 0 };
     std::uint64_t refusals { 0 };
+    std::uint64_t abandoned { 0 };
     std::uint64_t leafCalls { 0 };
     std::uint64_t hedges { 0 };
     std::uint64_t retries { 0 };
@@ -53,6 +54,8 @@
     engine_counters const& counters() const { return m_counters; }
     routing::leaf_table const& leafs() const { return m_leafs; }
     std::size_t queriesInFlight() const { return m_queries.size(); }
+    /// How many places in the queues for room are taken.
+    std::size_t waitingShards() const;
     std::size_t rememberedTickets() const { return m_tickets.size(); }
     limits::admission const& admission() const { return m_admission; }
 
@@ -60,6 +63,7 @@
     enum class timer_kind {
         deadline,
         soft_deadline,
+        caller_deadline,
         hedge,
     };
 
@@ -124,8 +128,13 @@
     errors::error_or<void> check(model::query_request const&, model::service_declaration const*) const;
     /// False when the ticket's holder is elsewhere, or the request is settled, running or refused: then it is dealt with.
     bool claimTicket(query_arrived const&, kernel::time_point);
+    /// Lets a caller wait for the running request with the same ticket.
+    void join(query&, query_arrived const&, kernel::time_point);
     void admit(query_arrived const&, std::shared_ptr<model::service_declaration const> const&, kernel::time_point);
     void refuse(caller_token, model::query_request const&, errors::error);
+    /// Gives a caller the outcome of a request under the caller's own name for it.
+    void giveAnswer(caller_token, std::string const& requestId, model::answer_or_error);
+    kernel::time_point deadlineOf(model::query_request const&, model::service_declaration const&, kernel::time_point now) const;
     std::vector<std::uint32_t> shardsOf(model::query_request const&, model::service_declaration const&, model::snapshot) const;
 
     // Scattering.
@@ -152,9 +161,13 @@
     void settleIfComplete(query&);
     void settleAtDeadline(query&);
     void settleAtSoftDeadline(query&);
+    /// Answers the callers who joined with a deadline that is earlier than that of the running request.
+    void answerImpatientCallers(query&, kernel::time_point);
     bool hasSoftShare(query const&) const;
     model::answer_or_error resultOf(query&);
     void settle(query&, model::answer_or_error);
+    /// Ends a repeatable query that nobody waits for any more.
+    void abandon(query&);
 
     service_limits& limitsOf(std::string const& service);
     query* find(query_id);
@@ -168,6 +181,7 @@
     std::map<std::string, service_limits> m_limits;
     std::map<shard_key, shard_queue> m_waiting;
     std::unordered_map<query_id, query> m_queries;
+    std::unordered_map<caller_token, query_id> m_queryOfCaller;
     std::unordered_map<call_id, call_owner> m_calls;
     std::unordered_map<std::string, query_id> m_runningTickets;
     std::priority_queue<timer, std::vector<timer>, std::greater<>> m_timers;
