Tests: Measure queries under load and faults on real processes

The engine takes a load policy by its settings, so that the naive one (random leaf, no hedging, no admission by shard) runs in the same programs.

--- a/Daemons/zinnialedged/daemon.cpp
+++ b/Daemons/zinnialedged/daemon.cpp
@@ -59,6 +59,7 @@
         .leafCallCapacity = m_settings.limits.leafCalls,
         .ticketCapacity = m_settings.limits.tickets,
         .partnerShares = m_settings.partnerShares,
+        .policy = m_settings.isPolicyFull ? queries::load_policy {} : queries::naiveLoadPolicy,
     };
     auto const decisions = std::make_shared<decision_service>(deciding, clock, kernel::makeRandom());
     auto const callPrefix = m_settings.name + "-" + std::to_string(m_incarnation) + "-";
--- a/Libraries/zinnialedge/configuration/daemon_settings.cpp
+++ b/Libraries/zinnialedge/configuration/daemon_settings.cpp
@@ -56,6 +56,8 @@
     parsePartners(reader, settings);
     static std::vector<std::string_view> const levels { "trace", "debug", "info", "warn", "error" };
     settings.logLevel = std::string { levels[reader.choice("log_level", levels, 2)] };
+    static std::vector<std::string_view> const policies { "naive", "full" };
+    settings.isPolicyFull = reader.choice("load_policy", policies, 1) == 1;
     reader.object("limits", false, [&](json_reader& item) { parseLimits(item, settings.limits); });
     return settings;
 }
--- a/Libraries/zinnialedge/configuration/daemon_settings.h
+++ b/Libraries/zinnialedge/configuration/daemon_settings.h
@@ -35,6 +35,8 @@
     /// Guaranteed shares of the daemon in percent.
     std::map<std::string, std::uint32_t> partnerShares;
     std::string logLevel { "info" };
+    /// False: the naive policy under load, which measurements compare with.
+    bool isPolicyFull { true };
     daemon_limits limits;
 };
 
--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -25,6 +25,8 @@
     , m_tickets(m_settings.daemon, m_settings.incarnation, m_settings.ticketCapacity)
 {
     m_admission.setShares(m_settings.partnerShares);
+    if (!m_settings.policy.isChoosingByDelay)
+        m_leafs.chooseAtRandom();
 }
 
 actions query_engine::step(event const& happened, time_point now)
@@ -274,7 +276,7 @@
     } else {
         limits.hedgeBudget.earn();
         limits.retryBudget.earn();
-        if (asking.isRepeatable && !shard.isHedged)
+        if (m_settings.policy.isHedging && asking.isRepeatable && !shard.isHedged)
             m_timers.push({ now + limits.hedgeDelay.value(), asking.id, place, timer_kind::hedge });
     }
     m_actions.emplace_back(send_leaf_call { call, leaf, shard.shard, asking.pin, asking.deadline, asking.isUrgent, asking.isRepeatable, asking.request });
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -12,6 +12,19 @@
 
 namespace zinnialedge::queries {
 
+/// Which parts of the policy under load are in use. All off is the baseline that measurements compare with.
+struct load_policy {
+    /// False: any leaf with room, at random.
+    bool isChoosingByDelay { true };
+    bool isHedging { true };
+    /// False: nothing is refused because a shard's backlog is too long.
+    bool isAdmittingByShard { true };
+
+    auto operator<=>(load_policy const&) const = default;
+};
+
+inline constexpr load_policy naiveLoadPolicy { false, false, false };
+
 struct engine_settings {
     std::string daemon;
     std::uint64_t incarnation { 0 };
@@ -24,6 +37,7 @@
     std::map<std::string, std::uint32_t> partnerShares;
     /// How long before its deadline a query is answered, so that the answer arrives in time.
     std::chrono::milliseconds returnMargin { 2 };
+    load_policy policy;
 };
 
 /// Counts since the process started.
--- a/Libraries/zinnialedge/routing/leaf_table.cpp
+++ b/Libraries/zinnialedge/routing/leaf_table.cpp
@@ -194,7 +194,7 @@
         return choice;
     auto const first = random() % candidates.size();
     choice.chosen = candidates[first];
-    if (candidates.size() == 1)
+    if (candidates.size() == 1 || !m_isChoosingByDelay)
         return choice;
     auto const second = (first + 1 + random() % (candidates.size() - 1)) % candidates.size();
     if (at(candidates[second]).expectedDelayMicroseconds(now) < at(candidates[first]).expectedDelayMicroseconds(now))
--- a/Libraries/zinnialedge/routing/leaf_table.h
+++ b/Libraries/zinnialedge/routing/leaf_table.h
@@ -53,6 +53,8 @@
     void forgetPin(std::string const& service);
 
     partition_map const* findMap(std::string const& service, std::uint64_t epoch) const;
+    /// From now on choose() takes any leaf with room, whatever its expected delay.
+    void chooseAtRandom() { m_isChoosingByDelay = false; }
     /// The better of two leafs of the shard that serve the snapshot, take work and are not excluded.
     leaf_choice choose(std::string const& service, model::snapshot, std::uint32_t shard, std::span<leaf_handle const> excluded, kernel::time_point now, kernel::random_hook const&) const;
 
@@ -73,6 +75,7 @@
 
     std::map<std::string, service_routes> m_services;
     std::vector<leaf> m_leafs;
+    bool m_isChoosingByDelay { true };
 };
 
 /// How many connections to one leaf a member of the service's group may hold.
--- /dev/null
+++ b/Tests/Experiments/main.cpp
@@ -0,0 +1,41 @@
+// Puts loads and faults on real processes and prints what callers saw, for the naive policy and the full one.
+
+#include "Tests/Experiments/experiment.h"
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sstream>
+
+DEFINE_string(scenarios, "", "names of scenarios, with commas between them; all when empty");
+DEFINE_string(policies, "naive,full", "the policies to run each scenario with");
+DEFINE_uint32(seconds, 6, "how long to measure each");
+DEFINE_uint32(time_factor, 1, "multiplies service times and deadlines and divides rates");
+DEFINE_uint32(repeats, 1, "how often to run each, with another seed");
+
+using namespace zinnialedge::tests;
+
+static bool isListed(std::string const& list, std::string const& name)
+{
+    std::istringstream names { list };
+    for (std::string each; std::getline(names, each, ',');) {
+        if (each == name)
+            return true;
+    }
+    return false;
+}
+
+int main(int argumentCount, char** arguments)
+{
+    gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
+    printHeader(std::cout);
+    for (auto const& scenario : makeExperiments()) {
+        if (!FLAGS_scenarios.empty() && !isListed(FLAGS_scenarios, scenario.name))
+            continue;
+        for (bool const isPolicyFull : { false, true }) {
+            if (!isListed(FLAGS_policies, isPolicyFull ? "full" : "naive"))
+                continue;
+            for (std::uint64_t seed = 1; seed <= FLAGS_repeats; ++seed)
+                runExperiment(std::cout, scenario, { std::chrono::seconds { FLAGS_seconds }, FLAGS_time_factor, isPolicyFull, seed });
+        }
+    }
+    return 0;
+}
--- a/Utilities/zl-load/load_result.h
+++ b/Utilities/zl-load/load_result.h
@@ -16,6 +16,10 @@
     std::uint64_t sent { 0 };
     std::uint64_t whole { 0 };
     std::uint64_t partial { 0 };
+    /// Answers within the deadline that the stream names.
+    std::uint64_t inTime { 0 };
+    /// Those of them with whole coverage.
+    std::uint64_t wholeInTime { 0 };
     /// By the name of the error kind; "connection" when there was no reply.
     std::map<std::string, std::uint64_t> errors;
     /// Requests by how many percent of the shards answered, in steps of ten.
--- a/Utilities/zl-load/load_run.cpp
+++ b/Utilities/zl-load/load_run.cpp
@@ -164,11 +164,15 @@
     if (!answer)
         return;
     auto const latency = std::chrono::duration_cast<std::chrono::microseconds>(clock::now() - intended);
+    auto const deadline = m_plan.streams[stream].deadline;
+    bool const isInTime = deadline.count() == 0 || latency <= deadline;
     auto const& covered = answer->covered;
     auto const coveredPercent = covered.asked == 0 ? percent : percent * covered.answered / covered.asked;
     note(stream, intended, [&](stream_result& result) {
         result.latency.add(latency);
         ++(covered.isWhole() ? result.whole : result.partial);
+        result.inTime += isInTime ? 1 : 0;
+        result.wholeInTime += isInTime && covered.isWhole() ? 1 : 0;
         ++result.coverage[coveredPercent / coverageStep * coverageStep];
     });
 }
