Language: Read and write declarations and commands

Cause: operators had no way to say what is to be in force but the objects of the store. A PEGTL grammar reads statements into typed commands; an error has line, column and what was expected, and values that make no sense are all reported. First red: the parser raised on each keyword that it only tried ("expected target" for a drain), put the place of an error behind half a token, and took the position of the last word for that of the statement; lookahead within a token and a rule for the start mend it.

--- a/Libraries/zinnialedge/configuration/service_codec.cpp
+++ b/Libraries/zinnialedge/configuration/service_codec.cpp
@@ -1,6 +1,7 @@
 #include "Libraries/zinnialedge/configuration/service_codec.h"
 
 #include "Libraries/zinnialedge/configuration/json_reader.h"
+#include "Libraries/zinnialedge/model/service_limits.h"
 #include <boost/algorithm/string/join.hpp>
 #include <boost/json.hpp>
 #include <set>
@@ -9,11 +10,6 @@
 
 namespace json = boost::json;
 
-static constexpr std::uint64_t maximumShards = 4096;
-static constexpr std::uint64_t maximumDeadlineMilliseconds = 60'000;
-static constexpr std::uint64_t maximumConnections = 10'000;
-static constexpr std::uint64_t maximumGroupSize = 64;
-
 static model::request_declaration parseRequest(json_reader& reader)
 {
     return {
@@ -30,8 +26,8 @@
         .name = reader.text("name"),
         .place = reader.endpoint("at", false),
         .shard = static_cast<std::uint32_t>(reader.number("shard", 0, shardCount - 1)),
-        .slots = static_cast<std::uint32_t>(reader.number("slots", 1, maximumConnections, 2)),
-        .connectionCap = static_cast<std::uint32_t>(reader.number("connections", 1, maximumConnections, 25)),
+        .slots = static_cast<std::uint32_t>(reader.number("slots", 1, model::maximumTargetConnections, 2)),
+        .connectionCap = static_cast<std::uint32_t>(reader.number("connections", 1, model::maximumTargetConnections, 25)),
         .isDraining = reader.flag("draining", false),
     };
 }
@@ -42,13 +38,13 @@
     service.name = reader.text("name");
     service.partner = reader.text("partner");
     service.epoch = reader.number("epoch", 1, std::numeric_limits<std::uint64_t>::max(), 1);
-    service.shardCount = static_cast<std::uint32_t>(reader.number("shards", 1, maximumShards));
+    service.shardCount = static_cast<std::uint32_t>(reader.number("shards", 1, model::maximumShards));
     service.coverage = static_cast<model::coverage_policy>(reader.choice("coverage", { "whole", "partial" }, 0));
-    service.deadline = reader.milliseconds("deadline_ms", 1, maximumDeadlineMilliseconds, service.deadline);
-    service.softDeadline = reader.milliseconds("soft_deadline_ms", 1, maximumDeadlineMilliseconds, std::min(service.softDeadline, service.deadline));
+    service.deadline = reader.milliseconds("deadline_ms", 1, model::maximumDeadlineMilliseconds, service.deadline);
+    service.softDeadline = reader.milliseconds("soft_deadline_ms", 1, model::maximumDeadlineMilliseconds, std::min(service.softDeadline, service.deadline));
     service.softSharePercent = static_cast<std::uint32_t>(reader.number("soft_share_percent", 1, 100, service.softSharePercent));
     service.hedgePercent = static_cast<std::uint32_t>(reader.number("hedge_percent", 0, 100, service.hedgePercent));
-    service.groupSize = static_cast<std::uint32_t>(reader.number("group_size", 1, maximumGroupSize, service.groupSize));
+    service.groupSize = static_cast<std::uint32_t>(reader.number("group_size", 1, model::maximumGroupSize, service.groupSize));
     reader.list("requests", true, [&](json_reader& item) { service.requests.push_back(parseRequest(item)); });
     reader.list("targets", false, [&](json_reader& item) { service.targets.push_back(parseTarget(item, service.shardCount)); });
     if (service.softDeadline > service.deadline)
--- /dev/null
+++ b/Libraries/zinnialedge/language/command.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "Libraries/zinnialedge/model/service_declaration.h"
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace zinnialedge::language {
+
+/// Where a statement or an error stands in the text; both count from one.
+struct source_position {
+    std::size_t line { 1 };
+    std::size_t column { 1 };
+
+    auto operator<=>(source_position const&) const = default;
+};
+
+/// Declares a service or changes the fields that are given.
+struct declare_service {
+    std::string service;
+    std::optional<std::uint32_t> shardCount;
+    std::optional<std::uint64_t> epoch;
+    std::optional<model::coverage_policy> coverage;
+    std::optional<std::chrono::milliseconds> deadline;
+    std::optional<std::chrono::milliseconds> softDeadline;
+    std::optional<std::uint32_t> softSharePercent;
+    std::optional<std::uint32_t> hedgePercent;
+    std::optional<std::uint32_t> groupSize;
+
+    bool operator==(declare_service const&) const = default;
+};
+
+struct remove_service {
+    std::string service;
+
+    bool operator==(remove_service const&) const = default;
+};
+
+/// Declares a request kind or changes the marks that are given.
+struct mark_request {
+    std::string service;
+    std::string request;
+    std::optional<bool> isUrgent;
+    std::optional<bool> isRepeatable;
+    std::optional<bool> isOverAllShards;
+
+    bool operator==(mark_request const&) const = default;
+};
+
+/// Declares a target; whether it drains is not touched.
+struct declare_target {
+    std::string service;
+    std::string target;
+    model::endpoint place;
+    std::uint32_t shard { 0 };
+    std::optional<std::uint32_t> slots;
+    std::optional<std::uint32_t> connectionCap;
+
+    bool operator==(declare_target const&) const = default;
+};
+
+struct remove_target {
+    std::string service;
+    std::string target;
+
+    bool operator==(remove_target const&) const = default;
+};
+
+/// Starts or ends the draining of a target.
+struct change_drain {
+    std::string service;
+    std::string target;
+    bool isDraining { false };
+
+    bool operator==(change_drain const&) const = default;
+};
+
+/// The share of every daemon that a partner is to have, as the commanding partner wishes it.
+struct declare_share {
+    std::string partner;
+    std::uint32_t percent { 0 };
+
+    bool operator==(declare_share const&) const = default;
+};
+
+enum class shown_kind {
+    services,
+    targets,
+    daemons,
+};
+
+/// Asks what is in force.
+struct show {
+    shown_kind kind { shown_kind::services };
+    /// For targets: of which service.
+    std::string service;
+    /// For targets: only those in that state, if given.
+    std::string state;
+
+    bool operator==(show const&) const = default;
+};
+
+using command = std::variant<declare_service, remove_service, mark_request, declare_target, remove_target, change_drain, declare_share, show>;
+
+struct statement {
+    source_position position;
+    language::command command;
+
+    bool operator==(statement const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/language/parser.cpp
@@ -0,0 +1,364 @@
+#include "Libraries/zinnialedge/language/parser.h"
+
+#include "Libraries/zinnialedge/language/statement_check.h"
+#include "Libraries/zinnialedge/model/service_limits.h"
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <limits>
+#include <tao/pegtl.hpp>
+
+namespace zinnialedge::language {
+
+namespace pegtl = tao::pegtl;
+namespace {
+
+    // The grammar. Every token takes the blanks behind it, so that blanks stand nowhere else.
+
+    struct comment : pegtl::seq<pegtl::one<'#'>, pegtl::until<pegtl::eolf>> { };
+    struct blanks : pegtl::star<pegtl::sor<pegtl::space, comment>> { };
+    struct name_character : pegtl::sor<pegtl::alnum, pegtl::one<'-', '_', '.'>> { };
+    struct name : pegtl::plus<name_character> { };
+
+    // The lookahead keeps an error at the beginning of the token.
+    template <typename... Rules>
+    struct token : pegtl::seq<pegtl::at<Rules...>, Rules..., blanks> { };
+    template <typename Text>
+    struct word : token<Text, pegtl::not_at<name_character>> { };
+
+    struct number : pegtl::plus<pegtl::digit> { };
+    struct count : token<number, pegtl::not_at<name_character>> { };
+    struct duration : token<number, pegtl::string<'m', 's'>, pegtl::not_at<name_character>> { };
+    struct percentage : token<number, pegtl::one<'%'>> { };
+
+    struct service_name : name { };
+    struct service_token : token<service_name> { };
+    struct target_name : name { };
+    struct target_token : token<target_name> { };
+    struct request_name : name { };
+    struct request_token : token<request_name> { };
+    struct partner_name : name { };
+    struct partner_token : token<partner_name> { };
+    struct state_name : name { };
+    struct state_token : token<state_name> { };
+    struct address : pegtl::plus<pegtl::sor<pegtl::alnum, pegtl::one<'.', '-', '[', ']'>, pegtl::seq<pegtl::one<':'>, pegtl::at<pegtl::star<pegtl::sor<pegtl::xdigit, pegtl::one<'.', '[', ']'>>>, pegtl::one<':'>>>>> { };
+    struct endpoint : pegtl::seq<address, pegtl::one<':'>, pegtl::plus<pegtl::digit>> { };
+    struct endpoint_token : token<endpoint> { };
+
+    struct word_of : word<TAO_PEGTL_STRING("of")> { };
+    struct word_at : word<TAO_PEGTL_STRING("at")> { };
+    struct word_shard : word<TAO_PEGTL_STRING("shard")> { };
+    struct word_request : word<TAO_PEGTL_STRING("request")> { };
+    struct word_target : word<TAO_PEGTL_STRING("target")> { };
+    struct word_state : word<TAO_PEGTL_STRING("state")> { };
+    struct opening_brace : token<pegtl::one<'{'>> { };
+    struct equals_sign : token<pegtl::one<'='>> { };
+
+    struct whole : word<TAO_PEGTL_STRING("whole")> { };
+    struct partial : word<TAO_PEGTL_STRING("partial")> { };
+    struct coverage_word : pegtl::sor<whole, partial> { };
+    struct shards_field : pegtl::if_must<word<TAO_PEGTL_STRING("shards")>, count> { };
+    struct epoch_field : pegtl::if_must<word<TAO_PEGTL_STRING("epoch")>, count> { };
+    struct coverage_field : pegtl::if_must<word<TAO_PEGTL_STRING("coverage")>, coverage_word> { };
+    struct deadline_field : pegtl::if_must<word<TAO_PEGTL_STRING("deadline")>, duration> { };
+    struct soft_share : pegtl::if_must<word<TAO_PEGTL_STRING("after")>, percentage> { };
+    struct soft_deadline : pegtl::if_must<word<TAO_PEGTL_STRING("soft-deadline")>, duration> { };
+    struct soft_deadline_field : pegtl::seq<soft_deadline, pegtl::opt<soft_share>> { };
+    struct hedge_field : pegtl::if_must<word<TAO_PEGTL_STRING("hedge")>, percentage> { };
+    struct group_field : pegtl::if_must<word<TAO_PEGTL_STRING("group")>, count> { };
+    struct service_field : pegtl::sor<shards_field, epoch_field, coverage_field, deadline_field, soft_deadline_field, hedge_field, group_field> { };
+    struct closing_brace : token<pegtl::one<'}'>> { };
+    struct service_fields : pegtl::until<closing_brace, pegtl::must<service_field>> { };
+    struct service_statement : pegtl::if_must<word<TAO_PEGTL_STRING("service")>, service_token, opening_brace, service_fields> { };
+
+    struct urgent : word<TAO_PEGTL_STRING("urgent")> { };
+    struct ordinary : word<TAO_PEGTL_STRING("ordinary")> { };
+    struct repeatable : word<TAO_PEGTL_STRING("repeatable")> { };
+    struct not_repeatable : word<TAO_PEGTL_STRING("not-repeatable")> { };
+    struct keyed : word<TAO_PEGTL_STRING("keyed")> { };
+    struct all_shards : word<TAO_PEGTL_STRING("all-shards")> { };
+    struct marks : pegtl::plus<pegtl::sor<urgent, ordinary, repeatable, not_repeatable, keyed, all_shards>> { };
+    struct mark_statement : pegtl::if_must<word<TAO_PEGTL_STRING("mark")>, word_request, request_token, word_of, service_token, marks> { };
+
+    struct slots_field : pegtl::if_must<word<TAO_PEGTL_STRING("slots")>, count> { };
+    struct connections_field : pegtl::if_must<word<TAO_PEGTL_STRING("connections")>, count> { };
+    struct shard_number : count { };
+    struct target_options : pegtl::star<pegtl::sor<slots_field, connections_field>> { };
+    struct target_statement : pegtl::if_must<word_target, target_token, word_of, service_token, word_at, endpoint_token, word_shard, shard_number, target_options> { };
+
+    struct remove_target_tail : pegtl::if_must<word_target, target_token, word_of, service_token> { };
+    struct remove_service_tail : pegtl::if_must<word<TAO_PEGTL_STRING("service")>, service_token> { };
+    struct remove_tail : pegtl::sor<remove_target_tail, remove_service_tail> { };
+    struct remove_statement : pegtl::if_must<word<TAO_PEGTL_STRING("remove")>, remove_tail> { };
+
+    struct drain_statement : pegtl::if_must<word<TAO_PEGTL_STRING("drain")>, word_target, target_token, word_of, service_token> { };
+    struct undrain_statement : pegtl::if_must<word<TAO_PEGTL_STRING("undrain")>, word_target, target_token, word_of, service_token> { };
+    struct share_statement : pegtl::if_must<word<TAO_PEGTL_STRING("share")>, word_of, partner_token, percentage> { };
+
+    struct show_services : word<TAO_PEGTL_STRING("services")> { };
+    struct show_daemons : word<TAO_PEGTL_STRING("daemons")> { };
+    struct state_condition : pegtl::if_must<word<TAO_PEGTL_STRING("where")>, word_state, equals_sign, state_token> { };
+    struct show_targets : pegtl::if_must<word<TAO_PEGTL_STRING("targets")>, word_of, service_token, pegtl::opt<state_condition>> { };
+    struct shown_things : pegtl::sor<show_services, show_daemons, show_targets> { };
+    struct show_statement : pegtl::if_must<word<TAO_PEGTL_STRING("show")>, shown_things> { };
+
+    struct statement_start : pegtl::success { };
+    struct any_statement : pegtl::sor<service_statement, mark_statement, target_statement, remove_statement, drain_statement, undrain_statement, share_statement, show_statement> { };
+    struct statements : pegtl::seq<blanks, pegtl::until<pegtl::eof, statement_start, pegtl::must<any_statement>>> { };
+
+    // What is expected where a rule must match but does not.
+
+    template <typename>
+    inline constexpr char const* expected = "something else";
+    template <>
+    constexpr char const* expected<service_token> = "the name of a service";
+    template <>
+    constexpr char const* expected<target_token> = "the name of a target";
+    template <>
+    constexpr char const* expected<request_token> = "the name of a request";
+    template <>
+    constexpr char const* expected<partner_token> = "the name of a partner";
+    template <>
+    constexpr char const* expected<state_token> = "the name of a state";
+    template <>
+    constexpr char const* expected<endpoint_token> = "ADDRESS:PORT";
+    template <>
+    constexpr char const* expected<count> = "a whole number";
+    template <>
+    constexpr char const* expected<shard_number> = "a whole number";
+    template <>
+    constexpr char const* expected<duration> = "a time such as 80ms";
+    template <>
+    constexpr char const* expected<percentage> = "a share such as 5%";
+    template <>
+    constexpr char const* expected<word_of> = "of";
+    template <>
+    constexpr char const* expected<word_at> = "at";
+    template <>
+    constexpr char const* expected<word_shard> = "shard";
+    template <>
+    constexpr char const* expected<word_request> = "request";
+    template <>
+    constexpr char const* expected<word_target> = "target";
+    template <>
+    constexpr char const* expected<word_state> = "state";
+    template <>
+    constexpr char const* expected<equals_sign> = "=";
+    template <>
+    constexpr char const* expected<opening_brace> = "{";
+    template <>
+    constexpr char const* expected<coverage_word> = "whole or partial";
+    template <>
+    constexpr char const* expected<service_field> = "shards, epoch, coverage, deadline, soft-deadline, hedge, group or }";
+    template <>
+    constexpr char const* expected<marks> = "urgent, ordinary, repeatable, not-repeatable, keyed or all-shards";
+    template <>
+    constexpr char const* expected<remove_tail> = "target or service";
+    template <>
+    constexpr char const* expected<shown_things> = "services, targets or daemons";
+    template <>
+    constexpr char const* expected<any_statement> = "service, mark, target, remove, drain, undrain, share or show";
+
+    struct expectations {
+        template <typename Rule>
+        static constexpr char const* message = expected<Rule>;
+        /// Only a rule that must match is an error when it does not.
+        template <typename Rule>
+        static constexpr bool raise_on_failure = false;
+    };
+
+    template <typename Rule>
+    using control = pegtl::must_if<expectations>::control<Rule>;
+
+    /// What has been read so far.
+    struct reading {
+        std::vector<statement> statements;
+        std::vector<syntax_error> errors;
+        std::uint64_t number { 0 };
+        source_position numberPosition;
+        source_position start;
+        declare_service service;
+        mark_request request;
+        declare_target target;
+        std::string partner;
+        std::string state;
+
+        void report(source_position position, std::string message) { errors.push_back({ position, std::move(message) }); }
+
+        std::uint64_t numberWithin(std::uint64_t minimum, std::uint64_t maximum)
+        {
+            if (number >= minimum && number <= maximum)
+                return number;
+            report(numberPosition, "expected a number from " + std::to_string(minimum) + " to " + std::to_string(maximum));
+            return minimum;
+        }
+
+        template <typename T>
+        void setOnce(std::optional<T>& field, T value, source_position position, std::string const& what)
+        {
+            if (field)
+                report(position, "expected " + what + " once");
+            field = value;
+        }
+
+        void add(command each)
+        {
+            statements.push_back({ start, std::move(each) });
+            service = {};
+            request = {};
+            target = {};
+            state.clear();
+        }
+    };
+
+    template <typename Input>
+    source_position positionOf(Input const& in)
+    {
+        auto const position = in.position();
+        return { position.line, position.column };
+    }
+
+    // What each rule does when it has matched.
+
+    template <typename Rule>
+    struct action { };
+
+    template <>
+    struct action<number> {
+        template <typename Input>
+        static void apply(Input const& in, reading& read)
+        {
+            auto const digits = in.string_view();
+            read.numberPosition = positionOf(in);
+            auto const result = std::from_chars(digits.data(), digits.data() + digits.size(), read.number);
+            if (result.ec != std::errc {})
+                read.number = std::numeric_limits<std::uint64_t>::max();
+        }
+    };
+
+    template <>
+    struct action<service_name> {
+        template <typename Input>
+        static void apply(Input const& in, reading& read)
+        {
+            read.service.service = read.request.service = read.target.service = in.string();
+        }
+    };
+
+    template <>
+    struct action<target_name> {
+        template <typename Input>
+        static void apply(Input const& in, reading& read)
+        {
+            read.target.target = in.string();
+        }
+    };
+
+    template <>
+    struct action<request_name> {
+        template <typename Input>
+        static void apply(Input const& in, reading& read)
+        {
+            read.request.request = in.string();
+        }
+    };
+
+    template <>
+    struct action<partner_name> {
+        template <typename Input>
+        static void apply(Input const& in, reading& read)
+        {
+            read.partner = in.string();
+        }
+    };
+
+    template <>
+    struct action<state_name> {
+        template <typename Input>
+        static void apply(Input const& in, reading& read)
+        {
+            read.state = in.string();
+        }
+    };
+
+    template <>
+    struct action<endpoint> {
+        template <typename Input>
+        static void apply(Input const& in, reading& read)
+        {
+            auto const place = model::parseEndpoint(in.string());
+            boost::system::error_code failure;
+            if (place)
+                boost::asio::ip::make_address(place->address, failure);
+            if (!place || failure || place->port == 0)
+                read.report(positionOf(in), "expected an IP number and a port from 1 to 65535");
+            else
+                read.target.place = *place;
+        }
+    };
+
+#define ON_MATCH(rule, body)                                               \
+    template <>                                                            \
+    struct action<rule> {                                                  \
+        template <typename Input>                                          \
+        static void apply([[maybe_unused]] Input const& in, reading& read) \
+            body                                                           \
+    }
+
+    ON_MATCH(shards_field, { read.setOnce(read.service.shardCount, static_cast<std::uint32_t>(read.numberWithin(1, model::maximumShards)), positionOf(in), "shards"); });
+    ON_MATCH(epoch_field, { read.setOnce(read.service.epoch, read.numberWithin(1, std::numeric_limits<std::int64_t>::max()), positionOf(in), "epoch"); });
+    ON_MATCH(whole, { read.setOnce(read.service.coverage, model::coverage_policy::whole, positionOf(in), "coverage"); });
+    ON_MATCH(partial, { read.setOnce(read.service.coverage, model::coverage_policy::partial, positionOf(in), "coverage"); });
+    ON_MATCH(deadline_field, { read.setOnce(read.service.deadline, std::chrono::milliseconds { read.numberWithin(1, model::maximumDeadlineMilliseconds) }, positionOf(in), "deadline"); });
+    ON_MATCH(soft_deadline, { read.setOnce(read.service.softDeadline, std::chrono::milliseconds { read.numberWithin(1, model::maximumDeadlineMilliseconds) }, positionOf(in), "soft-deadline"); });
+    ON_MATCH(soft_share, { read.setOnce(read.service.softSharePercent, static_cast<std::uint32_t>(read.numberWithin(1, 100)), positionOf(in), "after"); });
+    ON_MATCH(hedge_field, { read.setOnce(read.service.hedgePercent, static_cast<std::uint32_t>(read.numberWithin(0, 100)), positionOf(in), "hedge"); });
+    ON_MATCH(group_field, { read.setOnce(read.service.groupSize, static_cast<std::uint32_t>(read.numberWithin(1, model::maximumGroupSize)), positionOf(in), "group"); });
+    ON_MATCH(urgent, { read.setOnce(read.request.isUrgent, true, positionOf(in), "urgent or ordinary"); });
+    ON_MATCH(ordinary, { read.setOnce(read.request.isUrgent, false, positionOf(in), "urgent or ordinary"); });
+    ON_MATCH(repeatable, { read.setOnce(read.request.isRepeatable, true, positionOf(in), "repeatable or not-repeatable"); });
+    ON_MATCH(not_repeatable, { read.setOnce(read.request.isRepeatable, false, positionOf(in), "repeatable or not-repeatable"); });
+    ON_MATCH(keyed, { read.setOnce(read.request.isOverAllShards, false, positionOf(in), "keyed or all-shards"); });
+    ON_MATCH(all_shards, { read.setOnce(read.request.isOverAllShards, true, positionOf(in), "keyed or all-shards"); });
+    ON_MATCH(shard_number, { read.target.shard = static_cast<std::uint32_t>(read.numberWithin(0, model::maximumShards - 1)); });
+    ON_MATCH(slots_field, { read.setOnce(read.target.slots, static_cast<std::uint32_t>(read.numberWithin(1, model::maximumTargetConnections)), positionOf(in), "slots"); });
+    ON_MATCH(connections_field, { read.setOnce(read.target.connectionCap, static_cast<std::uint32_t>(read.numberWithin(1, model::maximumTargetConnections)), positionOf(in), "connections"); });
+
+    ON_MATCH(statement_start, { read.start = positionOf(in); });
+    ON_MATCH(service_statement, { read.add(read.service); });
+    ON_MATCH(mark_statement, { read.add(read.request); });
+    ON_MATCH(target_statement, { read.add(read.target); });
+    ON_MATCH(remove_target_tail, { read.add(remove_target { read.target.service, read.target.target }); });
+    ON_MATCH(remove_service_tail, { read.add(remove_service { read.service.service }); });
+    ON_MATCH(drain_statement, { read.add(change_drain { read.target.service, read.target.target, true }); });
+    ON_MATCH(undrain_statement, { read.add(change_drain { read.target.service, read.target.target, false }); });
+    ON_MATCH(share_statement, { read.add(declare_share { read.partner, static_cast<std::uint32_t>(read.numberWithin(0, 100)) }); });
+    ON_MATCH(show_services, { read.add(show { shown_kind::services, {}, {} }); });
+    ON_MATCH(show_daemons, { read.add(show { shown_kind::daemons, {}, {} }); });
+    ON_MATCH(show_targets, { read.add(show { shown_kind::targets, read.target.service, read.state }); });
+
+#undef ON_MATCH
+
+}
+
+std::string toString(syntax_error const& error)
+{
+    return "line " + std::to_string(error.position.line) + ", column " + std::to_string(error.position.column) + ": " + error.message;
+}
+
+tl::expected<std::vector<statement>, std::vector<syntax_error>> parseStatements(std::string_view text)
+{
+    reading read;
+    pegtl::memory_input in { text.data(), text.size(), "" };
+    try {
+        pegtl::parse<statements, action, control>(in, read);
+    } catch (pegtl::parse_error const& failure) {
+        auto const& position = failure.positions().front();
+        read.report({ position.line, position.column }, "expected " + std::string { failure.message() });
+    }
+    checkStatements(read.statements, [&](source_position position, std::string message) { read.report(position, std::move(message)); });
+    if (!read.errors.empty())
+        return tl::unexpected(std::move(read.errors));
+    return std::move(read.statements);
+}
+
+}
