Configuration: Plan changes and write them with lost replies settled

Cause: nothing could change the store's objects, and a write whose reply is lost can't be told from one that failed. A removed service leaves an object without a declaration, since a deleted one could be neither read back nor seen by a daemon that only lists.

--- /dev/null
+++ b/Libraries/zinnialedge/configuration/call_budget.cpp
@@ -0,0 +1,41 @@
+#include "Libraries/zinnialedge/configuration/call_budget.h"
+
+#include <algorithm>
+
+namespace zinnialedge::configuration {
+
+call_budget::call_budget(double callsPerSecond, double burst)
+    : m_callsPerSecond(callsPerSecond)
+    , m_burst(burst)
+    , m_tokens(burst)
+{
+}
+
+double call_budget::available(kernel::time_point now)
+{
+    std::chrono::duration<double> const passed = now - m_filledAt;
+    m_filledAt = now;
+    m_tokens = std::min(m_burst, m_tokens + passed.count() * m_callsPerSecond);
+    return m_tokens;
+}
+
+bool call_budget::take(kernel::time_point now)
+{
+    if (available(now) < 1) {
+        ++m_refused;
+        return false;
+    }
+    m_tokens -= 1;
+    ++m_taken;
+    return true;
+}
+
+kernel::time_point call_budget::nextAt(kernel::time_point now)
+{
+    auto const missing = 1 - available(now);
+    if (missing <= 0)
+        return now;
+    return now + std::chrono::ceil<std::chrono::milliseconds>(std::chrono::duration<double> { missing / m_callsPerSecond });
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/configuration/change_plan.cpp
@@ -0,0 +1,196 @@
+#include "Libraries/zinnialedge/configuration/change_plan.h"
+
+#include "Kernel/try.h"
+#include <algorithm>
+
+namespace zinnialedge::configuration {
+
+using errors::error_kind;
+using errors::error_or;
+using errors::fail;
+
+std::vector<object_commands> groupByObject(std::vector<language::statement> const& statements)
+{
+    std::vector<object_commands> groups;
+    for (auto const& statement : statements) {
+        auto const service = std::visit(
+            [](auto const& command) {
+                using command_type = std::decay_t<decltype(command)>;
+                if constexpr (std::is_same_v<command_type, language::show> || std::is_same_v<command_type, language::declare_share>)
+                    return std::string {};
+                else
+                    return command.service;
+            },
+            statement.command);
+        if (service.empty())
+            continue;
+        auto const found = std::find_if(groups.begin(), groups.end(), [&](auto const& each) { return each.service == service; });
+        auto& group = found == groups.end() ? groups.emplace_back(object_commands { service, {} }) : *found;
+        group.statements.push_back(statement);
+    }
+    return groups;
+}
+
+/// Applies one command after the other to one declaration.
+class declaration_editor {
+public:
+    declaration_editor(std::optional<model::service_declaration> declaration, std::string const& partner)
+        : m_declaration(std::move(declaration))
+        , m_partner(partner)
+    {
+    }
+
+    std::optional<model::service_declaration> take() { return std::move(m_declaration); }
+
+    error_or<void> apply(language::declare_service const& declared)
+    {
+        if (!m_declaration && !declared.shardCount)
+            return fail(error_kind::malformed_command, "service " + declared.service + " is new and needs shards");
+        if (!m_declaration)
+            m_declaration = model::service_declaration { .name = declared.service, .partner = m_partner };
+        auto& service = *m_declaration;
+        service.shardCount = declared.shardCount.value_or(service.shardCount);
+        service.epoch = declared.epoch.value_or(service.epoch);
+        service.coverage = declared.coverage.value_or(service.coverage);
+        service.deadline = declared.deadline.value_or(service.deadline);
+        // A deadline below the default soft deadline brings that down; one that was declared is not changed unseen.
+        service.softDeadline = declared.softDeadline.value_or(std::min(service.softDeadline, service.deadline));
+        service.softSharePercent = declared.softSharePercent.value_or(service.softSharePercent);
+        service.hedgePercent = declared.hedgePercent.value_or(service.hedgePercent);
+        service.groupSize = declared.groupSize.value_or(service.groupSize);
+        return {};
+    }
+
+    error_or<void> apply(language::remove_service const& removed)
+    {
+        TRY_VOID(requireService(removed.service));
+        m_declaration = std::nullopt;
+        return {};
+    }
+
+    error_or<void> apply(language::mark_request const& marked)
+    {
+        TRY_VOID(requireService(marked.service));
+        auto& requests = m_declaration->requests;
+        auto found = std::find_if(requests.begin(), requests.end(), [&](auto const& each) { return each.name == marked.request; });
+        if (found == requests.end())
+            found = requests.insert(found, { .name = marked.request });
+        found->isUrgent = marked.isUrgent.value_or(found->isUrgent);
+        found->isRepeatable = marked.isRepeatable.value_or(found->isRepeatable);
+        found->isOverAllShards = marked.isOverAllShards.value_or(found->isOverAllShards);
+        return {};
+    }
+
+    error_or<void> apply(language::declare_target const& declared)
+    {
+        TRY_VOID(requireService(declared.service));
+        auto& targets = m_declaration->targets;
+        auto found = findTarget(declared.target);
+        if (found == targets.end())
+            found = targets.insert(found, { .name = declared.target });
+        found->place = declared.place;
+        found->shard = declared.shard;
+        found->slots = declared.slots.value_or(found->slots);
+        found->connectionCap = declared.connectionCap.value_or(found->connectionCap);
+        return {};
+    }
+
+    error_or<void> apply(language::remove_target const& removed)
+    {
+        TRY_VOID(requireTarget(removed.service, removed.target));
+        m_declaration->targets.erase(findTarget(removed.target));
+        return {};
+    }
+
+    error_or<void> apply(language::change_drain const& change)
+    {
+        TRY_VOID(requireTarget(change.service, change.target));
+        findTarget(change.target)->isDraining = change.isDraining;
+        return {};
+    }
+
+    error_or<void> apply(language::declare_share const& /*share*/) { return {}; }
+    error_or<void> apply(language::show const& /*shown*/) { return {}; }
+
+private:
+    std::vector<model::target_declaration>::iterator findTarget(std::string const& name)
+    {
+        auto& targets = m_declaration->targets;
+        return std::find_if(targets.begin(), targets.end(), [&](auto const& each) { return each.name == name; });
+    }
+
+    error_or<void> requireService(std::string const& service) const
+    {
+        if (!m_declaration)
+            return fail(error_kind::malformed_command, "there is no service " + service);
+        return {};
+    }
+
+    error_or<void> requireTarget(std::string const& service, std::string const& target)
+    {
+        TRY_VOID(requireService(service));
+        if (findTarget(target) == m_declaration->targets.end())
+            return fail(error_kind::malformed_command, "there is no target " + target + " of " + service);
+        return {};
+    }
+
+    std::optional<model::service_declaration> m_declaration;
+    std::string const& m_partner;
+};
+
+static error_or<void> checkWhole(model::service_declaration const& service)
+{
+    if (service.softDeadline > service.deadline)
+        return fail(error_kind::malformed_command, "the soft-deadline of " + service.name + " is longer than its deadline");
+    for (auto const& target : service.targets) {
+        if (target.shard >= service.shardCount)
+            return fail(error_kind::malformed_command, "target " + target.name + " of " + service.name + " needs a shard below " + std::to_string(service.shardCount));
+    }
+    return {};
+}
+
+static errors::error withPlace(errors::error reason, language::source_position position)
+{
+    reason.message = "line " + std::to_string(position.line) + ", column " + std::to_string(position.column) + ": " + reason.message;
+    return reason;
+}
+
+error_or<std::optional<model::service_declaration>> applyCommands(std::optional<model::service_declaration> current, object_commands const& commands, std::string const& partner)
+{
+    auto const first = commands.statements.empty() ? language::source_position {} : commands.statements.front().position;
+    if (current && current->partner != partner)
+        return tl::unexpected(withPlace({ error_kind::not_permitted, "service " + commands.service + " is not " + partner + "'s", {} }, first));
+    declaration_editor editor { std::move(current), partner };
+    for (auto const& statement : commands.statements) {
+        auto const applied = std::visit([&](auto const& command) { return editor.apply(command); }, statement.command);
+        if (!applied)
+            return tl::unexpected(withPlace(applied.error(), statement.position));
+    }
+    auto declaration = editor.take();
+    if (declaration) {
+        if (auto const whole = checkWhole(*declaration); !whole)
+            return tl::unexpected(withPlace(whole.error(), first));
+    }
+    return declaration;
+}
+
+tl::expected<std::vector<planned_change>, std::vector<errors::error>> plan(std::vector<language::statement> const& statements, std::string const& partner, declaration_lookup const& current)
+{
+    std::vector<planned_change> changes;
+    std::vector<errors::error> problems;
+    for (auto const& group : groupByObject(statements)) {
+        auto const before = current(group.service);
+        auto const after = applyCommands(before, group, partner);
+        if (!after) {
+            problems.push_back(after.error());
+            continue;
+        }
+        if (auto fields = changesBetween(fieldsOf(before), fieldsOf(*after)); !fields.empty())
+            changes.push_back({ group.service, std::move(fields) });
+    }
+    if (!problems.empty())
+        return tl::unexpected(std::move(problems));
+    return changes;
+}
+
+}
--- a/Libraries/zinnialedge/configuration/service_codec.cpp
+++ b/Libraries/zinnialedge/configuration/service_codec.cpp
@@ -1,8 +1,9 @@
 #include "Libraries/zinnialedge/configuration/service_codec.h"
 
+#include "Kernel/try.h"
 #include "Libraries/zinnialedge/configuration/json_reader.h"
+#include "Libraries/zinnialedge/configuration/object_content.h"
 #include "Libraries/zinnialedge/model/service_limits.h"
-#include <boost/algorithm/string/join.hpp>
 #include <boost/json.hpp>
 #include <set>
 
@@ -32,7 +33,21 @@
     };
 }
 
-static model::service_declaration parseFields(json_reader& reader)
+static void checkUniqueNames(model::service_declaration const& service, std::vector<std::string>& problems)
+{
+    std::set<std::string_view> names;
+    for (auto const& target : service.targets) {
+        if (!names.insert(target.name).second)
+            problems.push_back("targets: expected unique names, but " + target.name + " stands twice");
+    }
+    names.clear();
+    for (auto const& request : service.requests) {
+        if (!names.insert(request.name).second)
+            problems.push_back("requests: expected unique names, but " + request.name + " stands twice");
+    }
+}
+
+model::service_declaration parseServiceFields(json_reader& reader, std::vector<std::string>& problems)
 {
     model::service_declaration service;
     service.name = reader.text("name");
@@ -49,37 +64,16 @@
     reader.list("targets", false, [&](json_reader& item) { service.targets.push_back(parseTarget(item, service.shardCount)); });
     if (service.softDeadline > service.deadline)
         reader.report("soft_deadline_ms", "no more than deadline_ms");
+    checkUniqueNames(service, problems);
     return service;
 }
 
-static void checkUniqueNames(model::service_declaration const& service, std::vector<std::string>& problems)
-{
-    std::set<std::string_view> names;
-    for (auto const& target : service.targets) {
-        if (!names.insert(target.name).second)
-            problems.push_back("targets: expected unique names, but " + target.name + " stands twice");
-    }
-    names.clear();
-    for (auto const& request : service.requests) {
-        if (!names.insert(request.name).second)
-            problems.push_back("requests: expected unique names, but " + request.name + " stands twice");
-    }
-}
-
 errors::error_or<model::service_declaration> parseService(std::string_view text)
 {
-    std::vector<std::string> problems;
-    auto const value = parseJson(text, problems);
-    model::service_declaration service;
-    if (value) {
-        json_reader reader { *value, problems };
-        service = parseFields(reader);
-        reader.finish();
-        checkUniqueNames(service, problems);
-    }
-    if (!problems.empty())
-        return errors::fail(errors::error_kind::malformed_command, boost::algorithm::join(problems, "; "));
-    return service;
+    auto object = TRY(parseServiceObject(text));
+    if (!object.declaration)
+        return errors::fail(errors::error_kind::unknown_service, "the service was removed");
+    return std::move(*object.declaration);
 }
 
 static json::value toJson(model::request_declaration const& request)
--- a/Services/decisions/decision_service.cpp
+++ b/Services/decisions/decision_service.cpp
@@ -1,7 +1,7 @@
 #include "Services/decisions/decision_service.h"
 
 #include "Kernel/event_log.h"
-#include "Libraries/zinnialedge/configuration/service_codec.h"
+#include "Libraries/zinnialedge/configuration/object_content.h"
 
 namespace zinnialedge::services::decisions {
 
@@ -83,14 +83,18 @@
         stepQueries(queries::service_removed { service });
         return;
     }
-    auto parsed = configuration::parseService(*object.body);
+    auto parsed = configuration::parseServiceObject(*object.body);
+    if (parsed && !parsed->declaration) {
+        stepQueries(queries::service_removed { service });
+        return;
+    }
     if (!parsed || parsed->name != service) {
         // The last good declaration stays in force.
         logEvent(log_level::error, "declaration_refused", { { "key", object.key }, { "version", object.version }, { "reason", parsed ? "the name is not that of the key" : parsed.error().message } });
         return;
     }
-    logEvent(log_level::info, "declaration_in_force", { { "service", service }, { "version", object.version }, { "epoch", parsed->epoch } });
-    stepQueries(queries::service_declared { std::make_shared<model::service_declaration const>(std::move(*parsed)) });
+    logEvent(log_level::info, "declaration_in_force", { { "service", service }, { "version", object.version }, { "epoch", parsed->declaration->epoch } });
+    stepQueries(queries::service_declared { std::make_shared<model::service_declaration const>(std::move(*parsed->declaration)) });
 }
 
 void decision_service::handleDaemon(configuration::stored_object const& object, std::string const& daemon)
