Peers: Exchange store objects between daemons

Cause: what one daemon knows of the configuration could not reach another without the store. PushedObject carries one object, ObjectsAsked a page of known versions; the answer is what is newer, sent as pushed objects. The object cache still decides.

--- a/Libraries/zinnialedge/wire/peer_codec.cpp
+++ b/Libraries/zinnialedge/wire/peer_codec.cpp
@@ -95,19 +95,75 @@
     return error;
 }
 
+static generated::PushedObject toThrift(configuration::stored_object const& object)
+{
+    generated::PushedObject pushed;
+    pushed.__set_key(object.key);
+    pushed.__set_version(static_cast<std::int64_t>(object.version));
+    if (object.body)
+        pushed.__set_body(*object.body);
+    return pushed;
+}
+
+static configuration::stored_object fromThrift(generated::PushedObject const& pushed)
+{
+    configuration::stored_object object { pushed.key, static_cast<std::uint64_t>(pushed.version), std::nullopt };
+    if (pushed.__isset.body)
+        object.body = pushed.body;
+    return object;
+}
+
+static generated::ObjectsAsked toThrift(configuration::objects_asked const& asked)
+{
+    generated::ObjectsAsked encoded;
+    encoded.replyTo.__set_address(asked.replyTo.address);
+    encoded.replyTo.__set_port(asked.replyTo.port);
+    encoded.__set_after(asked.after);
+    encoded.__set_isLastPage(asked.isLastPage);
+    for (auto const& known : asked.known) {
+        auto& added = encoded.known.emplace_back();
+        added.__set_key(known.key);
+        added.__set_version(static_cast<std::int64_t>(known.version));
+    }
+    return encoded;
+}
+
+static configuration::objects_asked fromThrift(generated::ObjectsAsked const& encoded)
+{
+    configuration::objects_asked asked { { encoded.replyTo.address, static_cast<std::uint16_t>(encoded.replyTo.port) }, encoded.after, {}, encoded.isLastPage };
+    for (auto const& known : encoded.known)
+        asked.known.push_back({ known.key, static_cast<std::uint64_t>(known.version) });
+    return asked;
+}
+
+static void fillContent(generated::PeerMessage& encoded, model::query_request const& query)
+{
+    encoded.__set_query(toThrift(query));
+}
+
+static void fillContent(generated::PeerMessage& encoded, model::answer_or_error const& result)
+{
+    if (result)
+        encoded.__set_answer(toThrift(*result));
+    else
+        encoded.__set_error(toThrift(result.error()));
+}
+
+static void fillContent(generated::PeerMessage& encoded, configuration::stored_object const& object)
+{
+    encoded.__set_pushed(toThrift(object));
+}
+
+static void fillContent(generated::PeerMessage& encoded, configuration::objects_asked const& asked)
+{
+    encoded.__set_asked(toThrift(asked));
+}
+
 std::string encodePeerMessage(peer_message const& message)
 {
     generated::PeerMessage encoded;
     encoded.__set_call(static_cast<std::int64_t>(message.call));
-    if (auto const* query = std::get_if<model::query_request>(&message.content)) {
-        encoded.__set_query(toThrift(*query));
-    } else {
-        auto const& result = std::get<model::answer_or_error>(message.content);
-        if (result)
-            encoded.__set_answer(toThrift(*result));
-        else
-            encoded.__set_error(toThrift(result.error()));
-    }
+    std::visit([&](auto const& content) { fillContent(encoded, content); }, message.content);
     auto const buffer = std::make_shared<TMemoryBuffer>();
     TCompactProtocolT<TMemoryBuffer> protocol { buffer };
     encoded.write(&protocol);
@@ -136,6 +192,10 @@
         message.content = model::answer_or_error { fromThrift(decoded.answer) };
     else if (decoded.__isset.error)
         message.content = model::answer_or_error { tl::unexpected(fromThrift(decoded.error)) };
+    else if (decoded.__isset.pushed)
+        message.content = fromThrift(decoded.pushed);
+    else if (decoded.__isset.asked)
+        message.content = fromThrift(decoded.asked);
     else
         return errors::fail(errors::error_kind::malformed_request, "the peer message is empty");
     return message;
--- a/Libraries/zinnialedge/wire/peer_codec.h
+++ b/Libraries/zinnialedge/wire/peer_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Libraries/zinnialedge/configuration/object_exchange.h"
 #include "Libraries/zinnialedge/model/query.h"
 #include <cstdint>
 #include <string>
@@ -11,7 +12,7 @@
 /// A message between daemons over TCP.
 struct peer_message {
     std::uint64_t call { 0 };
-    std::variant<model::query_request, model::answer_or_error> content;
+    std::variant<model::query_request, model::answer_or_error, configuration::stored_object, configuration::objects_asked> content;
 };
 
 /// With the length in front.
--- a/Services/decisions/decision_service.cpp
+++ b/Services/decisions/decision_service.cpp
@@ -52,7 +52,29 @@
 
 void decision_service::handle(peer_event&& event)
 {
-    std::visit([this](auto&& each) { stepQueries(queries::event { std::forward<decltype(each)>(each) }); }, std::move(event));
+    if (auto const* object = std::get_if<configuration::stored_object>(&event)) {
+        handleObject(*object);
+        return;
+    }
+    if (auto const* asked = std::get_if<configuration::objects_asked>(&event)) {
+        answerObjects(*asked);
+        return;
+    }
+    std::visit(
+        [this](auto&& each) {
+            if constexpr (std::is_constructible_v<queries::event, decltype(each)>)
+                stepQueries(queries::event { std::forward<decltype(each)>(each) });
+        },
+        std::move(event));
+}
+
+void decision_service::answerObjects(configuration::objects_asked const& asked)
+{
+    // What finds no room in the ring is asked for again with the next digest that differs.
+    for (auto& object : configuration::newerThan(m_objects, asked)) {
+        if (!m_peerOutbox->push(peer_action { push_object { asked.replyTo, std::move(object) } }))
+            return;
+    }
 }
 
 void decision_service::handle(platform_event&& event)
--- a/Services/decisions/decision_service.h
+++ b/Services/decisions/decision_service.h
@@ -51,6 +51,7 @@
     void handleObject(configuration::stored_object const&);
     void handleService(configuration::stored_object const&, std::string const& serviceName);
     void handleDaemon(configuration::stored_object const&, std::string const& daemonName);
+    void answerObjects(configuration::objects_asked const&);
     void answerDirectory(directory_asked const&);
     void stepQueries(queries::event const&);
     void perform(queries::action&&);
--- a/Services/decisions/messages.h
+++ b/Services/decisions/messages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Libraries/zinnialedge/configuration/object_cache.h"
+#include "Libraries/zinnialedge/configuration/object_exchange.h"
 #include "Libraries/zinnialedge/membership/directory.h"
 #include "Libraries/zinnialedge/queries/events.h"
 #include <string>
@@ -32,14 +32,26 @@
     model::query_request request;
 };
 
+/// Tells another daemon of an object; its cache decides whether it is newer.
+struct push_object {
+    model::endpoint place;
+    configuration::stored_object object;
+};
+
+/// Asks another daemon for objects that are newer.
+struct ask_objects {
+    model::endpoint place;
+    configuration::objects_asked asked;
+};
+
 using caller_event = std::variant<queries::query_arrived, queries::caller_left, directory_asked>;
 using target_event = std::variant<queries::leaf_call_ended, queries::leaf_status_seen>;
 using platform_event = std::variant<configuration::stored_object, store_state_changed>;
-using peer_event = std::variant<queries::query_arrived, queries::relay_ended>;
+using peer_event = std::variant<queries::query_arrived, queries::relay_ended, configuration::stored_object, configuration::objects_asked>;
 
 using caller_action = std::variant<queries::answer_caller, directory_answered>;
 using target_action = std::variant<queries::send_leaf_call, queries::cancel_leaf_call, queries::change_leaf_connections>;
-using peer_action = std::variant<queries::answer_caller, relay_to_daemon>;
+using peer_action = std::variant<queries::answer_caller, relay_to_daemon, push_object, ask_objects>;
 
 /// Set in the tokens of queries that came from another daemon.
 inline constexpr queries::caller_token peerTokenBit = 1ULL << 63U;
--- a/Services/peers/peer_service.cpp
+++ b/Services/peers/peer_service.cpp
@@ -84,6 +84,14 @@
 
 void peer_service::handleGuest(connection const& origin, wire::peer_message message)
 {
+    if (auto* object = std::get_if<configuration::stored_object>(&message.content)) {
+        passConfiguration(std::move(*object));
+        return;
+    }
+    if (auto* asked = std::get_if<configuration::objects_asked>(&message.content)) {
+        passConfiguration(std::move(*asked));
+        return;
+    }
     auto* request = std::get_if<model::query_request>(&message.content);
     if (!request) {
         origin->close();
@@ -101,6 +109,25 @@
     origin->send({ message.call, model::answer_or_error { tl::unexpected(errors::error { error_kind::overloaded, "too many requests wait for a decision", overloadRetryAfter }) } });
 }
 
+template <typename T>
+void peer_service::passConfiguration(T&& content)
+{
+    // The answers to relays keep their room; what is dropped is asked for again.
+    auto& inbox = m_decisions.peerInbox();
+    if (inbox.freeSlots() <= m_relayed.size() + 1 || !inbox.push(std::forward<T>(content)))
+        ++m_droppedMessages;
+}
+
+void peer_service::perform(decisions::push_object const& pushed)
+{
+    connectTo(pushed.place)->send({ 0, pushed.object });
+}
+
+void peer_service::perform(decisions::ask_objects const& asking)
+{
+    connectTo(asking.place)->send({ 0, asking.asked });
+}
+
 void peer_service::handle(decisions::peer_action&& action)
 {
     std::visit([this](auto const& each) { perform(each); }, action);
@@ -175,6 +202,7 @@
             { "connections", m_connections.size() },
             { "relays", m_relays },
             { "guest_queries", m_guestQueries },
+            { "dropped_messages", m_droppedMessages },
             { "relays_in_flight", m_relayed.size() },
             { "guests_in_flight", m_guests.size() },
         }));
--- a/Services/peers/peer_service.h
+++ b/Services/peers/peer_service.h
@@ -46,6 +46,10 @@
     void handle(decisions::peer_action&&);
     void perform(queries::answer_caller const&);
     void perform(decisions::relay_to_daemon const&);
+    void perform(decisions::push_object const&);
+    void perform(decisions::ask_objects const&);
+    template <typename T>
+    void passConfiguration(T&&);
     void handleGuest(connection const&, wire::peer_message);
     void handleAnswer(wire::peer_message);
     void handleClosed(model::endpoint const&);
@@ -61,6 +65,7 @@
     std::uint64_t m_lastGuest { 0 };
     std::uint64_t m_relays { 0 };
     std::uint64_t m_guestQueries { 0 };
+    std::uint64_t m_droppedMessages { 0 };
 };
 
 }
