--- /dev/null
+++ b/Libraries/zinnialedge/membership/member.cpp
@@ -0,0 +1,45 @@
+#include "Libraries/zinnialedge/membership/member.h"
+
+#include <array>
+#include <tuple>
+
+namespace zinnialedge::membership {
+
+static constexpr std::array<char const*, 5> names { "joining", "serving", "leaving", "suspect", "dead" };
+
+char const* toString(member_status status)
+{
+    return names.at(static_cast<std::size_t>(status));
+}
+
+bool isDeclared(member_status status)
+{
+    return status != member_status::suspect && status != member_status::dead;
+}
+
+static int severityOf(member_status status)
+{
+    if (isDeclared(status))
+        return 0;
+    return status == member_status::suspect ? 1 : 2;
+}
+
+bool supersedes(member_update const& left, member_update const& right)
+{
+    auto const rank = [](member_update const& update) { return std::tuple { update.record.incarnation, update.version, severityOf(update.status) }; };
+    return rank(left) > rank(right);
+}
+
+std::size_t encodedBytes(member_update const& update)
+{
+    // Field headers, lengths and numbers.
+    static constexpr std::size_t fixedBytes = 28;
+    static constexpr std::size_t fixedBytesOfPlaces = 32;
+    auto const& record = update.record;
+    if (!isDeclared(update.status))
+        return fixedBytes + record.name.size();
+    return fixedBytes + fixedBytesOfPlaces + record.name.size() + record.partner.size() + record.region.size()
+        + record.dataCentre.size() + record.callers.address.size() + record.peers.address.size();
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/wire/membership_codec.cpp
@@ -0,0 +1,139 @@
+#include "Libraries/zinnialedge/wire/membership_codec.h"
+
+#include "Libraries/zinnialedge/wire/generated/peer_messages_types.h"
+#include <boost/asio/ip/address.hpp>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace zinnialedge::wire {
+
+using apache::thrift::TException;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using errors::error_kind;
+using membership::datagram;
+using membership::datagram_kind;
+using membership::member_status;
+using membership::member_update;
+
+static generated::Place toThrift(model::endpoint const& place)
+{
+    generated::Place encoded;
+    encoded.__set_address(place.address);
+    encoded.__set_port(place.port);
+    return encoded;
+}
+
+static generated::MemberUpdate toThrift(member_update const& update)
+{
+    generated::MemberUpdate encoded;
+    encoded.__set_name(update.record.name);
+    encoded.__set_incarnation(static_cast<std::int64_t>(update.record.incarnation));
+    encoded.__set_version(static_cast<std::int32_t>(update.version));
+    encoded.__set_status(static_cast<std::int32_t>(update.status));
+    if (!isDeclared(update.status))
+        return encoded;
+    encoded.__set_partner(update.record.partner);
+    encoded.__set_region(update.record.region);
+    encoded.__set_dataCentre(update.record.dataCentre);
+    encoded.__set_callers(toThrift(update.record.callers));
+    encoded.__set_peers(toThrift(update.record.peers));
+    return encoded;
+}
+
+std::string encodeDatagram(datagram const& content)
+{
+    generated::MembershipDatagram encoded;
+    encoded.__set_kind(static_cast<std::int32_t>(content.kind));
+    encoded.__set_sequence(static_cast<std::int64_t>(content.sequence));
+    encoded.__set_sender(toThrift(content.sender));
+    encoded.__set_configurationDigest(static_cast<std::int64_t>(content.configurationDigest));
+    encoded.__set_subject(content.subject);
+    if (content.subjectPlace.port != 0)
+        encoded.__set_subjectPlace(toThrift(content.subjectPlace));
+    for (auto const& update : content.updates)
+        encoded.updates.push_back(toThrift(update));
+    encoded.__set_isLastPage(content.isLastPage);
+    auto const buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocolT<TMemoryBuffer> protocol { buffer };
+    encoded.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+static errors::error_or<model::endpoint> parsePlace(generated::Place const& place)
+{
+    boost::system::error_code failure;
+    boost::asio::ip::make_address(place.address, failure);
+    if (failure || place.port < 1 || place.port > std::numeric_limits<std::uint16_t>::max())
+        return errors::fail(error_kind::malformed_request, "a place is not an IP number and a port");
+    return model::endpoint { place.address, static_cast<std::uint16_t>(place.port) };
+}
+
+static errors::error_or<member_update> parseUpdate(generated::MemberUpdate const& encoded)
+{
+    if (encoded.name.empty() || encoded.status < 0 || encoded.status > static_cast<std::int32_t>(member_status::dead))
+        return errors::fail(error_kind::malformed_request, "an update has no name or an unknown status");
+    member_update update;
+    update.status = static_cast<member_status>(encoded.status);
+    update.version = static_cast<std::uint32_t>(encoded.version);
+    update.record.name = encoded.name;
+    update.record.incarnation = static_cast<std::uint64_t>(encoded.incarnation);
+    if (!isDeclared(update.status))
+        return update;
+    auto const callers = parsePlace(encoded.callers);
+    auto const peers = parsePlace(encoded.peers);
+    if (!callers || !peers)
+        return errors::fail(error_kind::malformed_request, "an update has no places");
+    update.record.partner = encoded.partner;
+    update.record.region = encoded.region;
+    update.record.dataCentre = encoded.dataCentre;
+    update.record.callers = *callers;
+    update.record.peers = *peers;
+    update.record.isLeaving = update.status == member_status::leaving;
+    return update;
+}
+
+static errors::error_or<datagram> parseDatagram(generated::MembershipDatagram const& decoded)
+{
+    if (decoded.kind < 0 || decoded.kind > static_cast<std::int32_t>(datagram_kind::members_page))
+        return errors::fail(error_kind::malformed_request, "unknown kind of datagram");
+    auto const sender = parseUpdate(decoded.sender);
+    if (!sender)
+        return tl::unexpected(sender.error());
+    datagram content;
+    content.kind = static_cast<datagram_kind>(decoded.kind);
+    content.sequence = static_cast<std::uint64_t>(decoded.sequence);
+    content.sender = *sender;
+    content.configurationDigest = static_cast<std::uint64_t>(decoded.configurationDigest);
+    content.subject = decoded.subject;
+    content.isLastPage = decoded.isLastPage;
+    if (content.kind == datagram_kind::ping_request) {
+        auto const place = parsePlace(decoded.subjectPlace);
+        if (!place)
+            return tl::unexpected(place.error());
+        content.subjectPlace = *place;
+    }
+    for (auto const& encoded : decoded.updates) {
+        auto update = parseUpdate(encoded);
+        if (!update)
+            return tl::unexpected(update.error());
+        content.updates.push_back(std::move(*update));
+    }
+    return content;
+}
+
+errors::error_or<datagram> decodeDatagram(std::string_view bytes)
+{
+    generated::MembershipDatagram decoded;
+    try {
+        std::string copy { bytes };
+        auto const buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(copy.data()), static_cast<std::uint32_t>(copy.size()));
+        TCompactProtocolT<TMemoryBuffer> protocol { buffer };
+        decoded.read(&protocol);
+    } catch (TException const& failure) {
+        return errors::fail(error_kind::malformed_request, std::string { "not a datagram: " } + failure.what());
+    }
+    return parseDatagram(decoded);
+}
+
+}
--- /dev/null
+++ b/Tests/Support/membership_network.cpp
@@ -0,0 +1,131 @@
+#include "Tests/Support/membership_network.h"
+
+#include "Libraries/zinnialedge/wire/membership_codec.h"
+#include <algorithm>
+
+namespace zinnialedge::tests {
+
+using namespace membership;
+
+membership_network::membership_network(std::uint64_t seed)
+    : m_random(kernel::makeSeededRandom(seed))
+{
+}
+
+model::endpoint membership_network::placeOf(std::uint16_t index)
+{
+    return { "10.0.0.1", index };
+}
+
+double membership_network::draw()
+{
+    return static_cast<double>(m_random() >> 11U) * 0x1.0p-53;
+}
+
+membership_network::node& membership_network::start(std::string const& name, std::uint16_t index, std::vector<std::uint16_t> const& seeds, std::string const& dataCentre)
+{
+    membership_settings settings;
+    settings.self = { name, "suva", "suva", dataCentre, ++m_lastIncarnation, { "10.0.0.1", index }, placeOf(index), false };
+    for (auto const seed : seeds)
+        settings.seeds.push_back(placeOf(seed));
+    auto& made = m_nodes[index];
+    made = {};
+    made.engine = std::make_unique<membership_engine>(std::move(settings), kernel::makeSeededRandom(m_random()));
+    give(index, status_declared { member_status::serving });
+    return made;
+}
+
+void membership_network::give(std::uint16_t index, membership_event const& event)
+{
+    perform(index, m_nodes.at(index).engine->step(event, m_now));
+}
+
+void membership_network::perform(std::uint16_t index, membership_actions actions)
+{
+    auto& node = m_nodes.at(index);
+    for (auto const& action : actions) {
+        if (auto const* sent = std::get_if<send_datagram>(&action)) {
+            transmit(index, *sent);
+        } else if (auto const* changed = std::get_if<member_changed>(&action)) {
+            node.seen[changed->record.name] = changed->status;
+        node.deathsReported += changed->status == member_status::dead ? 1 : 0;
+        }
+    }
+    m_alarms.push({ node.engine->nextTimer(), index });
+}
+
+void membership_network::transmit(std::uint16_t from, send_datagram const& sent)
+{
+    auto& node = m_nodes.at(from);
+    ++node.datagramsSent;
+    if (countsBytes)
+        node.bytesSent += wire::encodeDatagram(sent.content).size();
+    auto const content = std::make_shared<datagram const>(sent.content);
+    int const copies = draw() < duplicates ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        if (draw() < loss)
+            continue;
+        auto const delay = std::chrono::duration_cast<kernel::duration>(shortestDelay + (longestDelay - shortestDelay) * draw());
+        m_deliveries.push({ m_now + delay, ++m_order, from, sent.place.port, content });
+    }
+}
+
+void membership_network::deliverNext()
+{
+    auto const next = m_deliveries.top();
+    m_deliveries.pop();
+    m_now = std::max(m_now, next.at);
+    auto const found = m_nodes.find(next.to);
+    if (found == m_nodes.end() || !found->second.isRunning || found->second.side != m_nodes.at(next.from).side)
+        return;
+    // A frozen process finds what waits in its socket when it wakes.
+    if (found->second.isFrozen)
+        m_deliveries.push({ m_now + std::chrono::milliseconds { 10 }, next.order, next.from, next.to, next.content });
+    else
+        perform(next.to, found->second.engine->step(datagram_received { placeOf(next.from), *next.content }, m_now));
+}
+
+void membership_network::run(kernel::duration span)
+{
+    (void)runUntil([] { return false; }, span);
+}
+
+std::optional<kernel::duration> membership_network::runUntil(std::function<bool()> const& condition, kernel::duration bound)
+{
+    auto const begin = m_now;
+    auto const end = m_now + bound;
+    while (!condition()) {
+        bool const isDelivery = !m_deliveries.empty() && (m_alarms.empty() || m_deliveries.top().at <= m_alarms.top().at);
+        auto const at = isDelivery ? m_deliveries.top().at : m_alarms.top().at;
+        if (at > end) {
+            m_now = end;
+            return condition() ? std::optional { m_now - begin } : std::nullopt;
+        }
+        if (isDelivery) {
+            deliverNext();
+            continue;
+        }
+        auto const next = m_alarms.top();
+        m_alarms.pop();
+        auto& node = m_nodes.at(next.node);
+        m_now = std::max(m_now, next.at);
+        if (node.isFrozen)
+            m_alarms.push({ m_now + std::chrono::milliseconds { 10 }, next.node });
+        else if (node.isRunning && node.engine->nextTimer() <= m_now)
+            give(next.node, membership_timer_due {});
+    }
+    return m_now - begin;
+}
+
+bool membership_network::allSee(std::string const& name, member_status status) const
+{
+    return std::all_of(m_nodes.begin(), m_nodes.end(), [&](auto const& each) {
+        auto const& node = each.second;
+        if (!node.isRunning || node.isFrozen || node.engine->self().record.name == name)
+            return true;
+        auto const found = node.seen.find(name);
+        return found != node.seen.end() && found->second == status;
+    });
+}
+
+}
--- /dev/null
+++ b/Tests/Support/membership_network.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "Libraries/zinnialedge/membership/membership_engine.h"
+#include <map>
+#include <memory>
+#include <queue>
+
+namespace zinnialedge::tests {
+
+/// Membership engines on virtual time, joined by queues that lose, delay, double and reorder datagrams.
+class membership_network {
+public:
+    struct node {
+        std::unique_ptr<membership::membership_engine> engine;
+        /// The last status that it reported of each other daemon.
+        std::map<std::string, membership::member_status> seen;
+        bool isRunning { true };
+        bool isFrozen { false };
+        /// Datagrams pass only between nodes of the same side.
+        int side { 0 };
+        std::uint64_t datagramsSent { 0 };
+        std::uint64_t bytesSent { 0 };
+        std::uint64_t deathsReported { 0 };
+    };
+
+    explicit membership_network(std::uint64_t seed);
+
+    /// A daemon with that name, at a place that belongs to its index. A later one replaces it.
+    node& start(std::string const& name, std::uint16_t index, std::vector<std::uint16_t> const& seeds, std::string const& dataCentre = "suva-a");
+    node& at(std::uint16_t index) { return m_nodes.at(index); }
+    std::map<std::uint16_t, node>& nodes() { return m_nodes; }
+    void give(std::uint16_t index, membership::membership_event const&);
+    void run(kernel::duration);
+    /// Runs until the condition holds; returns how long that took, or nothing when it does not within the bound.
+    std::optional<kernel::duration> runUntil(std::function<bool()> const&, kernel::duration bound);
+    kernel::time_point now() const { return m_now; }
+    /// True when each running node reports that status of the daemon, itself left out.
+    bool allSee(std::string const& name, membership::member_status) const;
+    static model::endpoint placeOf(std::uint16_t index);
+
+    double loss { 0 };
+    double duplicates { 0 };
+    std::chrono::microseconds shortestDelay { 200 };
+    std::chrono::microseconds longestDelay { 2000 };
+    /// Counts bytes with the real codec; slow.
+    bool countsBytes { false };
+
+private:
+    struct delivery {
+        kernel::time_point at;
+        std::uint64_t order { 0 };
+        std::uint16_t from { 0 };
+        std::uint16_t to { 0 };
+        std::shared_ptr<membership::datagram const> content;
+
+        bool operator>(delivery const& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+    };
+
+    struct alarm {
+        kernel::time_point at;
+        std::uint16_t node { 0 };
+
+        bool operator>(alarm const& other) const { return at > other.at; }
+    };
+
+    void perform(std::uint16_t index, membership::membership_actions);
+    void transmit(std::uint16_t from, membership::send_datagram const&);
+    void deliverNext();
+    double draw();
+
+    kernel::random_hook m_random;
+    kernel::time_point m_now { std::chrono::hours { 1 } };
+    std::map<std::uint16_t, node> m_nodes;
+    std::priority_queue<delivery, std::vector<delivery>, std::greater<>> m_deliveries;
+    std::priority_queue<alarm, std::vector<alarm>, std::greater<>> m_alarms;
+    std::uint64_t m_order { 0 };
+    std::uint64_t m_lastIncarnation { 0 };
+};
+
+}
--- /dev/null
+++ b/Tests/Unit/membership_test.cpp
@@ -0,0 +1,193 @@
+#include "Libraries/zinnialedge/wire/membership_codec.h"
+#include "Tests/Support/membership_network.h"
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+
+using namespace zinnialedge;
+using namespace zinnialedge::membership;
+using zinnialedge::tests::membership_network;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Membership)
+{
+    membership_network network { 7 };
+
+    static std::string nameOf(int index)
+    {
+        return "d" + std::to_string(index);
+    }
+
+    void startAll(std::uint16_t count)
+    {
+        for (std::uint16_t index = 1; index <= count; ++index)
+            network.start(nameOf(index), index, { 1, 2 }, index % 2 ? "suva-a" : "suva-b");
+        CHECK(network.runUntil([&] { return allServing(); }, 20s).has_value());
+    }
+
+    bool allServing()
+    {
+        auto const& nodes = network.nodes();
+        return std::all_of(nodes.begin(), nodes.end(), [&](auto const& each) { return network.allSee(each.second.engine->self().record.name, member_status::serving); });
+    }
+
+    bool nobodySees(std::string const& name, member_status status)
+    {
+        auto const& nodes = network.nodes();
+        return std::none_of(nodes.begin(), nodes.end(), [&](auto const& each) {
+            auto const found = each.second.seen.find(name);
+            return found != each.second.seen.end() && found->second == status;
+        });
+    }
+
+    std::uint64_t deaths()
+    {
+        std::uint64_t sum = 0;
+        for (auto const& [index, node] : network.nodes())
+            sum += node.deathsReported;
+        return sum;
+    }
+};
+
+TEST(Membership, ADeadDaemonIsNoLongerUsedAfterThreeSeconds)
+{
+    for (std::uint16_t count : { 2, 5, 20 }) {
+        network.nodes().clear();
+        startAll(count);
+        network.at(count).isRunning = false;
+        CHECK(network.runUntil([&] { return nobodySees(nameOf(count), member_status::serving); }, 3s).has_value());
+        CHECK(network.runUntil([&] { return network.allSee(nameOf(count), member_status::dead); }, 10s).has_value());
+    }
+}
+
+TEST(Membership, LossOfOneDatagramInTwentyKillsNobody)
+{
+    network.loss = 0.05;
+    startAll(10);
+    network.run(600s);
+    LONGS_EQUAL(0, deaths());
+    CHECK(allServing());
+}
+
+TEST(Membership, AWrongSuspicionIsRefuted)
+{
+    startAll(5);
+    auto update = network.at(3).engine->self();
+    update.status = member_status::suspect;
+    datagram rumour;
+    rumour.sender = network.at(2).engine->self();
+    rumour.updates = { update };
+    network.give(1, datagram_received { membership_network::placeOf(2), rumour });
+    CHECK(network.at(1).seen.at("d3") == member_status::suspect);
+    CHECK(network.runUntil([&] { return allServing(); }, 3s).has_value());
+    CHECK(network.at(3).engine->self().version > update.version);
+    network.run(10s);
+    LONGS_EQUAL(0, deaths());
+}
+
+TEST(Membership, BothSidesOfAPartitionFindEachOtherAgain)
+{
+    startAll(8);
+    for (std::uint16_t index : { 1, 3, 5, 7 })
+        network.at(index).side = 1;
+    CHECK(network.runUntil([&] { return network.at(1).engine->members().dead().size() == 4 && network.at(2).engine->members().dead().size() == 4; }, 15s).has_value());
+    network.run(300s);
+    for (std::uint16_t index : { 1, 3, 5, 7 })
+        network.at(index).side = 0;
+    CHECK(network.runUntil([&] { return allServing(); }, 30s).has_value());
+}
+
+TEST(Membership, ARestartedDaemonReplacesTheOneOfBefore)
+{
+    startAll(5);
+    auto const before = network.at(5).engine->self();
+    network.start("d5", 5, { 1 });
+    auto const after = network.at(5).engine->self();
+    auto const isReplaced = [&] {
+        auto const* known = network.at(2).engine->members().find("d5");
+        return known && known->record.incarnation == after.record.incarnation;
+    };
+    CHECK(network.runUntil(isReplaced, 3s).has_value());
+    // Old gossip does not bring the old process back.
+    datagram rumour;
+    rumour.sender = network.at(1).engine->self();
+    rumour.updates = { before };
+    network.give(2, datagram_received { membership_network::placeOf(1), rumour });
+    CHECK(isReplaced());
+    // Nor does another name at the address leave the old name alive.
+    network.start("d6", 5, { 1 });
+    CHECK(network.runUntil([&] { return network.allSee("d6", member_status::serving) && nobodySees("d5", member_status::serving); }, 3s).has_value());
+    rumour.updates = { after };
+    network.give(2, datagram_received { membership_network::placeOf(1), rumour });
+    CHECK(network.at(2).seen.at("d5") == member_status::dead);
+}
+
+TEST(Membership, OldGossipDoesNotWakeTheDead)
+{
+    startAll(4);
+    auto const alive = network.at(4).engine->self();
+    network.at(4).isRunning = false;
+    CHECK(network.runUntil([&] { return network.allSee("d4", member_status::dead); }, 10s).has_value());
+    network.duplicates = 0.3;
+    network.longestDelay = 400ms;
+    for (int round = 0; round < 100; ++round) {
+        datagram rumour;
+        rumour.sender = network.at(1).engine->self();
+        rumour.updates = { alive };
+        network.give(2, datagram_received { membership_network::placeOf(1), rumour });
+        network.run(100ms);
+        CHECK(network.at(2).seen.at("d4") == member_status::dead);
+    }
+}
+
+TEST(Membership, AFrozenDaemonThatWakesDoesNoHarm)
+{
+    startAll(6);
+    network.at(6).isFrozen = true;
+    network.run(60s);
+    CHECK(network.allSee("d6", member_status::dead));
+    auto const before = deaths();
+    network.at(6).isFrozen = false;
+    auto const heard = network.at(6).engine->lastHeard();
+    CHECK(network.runUntil([&] { return network.at(6).engine->lastHeard() > heard; }, 3s).has_value());
+    CHECK(network.runUntil([&] { return allServing(); }, 15s).has_value());
+    network.run(20s);
+    LONGS_EQUAL(before, deaths());
+}
+
+TEST(Membership, ALeavingDaemonIsKnownAsSuchAndItsEndNeedsNoSuspicion)
+{
+    startAll(6);
+    network.give(6, status_declared { member_status::leaving });
+    CHECK(network.runUntil([&] { return network.allSee("d6", member_status::leaving); }, 3s).has_value());
+    network.give(6, process_stopping {});
+    network.at(6).isRunning = false;
+    CHECK(network.runUntil([&] { return network.allSee("d6", member_status::dead); }, 1s).has_value());
+}
+
+TEST(Membership, ADatagramIsNeverLargerThanItsLimit)
+{
+    datagram content;
+    content.sender = network.start("d1", 1, {}).engine->self();
+    for (std::uint16_t index = 2; index < 200; ++index) {
+        auto update = content.sender;
+        update.record.name = "a-daemon-of-a-longer-name-" + std::to_string(index);
+        update.record.peers.port = index;
+        update.record.incarnation = 1764801234567890 + index;
+        content.updates.push_back(update);
+    }
+    network.give(1, datagram_received { membership_network::placeOf(2), { .sender = content.updates.front(), .updates = content.updates } });
+    for (auto const kind : { datagram_kind::ping, datagram_kind::members_asked }) {
+        datagram asked = { .kind = kind, .sender = content.updates.front() };
+        for (auto const& action : network.at(1).engine->step(datagram_received { membership_network::placeOf(2), asked }, network.now())) {
+            auto const* sent = std::get_if<send_datagram>(&action);
+            if (!sent)
+                continue;
+            auto const bytes = wire::encodeDatagram(sent->content);
+            CHECK(bytes.size() <= maximumDatagramBytes);
+            CHECK(wire::decodeDatagram(bytes).value() == sent->content);
+            CHECK(sent->content.updates.size() > 5);
+        }
+    }
+    CHECK(!wire::decodeDatagram("nonsense").has_value());
+    CHECK(!wire::decodeDatagram({}).has_value());
+}
