Benchmarks: Measure the processor time of a daemon for each leaf call

Over real sockets: one daemon, 20 shards x 2 leafs of zero service time, steady load. Each duty's thread has its name, so the cost can be told by duty.

--- a/Kernel/duty.cpp
+++ b/Kernel/duty.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <pthread.h>
 
 namespace zinnialedge::kernel {
 
@@ -35,6 +36,8 @@
 void duty::start()
 {
     m_thread = std::thread([this] { run(); });
+    // So that tools which list threads show the duties; the kernel refuses names of more than 15 bytes.
+    ::pthread_setname_np(m_thread.native_handle(), m_name.c_str());
 }
 
 void duty::stop()
--- /dev/null
+++ b/Tests/Benchmarks/line_fit.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace zinnialedge::benchmarks {
+
+struct point {
+    double size { 0 };
+    double cost { 0 };
+};
+
+/// A straight line through measured points, by least squares.
+struct line_fit {
+    double fixed { 0 };
+    double slope { 0 };
+    /// The largest distance of a point from the line, in percent of the largest cost.
+    double worstErrorPercent { 0 };
+};
+
+line_fit fitLine(std::vector<point> const&);
+
+/// Prints the points and the line through them.
+void printSlope(std::string const& title, std::string const& unit, std::string const& per, std::vector<point> const&);
+
+}
--- /dev/null
+++ b/Tests/Benchmarks/main.cpp
@@ -0,0 +1,28 @@
+// Measures what a daemon costs. Not a test: it checks nothing, and its figures depend on the machine.
+
+#include "Tests/Benchmarks/call_cost.h"
+#include <cstdio>
+#include <functional>
+#include <gflags/gflags.h>
+#include <map>
+#include <string>
+
+using namespace zinnialedge::benchmarks;
+
+int main(int argumentCount, char** arguments)
+{
+    gflags::SetUsageMessage("[calls] [tables] [control]");
+    gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
+    std::map<std::string, std::function<void()>> const sections {
+        { "calls", measureCalls },
+    };
+    for (int index = 1; index < argumentCount; ++index) {
+        auto const section = sections.find(arguments[index]);
+        if (section == sections.end()) {
+            std::fprintf(stderr, "no section %s\n", arguments[index]);
+            return 2;
+        }
+        section->second();
+    }
+    return 0;
+}
