Peers: Answer a relayed query by its deadline when the other daemon is silent

Cause: only the connection's end finished a relay, and a frozen daemon keeps its connections. The engine now keeps the relay's deadline, answers outcome_unknown, and drops the late reply; the peers' service forgets the call. Errors of relays carry the request id.

--- a/Libraries/zinnialedge/queries/events.h
+++ b/Libraries/zinnialedge/queries/events.h
@@ -133,7 +133,12 @@
     model::query_request request;
 };
 
-using action = std::variant<send_leaf_call, cancel_leaf_call, answer_caller, change_leaf_connections, relay_query>;
+/// The caller has its answer, or has left: what the other daemon still sends is dropped.
+struct abandon_relay {
+    caller_token caller { 0 };
+};
+
+using action = std::variant<send_leaf_call, cancel_leaf_call, answer_caller, change_leaf_connections, relay_query, abandon_relay>;
 using actions = std::vector<action>;
 
 }
--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -166,7 +166,7 @@
         if (request.isRelayed || parsed->daemon == m_settings.daemon)
             refuse(arrived.caller, request, { error_kind::outcome_unknown, "the process that the ticket names is gone", {} });
         else
-            m_actions.emplace_back(relay_query { arrived.caller, parsed->daemon, request });
+            relay(arrived, parsed->daemon, now);
         return false;
     }
     switch (m_tickets.claim(request.ticket, *parsed, now)) {
@@ -192,6 +192,28 @@
     VERIFY(false);
 }
 
+void query_engine::relay(query_arrived const& arrived, std::string const& daemon, time_point now)
+{
+    ++m_counters.relays;
+    auto const& request = arrived.request;
+    // The other daemon may be frozen, so the caller's deadline is kept here too.
+    m_timers.push({ deadlineOf(request, *m_leafs.findService(request.service), now), 0, 0, timer_kind::relay_deadline, arrived.caller });
+    m_relays.emplace(arrived.caller, request.id);
+    m_actions.emplace_back(relay_query { arrived.caller, daemon, request });
+}
+
+void query_engine::endRelay(caller_token caller)
+{
+    auto const found = m_relays.find(caller);
+    if (found == m_relays.end())
+        return;
+    ++m_counters.relaysWithoutAnswer;
+    auto const requestId = std::move(found->second);
+    m_relays.erase(found);
+    m_actions.emplace_back(abandon_relay { caller });
+    giveAnswer(caller, requestId, errors::fail(error_kind::outcome_unknown, "the daemon that the ticket names did not answer by the deadline"));
+}
+
 void query_engine::join(query& running, query_arrived const& arrived, time_point now)
 {
     auto const deadline = deadlineOf(arrived.request, *running.service, now);
@@ -615,6 +637,10 @@
     while (!m_timers.empty() && m_timers.top().at <= now) {
         auto const due = m_timers.top();
         m_timers.pop();
+        if (due.kind == timer_kind::relay_deadline) {
+            endRelay(due.caller);
+            continue;
+        }
         auto* asking = find(due.query);
         if (!asking)
             continue;
@@ -628,6 +654,8 @@
         case timer_kind::caller_deadline:
             answerImpatientCallers(*asking, now);
             break;
+        case timer_kind::relay_deadline:
+            break;
         case timer_kind::hedge:
             if (due.place < asking->shards.size())
                 hedge(*asking, due.place, now);
@@ -638,11 +666,22 @@
 
 void query_engine::handle(relay_ended const& ended, time_point)
 {
-    m_actions.emplace_back(answer_caller { ended.caller, ended.result ? ended.result->id : std::string {}, ended.result });
+    auto const found = m_relays.find(ended.caller);
+    if (found == m_relays.end()) {
+        ++m_counters.lateReplies;
+        return;
+    }
+    auto const requestId = std::move(found->second);
+    m_relays.erase(found);
+    giveAnswer(ended.caller, requestId, ended.result);
 }
 
 void query_engine::handle(caller_left const& left, time_point)
 {
+    if (m_relays.erase(left.caller) > 0) {
+        m_actions.emplace_back(abandon_relay { left.caller });
+        return;
+    }
     auto const found = m_queryOfCaller.find(left.caller);
     if (found == m_queryOfCaller.end())
         return;
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -33,6 +33,8 @@
     std::uint64_t partialAnswers { 0 };
     std::uint64_t refusals { 0 };
     std::uint64_t abandoned { 0 };
+    std::uint64_t relays { 0 };
+    std::uint64_t relaysWithoutAnswer { 0 };
     std::uint64_t leafCalls { 0 };
     std::uint64_t hedges { 0 };
     std::uint64_t retries { 0 };
@@ -54,6 +56,7 @@
     engine_counters const& counters() const { return m_counters; }
     routing::leaf_table const& leafs() const { return m_leafs; }
     std::size_t queriesInFlight() const { return m_queries.size(); }
+    std::size_t relaysInFlight() const { return m_relays.size(); }
     /// How many places in the queues for room are taken.
     std::size_t waitingShards() const;
     std::size_t rememberedTickets() const { return m_tickets.size(); }
@@ -64,6 +67,7 @@
         deadline,
         soft_deadline,
         caller_deadline,
+        relay_deadline,
         hedge,
     };
 
@@ -72,6 +76,8 @@
         query_id query { 0 };
         std::uint32_t place { 0 };
         timer_kind kind { timer_kind::deadline };
+        /// Of relay deadlines.
+        caller_token caller { 0 };
 
         bool operator>(timer const& other) const { return at > other.at; }
     };
@@ -130,6 +136,8 @@
     bool claimTicket(query_arrived const&, kernel::time_point);
     /// Lets a caller wait for the running request with the same ticket.
     void join(query&, query_arrived const&, kernel::time_point);
+    void relay(query_arrived const&, std::string const& daemon, kernel::time_point);
+    void endRelay(caller_token);
     void admit(query_arrived const&, std::shared_ptr<model::service_declaration const> const&, kernel::time_point);
     void refuse(caller_token, model::query_request const&, errors::error);
     /// Gives a caller the outcome of a request under the caller's own name for it.
@@ -182,6 +190,8 @@
     std::map<shard_key, shard_queue> m_waiting;
     std::unordered_map<query_id, query> m_queries;
     std::unordered_map<caller_token, query_id> m_queryOfCaller;
+    /// The request ids of queries that another daemon runs, by caller.
+    std::unordered_map<caller_token, std::string> m_relays;
     std::unordered_map<call_id, call_owner> m_calls;
     std::unordered_map<std::string, query_id> m_runningTickets;
     std::priority_queue<timer, std::vector<timer>, std::greater<>> m_timers;
--- a/Services/decisions/decision_service.cpp
+++ b/Services/decisions/decision_service.cpp
@@ -136,6 +136,8 @@
                     isTaken = m_callerOutbox->push(caller_action { std::forward<decltype(each)>(each) });
             } else if constexpr (std::is_same_v<action_type, queries::relay_query>) {
                 relay(std::forward<decltype(each)>(each));
+            } else if constexpr (std::is_same_v<action_type, queries::abandon_relay>) {
+                isTaken = m_peerOutbox->push(peer_action { each });
             } else {
                 isTaken = m_targetOutbox->push(target_action { std::forward<decltype(each)>(each) });
             }
--- a/Services/decisions/messages.h
+++ b/Services/decisions/messages.h
@@ -39,7 +39,7 @@
 
 using caller_action = std::variant<queries::answer_caller, directory_answered>;
 using target_action = std::variant<queries::send_leaf_call, queries::cancel_leaf_call, queries::change_leaf_connections>;
-using peer_action = std::variant<queries::answer_caller, relay_to_daemon>;
+using peer_action = std::variant<queries::answer_caller, relay_to_daemon, queries::abandon_relay>;
 
 /// Set in the tokens of queries that came from another daemon.
 inline constexpr queries::caller_token peerTokenBit = 1ULL << 63U;
--- a/Services/peers/peer_service.cpp
+++ b/Services/peers/peer_service.cpp
@@ -135,9 +135,19 @@
     ++m_relays;
     auto const call = ++m_lastCall;
     m_relayed.emplace(call, relayed_call { relayed.caller, relayed.place });
+    m_relayOfCaller.emplace(relayed.caller, call);
     connectTo(relayed.place)->send({ call, relayed.request });
 }
 
+void peer_service::perform(queries::abandon_relay const& abandoned)
+{
+    auto const found = m_relayOfCaller.find(abandoned.caller);
+    if (found == m_relayOfCaller.end())
+        return;
+    m_relayed.erase(found->second);
+    m_relayOfCaller.erase(found);
+}
+
 void peer_service::handleAnswer(wire::peer_message message)
 {
     if (auto* result = std::get_if<model::answer_or_error>(&message.content))
@@ -163,6 +173,7 @@
     if (found == m_relayed.end())
         return;
     queries::relay_ended ended { found->second.caller, std::move(result) };
+    m_relayOfCaller.erase(found->second.caller);
     m_relayed.erase(found);
     bool const isTaken = m_decisions.peerInbox().push(std::move(ended));
     VERIFY(isTaken);
--- a/Services/peers/peer_service.h
+++ b/Services/peers/peer_service.h
@@ -46,6 +46,7 @@
     void handle(decisions::peer_action&&);
     void perform(queries::answer_caller const&);
     void perform(decisions::relay_to_daemon const&);
+    void perform(queries::abandon_relay const&);
     void handleGuest(connection const&, wire::peer_message);
     void handleAnswer(wire::peer_message);
     void handleClosed(model::endpoint const&);
@@ -56,6 +57,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::map<model::endpoint, connection> m_connections;
     std::unordered_map<std::uint64_t, relayed_call> m_relayed;
+    std::unordered_map<queries::caller_token, std::uint64_t> m_relayOfCaller;
     std::unordered_map<queries::caller_token, guest_call> m_guests;
     std::uint64_t m_lastCall { 0 };
     std::uint64_t m_lastGuest { 0 };
--- a/Tests/Differential/query_simulation.cpp
+++ b/Tests/Differential/query_simulation.cpp
@@ -398,6 +398,8 @@
     }
     if (m_engine.queriesInFlight() != 0 || m_engine.admission().inFlight() != 0)
         fail("queries are left in flight");
+    if (m_engine.relaysInFlight() != 0)
+        fail("relays are left in flight");
     if (m_engine.waitingShards() != 0)
         fail("shards are left waiting for room");
     for (std::size_t handle = 0; handle < m_engine.leafs().size(); ++handle) {
--- a/Tests/Differential/query_simulation.h
+++ b/Tests/Differential/query_simulation.h
@@ -65,6 +65,7 @@
 
     void check(queries::send_leaf_call const&);
     void check(queries::cancel_leaf_call const&) const { }
+    void check(queries::abandon_relay const&) const { }
     void check(queries::change_leaf_connections const&);
     void check(queries::relay_query const&);
     void check(queries::answer_caller const&);
--- a/Tests/Support/session.cpp
+++ b/Tests/Support/session.cpp
@@ -193,6 +193,10 @@
         return makeQuery(read);
     if (name == "left")
         return queries::caller_left { numberOf(read, "caller", 1) };
+    if (name == "relayed") {
+        model::answer answer { "of the other daemon", { 1, 1 }, { 1, 1, {} }, { { "s0", "v1" } }, false };
+        return queries::relay_ended { numberOf(read, "caller", 1), std::move(answer) };
+    }
     if (name == "status") {
         queries::leaf_status const status { numbersOf(textOf(read, "epochs", "1")), numbersOf(textOf(read, "versions", "1")), 0, read.contains("draining") };
         return queries::leaf_status_seen { static_cast<routing::leaf_handle>(numberOf(read, "leaf", 0)), status };
@@ -237,6 +241,8 @@
         m_transcript << "    answer caller=" << answer->caller << " id=" << (answer->result ? answer->result->id : answer->requestId) << " " << describe(answer->result) << "\n";
     } else if (auto const* relay = std::get_if<queries::relay_query>(&action)) {
         m_transcript << "    relay caller=" << relay->caller << " daemon=" << relay->daemon << "\n";
+    } else if (auto const* abandoned = std::get_if<queries::abandon_relay>(&action)) {
+        m_transcript << "    abandon relay caller=" << abandoned->caller << "\n";
     } else {
         auto const& change = std::get<queries::change_leaf_connections>(action);
         m_transcript << "    connect leaf=" << change.change.handle << " name=" << change.name << " connections=" << change.change.connections << "\n";
