Queries: Leave the ticket of a running request alone when another request is refused

Cause: a refusal at admission released whatever ticket the request carried, also of a request that needs none.

--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -240,7 +240,9 @@
 {
     auto const& request = arrived.request;
     auto const refuseUnrun = [&](error reason) {
-        m_tickets.release(request.ticket);
+        // A request that may be repeated needs no ticket; the one it carries may belong to another that runs.
+        if (!service->findRequest(request.requestKind)->isRepeatable)
+            m_tickets.release(request.ticket);
         refuse(arrived.caller, request, std::move(reason));
     };
     auto const pin = m_leafs.choosePin(service->name);
