Queries: Bind a ticket to its request, and keep its outcome past its expiry

And it forgot a ticket at its expiry and then said ticket_expired, ran=no, also of one that had run; a caller who believes it takes a new ticket and runs it twice. A released ticket no longer leaves its expiry behind.

--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -169,7 +169,7 @@
             relay(arrived, parsed->daemon, now);
         return false;
     }
-    switch (m_tickets.claim(request.ticket, *parsed, now)) {
+    switch (m_tickets.claim(request, *parsed, now)) {
     case ticket_claim::granted:
         return true;
     case ticket_claim::running:
@@ -182,6 +182,12 @@
         giveAnswer(arrived.caller, request.id, std::move(result));
         return false;
     }
+    case ticket_claim::other_request:
+        refuse(arrived.caller, request, { error_kind::malformed_request, "ticket: used for a request with other contents; give each request a suffix of its own", {} });
+        return false;
+    case ticket_claim::forgotten:
+        refuse(arrived.caller, request, { error_kind::outcome_unknown, "the ticket expired long ago, and whether it ran is no longer known", {} });
+        return false;
     case ticket_claim::expired:
         refuse(arrived.caller, request, { error_kind::ticket_expired, "the ticket has expired", std::chrono::milliseconds { 0 } });
         return false;
--- a/Libraries/zinnialedge/queries/ticket_book.cpp
+++ b/Libraries/zinnialedge/queries/ticket_book.cpp
@@ -3,6 +3,7 @@
 #include "Kernel/verify.h"
 #include <boost/algorithm/string/split.hpp>
 #include <charconv>
+#include <xxhash.h>
 
 namespace zinnialedge::queries {
 
@@ -53,29 +54,42 @@
     return checked.daemon == m_daemon && checked.incarnation == m_incarnation;
 }
 
-ticket_claim ticket_book::claim(std::string const& text, ticket const& claimed, kernel::time_point now)
+std::uint64_t fingerprintOf(model::query_request const& request)
+{
+    std::string text;
+    for (auto const* part : { &request.service, &request.requestKind, &request.key, &request.body })
+        text += std::to_string(part->size()) + separator + *part;
+    return XXH3_64bits(text.data(), text.size());
+}
+
+ticket_claim ticket_book::claim(model::query_request const& request, ticket const& claimed, kernel::time_point now)
 {
     VERIFY(isOwn(claimed));
+    forgetExpired(now);
+    auto const fingerprint = fingerprintOf(request);
+    if (auto const found = m_entries.find(request.ticket); found != m_entries.end()) {
+        if (found->second.fingerprint != fingerprint)
+            return ticket_claim::other_request;
+        return found->second.outcome ? ticket_claim::settled : ticket_claim::running;
+    }
     // An expiry further away than any that was issued is forged or mistaken; keeping it would fill the memory.
-    if (claimed.expiresAt <= now || claimed.expiresAt > now + ticketValidity)
+    if (claimed.expiresAt > now + ticketValidity)
         return ticket_claim::expired;
-    forgetExpired(now);
-    auto const found = m_outcomes.find(text);
-    if (found != m_outcomes.end())
-        return found->second ? ticket_claim::settled : ticket_claim::running;
-    if (m_outcomes.size() >= m_capacity)
+    if (claimed.expiresAt <= now)
+        return claimed.expiresAt <= m_forgottenUntil ? ticket_claim::forgotten : ticket_claim::expired;
+    if (m_entries.size() >= m_capacity)
         return ticket_claim::memory_full;
-    m_outcomes.emplace(text, std::nullopt);
-    m_expiries.emplace(claimed.expiresAt, text);
+    auto const expiry = m_expiries.emplace(claimed.expiresAt, request.ticket);
+    m_entries.emplace(request.ticket, entry { fingerprint, std::nullopt, expiry });
     return ticket_claim::granted;
 }
 
 void ticket_book::settle(std::string const& text, model::answer_or_error outcome)
 {
-    auto const found = m_outcomes.find(text);
-    if (found == m_outcomes.end())
+    auto const found = m_entries.find(text);
+    if (found == m_entries.end())
         return;
-    auto& kept = found->second;
+    auto& kept = found->second.outcome;
     bool const isDefinite = kept && kept->has_value();
     if (!isDefinite)
         kept = std::move(outcome);
@@ -83,21 +97,33 @@
 
 void ticket_book::release(std::string const& text)
 {
-    m_outcomes.erase(text);
+    auto const found = m_entries.find(text);
+    if (found == m_entries.end())
+        return;
+    m_expiries.erase(found->second.expiry);
+    m_entries.erase(found);
 }
 
 model::answer_or_error const& ticket_book::outcomeOf(std::string const& text) const
 {
-    auto const found = m_outcomes.find(text);
-    VERIFY(found != m_outcomes.end() && found->second);
-    return *found->second;
+    auto const found = m_entries.find(text);
+    VERIFY(found != m_entries.end() && found->second.outcome);
+    return *found->second.outcome;
 }
 
 void ticket_book::forgetExpired(kernel::time_point now)
 {
-    while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
-        m_outcomes.erase(m_expiries.begin()->second);
-        m_expiries.erase(m_expiries.begin());
+    while (!m_expiries.empty()) {
+        auto const oldest = m_expiries.begin();
+        auto const kept = m_entries.find(oldest->second);
+        VERIFY(kept != m_entries.end());
+        bool const isExpired = oldest->first <= now;
+        bool const isDue = oldest->first + ticketRetention <= now || m_entries.size() >= m_capacity;
+        if (!isExpired || !isDue || !kept->second.outcome)
+            return;
+        m_forgottenUntil = oldest->first;
+        m_entries.erase(kept);
+        m_expiries.erase(oldest);
     }
 }
 
