Queries: Ask the ticket before the declaration

Cause: with the service or the request kind gone from the declarations (or not yet known), a request whose ticket had run was refused as unknown_service, ran=no, and another daemon's ticket was not passed on. A ticket that is known, or another daemon's, is now dealt with first.

--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -132,10 +132,14 @@
     m_actions.emplace_back(answer_caller { caller, requestId, std::move(result) });
 }
 
-time_point query_engine::deadlineOf(model::query_request const& request, model::service_declaration const& service, time_point now) const
+time_point query_engine::deadlineOf(model::query_request const& request, time_point now) const
 {
-    auto const deadline = request.deadline.count() > 0 ? request.deadline : service.deadline;
-    return now + std::max<std::chrono::milliseconds>(deadline - m_settings.returnMargin, std::chrono::milliseconds { 1 });
+    auto deadline = request.deadline;
+    if (deadline.count() == 0) {
+        auto const service = m_leafs.findService(request.service);
+        deadline = service ? service->deadline : model::service_declaration {}.deadline;
+    }
+    return now + std::clamp<std::chrono::milliseconds>(deadline - m_settings.returnMargin, std::chrono::milliseconds { 1 }, maximumDeadline);
 }
 
 void query_engine::handle(query_arrived const& arrived, time_point now)
@@ -143,51 +147,68 @@
     ++m_counters.queries;
     auto const& request = arrived.request;
     auto const service = m_leafs.findService(request.service);
+    auto const* kind = service ? service->findRequest(request.requestKind) : nullptr;
+    // The ticket goes first: a refusal for want of a declaration would deny a run that the ticket had before.
+    bool const mayNeedTicket = !kind || !kind->isRepeatable;
+    if (mayNeedTicket && answerByTicket(arrived, now))
+        return;
     if (auto const checked = check(request, service.get()); !checked) {
         refuse(arrived.caller, request, checked.error());
         return;
     }
-    bool const isRepeatable = service->findRequest(request.requestKind)->isRepeatable;
-    if (!isRepeatable && !claimTicket(arrived, now))
+    if (!kind->isRepeatable && !claimTicket(arrived, now))
         return;
     admit(arrived, service, now);
 }
 
-bool query_engine::claimTicket(query_arrived const& arrived, time_point now)
+bool query_engine::answerByTicket(query_arrived const& arrived, time_point now)
 {
     auto const& request = arrived.request;
     auto const parsed = parseTicket(request.ticket);
-    if (!parsed) {
-        refuse(arrived.caller, request, { error_kind::malformed_request, "ticket: expected a prefix from /directory, '~' and a suffix", {} });
+    if (!parsed)
         return false;
-    }
     if (!m_tickets.isOwn(*parsed)) {
         // A relayed request whose ticket names an earlier process of this daemon has an outcome that nobody knows.
         if (request.isRelayed || parsed->daemon == m_settings.daemon)
             refuse(arrived.caller, request, { error_kind::outcome_unknown, "the process that the ticket names is gone", {} });
         else
             relay(arrived, parsed->daemon, now);
-        return false;
-    }
-    switch (m_tickets.claim(request, *parsed, now)) {
-    case ticket_claim::granted:
         return true;
-    case ticket_claim::running:
-        join(*find(m_runningTickets.at(request.ticket)), arrived, now);
+    }
+    switch (m_tickets.lookUp(request, *parsed, now)) {
+    case ticket_state::unused:
         return false;
-    case ticket_claim::settled: {
+    case ticket_state::running:
+        join(*find(m_runningTickets.at(request.ticket)), arrived, now);
+        return true;
+    case ticket_state::settled: {
         auto result = m_tickets.outcomeOf(request.ticket);
         if (result)
             result->isRemembered = true;
         giveAnswer(arrived.caller, request.id, std::move(result));
-        return false;
+        return true;
     }
-    case ticket_claim::other_request:
+    case ticket_state::other_request:
         refuse(arrived.caller, request, { error_kind::malformed_request, "ticket: used for a request with other contents; give each request a suffix of its own", {} });
-        return false;
-    case ticket_claim::forgotten:
+        return true;
+    case ticket_state::forgotten:
         refuse(arrived.caller, request, { error_kind::outcome_unknown, "the ticket expired long ago, and whether it ran is no longer known", {} });
+        return true;
+    }
+    VERIFY(false);
+}
+
+bool query_engine::claimTicket(query_arrived const& arrived, time_point now)
+{
+    auto const& request = arrived.request;
+    auto const parsed = parseTicket(request.ticket);
+    if (!parsed) {
+        refuse(arrived.caller, request, { error_kind::malformed_request, "ticket: expected a prefix from /directory, '~' and a suffix", {} });
         return false;
+    }
+    switch (m_tickets.claim(request, *parsed, now)) {
+    case ticket_claim::granted:
+        return true;
     case ticket_claim::expired:
         refuse(arrived.caller, request, { error_kind::ticket_expired, "the ticket has expired", std::chrono::milliseconds { 0 } });
         return false;
@@ -203,7 +224,7 @@
     ++m_counters.relays;
     auto const& request = arrived.request;
     // The other daemon may be frozen, so the caller's deadline is kept here too.
-    m_timers.push({ deadlineOf(request, *m_leafs.findService(request.service), now), 0, 0, timer_kind::relay_deadline, arrived.caller });
+    m_timers.push({ deadlineOf(request, now), 0, 0, timer_kind::relay_deadline, arrived.caller });
     m_relays.emplace(arrived.caller, request.id);
     m_actions.emplace_back(relay_query { arrived.caller, daemon, request });
 }
@@ -222,7 +243,7 @@
 
 void query_engine::join(query& running, query_arrived const& arrived, time_point now)
 {
-    auto const deadline = deadlineOf(arrived.request, *running.service, now);
+    auto const deadline = deadlineOf(arrived.request, now);
     running.callers.push_back({ arrived.caller, arrived.request.id, deadline });
     m_queryOfCaller.emplace(arrived.caller, running.id);
     if (deadline < running.deadline)
@@ -275,7 +296,7 @@
     added.isRepeatable = kind->isRepeatable;
     added.pin = *pin;
     added.arrivedAt = now;
-    added.deadline = deadlineOf(request, *service, now);
+    added.deadline = deadlineOf(request, now);
     added.callers = { { arrived.caller, request.id, added.deadline } };
     m_queryOfCaller.emplace(arrived.caller, id);
     for (auto const shard : shards)
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -132,7 +132,9 @@
 
     // Arrival.
     errors::error_or<void> check(model::query_request const&, model::service_declaration const*) const;
-    /// False when the ticket's holder is elsewhere, or the request is settled, running or refused: then it is dealt with.
+    /// Deals with a ticket that was used before or is another daemon's. False when there is none, or it is unused.
+    bool answerByTicket(query_arrived const&, kernel::time_point);
+    /// False when the ticket can't be used; the caller was told.
     bool claimTicket(query_arrived const&, kernel::time_point);
     /// Lets a caller wait for the running request with the same ticket.
     void join(query&, query_arrived const&, kernel::time_point);
@@ -142,7 +144,7 @@
     void refuse(caller_token, model::query_request const&, errors::error);
     /// Gives a caller the outcome of a request under the caller's own name for it.
     void giveAnswer(caller_token, std::string const& requestId, model::answer_or_error);
-    kernel::time_point deadlineOf(model::query_request const&, model::service_declaration const&, kernel::time_point now) const;
+    kernel::time_point deadlineOf(model::query_request const&, kernel::time_point now) const;
     std::vector<std::uint32_t> shardsOf(model::query_request const&, model::service_declaration const&, model::snapshot) const;
 
     // Scattering.
--- a/Libraries/zinnialedge/queries/ticket_book.cpp
+++ b/Libraries/zinnialedge/queries/ticket_book.cpp
@@ -62,25 +62,28 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
-ticket_claim ticket_book::claim(model::query_request const& request, ticket const& claimed, kernel::time_point now)
+ticket_state ticket_book::lookUp(model::query_request const& request, ticket const& named, kernel::time_point now)
 {
-    VERIFY(isOwn(claimed));
+    VERIFY(isOwn(named));
     forgetExpired(now);
-    auto const fingerprint = fingerprintOf(request);
-    if (auto const found = m_entries.find(request.ticket); found != m_entries.end()) {
-        if (found->second.fingerprint != fingerprint)
-            return ticket_claim::other_request;
-        return found->second.outcome ? ticket_claim::settled : ticket_claim::running;
-    }
+    auto const found = m_entries.find(request.ticket);
+    if (found == m_entries.end())
+        return named.expiresAt <= m_forgottenUntil ? ticket_state::forgotten : ticket_state::unused;
+    if (found->second.fingerprint != fingerprintOf(request))
+        return ticket_state::other_request;
+    return found->second.outcome ? ticket_state::settled : ticket_state::running;
+}
+
+ticket_claim ticket_book::claim(model::query_request const& request, ticket const& claimed, kernel::time_point now)
+{
     // An expiry further away than any that was issued is forged or mistaken; keeping it would fill the memory.
-    if (claimed.expiresAt > now + ticketValidity)
+    if (claimed.expiresAt <= now || claimed.expiresAt > now + ticketValidity)
         return ticket_claim::expired;
-    if (claimed.expiresAt <= now)
-        return claimed.expiresAt <= m_forgottenUntil ? ticket_claim::forgotten : ticket_claim::expired;
     if (m_entries.size() >= m_capacity)
         return ticket_claim::memory_full;
     auto const expiry = m_expiries.emplace(claimed.expiresAt, request.ticket);
-    m_entries.emplace(request.ticket, entry { fingerprint, std::nullopt, expiry });
+    bool const isNew = m_entries.emplace(request.ticket, entry { fingerprintOf(request), std::nullopt, expiry }).second;
+    VERIFY(isNew);
     return ticket_claim::granted;
 }
 
--- a/Libraries/zinnialedge/queries/ticket_book.h
+++ b/Libraries/zinnialedge/queries/ticket_book.h
@@ -24,17 +24,22 @@
 /// The parts of a ticket, or nothing when the text is none.
 std::optional<ticket> parseTicket(std::string_view text);
 
-enum class ticket_claim {
-    /// Never seen before: the caller of claim() now runs it.
-    granted,
+/// What is known of a ticket of this process.
+enum class ticket_state {
+    unused,
     running,
     settled,
     /// The ticket was used for a request with other contents.
     other_request,
-    /// It has expired and never ran.
-    expired,
     /// It has expired, and whether it ran is no longer known.
     forgotten,
+};
+
+enum class ticket_claim {
+    /// The caller of claim() now runs it.
+    granted,
+    /// It has expired and never ran.
+    expired,
     memory_full,
 };
 
@@ -50,6 +55,8 @@
     /// What the directory hands to callers; they add a suffix of their own to each request.
     std::string issuePrefix(kernel::time_point now) const;
     bool isOwn(ticket const&) const;
+    ticket_state lookUp(model::query_request const&, ticket const&, kernel::time_point now);
+    /// Only of an unused ticket.
     ticket_claim claim(model::query_request const&, ticket const&, kernel::time_point now);
     /// Keeps the outcome. A definite one replaces `outcome_unknown`, never the other way round.
     void settle(std::string const& text, model::answer_or_error outcome);
--- a/Tests/Differential/query_simulation.cpp
+++ b/Tests/Differential/query_simulation.cpp
@@ -337,8 +337,11 @@
     if (given.requestId != asked.request.id)
         fail(asked.request.id + " got an answer to request '" + given.requestId + "'");
     bool const isForeign = !asked.isRepeatable && !asked.request.ticket.starts_with("daemon-1~7~");
-    if (isForeign)
+    if (isForeign) {
+        if (!given.result && errors::answerFor(given.result.error().kind).ran == errors::run_state::no)
+            fail(asked.request.id + " was said not to have run, but another process may have run it");
         return;
+    }
     if (given.result)
         checkAnswer(asked, *given.result);
     else if (errors::answerFor(given.result.error().kind).ran == errors::run_state::no)
--- a/Tests/Support/session.cpp
+++ b/Tests/Support/session.cpp
@@ -189,6 +189,8 @@
 {
     if (name == "declare")
         return makeDeclaration(read);
+    if (name == "remove")
+        return queries::service_removed { textOf(read, "service", "lunch-portal") };
     if (name == "query")
         return makeQuery(read);
     if (name == "left")
--- a/Tests/Support/session.h
+++ b/Tests/Support/session.h
@@ -10,7 +10,7 @@
 /// Runs a written session against the query engine on virtual time and writes down every action.
 ///
 /// Each line is "at MILLISECONDS EVENT key=value ...". Timers that are due before a line are run first.
-/// Events: declare, status, query, left, reply, refuse, fail, relayed, end.
+/// Events: declare, remove, status, query, left, reply, refuse, fail, relayed, end.
 class session {
 public:
     session();
