Queries: Take a cancelled call for one that may have run

Cause: a leaf also answers 'cancelled' for a call that it had begun, but the engine took every refusal for 'not run' and freed the ticket. And a repeatable query that every leaf refused was said to have run, maybe. The engine now counts the calls that were sent and not refused.

--- a/Libraries/zinnialedge/queries/events.h
+++ b/Libraries/zinnialedge/queries/events.h
@@ -53,6 +53,9 @@
     std::optional<leaf_status> status;
     std::vector<model::row> rows;
     std::string reason;
+
+    /// True when the leaf can't have run any part of the call.
+    bool isUnrun() const;
 };
 
 // Events.
--- a/Libraries/zinnialedge/queries/query.h
+++ b/Libraries/zinnialedge/queries/query.h
@@ -56,11 +56,13 @@
     std::vector<shard_progress> shards;
     std::size_t settledShards { 0 };
     std::size_t answeredShards { 0 };
-    /// True once a byte of it may have gone to a leaf that did not refuse it.
-    bool mayHaveRun { false };
+    /// Calls that were sent and that no leaf has refused.
+    std::uint32_t unrefusedCalls { 0 };
     /// True once the declared share of the shards is enough for an answer.
     bool isSoftDeadlinePast { false };
     query_lifecycle lifecycle;
+
+    bool mayHaveRun() const { return unrefusedCalls > 0; }
 };
 
 /// The merged answer of the shards that have answered.
--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -347,7 +347,7 @@
     shard.calls.push_back({ call, leaf, now, isHedge });
     shard.asked.push_back(leaf);
     shard.isWaiting = false;
-    asking.mayHaveRun = true;
+    ++asking.unrefusedCalls;
     m_calls.emplace(call, call_owner { asking.id, place, shard.shard, leaf, now, asking.pin, asking.isRepeatable ? std::string {} : asking.request->ticket });
     ++m_counters.leafCalls;
     if (isHedge) {
@@ -438,6 +438,8 @@
     }
     auto const service = leaf.service();
     auto* asking = find(owner.query);
+    if (asking && ended.outcome.isUnrun())
+        --asking->unrefusedCalls;
     bool const isCurrent = asking && asking->pin == owner.pin && !asking->shards[owner.place].isSettled();
     if (!isCurrent) {
         ++m_counters.lateReplies;
@@ -455,7 +457,7 @@
             handleRefusal(*asking, owner.place, ended.outcome, now);
             break;
         case leaf_outcome_kind::failed:
-            handleFailure(*asking, owner.place, ended.outcome, now);
+            handleFailure(*asking, owner.place, now);
             break;
         }
     }
@@ -477,9 +479,7 @@
     if (outcome.shard != shard.shard || outcome.reflects != asking.pin) {
         // A reply for something else must never be merged; the leaf is not to be trusted with this shard now.
         ++m_counters.mismatchedReplies;
-        leaf_outcome failed;
-        failed.reason = "the reply is for another shard or snapshot";
-        handleFailure(asking, place, failed, now);
+        handleFailure(asking, place, now);
         return;
     }
     shard.isAnswered = true;
@@ -494,8 +494,7 @@
 void query_engine::handleRefusal(query& asking, std::uint32_t place, leaf_outcome const& outcome, time_point now)
 {
     if (!asking.isRepeatable) {
-        // Its one sending is spent, but the leaf says that it did not run.
-        asking.mayHaveRun = false;
+        // Its one sending is spent.
         miss(asking, place, outcome.refusal == leaf_refusal::shed ? model::missing_reason::overloaded : model::missing_reason::no_leaf);
         return;
     }
@@ -523,10 +522,9 @@
     }
 }
 
-void query_engine::handleFailure(query& asking, std::uint32_t place, leaf_outcome const& outcome, time_point now)
+void query_engine::handleFailure(query& asking, std::uint32_t place, time_point now)
 {
     if (!asking.isRepeatable) {
-        asking.mayHaveRun = outcome.mayHaveBeenSent;
         miss(asking, place, model::missing_reason::failed);
         return;
     }
@@ -601,11 +599,11 @@
     bool const isSingle = !asking.service->findRequest(asking.request->requestKind)->isOverAllShards;
     if (asking.answeredShards > 0)
         return mergeAnswer(asking);
-    if (!asking.isRepeatable && asking.mayHaveRun)
+    if (!asking.isRepeatable && asking.mayHaveRun())
         return errors::fail(error_kind::outcome_unknown, "the request was sent, but no reply came");
     auto const reason = asking.shards.front().missing.value_or(asking.shards.front().reasonSoFar);
     auto const text = isSingle ? "shard " + std::to_string(asking.shards.front().shard) : std::string { "no shard answered" };
-    if (asking.mayHaveRun)
+    if (asking.mayHaveRun())
         return errors::fail(error_kind::deadline_exceeded, text + ": " + std::string { toString(reason) });
     return tl::unexpected(error { error_kind::no_live_target, text + ": " + std::string { toString(reason) }, noLeafRetryAfter });
 }
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -159,7 +159,7 @@
     // Gathering.
     void accept(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
     void handleRefusal(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
-    void handleFailure(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
+    void handleFailure(query&, std::uint32_t place, kernel::time_point);
     void retryOrMiss(query&, std::uint32_t place, model::missing_reason, kernel::time_point);
     void miss(query&, std::uint32_t place, model::missing_reason);
     bool repin(query&, kernel::time_point);
