--- a/Tests/Differential/query_simulation.cpp
+++ b/Tests/Differential/query_simulation.cpp
@@ -192,25 +192,25 @@
         auto const prefix = chance(85) ? m_engine.issueTicketPrefix(m_now) : "daemon-" + std::to_string(1 + draw(2)) + "~5~999999";
         request.ticket = prefix + "~" + std::to_string(m_lastCaller);
     }
-    submit(request, false);
+    submit(request);
 }
 
-void query_simulation::askAgain(model::query_request request, bool isOtherRequest)
+void query_simulation::askAgain(model::query_request request, bool isOther)
 {
-    if (isOtherRequest)
+    if (isOther)
         request.key += "-other";
     request.deadline = milliseconds { 5 + draw(100) };
-    submit(request, isOtherRequest);
+    submit(request);
 }
 
-void query_simulation::submit(model::query_request const& asked, bool isOtherRequest)
+void query_simulation::submit(model::query_request const& asked)
 {
     auto const caller = ++m_lastCaller;
     auto request = asked;
     request.id = "q" + std::to_string(caller);
     auto const deadline = request.deadline.count() > 0 ? request.deadline : m_declared.deadline;
     bool const isConfirm = request.requestKind == "confirm";
-    m_askings[caller] = { request, m_now + deadline, !isConfirm, request.requestKind == "search", isOtherRequest };
+    m_askings[caller] = { request, m_now + deadline, !isConfirm, request.requestKind == "search" };
     if (isConfirm && caller < 4 * askingsOfRun) {
         bool const isOther = chance(20);
         if (chance(60))
@@ -221,7 +221,7 @@
         if (chance(20)) {
             auto read = request;
             read.requestKind = "read";
-            at(drawDelay(50), [this, read] { submit(read, true); });
+            at(drawDelay(50), [this, read] { submit(read); });
         }
     }
     step(queries::query_arrived { caller, request });
@@ -320,7 +320,10 @@
 {
     if (call.sent.isRepeatable != asked.isRepeatable)
         return false;
-    return asked.isRepeatable ? call.sent.request->id == asked.request.id : call.sent.request->ticket == asked.request.ticket;
+    if (asked.isRepeatable)
+        return call.sent.request->id == asked.request.id;
+    // The same ticket with other contents is another request.
+    return call.sent.request->ticket == asked.request.ticket && call.sent.request->key == asked.request.key;
 }
 
 void query_simulation::check(queries::answer_caller const& given)
@@ -345,16 +348,14 @@
     if (given.result)
         checkAnswer(asked, *given.result);
     else if (errors::answerFor(given.result.error().kind).ran == errors::run_state::no)
-        checkUnrun(asked);
+        checkUnrun(asked, given.result.error());
 }
 
-void query_simulation::checkUnrun(asking const& asked)
+void query_simulation::checkUnrun(asking const& asked, errors::error const& error)
 {
-    if (asked.isOtherRequest && !asked.isRepeatable)
-        return;
     for (auto const& [id, call] : m_calls) {
         if (isSameRun(call, asked) && !call.isKnownUnrun)
-            fail(asked.request.id + " was said not to have run, but call " + std::to_string(id) + " may have run");
+            fail(asked.request.id + " was said not to have run (" + error.message + "), but call " + std::to_string(id) + " may have run");
     }
 }
 
@@ -362,8 +363,6 @@
 {
     if (answer.id != asked.request.id)
         fail(asked.request.id + " got the answer to " + answer.id);
-    if (asked.isOtherRequest && !asked.isRepeatable)
-        fail(asked.request.id + " got the answer to another request with the same ticket");
     model::answer expected { answer.id, answer.reflects, {}, {}, answer.isRemembered };
     std::set<std::uint32_t> answered;
     std::set<std::uint32_t> asking;
--- a/Tests/Differential/query_simulation.h
+++ b/Tests/Differential/query_simulation.h
@@ -26,7 +26,6 @@
         kernel::time_point deadline;
         bool isRepeatable { true };
         bool isOverAllShards { true };
-        bool isOtherRequest { false };
         bool isAnswered { false };
         bool hasLeft { false };
     };
@@ -60,8 +59,8 @@
     void changeLeaf();
     void tellStatus(routing::leaf_handle);
     void ask();
-    void askAgain(model::query_request, bool isOtherRequest);
-    void submit(model::query_request const&, bool isOtherRequest);
+    void askAgain(model::query_request, bool isOther);
+    void submit(model::query_request const&);
 
     void check(queries::send_leaf_call const&);
     void check(queries::cancel_leaf_call const&) const { }
@@ -70,7 +69,7 @@
     void check(queries::relay_query const&);
     void check(queries::answer_caller const&);
     void checkAnswer(asking const&, model::answer const&);
-    void checkUnrun(asking const&);
+    void checkUnrun(asking const&, errors::error const&);
     void checkEnd();
 
     queries::leaf_outcome drawOutcome(queries::send_leaf_call const&);
