--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -467,7 +467,8 @@
 
 void query_engine::settleLateReply(call_owner const& owner, leaf_outcome const& outcome)
 {
-    if (owner.ticket.empty() || outcome.kind != leaf_outcome_kind::answered)
+    bool const isOwnAnswer = outcome.kind == leaf_outcome_kind::answered && outcome.shard == owner.shard && outcome.reflects == owner.pin;
+    if (owner.ticket.empty() || !isOwnAnswer)
         return;
     model::answer answer { owner.ticket, outcome.reflects, { 1, 1, {} }, outcome.rows, false };
     m_tickets.settle(owner.ticket, std::move(answer));
