--- a/Libraries/zinnialedge/queries/events.h
+++ b/Libraries/zinnialedge/queries/events.h
@@ -53,6 +53,9 @@
     std::optional<leaf_status> status;
     std::vector<model::row> rows;
     std::string reason;
+
+    /// True when the leaf can't have run any part of the call.
+    bool isUnrun() const;
 };
 
 // Events.
@@ -133,7 +136,12 @@
     model::query_request request;
 };
 
-using action = std::variant<send_leaf_call, cancel_leaf_call, answer_caller, change_leaf_connections, relay_query>;
+/// The caller has its answer, or has left: what the other daemon still sends is dropped.
+struct abandon_relay {
+    caller_token caller { 0 };
+};
+
+using action = std::variant<send_leaf_call, cancel_leaf_call, answer_caller, change_leaf_connections, relay_query, abandon_relay>;
 using actions = std::vector<action>;
 
 }
--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -134,10 +134,14 @@
     m_actions.emplace_back(answer_caller { caller, requestId, std::move(result) });
 }
 
-time_point query_engine::deadlineOf(model::query_request const& request, model::service_declaration const& service, time_point now) const
+time_point query_engine::deadlineOf(model::query_request const& request, time_point now) const
 {
-    auto const deadline = request.deadline.count() > 0 ? request.deadline : service.deadline;
-    return now + std::max<std::chrono::milliseconds>(deadline - m_settings.returnMargin, std::chrono::milliseconds { 1 });
+    auto deadline = request.deadline;
+    if (deadline.count() == 0) {
+        auto const service = m_leafs.findService(request.service);
+        deadline = service ? service->deadline : model::service_declaration {}.deadline;
+    }
+    return now + std::clamp<std::chrono::milliseconds>(deadline - m_settings.returnMargin, std::chrono::milliseconds { 1 }, maximumDeadline);
 }
 
 void query_engine::handle(query_arrived const& arrived, time_point now)
@@ -145,45 +149,68 @@
     ++m_counters.queries;
     auto const& request = arrived.request;
     auto const service = m_leafs.findService(request.service);
+    auto const* kind = service ? service->findRequest(request.requestKind) : nullptr;
+    // The ticket goes first: a refusal for want of a declaration would deny a run that the ticket had before.
+    bool const mayNeedTicket = !kind || !kind->isRepeatable;
+    if (mayNeedTicket && answerByTicket(arrived, now))
+        return;
     if (auto const checked = check(request, service.get()); !checked) {
         refuse(arrived.caller, request, checked.error());
         return;
     }
-    bool const isRepeatable = service->findRequest(request.requestKind)->isRepeatable;
-    if (!isRepeatable && !claimTicket(arrived, now))
+    if (!kind->isRepeatable && !claimTicket(arrived, now))
         return;
     admit(arrived, service, now);
 }
 
-bool query_engine::claimTicket(query_arrived const& arrived, time_point now)
+bool query_engine::answerByTicket(query_arrived const& arrived, time_point now)
 {
     auto const& request = arrived.request;
     auto const parsed = parseTicket(request.ticket);
-    if (!parsed) {
-        refuse(arrived.caller, request, { error_kind::malformed_request, "ticket: expected a prefix from /directory, '~' and a suffix", {} });
+    if (!parsed)
         return false;
-    }
     if (!m_tickets.isOwn(*parsed)) {
         // A relayed request whose ticket names an earlier process of this daemon has an outcome that nobody knows.
         if (request.isRelayed || parsed->daemon == m_settings.daemon)
             refuse(arrived.caller, request, { error_kind::outcome_unknown, "the process that the ticket names is gone", {} });
         else
-            m_actions.emplace_back(relay_query { arrived.caller, parsed->daemon, request });
-        return false;
-    }
-    switch (m_tickets.claim(request.ticket, *parsed, now)) {
-    case ticket_claim::granted:
+            relay(arrived, parsed->daemon, now);
         return true;
-    case ticket_claim::running:
-        join(*find(m_runningTickets.at(request.ticket)), arrived, now);
+    }
+    switch (m_tickets.lookUp(request, *parsed, now)) {
+    case ticket_state::unused:
         return false;
-    case ticket_claim::settled: {
+    case ticket_state::running:
+        join(*find(m_runningTickets.at(request.ticket)), arrived, now);
+        return true;
+    case ticket_state::settled: {
         auto result = m_tickets.outcomeOf(request.ticket);
         if (result)
             result->isRemembered = true;
         giveAnswer(arrived.caller, request.id, std::move(result));
+        return true;
+    }
+    case ticket_state::other_request:
+        refuse(arrived.caller, request, { error_kind::malformed_request, "ticket: used for a request with other contents; give each request a suffix of its own", {} });
+        return true;
+    case ticket_state::forgotten:
+        refuse(arrived.caller, request, { error_kind::outcome_unknown, "the ticket expired long ago, and whether it ran is no longer known", {} });
+        return true;
+    }
+    VERIFY(false);
+}
+
+bool query_engine::claimTicket(query_arrived const& arrived, time_point now)
+{
+    auto const& request = arrived.request;
+    auto const parsed = parseTicket(request.ticket);
+    if (!parsed) {
+        refuse(arrived.caller, request, { error_kind::malformed_request, "ticket: expected a prefix from /directory, '~' and a suffix", {} });
         return false;
     }
+    switch (m_tickets.claim(request, *parsed, now)) {
+    case ticket_claim::granted:
+        return true;
     case ticket_claim::expired:
         refuse(arrived.caller, request, { error_kind::ticket_expired, "the ticket has expired", std::chrono::milliseconds { 0 } });
         return false;
@@ -194,9 +221,31 @@
     VERIFY(false);
 }
 
+void query_engine::relay(query_arrived const& arrived, std::string const& daemon, time_point now)
+{
+    ++m_counters.relays;
+    auto const& request = arrived.request;
+    // The other daemon may be frozen, so the caller's deadline is kept here too.
+    m_timers.push({ deadlineOf(request, now), 0, 0, timer_kind::relay_deadline, arrived.caller });
+    m_relays.emplace(arrived.caller, request.id);
+    m_actions.emplace_back(relay_query { arrived.caller, daemon, request });
+}
+
+void query_engine::endRelay(caller_token caller)
+{
+    auto const found = m_relays.find(caller);
+    if (found == m_relays.end())
+        return;
+    ++m_counters.relaysWithoutAnswer;
+    auto const requestId = std::move(found->second);
+    m_relays.erase(found);
+    m_actions.emplace_back(abandon_relay { caller });
+    giveAnswer(caller, requestId, errors::fail(error_kind::outcome_unknown, "the daemon that the ticket names did not answer by the deadline"));
+}
+
 void query_engine::join(query& running, query_arrived const& arrived, time_point now)
 {
-    auto const deadline = deadlineOf(arrived.request, *running.service, now);
+    auto const deadline = deadlineOf(arrived.request, now);
     running.callers.push_back({ arrived.caller, arrived.request.id, deadline });
     m_queryOfCaller.emplace(arrived.caller, running.id);
     if (deadline < running.deadline)
@@ -220,7 +269,9 @@
 {
     auto const& request = arrived.request;
     auto const refuseUnrun = [&](error reason) {
-        m_tickets.release(request.ticket);
+        // A request that may be repeated needs no ticket; the one it carries may belong to another that runs.
+        if (!service->findRequest(request.requestKind)->isRepeatable)
+            m_tickets.release(request.ticket);
         refuse(arrived.caller, request, std::move(reason));
     };
     auto const pin = m_leafs.choosePin(service->name);
@@ -247,7 +298,7 @@
     added.isRepeatable = kind->isRepeatable;
     added.pin = *pin;
     added.arrivedAt = now;
-    added.deadline = deadlineOf(request, *service, now);
+    added.deadline = deadlineOf(request, now);
     added.callers = { { arrived.caller, request.id, added.deadline } };
     m_queryOfCaller.emplace(arrived.caller, id);
     for (auto const shard : shards)
@@ -298,7 +349,7 @@
     shard.calls.push_back({ call, leaf, now, isHedge });
     shard.asked.push_back(leaf);
     shard.isWaiting = false;
-    asking.mayHaveRun = true;
+    ++asking.unrefusedCalls;
     m_calls.emplace(call, call_owner { asking.id, place, shard.shard, leaf, now, asking.pin, asking.isRepeatable ? std::string {} : asking.request->ticket });
     ++m_counters.leafCalls;
     if (isHedge) {
@@ -389,6 +440,8 @@
     }
     auto const service = leaf.service();
     auto* asking = find(owner.query);
+    if (asking && ended.outcome.isUnrun())
+        --asking->unrefusedCalls;
     bool const isCurrent = asking && asking->pin == owner.pin && !asking->shards[owner.place].isSettled();
     if (!isCurrent) {
         ++m_counters.lateReplies;
@@ -406,7 +459,7 @@
             handleRefusal(*asking, owner.place, ended.outcome, now);
             break;
         case leaf_outcome_kind::failed:
-            handleFailure(*asking, owner.place, ended.outcome, now);
+            handleFailure(*asking, owner.place, now);
             break;
         }
     }
@@ -416,7 +469,8 @@
 
 void query_engine::settleLateReply(call_owner const& owner, leaf_outcome const& outcome)
 {
-    if (owner.ticket.empty() || outcome.kind != leaf_outcome_kind::answered)
+    bool const isOwnAnswer = outcome.kind == leaf_outcome_kind::answered && outcome.shard == owner.shard && outcome.reflects == owner.pin;
+    if (owner.ticket.empty() || !isOwnAnswer)
         return;
     model::answer answer { owner.ticket, outcome.reflects, { 1, 1, {} }, outcome.rows, false };
     m_tickets.settle(owner.ticket, std::move(answer));
@@ -428,9 +482,7 @@
     if (outcome.shard != shard.shard || outcome.reflects != asking.pin) {
         // A reply for something else must never be merged; the leaf is not to be trusted with this shard now.
         ++m_counters.mismatchedReplies;
-        leaf_outcome failed;
-        failed.reason = "the reply is for another shard or snapshot";
-        handleFailure(asking, place, failed, now);
+        handleFailure(asking, place, now);
         return;
     }
     shard.isAnswered = true;
@@ -445,8 +497,7 @@
 void query_engine::handleRefusal(query& asking, std::uint32_t place, leaf_outcome const& outcome, time_point now)
 {
     if (!asking.isRepeatable) {
-        // Its one sending is spent, but the leaf says that it did not run.
-        asking.mayHaveRun = false;
+        // Its one sending is spent.
         miss(asking, place, outcome.refusal == leaf_refusal::shed ? model::missing_reason::overloaded : model::missing_reason::no_leaf);
         return;
     }
@@ -474,10 +525,9 @@
     }
 }
 
-void query_engine::handleFailure(query& asking, std::uint32_t place, leaf_outcome const& outcome, time_point now)
+void query_engine::handleFailure(query& asking, std::uint32_t place, time_point now)
 {
     if (!asking.isRepeatable) {
-        asking.mayHaveRun = outcome.mayHaveBeenSent;
         miss(asking, place, model::missing_reason::failed);
         return;
     }
@@ -552,11 +602,11 @@
     bool const isSingle = !asking.service->findRequest(asking.request->requestKind)->isOverAllShards;
     if (asking.answeredShards > 0)
         return mergeAnswer(asking);
-    if (!asking.isRepeatable && asking.mayHaveRun)
+    if (!asking.isRepeatable && asking.mayHaveRun())
         return errors::fail(error_kind::outcome_unknown, "the request was sent, but no reply came");
     auto const reason = asking.shards.front().missing.value_or(asking.shards.front().reasonSoFar);
     auto const text = isSingle ? "shard " + std::to_string(asking.shards.front().shard) : std::string { "no shard answered" };
-    if (asking.mayHaveRun)
+    if (asking.mayHaveRun())
         return errors::fail(error_kind::deadline_exceeded, text + ": " + std::string { toString(reason) });
     return tl::unexpected(error { error_kind::no_live_target, text + ": " + std::string { toString(reason) }, noLeafRetryAfter });
 }
@@ -617,6 +667,10 @@
     while (!m_timers.empty() && m_timers.top().at <= now) {
         auto const due = m_timers.top();
         m_timers.pop();
+        if (due.kind == timer_kind::relay_deadline) {
+            endRelay(due.caller);
+            continue;
+        }
         auto* asking = find(due.query);
         if (!asking)
             continue;
@@ -630,6 +684,8 @@
         case timer_kind::caller_deadline:
             answerImpatientCallers(*asking, now);
             break;
+        case timer_kind::relay_deadline:
+            break;
         case timer_kind::hedge:
             if (due.place < asking->shards.size())
                 hedge(*asking, due.place, now);
@@ -640,11 +696,22 @@
 
 void query_engine::handle(relay_ended const& ended, time_point)
 {
-    m_actions.emplace_back(answer_caller { ended.caller, ended.result ? ended.result->id : std::string {}, ended.result });
+    auto const found = m_relays.find(ended.caller);
+    if (found == m_relays.end()) {
+        ++m_counters.lateReplies;
+        return;
+    }
+    auto const requestId = std::move(found->second);
+    m_relays.erase(found);
+    giveAnswer(ended.caller, requestId, ended.result);
 }
 
 void query_engine::handle(caller_left const& left, time_point)
 {
+    if (m_relays.erase(left.caller) > 0) {
+        m_actions.emplace_back(abandon_relay { left.caller });
+        return;
+    }
     auto const found = m_queryOfCaller.find(left.caller);
     if (found == m_queryOfCaller.end())
         return;
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -47,6 +47,8 @@
     std::uint64_t partialAnswers { 0 };
     std::uint64_t refusals { 0 };
     std::uint64_t abandoned { 0 };
+    std::uint64_t relays { 0 };
+    std::uint64_t relaysWithoutAnswer { 0 };
     std::uint64_t leafCalls { 0 };
     std::uint64_t hedges { 0 };
     std::uint64_t retries { 0 };
@@ -68,6 +70,7 @@
     engine_counters const& counters() const { return m_counters; }
     routing::leaf_table const& leafs() const { return m_leafs; }
     std::size_t queriesInFlight() const { return m_queries.size(); }
+    std::size_t relaysInFlight() const { return m_relays.size(); }
     /// How many places in the queues for room are taken.
     std::size_t waitingShards() const;
     std::size_t rememberedTickets() const { return m_tickets.size(); }
@@ -78,6 +81,7 @@
         deadline,
         soft_deadline,
         caller_deadline,
+        relay_deadline,
         hedge,
     };
 
@@ -86,6 +90,8 @@
         query_id query { 0 };
         std::uint32_t place { 0 };
         timer_kind kind { timer_kind::deadline };
+        /// Of relay deadlines.
+        caller_token caller { 0 };
 
         bool operator>(timer const& other) const { return at > other.at; }
     };
@@ -140,15 +146,19 @@
 
     // Arrival.
     errors::error_or<void> check(model::query_request const&, model::service_declaration const*) const;
-    /// False when the ticket's holder is elsewhere, or the request is settled, running or refused: then it is dealt with.
+    /// Deals with a ticket that was used before or is another daemon's. False when there is none, or it is unused.
+    bool answerByTicket(query_arrived const&, kernel::time_point);
+    /// False when the ticket can't be used; the caller was told.
     bool claimTicket(query_arrived const&, kernel::time_point);
     /// Lets a caller wait for the running request with the same ticket.
     void join(query&, query_arrived const&, kernel::time_point);
+    void relay(query_arrived const&, std::string const& daemon, kernel::time_point);
+    void endRelay(caller_token);
     void admit(query_arrived const&, std::shared_ptr<model::service_declaration const> const&, kernel::time_point);
     void refuse(caller_token, model::query_request const&, errors::error);
     /// Gives a caller the outcome of a request under the caller's own name for it.
     void giveAnswer(caller_token, std::string const& requestId, model::answer_or_error);
-    kernel::time_point deadlineOf(model::query_request const&, model::service_declaration const&, kernel::time_point now) const;
+    kernel::time_point deadlineOf(model::query_request const&, kernel::time_point now) const;
     std::vector<std::uint32_t> shardsOf(model::query_request const&, model::service_declaration const&, model::snapshot) const;
 
     // Scattering.
@@ -163,7 +173,7 @@
     // Gathering.
     void accept(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
     void handleRefusal(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
-    void handleFailure(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
+    void handleFailure(query&, std::uint32_t place, kernel::time_point);
     void retryOrMiss(query&, std::uint32_t place, model::missing_reason, kernel::time_point);
     void miss(query&, std::uint32_t place, model::missing_reason);
     bool repin(query&, kernel::time_point);
@@ -196,6 +206,8 @@
     std::map<shard_key, shard_queue> m_waiting;
     std::unordered_map<query_id, query> m_queries;
     std::unordered_map<caller_token, query_id> m_queryOfCaller;
+    /// The request ids of queries that another daemon runs, by caller.
+    std::unordered_map<caller_token, std::string> m_relays;
     std::unordered_map<call_id, call_owner> m_calls;
     std::unordered_map<std::string, query_id> m_runningTickets;
     std::priority_queue<timer, std::vector<timer>, std::greater<>> m_timers;
--- a/Services/peers/peer_service.h
+++ b/Services/peers/peer_service.h
@@ -50,6 +50,7 @@
     void perform(decisions::ask_objects const&);
     template <typename T>
     void passConfiguration(T&&);
+    void perform(queries::abandon_relay const&);
     void handleGuest(connection const&, wire::peer_message);
     void handleAnswer(wire::peer_message);
     void handleClosed(model::endpoint const&);
@@ -60,6 +61,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::map<model::endpoint, connection> m_connections;
     std::unordered_map<std::uint64_t, relayed_call> m_relayed;
+    std::unordered_map<queries::caller_token, std::uint64_t> m_relayOfCaller;
     std::unordered_map<queries::caller_token, guest_call> m_guests;
     std::uint64_t m_lastCall { 0 };
     std::uint64_t m_lastGuest { 0 };
