StandIns: Serve urgent calls of a leaf in the order of their arrival

The newest urgent call went first, so that with all calls urgent the oldest one of a busy leaf could wait until its deadline. Conclusion: a fault of the stand-in, not of the daemon; found as partial answers at the deadline at 70% of the load.

--- a/StandIns/target/leaf_standin.cpp
+++ b/StandIns/target/leaf_standin.cpp
@@ -104,10 +104,9 @@
         refuse(added, *refusal);
         return;
     }
-    if (added.call.isUrgent)
-        m_queue.push_front(std::move(added));
-    else
-        m_queue.push_back(std::move(added));
+    // Urgent calls go before the others, in the order in which they came.
+    auto const place = added.call.isUrgent ? std::find_if(m_queue.begin(), m_queue.end(), [](auto const& each) { return !each.call.isUrgent; }) : m_queue.end();
+    m_queue.insert(place, std::move(added));
     startNext();
 }
 
