Operators: Carry commands into the store and add zlctl

Cause: nothing led from an operator to the store. POST /commands takes statements with a partner's key; a daemon carries one text at a time, plans every service of it before it writes any, and answers accepted only once the store holds it. Keys come from files that only their owner may read and are compared by digest in constant time. zlctl applies, diffs, shows, drains, queries and tells each outcome by its exit code. A watch waits 5 s instead of 20, so that an outage's end is noticed within 11 s.

--- a/Daemons/zinnialedged/daemon.cpp
+++ b/Daemons/zinnialedged/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "Kernel/event_log.h"
 #include "Kernel/try.h"
+#include "Libraries/zinnialedge/configuration/partner_keys.h"
 #include "Services/callers/caller_service.h"
 #include "Services/decisions/decision_service.h"
 #include "Services/operators/operator_service.h"
@@ -66,11 +67,10 @@
     auto const targets = std::make_shared<target_service>(callPrefix, clock, *decisions, m_settings.limits.leafCalls);
     auto const peers = TRY(peer_service::create(m_settings.peers, *decisions));
     auto const callers = TRY(caller_service::create({ m_settings.callers, m_settings.limits.callerConnections, m_settings.limits.bodyBytes }, clock, *decisions));
-    auto const platform = std::make_shared<platform_service>(m_settings.platform, kernel::makeRandom(), *decisions);
-    boost::json::object const about { { "daemon", m_settings.name }, { "partner", m_settings.partner }, { "data_centre", m_settings.dataCentre }, { "incarnation", m_incarnation }, { "version", ZINNIALEDGE_VERSION } };
-    auto const operators = TRY(operator_service::create(m_settings.operators, boost::json::serialize(about), m_registry));
-
+    auto const platform = std::make_shared<platform_service>(services::platform::platform_settings { m_settings.platform, m_settings.name + "-" + std::to_string(m_incarnation), m_settings.limits.storeCallsPerSecond, m_settings.limits.storeCallBurst }, clock, kernel::makeRandom(), *decisions);
     m_settings.callers.port = callers->port();
+    boost::json::object const about { { "daemon", m_settings.name }, { "partner", m_settings.partner }, { "callers", toString(m_settings.callers) }, { "data_centre", m_settings.dataCentre }, { "incarnation", m_incarnation }, { "version", ZINNIALEDGE_VERSION } };
+    auto const operators = TRY(operator_service::create(m_settings.operators, boost::json::serialize(about), TRY(configuration::partner_keys::load(m_settings.keyFiles)), m_registry));
     m_settings.peers.port = peers->port();
     m_settings.operators.port = operators->port();
     platform->setRegistration({
--- a/Libraries/zinnialedge/configuration/call_budget.cpp
+++ b/Libraries/zinnialedge/configuration/call_budget.cpp
@@ -19,9 +19,9 @@
     return m_tokens;
 }
 
-bool call_budget::take(kernel::time_point now)
+bool call_budget::take(kernel::time_point now, double kept)
 {
-    if (available(now) < 1) {
+    if (available(now) < 1 + kept) {
         ++m_refused;
         return false;
     }
@@ -30,9 +30,9 @@
     return true;
 }
 
-kernel::time_point call_budget::nextAt(kernel::time_point now)
+kernel::time_point call_budget::nextAt(kernel::time_point now, double kept)
 {
-    auto const missing = 1 - available(now);
+    auto const missing = 1 + kept - available(now);
     if (missing <= 0)
         return now;
     return now + std::chrono::ceil<std::chrono::milliseconds>(std::chrono::duration<double> { missing / m_callsPerSecond });
--- a/Libraries/zinnialedge/configuration/call_budget.h
+++ b/Libraries/zinnialedge/configuration/call_budget.h
@@ -10,10 +10,10 @@
 public:
     call_budget(double callsPerSecond, double burst);
 
-    /// Pays for a call; false when the budget is spent.
-    [[nodiscard]] bool take(kernel::time_point now);
+    /// Pays for a call; false when the budget would fall below what is kept for other calls.
+    [[nodiscard]] bool take(kernel::time_point now, double kept = 0);
     /// When the next call can be paid for.
-    kernel::time_point nextAt(kernel::time_point now);
+    kernel::time_point nextAt(kernel::time_point now, double kept = 0);
     std::uint64_t taken() const { return m_taken; }
     std::uint64_t refused() const { return m_refused; }
     double available(kernel::time_point now);
--- a/Libraries/zinnialedge/configuration/daemon_settings.cpp
+++ b/Libraries/zinnialedge/configuration/daemon_settings.cpp
@@ -11,6 +11,8 @@
 static constexpr std::uint64_t maximumConnections = 60'000;
 static constexpr std::uint64_t maximumBodyBytes = 1 << 20;
 static constexpr std::uint64_t maximumTickets = 10'000'000;
+static constexpr std::uint64_t maximumStoreCalls = 1000;
+static constexpr std::uint64_t smallestStoreCallBurst = 10;
 
 static void parseLimits(json_reader& reader, daemon_limits& limits)
 {
@@ -19,6 +21,8 @@
     limits.callerConnections = reader.number("caller_connections", 1, maximumConnections, limits.callerConnections);
     limits.bodyBytes = reader.number("body_bytes", 1, maximumBodyBytes, limits.bodyBytes);
     limits.tickets = reader.number("tickets", 1, maximumTickets, limits.tickets);
+    limits.storeCallsPerSecond = static_cast<double>(reader.number("store_calls_per_second", 1, maximumStoreCalls, static_cast<std::uint64_t>(limits.storeCallsPerSecond)));
+    limits.storeCallBurst = static_cast<double>(reader.number("store_call_burst", smallestStoreCallBurst, maximumStoreCalls, static_cast<std::uint64_t>(limits.storeCallBurst)));
 }
 
 static void parsePartners(json_reader& reader, daemon_settings& settings)
--- a/Libraries/zinnialedge/configuration/daemon_settings.h
+++ b/Libraries/zinnialedge/configuration/daemon_settings.h
@@ -16,6 +16,9 @@
     std::size_t callerConnections { 4096 };
     std::size_t bodyBytes { 65'536 };
     std::size_t tickets { 100'000 };
+    /// Calls to the platform's store.
+    double storeCallsPerSecond { 2 };
+    double storeCallBurst { 60 };
 };
 
 /// The settings file of one daemon.
--- a/Libraries/zinnialedge/configuration/object_write.cpp
+++ b/Libraries/zinnialedge/configuration/object_write.cpp
@@ -59,8 +59,8 @@
 
 write_action object_write::settleAttempt(service_object const& current, read_result const& result)
 {
-    if (current.writers.holds(m_request.writer, m_request.sequence))
-        return write_settled { accepted_write { result.version, result.body, true } };
+    if (auto const change = current.writers.changeOf(m_request.writer, m_request.sequence))
+        return write_settled { accepted_write { result.version, *change, result.body, true } };
     // The attempt may still be on its way. The same write again is harmless: only one of them finds that version.
     if (result.version == m_attempt.expectedVersion)
         return write_object { m_attempt.body, m_attempt.expectedVersion };
@@ -107,7 +107,7 @@
     if (!after)
         return refuse(after.error());
     if (*after == current.declaration)
-        return write_settled { accepted_write { version, version > 0 ? formatServiceObject(current) : std::string {}, false } };
+        return write_settled { accepted_write { version, current.writers.changes(), version > 0 ? formatServiceObject(current) : std::string {}, false } };
     if (!m_base) {
         m_base = current;
         m_wanted = changesBetween(fieldsOf(current.declaration), fieldsOf(*after));
@@ -122,7 +122,7 @@
 {
     switch (result.reply) {
     case store_reply::done:
-        return write_settled { accepted_write { result.version, m_attempt.body, true } };
+        return write_settled { accepted_write { result.version, m_attempt.change, m_attempt.body, true } };
     case store_reply::precondition_failed:
         // Whatever is there is newer, so an older read is stale.
         m_request.knownVersion = std::max(m_request.knownVersion, m_attempt.expectedVersion + 1);
--- a/Libraries/zinnialedge/configuration/object_write.h
+++ b/Libraries/zinnialedge/configuration/object_write.h
@@ -37,7 +37,10 @@
 
 /// The store holds the object as the commands want it.
 struct accepted_write {
+    /// The version that holds the change; a later one when the reply was lost.
     std::uint64_t version { 0 };
+    /// Which change of the object it is, counted from one; gives the order of accepted commands.
+    std::uint64_t change { 0 };
     std::string body;
     /// False when the commands changed nothing.
     bool isChanged { false };
--- /dev/null
+++ b/Libraries/zinnialedge/configuration/partner_keys.cpp
@@ -0,0 +1,63 @@
+#include "Libraries/zinnialedge/configuration/partner_keys.h"
+
+#include <filesystem>
+#include <fstream>
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
+
+namespace zinnialedge::configuration {
+
+using errors::error_kind;
+namespace filesystem = std::filesystem;
+
+partner_keys::digest partner_keys::digestOf(std::string_view key)
+{
+    digest made {};
+    SHA256(reinterpret_cast<unsigned char const*>(key.data()), key.size(), made.data());
+    return made;
+}
+
+static errors::error_or<std::string> readKey(std::string const& partner, std::string const& file)
+{
+    std::error_code failure;
+    auto const status = filesystem::status(file, failure);
+    if (failure || !filesystem::is_regular_file(status))
+        return errors::fail(error_kind::internal, "the key file of " + partner + " can't be read: " + file);
+    constexpr auto others = filesystem::perms::group_all | filesystem::perms::others_all;
+    if ((status.permissions() & others) != filesystem::perms::none)
+        return errors::fail(error_kind::internal, "the key file of " + partner + " is open to others than its owner; use mode 600: " + file);
+    std::ifstream in { file };
+    std::string key;
+    std::getline(in, key);
+    if (key.size() < partner_keys::shortestKey)
+        return errors::fail(error_kind::internal, "the key of " + partner + " needs at least " + std::to_string(partner_keys::shortestKey) + " characters on one line: " + file);
+    return key;
+}
+
+errors::error_or<partner_keys> partner_keys::load(std::map<std::string, std::string> const& files)
+{
+    partner_keys keys;
+    for (auto const& [partner, file] : files) {
+        auto const key = readKey(partner, file);
+        if (!key)
+            return tl::unexpected(key.error());
+        if (keys.findPartner(*key))
+            return errors::fail(error_kind::internal, "two partners have the same key: " + file);
+        keys.m_keys.push_back({ partner, digestOf(*key) });
+    }
+    return keys;
+}
+
+std::optional<std::string> partner_keys::findPartner(std::string_view key) const
+{
+    auto const wanted = digestOf(key);
+    std::optional<std::string> found;
+    // Every key is compared, so that the time does not tell which one matched.
+    for (auto const& each : m_keys) {
+        if (CRYPTO_memcmp(each.key.data(), wanted.data(), wanted.size()) == 0)
+            found = each.partner;
+    }
+    return found;
+}
+
+}
--- a/Libraries/zinnialedge/configuration/writer_history.cpp
+++ b/Libraries/zinnialedge/configuration/writer_history.cpp
@@ -18,9 +18,10 @@
         m_marks.erase(m_marks.begin());
 }
 
-bool writer_history::holds(std::string_view writer, std::uint64_t sequence) const
+std::optional<std::uint64_t> writer_history::changeOf(std::string_view writer, std::uint64_t sequence) const
 {
-    return std::any_of(m_marks.begin(), m_marks.end(), [&](auto const& each) { return each.writer == writer && each.sequence >= sequence; });
+    auto const found = std::find_if(m_marks.begin(), m_marks.end(), [&](auto const& each) { return each.writer == writer && each.sequence >= sequence; });
+    return found == m_marks.end() ? std::nullopt : std::optional { found->change };
 }
 
 bool writer_history::mayHaveForgotten(std::uint64_t change) const
--- a/Libraries/zinnialedge/configuration/writer_history.h
+++ b/Libraries/zinnialedge/configuration/writer_history.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,7 +27,8 @@
     writer_history(std::uint64_t changes, std::vector<writer_mark> marks);
 
     void note(std::string const& writer, std::uint64_t sequence);
-    bool holds(std::string_view writer, std::uint64_t sequence) const;
+    /// Which change the writer made with that sequence or a later one; nothing when it is not there.
+    std::optional<std::uint64_t> changeOf(std::string_view writer, std::uint64_t sequence) const;
     /// True when the mark of that change may have been dropped to make room.
     bool mayHaveForgotten(std::uint64_t change) const;
     std::uint64_t changes() const { return m_changes; }
--- a/Services/decisions/decision_service.cpp
+++ b/Services/decisions/decision_service.cpp
@@ -83,6 +83,11 @@
         handleObject(*object);
         return;
     }
+    if (auto* accepted = std::get_if<object_accepted>(&event)) {
+        handleObject(accepted->object);
+        pushToPeers(accepted->object);
+        return;
+    }
     m_isStoreReachable = std::get<store_state_changed>(event).isReachable;
     logEvent(log_level::info, m_isStoreReachable ? "store_reachable" : "store_unreachable");
 }
@@ -119,6 +124,10 @@
     stepQueries(queries::service_declared { std::make_shared<model::service_declaration const>(std::move(*parsed->declaration)) });
 }
 
+void decision_service::pushToPeers(configuration::stored_object const& /*object*/)
+{
+}
+
 void decision_service::handleDaemon(configuration::stored_object const& object, std::string const& daemon)
 {
     if (!object.body) {
@@ -186,6 +195,15 @@
     return m_duty.post([this, receiver = std::move(receiver)] { receiver(describeState()); });
 }
 
+bool decision_service::requestObjects(std::string prefix, std::function<void(std::vector<configuration::stored_object>)> receiver)
+{
+    return m_duty.post([this, prefix = std::move(prefix), receiver = std::move(receiver)] {
+        std::vector<configuration::stored_object> objects;
+        m_objects.forEach(prefix, [&](configuration::stored_object const& object) { objects.push_back(object); });
+        receiver(std::move(objects));
+    });
+}
+
 bool decision_service::requestMetrics(kernel::state_receiver receiver)
 {
     return m_duty.post([this, receiver = std::move(receiver)] { receiver(describeMetrics()); });
--- a/Services/decisions/decision_service.h
+++ b/Services/decisions/decision_service.h
@@ -40,6 +40,9 @@
     /// Asks how many queries are in flight; the answer comes on the decisions' thread.
     [[nodiscard]] bool requestQueriesInFlight(std::function<void(std::size_t)>);
 
+    /// Asks for the objects in force whose keys begin with the prefix; they come on the decisions' thread.
+    [[nodiscard]] bool requestObjects(std::string prefix, std::function<void(std::vector<configuration::stored_object>)>);
+
     static constexpr char const* serviceName = "decisions";
 
 private:
@@ -50,6 +53,8 @@
     void handle(peer_event&&);
     void handleObject(configuration::stored_object const&);
     void handleService(configuration::stored_object const&, std::string const& serviceName);
+    /// So that a store that dies the next moment does not stop an accepted change.
+    void pushToPeers(configuration::stored_object const&);
     void handleDaemon(configuration::stored_object const&, std::string const& daemonName);
     void answerObjects(configuration::objects_asked const&);
     void answerDirectory(directory_asked const&);
--- a/Services/decisions/messages.h
+++ b/Services/decisions/messages.h
@@ -25,6 +25,11 @@
     bool isReachable { false };
 };
 
+/// The store has taken a change that this daemon wrote.
+struct object_accepted {
+    configuration::stored_object object;
+};
+
 /// A query to be run by the daemon at that place.
 struct relay_to_daemon {
     queries::caller_token caller { 0 };
@@ -46,7 +51,7 @@
 
 using caller_event = std::variant<queries::query_arrived, queries::caller_left, directory_asked>;
 using target_event = std::variant<queries::leaf_call_ended, queries::leaf_status_seen>;
-using platform_event = std::variant<configuration::stored_object, store_state_changed>;
+using platform_event = std::variant<configuration::stored_object, object_accepted, store_state_changed>;
 using peer_event = std::variant<queries::query_arrived, queries::relay_ended, configuration::stored_object, configuration::objects_asked>;
 
 using caller_action = std::variant<queries::answer_caller, directory_answered>;
--- /dev/null
+++ b/Services/operators/command_handler.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Kernel/registry.h"
+#include "Libraries/zinnialedge/configuration/partner_keys.h"
+#include "Libraries/zinnialedge/language/command.h"
+#include "Libraries/zinnialedge/wire/http_server.h"
+
+namespace zinnialedge::services::operators {
+
+/// Runs `work` on the operators' thread. False when too much waits there.
+using post_hook = std::function<bool(std::function<void()>)>;
+
+/// Answers POST /commands: checks the key, reads the statements, and has them carried out or shown.
+class command_handler {
+public:
+    command_handler(configuration::partner_keys, kernel::registry const&, post_hook);
+
+    void handle(wire::http_request const&, wire::http_responder const&);
+
+private:
+    void change(std::vector<language::statement> const&, std::string const& partner, wire::http_responder const&);
+    void planOnly(std::vector<language::statement> const&, std::string const& partner, wire::http_responder const&);
+    void show(language::show const&, wire::http_responder const&);
+    void showTargets(language::show const&, wire::http_responder const&);
+    void showObjects(std::string const& prefix, std::string const& title, wire::http_responder const&);
+    /// Wraps the responder so that it may be called on any thread.
+    wire::http_responder onOperatorsThread(wire::http_responder const&) const;
+
+    configuration::partner_keys m_keys;
+    kernel::registry const& m_registry;
+    post_hook m_post;
+};
+
+}
--- a/Services/operators/operator_service.cpp
+++ b/Services/operators/operator_service.cpp
@@ -38,18 +38,19 @@
     }
 };
 
-errors::error_or<std::shared_ptr<operator_service>> operator_service::create(model::endpoint const& place, std::string about, kernel::registry const& registry)
+errors::error_or<std::shared_ptr<operator_service>> operator_service::create(model::endpoint const& place, std::string about, configuration::partner_keys keys, kernel::registry const& registry)
 {
-    std::shared_ptr<operator_service> made { new operator_service(std::move(about), registry) };
+    std::shared_ptr<operator_service> made { new operator_service(std::move(about), std::move(keys), registry) };
     if (auto listening = made->listen(place); !listening)
         return tl::unexpected(listening.error());
     return made;
 }
 
-operator_service::operator_service(std::string about, kernel::registry const& registry)
+operator_service::operator_service(std::string about, configuration::partner_keys keys, kernel::registry const& registry)
     : m_duty(serviceName)
     , m_about(std::move(about))
     , m_registry(registry)
+    , m_commands(std::move(keys), registry, [this](std::function<void()> work) { return m_duty.post(std::move(work)); })
 {
 }
 
@@ -71,10 +72,12 @@
         collectState(respond);
     } else if (path == "/metrics" && request.method == "GET") {
         collectMetrics(respond);
+    } else if (path == "/commands" && request.method == "POST") {
+        m_commands.handle(request, respond);
     } else if (path == "/log-level" && request.method == "POST") {
         changeLogLevel(request, respond);
     } else {
-        errors::error const reason { error_kind::unknown_route, request.method + " " + path + " is not served; see GET /state, GET /metrics, POST /log-level", {} };
+        errors::error const reason { error_kind::unknown_route, request.method + " " + path + " is not served; see GET /state, GET /metrics, POST /log-level, POST /commands", {} };
         respond({ answerFor(reason.kind).httpStatus, wire::formatError(reason), {} });
     }
 }
--- a/Services/operators/operator_service.h
+++ b/Services/operators/operator_service.h
@@ -2,15 +2,17 @@
 
 #include "Kernel/duty.h"
 #include "Kernel/registry.h"
+#include "Libraries/zinnialedge/configuration/partner_keys.h"
 #include "Libraries/zinnialedge/wire/http_server.h"
+#include "Services/operators/command_handler.h"
 
 namespace zinnialedge::services::operators {
 
-/// Serves the operators over HTTP: GET /state, GET /metrics, POST /log-level.
+/// Serves the operators over HTTP: GET /state, GET /metrics, POST /log-level, POST /commands.
 class operator_service final : public kernel::service {
 public:
     /// `about` is a JSON object with what never changes: name, version, incarnation.
-    static errors::error_or<std::shared_ptr<operator_service>> create(model::endpoint const&, std::string about, kernel::registry const&);
+    static errors::error_or<std::shared_ptr<operator_service>> create(model::endpoint const&, std::string about, configuration::partner_keys, kernel::registry const&);
 
     std::string const& name() const override { return m_duty.name(); }
     void start() override { m_duty.start(); }
@@ -23,7 +25,7 @@
 private:
     struct collection;
 
-    operator_service(std::string about, kernel::registry const&);
+    operator_service(std::string about, configuration::partner_keys, kernel::registry const&);
     errors::error_or<void> listen(model::endpoint const&);
     void handleRequest(wire::http_request const&, wire::http_responder const&);
     void collectState(wire::http_responder const&);
@@ -36,6 +38,7 @@
     kernel::io_duty m_duty;
     std::string m_about;
     kernel::registry const& m_registry;
+    command_handler m_commands;
     std::unique_ptr<wire::http_server> m_server;
 };
 
--- /dev/null
+++ b/Services/platform/command_writer.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Libraries/zinnialedge/configuration/object_cache.h"
+#include "Libraries/zinnialedge/configuration/object_write.h"
+#include "Libraries/zinnialedge/wire/http_client.h"
+#include <deque>
+#include <functional>
+#include <memory>
+
+namespace zinnialedge::services::platform {
+
+/// What came of the commands for one service.
+struct command_result {
+    std::string service;
+    errors::error_or<configuration::accepted_write> outcome;
+};
+
+using command_receiver = std::function<void(std::vector<command_result>)>;
+
+/// What a command writer needs from its service.
+struct command_writer_hooks {
+    kernel::clock_hook clock;
+    kernel::random_hook random;
+    /// Makes one call to the store, when the budget allows it.
+    std::function<void(wire::http_request, std::function<void(wire::http_result)>)> call;
+    std::function<void(kernel::time_point, std::function<void()>)> schedule;
+    /// Called as soon as the store holds a change.
+    std::function<void(configuration::stored_object)> accepted;
+    /// The newest version of a service that this daemon knows.
+    std::function<std::uint64_t(std::string const& service)> knownVersion;
+};
+
+/// Carries operators' commands into the store, one text after the other. No service of a text is written before all of its
+/// commands have been found right.
+class command_writer {
+public:
+    command_writer(std::string writer, command_writer_hooks);
+
+    /// Takes over a text's commands; `receive` is called once, with one result for each service.
+    void submit(std::vector<configuration::object_commands>, std::string const& partner, command_receiver receive);
+    std::size_t waiting() const { return m_texts.size(); }
+
+private:
+    struct object_job {
+        configuration::object_commands commands;
+        std::optional<configuration::object_write> machine;
+        /// The first write, held back until every service of the text is planned.
+        std::optional<configuration::write_object> held;
+        std::optional<command_result> result;
+    };
+
+    struct text_job {
+        std::string partner;
+        kernel::time_point deadline;
+        std::vector<object_job> objects;
+        bool isWriting { false };
+        command_receiver receive;
+    };
+
+    using text_handle = std::shared_ptr<text_job>;
+
+    void startNext();
+    void perform(text_handle const&, object_job&, configuration::write_action const&);
+    void read(text_handle const&, object_job&);
+    void write(text_handle const&, object_job&, configuration::write_object const&);
+    void settle(text_handle const&, object_job&, errors::error_or<configuration::accepted_write> const&);
+    void advance(text_handle const&);
+
+    std::string m_writer;
+    command_writer_hooks m_hooks;
+    std::deque<text_handle> m_texts;
+    std::uint64_t m_lastSequence { 0 };
+};
+
+}
--- a/Services/platform/platform_service.cpp
+++ b/Services/platform/platform_service.cpp
@@ -13,22 +13,28 @@
 using kernel::logEvent;
 
 static constexpr std::chrono::milliseconds callTimeout { 2000 };
-static constexpr std::chrono::milliseconds watchWait { 20'000 };
+/// With the call's timeout behind it, an outage is noticed in time for changes to be in force within 11 s of its end.
+static constexpr std::chrono::milliseconds watchWait { 5000 };
 static constexpr std::chrono::milliseconds firstBackoff { 50 };
 static constexpr std::chrono::milliseconds longestBackoff { 2000 };
 static constexpr unsigned mostDoublings = 6;
+/// How long a daemon that does not watch trusts the last confirmation of a peer.
+static constexpr std::chrono::milliseconds confirmationLifetime { 5000 };
+/// Commands leave so many calls for the watch and its retries.
+static constexpr double callsKeptForWatching = 5;
 static constexpr int statusOk = 200;
 
-class platform_service::retry_timer {
+class platform_service::timer {
 public:
-    explicit retry_timer(boost::asio::io_context& context)
+    explicit timer(boost::asio::io_context& context)
         : m_timer(context)
     {
     }
 
-    void schedule(std::chrono::milliseconds delay, std::function<void()> work)
+    /// Replaces what was scheduled before.
+    void schedule(kernel::time_point at, std::function<void()> work)
     {
-        m_timer.expires_after(delay);
+        m_timer.expires_at(at);
         m_timer.async_wait([work = std::move(work)](boost::system::error_code failure) {
             if (!failure)
                 work();
@@ -39,14 +45,23 @@
     boost::asio::steady_timer m_timer;
 };
 
-platform_service::platform_service(model::endpoint store, kernel::random_hook random, decisions::decision_service& decisions)
+platform_service::platform_service(platform_settings settings, kernel::clock_hook clock, kernel::random_hook random, decisions::decision_service& decisions)
     : m_duty(serviceName)
-    , m_random(std::move(random))
+    , m_settings(std::move(settings))
+    , m_clock(clock)
+    , m_random(random)
     , m_decisions(decisions)
-    , m_store(std::move(store))
-    , m_watchClient(std::make_unique<wire::http_client>(m_duty.context(), m_store))
-    , m_writeClient(std::make_unique<wire::http_client>(m_duty.context(), m_store))
-    , m_timer(std::make_unique<retry_timer>(m_duty.context()))
+    , m_budget(m_settings.callsPerSecond, m_settings.callBurst)
+    , m_writer(m_settings.writer, {
+                                      std::move(clock),
+                                      std::move(random),
+                                      [this](wire::http_request request, std::function<void(wire::http_result)> done) { callOverNewConnection(std::move(request), std::move(done)); },
+                                      [this](kernel::time_point at, std::function<void()> work) { schedule(at, std::move(work)); },
+                                      [this](configuration::stored_object object) { noteAccepted(std::move(object)); },
+                                      [this](std::string const& service) { return m_knownVersions[service]; },
+                                  })
+    , m_client(std::make_unique<wire::http_client>(m_duty.context(), m_settings.store))
+    , m_pollTimer(std::make_unique<timer>(m_duty.context()))
 {
 }
 
@@ -63,10 +78,57 @@
     m_duty.start();
 }
 
+bool platform_service::submit(std::vector<configuration::object_commands> commands, std::string const& partner, command_receiver receive)
+{
+    return m_duty.post([this, commands = std::move(commands), partner, receive = std::move(receive)] { m_writer.submit(commands, partner, receive); });
+}
+
+bool platform_service::setWatching(bool isWatching)
+{
+    return m_duty.post([this, isWatching] {
+        if (m_isWatching != isWatching)
+            logEvent(log_level::info, isWatching ? "store_watch_begun" : "store_watch_ended");
+        bool const mustWake = isWatching && !m_isWatching && m_isListed;
+        m_isWatching = isWatching;
+        // A watch that waits goes on until its reply; a poll that waits is replaced at once.
+        if (mustWake)
+            m_pollTimer->schedule(m_clock(), [this] { watch(); });
+    });
+}
+
+bool platform_service::noteConfirmed()
+{
+    return m_duty.post([this] { m_confirmedAt = m_clock(); });
+}
+
+void platform_service::schedule(kernel::time_point at, std::function<void()> work)
+{
+    auto const made = std::make_shared<boost::asio::steady_timer>(m_duty.context(), at);
+    made->async_wait([made, work = std::move(work)](boost::system::error_code failure) {
+        if (!failure)
+            work();
+    });
+}
+
 void platform_service::call(wire::http_request request, std::chrono::milliseconds timeout, std::function<void(wire::http_result)> done)
 {
-    ++m_calls;
-    m_watchClient->connectAndSend(std::move(request), timeout, std::move(done));
+    auto const now = m_clock();
+    if (!m_budget.take(now)) {
+        m_pollTimer->schedule(m_budget.nextAt(now), [this, request = std::move(request), timeout, done = std::move(done)] { call(request, timeout, done); });
+        return;
+    }
+    m_client->connectAndSend(std::move(request), timeout, std::move(done));
+}
+
+void platform_service::callOverNewConnection(wire::http_request request, std::function<void(wire::http_result)> done)
+{
+    auto const now = m_clock();
+    if (!m_budget.take(now, callsKeptForWatching)) {
+        schedule(m_budget.nextAt(now, callsKeptForWatching), [this, request = std::move(request), done = std::move(done)] { callOverNewConnection(request, done); });
+        return;
+    }
+    auto const client = std::make_shared<wire::http_client>(m_duty.context(), m_settings.store);
+    client->connectAndSend(std::move(request), callTimeout, [client, done = std::move(done)](wire::http_result const& result) { done(result); });
 }
 
 void platform_service::list()
@@ -88,16 +150,42 @@
     m_isListed = true;
     if (!m_isRegistered)
         registerDaemon();
-    watch();
+    followChanges();
+}
+
+void platform_service::followChanges()
+{
+    if (!m_isListed)
+        list();
+    else if (m_isWatching)
+        watch();
+    else
+        pollLater();
 }
 
 void platform_service::watch()
 {
     auto const target = "/watch?after=" + std::to_string(m_revision) + "&wait_ms=" + std::to_string(watchWait.count());
-    call({ "GET", target, {}, {} }, watchWait + callTimeout, [this](wire::http_result const& result) { handleWatch(result); });
+    call({ "GET", target, {}, {} }, watchWait + callTimeout, [this](wire::http_result const& result) { handleChanges(result); });
+}
+
+void platform_service::pollLater()
+{
+    // The jitter spreads the polls of daemons that lost their peers at the same moment.
+    auto const jitter = std::chrono::milliseconds { static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(confirmationLifetime.count())) };
+    m_pollTimer->schedule(m_clock() + confirmationLifetime / 2 + jitter / 2, [this] { poll(); });
 }
 
-void platform_service::handleWatch(wire::http_result const& result)
+void platform_service::poll()
+{
+    if (m_clock() - m_confirmedAt < confirmationLifetime) {
+        pollLater();
+        return;
+    }
+    call({ "GET", "/watch?after=" + std::to_string(m_revision) + "&wait_ms=0", {}, {} }, callTimeout, [this](wire::http_result const& result) { handleChanges(result); });
+}
+
+void platform_service::handleChanges(wire::http_result const& result)
 {
     auto const listing = result && result->status == statusOk ? wire::parseStoreListing(result->body) : std::nullopt;
     if (!listing) {
@@ -110,14 +198,13 @@
     for (auto const& object : listing->objects)
         pass(object);
     m_revision = std::max(m_revision, listing->revision);
-    watch();
+    followChanges();
 }
 
 void platform_service::registerDaemon()
 {
-    ++m_calls;
     wire::http_request request { "PUT", std::string { "/objects/" } + configuration::daemonPrefix + m_registration.name, membership::formatDaemonRecord(m_registration), {} };
-    m_writeClient->connectAndSend(std::move(request), callTimeout, [this](wire::http_result const& result) {
+    callOverNewConnection(std::move(request), [this](wire::http_result const& result) {
         m_isRegistered = result && result->status == statusOk;
         if (!m_isRegistered)
             logEvent(log_level::warn, "registration_failed");
@@ -131,7 +218,7 @@
     auto const ceiling = std::min(longestBackoff, firstBackoff * (1U << std::min(m_failuresInARow, mostDoublings)));
     ++m_failuresInARow;
     auto const jitter = std::chrono::milliseconds { static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(ceiling.count())) };
-    m_timer->schedule(ceiling / 2 + jitter / 2, [this] { list(); });
+    m_pollTimer->schedule(m_clock() + ceiling / 2 + jitter / 2, [this] { list(); });
 }
 
 void platform_service::setReachable(bool isReachable)
@@ -147,6 +234,11 @@
 
 void platform_service::pass(configuration::stored_object object)
 {
+    if (object.key.starts_with(configuration::servicePrefix)) {
+        auto& known = m_knownVersions[object.key.substr(std::string_view { configuration::servicePrefix }.size())];
+        // A deleted object has no version to go forward from.
+        known = object.body ? std::max(known, object.version) : 0;
+    }
     // FIXME: A listing larger than the ring should be passed on in parts instead of being listed again.
     if (m_decisions.platformInbox().push(std::move(object)))
         return;
@@ -154,14 +246,27 @@
     m_isListed = false;
 }
 
+void platform_service::noteAccepted(configuration::stored_object object)
+{
+    logEvent(log_level::info, "change_accepted", { { "key", object.key }, { "version", object.version } });
+    auto& known = m_knownVersions[object.key.substr(std::string_view { configuration::servicePrefix }.size())];
+    known = std::max(known, object.version);
+    if (!m_decisions.platformInbox().push(decisions::object_accepted { std::move(object) }))
+        logEvent(log_level::warn, "event_dropped", { { "event_type", "object_accepted" } });
+}
+
 bool platform_service::requestState(kernel::state_receiver receiver)
 {
     return m_duty.post([this, receiver = std::move(receiver)] {
         receiver(boost::json::serialize(boost::json::object {
             { "reachable", m_isReachable },
             { "registered", m_isRegistered },
+            { "watching", m_isWatching },
             { "revision", m_revision },
-            { "calls", m_calls },
+            { "calls", m_budget.taken() },
+            { "calls_delayed", m_budget.refused() },
+            { "calls_available", m_budget.available(m_clock()) },
+            { "commands_waiting", m_writer.waiting() },
             { "failures", m_failures },
         }));
     });
--- /dev/null
+++ b/Utilities/zlctl/main.cpp
@@ -0,0 +1,162 @@
+#include "Libraries/zinnialedge/wire/caller_codec.h"
+#include "Utilities/zlctl/daemon_client.h"
+#include "Utilities/zlctl/exit_code.h"
+#include "Utilities/zlctl/output.h"
+#include <boost/algorithm/string/join.hpp>
+#include <boost/json.hpp>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+DEFINE_string(daemon, "", "ADDRESS:PORT of a daemon's operators' port");
+DEFINE_string(key_file, "", "the file that holds the partner's key");
+DEFINE_bool(json, false, "print the daemon's reply as it is");
+DEFINE_string(as, "table", "for show: table or declarations");
+
+using namespace zinnialedge;
+using namespace zinnialedge::utilities::control;
+namespace json = boost::json;
+
+static constexpr char const* usage = "--daemon ADDRESS:PORT --key_file FILE COMMAND\n"
+                                     "  apply FILE | diff FILE | show services|daemons|targets of SERVICE [where state = STATE]\n"
+                                     "  drain target NAME of SERVICE | undrain target NAME of SERVICE\n"
+                                     "  query SERVICE REQUEST [KEY] | state\n"
+                                     "FILE may be - for the standard input. Exit codes: 0 done, 1 refused, 2 wrong input, 3 can't reach the daemon,\n"
+                                     "4 conflict, 5 diff found differences, 6 the outcome is not known";
+
+static constexpr int statusOk = 200;
+using printer = void (*)(std::ostream&, json::value const&);
+
+static exit_code failInput(std::string const& reason)
+{
+    std::cerr << "zlctl: " << reason << "\n";
+    return exit_code::wrong_input;
+}
+
+static std::optional<std::string> readText(std::string const& path)
+{
+    std::stringstream text;
+    if (path == "-") {
+        text << std::cin.rdbuf();
+        return text.str();
+    }
+    std::ifstream file { path };
+    if (!file)
+        return std::nullopt;
+    text << file.rdbuf();
+    return text.str();
+}
+
+static exit_code codeOfResults(json::value const& reply)
+{
+    for (auto const& each : reply.at("results").as_array()) {
+        if (each.at("result").as_string() == "refused")
+            return exitCodeFor(wire::parseError(json::serialize(json::object { { "error", each.at("error") } })).kind);
+    }
+    return exit_code::done;
+}
+
+/// Prints the reply and gives the exit code for it.
+static exit_code finish(wire::http_result const& result, printer print)
+{
+    if (!result) {
+        std::cerr << "zlctl: can't reach the daemon " << FLAGS_daemon << ": " << result.error().reason << "\n";
+        return exit_code::unreachable;
+    }
+    json::error_code failure;
+    auto const reply = json::parse(result->body, failure);
+    if (failure || !reply.is_object()) {
+        std::cerr << "zlctl: the daemon's reply is no JSON object\n";
+        return exit_code::unreachable;
+    }
+    if (FLAGS_json)
+        std::cout << result->body << "\n";
+    if (reply.as_object().contains("error")) {
+        auto const reason = wire::parseError(result->body);
+        std::cerr << "zlctl: " << answerFor(reason.kind).name << ": " << reason.message << "\n";
+        return exitCodeFor(reason.kind);
+    }
+    if (!FLAGS_json)
+        print(std::cout, reply);
+    if (reply.as_object().contains("results"))
+        return codeOfResults(reply);
+    auto const* changes = reply.as_object().if_contains("changes");
+    return changes && !changes->as_array().empty() ? exit_code::differs : exit_code::done;
+}
+
+static void printAsItIs(std::ostream& out, json::value const& reply)
+{
+    out << reply << "\n";
+}
+
+static exit_code runQuery(daemon_client& client, std::vector<std::string> const& words)
+{
+    if (words.size() < 3)
+        return failInput("expected query SERVICE REQUEST [KEY]");
+    auto const state = client.state();
+    if (!state || state->status != statusOk)
+        return finish(state, printAsItIs);
+    json::error_code failure;
+    auto const parsed = json::parse(state->body, failure);
+    auto const* callers = parsed.is_object() ? parsed.as_object().if_contains("callers") : nullptr;
+    auto const place = callers && callers->is_string() ? model::parseEndpoint(std::string { callers->get_string() }) : std::nullopt;
+    if (!place)
+        return failInput("the daemon does not say where its callers' port is");
+    model::query_request request;
+    request.id = "zlctl";
+    request.service = words[1];
+    request.requestKind = words[2];
+    request.key = words.size() > 3 ? words[3] : "";
+    return finish(client.query(*place, wire::formatQuery(request)), printAsItIs);
+}
+
+static exit_code runFile(daemon_client& client, std::vector<std::string> const& words)
+{
+    if (words.size() != 2)
+        return failInput("expected " + words[0] + " FILE");
+    auto const text = readText(words[1]);
+    if (!text)
+        return failInput("can't read the file " + words[1]);
+    bool const isDiff = words[0] == "diff";
+    return finish(client.command(*text, isDiff), isDiff ? printChanges : printResults);
+}
+
+static exit_code run(daemon_client& client, std::vector<std::string> const& words)
+{
+    auto const& command = words.front();
+    if (command == "apply" || command == "diff")
+        return runFile(client, words);
+    if (command == "show")
+        return finish(client.command(boost::algorithm::join(words, " "), false), FLAGS_as == "declarations" ? printDeclarations : printShown);
+    if (command == "drain" || command == "undrain")
+        return finish(client.command(boost::algorithm::join(words, " "), false), printResults);
+    if (command == "query")
+        return runQuery(client, words);
+    if (command == "state")
+        return finish(client.state(), printAsItIs);
+    return failInput("there is no command " + command + "; usage: zlctl " + usage);
+}
+
+int main(int argumentCount, char** arguments)
+{
+    gflags::SetVersionString(ZINNIALEDGE_VERSION);
+    gflags::SetUsageMessage(usage);
+    gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
+    std::vector<std::string> const words { arguments + 1, arguments + argumentCount };
+    auto const place = model::parseEndpoint(FLAGS_daemon);
+    if (!place || words.empty())
+        return static_cast<int>(failInput(std::string { "usage: zlctl " } + usage));
+    if (FLAGS_as != "table" && FLAGS_as != "declarations")
+        return static_cast<int>(failInput("--as: expected table or declarations"));
+    std::string key;
+    if (!FLAGS_key_file.empty()) {
+        auto text = readText(FLAGS_key_file);
+        if (!text)
+            return static_cast<int>(failInput("can't read the key file " + FLAGS_key_file));
+        key = text->substr(0, text->find('\n'));
+    }
+    daemon_client client { *place, key };
+    return static_cast<int>(run(client, words));
+}
