Decisions: Push an accepted change to peers at once

Cause: a change was heard of only through the store's watch, so a store that dies right after it said yes would hold the change back. The accepting daemon pushes it to up to 16 daemons, others first with each change; the rest hear it from the watch or a peer's digest.

--- a/Services/decisions/decision_service.cpp
+++ b/Services/decisions/decision_service.cpp
@@ -2,6 +2,7 @@
 
 #include "Kernel/event_log.h"
 #include "Libraries/zinnialedge/configuration/object_content.h"
+#include <algorithm>
 
 namespace zinnialedge::services::decisions {
 
@@ -12,6 +13,8 @@
 static constexpr std::chrono::seconds idleWait { 1 };
 /// Half of the ring is kept for replies, the other half is for status reports.
 static constexpr std::size_t targetEventsPerCall = 2;
+/// To how many daemons an accepted change is pushed at once.
+static constexpr std::size_t mostPushes = 16;
 
 decision_service::decision_service(decision_settings settings, kernel::clock_hook clock, kernel::random_hook random)
     : m_settings(std::move(settings))
@@ -124,8 +127,16 @@
     stepQueries(queries::service_declared { std::make_shared<model::service_declaration const>(std::move(*parsed->declaration)) });
 }
 
-void decision_service::pushToPeers(configuration::stored_object const& /*object*/)
+void decision_service::pushToPeers(configuration::stored_object const& object)
 {
+    auto const daemons = m_directory.daemonsFor({}, {});
+    auto const count = std::min(daemons.size(), mostPushes);
+    for (std::size_t index = 0; index < count; ++index) {
+        // Other daemons get the next change first. What is not pushed, or finds no room, comes with the watch or a digest.
+        auto const& daemon = daemons[(object.version * mostPushes + index) % daemons.size()];
+        if (daemon.name != m_settings.engine.daemon)
+            (void)m_peerOutbox->push(peer_action { push_object { daemon.peers, object } });
+    }
 }
 
 void decision_service::handleDaemon(configuration::stored_object const& object, std::string const& daemon)
--- a/StandIns/platform/platform_standin.cpp
+++ b/StandIns/platform/platform_standin.cpp
@@ -133,6 +133,10 @@
 void platform_standin::serveWatch(wire::http_request const& request, wire::http_responder const& respond)
 {
     ++m_counts.watches;
+    if (m_faults.areWatchesSilent) {
+        m_unanswered.push_back(respond);
+        return;
+    }
     auto parameters = wire::parametersOf(request);
     auto const after = parseNumber(parameters["after"]);
     auto const changes = m_store.changesAfter(after, parameters["prefix"]);
@@ -162,7 +166,7 @@
             ++each;
             continue;
         }
-        if (m_faults.isOut)
+        if (m_faults.isOut || m_faults.areWatchesSilent)
             m_unanswered.push_back(each->respond);
         else
             each->respond({ statusOk, wire::formatStoreListing(*changes), {} });
@@ -189,6 +193,7 @@
         configuration::json_reader reader { *value, problems };
         m_faults.isOut = reader.flag("outage", m_faults.isOut);
         m_faults.isFailing = reader.flag("failing", m_faults.isFailing);
+        m_faults.areWatchesSilent = reader.flag("silent_watches", m_faults.areWatchesSilent);
         m_faults.delay = reader.milliseconds("delay_ms", 0, longestWaitMilliseconds, m_faults.delay);
         m_faults.repliesToLose = reader.number("lose_replies", 0, anyNumber, m_faults.repliesToLose);
         reader.finish();
--- a/StandIns/platform/platform_standin.h
+++ b/StandIns/platform/platform_standin.h
@@ -14,6 +14,8 @@
     bool isOut { false };
     /// Every call fails at once with status 503.
     bool isFailing { false };
+    /// Watches tell of nothing; all other calls are served.
+    bool areWatchesSilent { false };
     std::chrono::milliseconds delay { 0 };
     /// So many of the next writes take effect, but their replies are lost.
     std::uint64_t repliesToLose { 0 };
--- a/Tests/Faults/configuration_commands_test.cpp
+++ b/Tests/Faults/configuration_commands_test.cpp
@@ -265,6 +265,16 @@
     }
 }
 
+TEST(ConfigurationCommands, AnAcceptedChangeReachesDaemonsThatHearNothingFromTheStore)
+{
+    auto const& first = startDaemon("suva-1");
+    auto const& second = startDaemon("suva-2");
+    CHECK(waitUntil([&] { return getJson(first.operators, "/state").at("services").at("decisions").at("daemons_known").to_number<int>() == 2; }));
+    running->setPlatformFaults({ { "silent_watches", true } });
+    STRCMP_EQUAL("accepted", resultOf(command(first, "suva", "service a { shards 1 }")).c_str());
+    CHECK(waitUntil([&] { return versionOn(second, "a") > 0; }, std::chrono::seconds { 3 }));
+}
+
 TEST(ConfigurationCommands, WithTheStoreOutQueriesGoOnAndCommandsAreRefused)
 {
     running->startService(smallPlan("lunch-portal", "suva", 1));
