--- a/Services/decisions/decision_service.cpp
+++ b/Services/decisions/decision_service.cpp
@@ -2,6 +2,7 @@
 
 #include "Kernel/event_log.h"
 #include "Libraries/zinnialedge/configuration/object_content.h"
+#include <algorithm>
 
 namespace zinnialedge::services::decisions {
 
@@ -12,6 +13,8 @@
 static constexpr std::chrono::seconds idleWait { 1 };
 /// Half of the ring is kept for replies, the other half is for status reports.
 static constexpr std::size_t targetEventsPerCall = 2;
+/// To how many daemons an accepted change is pushed at once.
+static constexpr std::size_t mostPushes = 16;
 
 decision_service::decision_service(decision_settings settings, kernel::clock_hook clock, kernel::random_hook random)
     : m_settings(std::move(settings))
@@ -83,6 +86,11 @@
         handleObject(*object);
         return;
     }
+    if (auto* accepted = std::get_if<object_accepted>(&event)) {
+        handleObject(accepted->object);
+        pushToPeers(accepted->object);
+        return;
+    }
     m_isStoreReachable = std::get<store_state_changed>(event).isReachable;
     logEvent(log_level::info, m_isStoreReachable ? "store_reachable" : "store_unreachable");
 }
@@ -119,6 +127,18 @@
     stepQueries(queries::service_declared { std::make_shared<model::service_declaration const>(std::move(*parsed->declaration)) });
 }
 
+void decision_service::pushToPeers(configuration::stored_object const& object)
+{
+    auto const daemons = m_directory.daemonsFor({}, {});
+    auto const count = std::min(daemons.size(), mostPushes);
+    for (std::size_t index = 0; index < count; ++index) {
+        // Other daemons get the next change first. What is not pushed, or finds no room, comes with the watch or a digest.
+        auto const& daemon = daemons[(object.version * mostPushes + index) % daemons.size()];
+        if (daemon.name != m_settings.engine.daemon)
+            (void)m_peerOutbox->push(peer_action { push_object { daemon.peers, object } });
+    }
+}
+
 void decision_service::handleDaemon(configuration::stored_object const& object, std::string const& daemon)
 {
     if (!object.body) {
@@ -188,6 +208,15 @@
     return m_duty.post([this, receiver = std::move(receiver)] { receiver(describeState()); });
 }
 
+bool decision_service::requestObjects(std::string prefix, std::function<void(std::vector<configuration::stored_object>)> receiver)
+{
+    return m_duty.post([this, prefix = std::move(prefix), receiver = std::move(receiver)] {
+        std::vector<configuration::stored_object> objects;
+        m_objects.forEach(prefix, [&](configuration::stored_object const& object) { objects.push_back(object); });
+        receiver(std::move(objects));
+    });
+}
+
 bool decision_service::requestMetrics(kernel::state_receiver receiver)
 {
     return m_duty.post([this, receiver = std::move(receiver)] { receiver(describeMetrics()); });
