Kernel: Sleep on a semaphore that does not spin

Cause: two thirds of the decisions' thread were sleeping and waking (perf: schedule, futex, sched_yield); the semaphore of the standard library yields the processor four times before each sleep. A POSIX semaphore makes one call.

--- a/Kernel/duty.cpp
+++ b/Kernel/duty.cpp
@@ -83,18 +83,16 @@
 {
     // One pending signal is enough: the consumer drains every ring after it has cleared the flag.
     if (!m_isWakePending.exchange(true))
-        m_signal.release();
+        m_signal.give();
 }
 
 void deciding_duty::run()
 {
     while (!isStopping()) {
         drainInboxes();
+        // A timer that is due does not sleep, yet a signal given meanwhile is taken before the flag is cleared.
         auto const next = m_onWake();
-        auto const now = m_clock();
-        // A timer that is due must not sleep, yet a signal given meanwhile has to be taken before the flag is cleared.
-        bool const isSignalled = next > now ? m_signal.try_acquire_for(next - now) : m_signal.try_acquire();
-        if (isSignalled)
+        if (m_signal.waitFor(next - m_clock()))
             m_isWakePending = false;
     }
 }
--- a/Kernel/duty.h
+++ b/Kernel/duty.h
@@ -2,10 +2,10 @@
 
 #include "Kernel/clock.h"
 #include "Kernel/ring.h"
+#include "Kernel/wake_signal.h"
 #include <atomic>
 #include <memory>
 #include <mutex>
-#include <semaphore>
 #include <string>
 #include <thread>
 #include <vector>
@@ -79,7 +79,7 @@
     clock_hook m_clock;
     std::function<time_point()> m_onWake;
     std::atomic<bool> m_isWakePending { false };
-    std::binary_semaphore m_signal { 0 };
+    wake_signal m_signal;
 };
 
 /// A duty that owns sockets: it runs an event loop.
