--- a/Kernel/ring.h
+++ b/Kernel/ring.h
@@ -21,12 +21,16 @@
     /// False when the ring is full: the value was not taken, and the caller must refuse the work.
     [[nodiscard]] bool push(T&& value)
     {
-        if (!m_queue.push(std::move(value)))
+        if (!pushQuietly(std::move(value)))
             return false;
-        m_wake();
+        wake();
         return true;
     }
 
+    /// The same without waking the consumer; the producer calls wake() once it has pushed what it has.
+    [[nodiscard]] bool pushQuietly(T&& value) { return m_queue.push(std::move(value)); }
+    void wake() { m_wake(); }
+
     /// Hands every waiting value to `consume`, on the consumer's thread. Returns how many there were.
     template <typename F>
     std::size_t drain(F&& consume)
--- a/Services/targets/target_service.cpp
+++ b/Services/targets/target_service.cpp
@@ -1,6 +1,7 @@
 #include "Services/targets/target_service.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
@@ -106,8 +107,20 @@
     auto& inbox = m_decisions.targetInbox();
     if (!isReply && inbox.freeSlots() <= m_leafCallCapacity)
         return;
-    bool const isTaken = inbox.push(std::move(event));
+    bool const isTaken = inbox.pushQuietly(std::move(event));
     VERIFY(isTaken);
+    scheduleWake();
+}
+
+void target_service::scheduleWake()
+{
+    // Replies come in bursts. One wake for those that the event loop has read together costs less than one for each.
+    if (std::exchange(m_isWakeScheduled, true))
+        return;
+    boost::asio::post(m_duty.context(), [this] {
+        m_isWakeScheduled = false;
+        m_decisions.targetInbox().wake();
+    });
 }
 
 bool target_service::requestState(kernel::state_receiver receiver)
--- a/Services/targets/target_service.h
+++ b/Services/targets/target_service.h
@@ -31,6 +31,7 @@
     void perform(queries::change_leaf_connections const&);
     void refreshPools();
     void report(decisions::target_event&&);
+    void scheduleWake();
     std::string describeState() const;
 
     kernel::io_duty m_duty;
@@ -40,6 +41,7 @@
     std::size_t m_leafCallCapacity;
     std::map<routing::leaf_handle, std::shared_ptr<leaf_pool>> m_pools;
     std::unique_ptr<refresh_timer> m_timer;
+    bool m_isWakeScheduled { false };
 };
 
 }
