Queries: Review what waits for room when leafs, versions or partitions change

Cause: a shard that waited for room was looked at only when a call of its own shard and epoch ended. A new pin also took over the newer declaration, which may lack the request kind or name another partner. Now each change reviews the queues: send, settle or pin anew; a place names its pin and goes with the query; the declaration of the arrival stays; a version that is gone leads to a new pin also when the retry budget is spent; nothing is sent at or after the deadline.

--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -66,7 +66,7 @@
 
 // Declarations and leaf status.
 
-void query_engine::handle(service_declared const& declared, time_point)
+void query_engine::handle(service_declared const& declared, time_point now)
 {
     auto const& service = *declared.declaration;
     double const hedgeShare = service.hedgePercent / 100.0;
@@ -78,28 +78,32 @@
         found->second.hedgeBudget = hedgeBudget;
     for (auto const& change : m_leafs.declare(declared.declaration))
         m_actions.emplace_back(change_leaf_connections { change, service.name, m_leafs.at(change.handle).name() });
+    reviewWaiting(service.name, now);
 }
 
-void query_engine::handle(service_removed const& removed, time_point)
+void query_engine::handle(service_removed const& removed, time_point now)
 {
     for (auto const& change : m_leafs.remove(removed.name))
         m_actions.emplace_back(change_leaf_connections { change, removed.name, m_leafs.at(change.handle).name() });
+    reviewWaiting(removed.name, now);
 }
 
-void query_engine::noteLeafStatus(routing::leaf_handle handle, leaf_status const& status)
+bool query_engine::noteLeafStatus(routing::leaf_handle handle, leaf_status const& status)
 {
     auto& leaf = m_leafs.at(handle);
     bool const isPinStale = leaf.versions() != status.versions || leaf.epochs() != status.epochs;
     auto const stateBefore = leaf.state();
     leaf.noteStatus(status.epochs, status.versions, status.load, status.isDraining);
-    if (isPinStale || leaf.state() != stateBefore)
+    bool const isChanged = isPinStale || leaf.state() != stateBefore;
+    if (isChanged)
         m_leafs.forgetPin(leaf.service());
+    return isChanged;
 }
 
-void query_engine::handle(leaf_status_seen const& seen, time_point)
+void query_engine::handle(leaf_status_seen const& seen, time_point now)
 {
-    if (seen.status)
-        noteLeafStatus(seen.leaf, *seen.status);
+    if (seen.status && noteLeafStatus(seen.leaf, *seen.status))
+        reviewWaiting(m_leafs.at(seen.leaf).service(), now);
 }
 
 // Arrival.
@@ -326,6 +330,9 @@
 
 void query_engine::requestShard(query& asking, std::uint32_t place, bool isHedge, time_point now)
 {
+    // The deadline's timer may be late; it settles the query.
+    if (now >= asking.deadline)
+        return;
     auto& shard = asking.shards[place];
     auto const choice = m_leafs.choose(asking.service->name, asking.pin, shard.shard, shard.asked, now, m_random);
     if (choice.chosen) {
@@ -369,7 +376,7 @@
     shard.isWaiting = true;
     auto& queue = m_waiting[{ asking.service->name, asking.pin.epoch, shard.shard }];
     auto& line = asking.isUrgent ? queue.urgent : queue.ordinary;
-    line.push_back({ asking.id, place, isHedge });
+    line.push_back({ asking.id, place, asking.pin, isHedge });
 }
 
 void query_engine::dispatchWaiting(shard_key const& key, time_point now)
@@ -383,12 +390,21 @@
         m_waiting.erase(found);
 }
 
-bool query_engine::dispatchFirst(std::deque<waiting_shard>& line, time_point now)
+query* query_engine::findWaiting(waiting_shard const& entry)
+{
+    auto* asking = find(entry.query);
+    if (!asking || asking->pin != entry.pin)
+        return nullptr;
+    auto const& shard = asking->shards[entry.place];
+    return shard.isSettled() || !shard.isWaiting ? nullptr : asking;
+}
+
+bool query_engine::dispatchFirst(waiting_line& line, time_point now)
 {
     while (!line.empty()) {
         auto const first = line.front();
-        auto* asking = find(first.query);
-        if (!asking || asking->shards[first.place].isSettled() || !asking->shards[first.place].isWaiting) {
+        auto* asking = findWaiting(first);
+        if (!asking || now >= asking->deadline) {
             line.pop_front();
             continue;
         }
@@ -403,10 +419,77 @@
     return false;
 }
 
+void query_engine::dropStale(std::vector<shard_key> const& keys)
+{
+    for (auto const& key : keys) {
+        auto const found = m_waiting.find(key);
+        if (found == m_waiting.end())
+            continue;
+        for (auto* line : { &found->second.urgent, &found->second.ordinary }) {
+            while (!line->empty() && !findWaiting(line->front()))
+                line->pop_front();
+        }
+        if (found->second.urgent.empty() && found->second.ordinary.empty())
+            m_waiting.erase(found);
+    }
+}
+
+std::vector<query_engine::shard_key> query_engine::waitingKeys(query const& asking) const
+{
+    std::vector<shard_key> keys;
+    for (auto const& shard : asking.shards) {
+        if (shard.isWaiting)
+            keys.push_back({ asking.service->name, asking.pin.epoch, shard.shard });
+    }
+    return keys;
+}
+
+void query_engine::reviewWaiting(std::string const& service, time_point now)
+{
+    std::vector<shard_key> keys;
+    for (auto each = m_waiting.lower_bound({ service, 0, 0 }); each != m_waiting.end() && each->first.service == service; ++each)
+        keys.push_back(each->first);
+    for (auto const& key : keys) {
+        // A review may pin queries anew and so add to any line; these entries go behind those that waited before.
+        auto const found = m_waiting.find(key);
+        if (found == m_waiting.end())
+            continue;
+        auto queue = std::move(found->second);
+        m_waiting.erase(found);
+        reviewLine(std::move(queue.urgent), &shard_queue::urgent, key, now);
+        reviewLine(std::move(queue.ordinary), &shard_queue::ordinary, key, now);
+    }
+}
+
+void query_engine::reviewLine(waiting_line&& line, waiting_line shard_queue::* place, shard_key const& key, time_point now)
+{
+    for (auto const& entry : line) {
+        auto* asking = findWaiting(entry);
+        if (!asking || now >= asking->deadline)
+            continue;
+        auto const& shard = asking->shards[entry.place];
+        auto const choice = m_leafs.choose(asking->service->name, asking->pin, shard.shard, shard.asked, now, m_random);
+        if (choice.chosen)
+            send(*asking, entry.place, *choice.chosen, entry.isHedge, now);
+        else if (choice.isWorthWaiting)
+            (m_waiting[key].*place).push_back(entry);
+        else
+            stopWaiting(*asking, entry.place, now);
+    }
+}
+
+void query_engine::stopWaiting(query& asking, std::uint32_t place, time_point now)
+{
+    auto& shard = asking.shards[place];
+    shard.isWaiting = false;
+    if (shard.calls.empty())
+        repinOrMiss(asking, place, shard.asked.empty() ? model::missing_reason::no_leaf : shard.reasonSoFar, now);
+}
+
 void query_engine::hedge(query& asking, std::uint32_t place, time_point now)
 {
     auto& shard = asking.shards[place];
-    if (!asking.isRepeatable || shard.isSettled() || shard.isHedged || shard.calls.size() != 1)
+    if (!asking.isRepeatable || shard.isSettled() || shard.isHedged || shard.calls.size() != 1 || now >= asking.deadline)
         return;
     auto const choice = m_leafs.choose(asking.service->name, asking.pin, shard.shard, shard.asked, now, m_random);
     if (!choice.chosen && !choice.isWorthWaiting)
@@ -430,13 +513,13 @@
     m_calls.erase(found);
     auto& leaf = m_leafs.at(owner.leaf);
     leaf.noteEnded(owner.sentAt, now, ended.outcome.kind == leaf_outcome_kind::answered);
-    if (ended.outcome.status)
-        noteLeafStatus(owner.leaf, *ended.outcome.status);
+    bool isLeafChanged = ended.outcome.status && noteLeafStatus(owner.leaf, *ended.outcome.status);
     if (ended.outcome.refusal == leaf_refusal::shed)
         leaf.noteShed();
     if (ended.outcome.refusal == leaf_refusal::draining) {
         leaf.noteRefusedAsDraining();
         m_leafs.forgetPin(leaf.service());
+        isLeafChanged = true;
     }
     auto const service = leaf.service();
     auto* asking = find(owner.query);
@@ -463,8 +546,11 @@
             break;
         }
     }
-    // FIXME: A leaf that moved to another shard in a newer epoch should wake the calls that wait there too.
-    dispatchWaiting({ service, owner.pin.epoch, owner.shard }, now);
+    // While a repartition goes on, the leaf may own other shards in the other epoch.
+    if (isLeafChanged || m_leafs.isRepartitioning(service))
+        reviewWaiting(service, now);
+    else
+        dispatchWaiting({ service, owner.pin.epoch, owner.shard }, now);
 }
 
 void query_engine::settleLateReply(call_owner const& owner, leaf_outcome const& outcome)
@@ -505,11 +591,6 @@
     case leaf_refusal::version_gone:
     case leaf_refusal::wrong_epoch: {
         auto const reason = outcome.refusal == leaf_refusal::version_gone ? model::missing_reason::version_gone : model::missing_reason::repartitioned;
-        asking.shards[place].reasonSoFar = reason;
-        auto const choice = m_leafs.choose(asking.service->name, asking.pin, asking.shards[place].shard, asking.shards[place].asked, now, m_random);
-        bool const canAskElsewhere = choice.chosen || choice.isWorthWaiting || !asking.shards[place].calls.empty();
-        if (!canAskElsewhere && repin(asking, now))
-            return;
         retryOrMiss(asking, place, reason, now);
         return;
     }
@@ -543,13 +624,22 @@
     auto const choice = m_leafs.choose(asking.service->name, asking.pin, shard.shard, shard.asked, now, m_random);
     bool const isPossible = choice.chosen || choice.isWorthWaiting;
     if (!isPossible || !limitsOf(asking.service->name).retryBudget.take()) {
-        miss(asking, place, reason);
+        repinOrMiss(asking, place, reason, now);
         return;
     }
     ++m_counters.retries;
     requestShard(asking, place, false, now);
 }
 
+void query_engine::repinOrMiss(query& asking, std::uint32_t place, model::missing_reason reason, time_point now)
+{
+    // Only a snapshot that can't be had is a cause for another one, and only as long as a second sending does no harm.
+    bool const isSnapshotGone = reason != model::missing_reason::failed && reason != model::missing_reason::overloaded;
+    bool const mayAskAgain = asking.isRepeatable || asking.shards[place].asked.empty();
+    if (!isSnapshotGone || !mayAskAgain || !repin(asking, now))
+        miss(asking, place, reason);
+}
+
 void query_engine::miss(query& asking, std::uint32_t place, model::missing_reason reason)
 {
     asking.shards[place].missing = reason;
@@ -563,15 +653,17 @@
     if (!pin || *pin == asking.pin || !asking.lifecycle.repin())
         return false;
     ++m_counters.repins;
+    auto const keys = waitingKeys(asking);
     for (auto& shard : asking.shards)
         cancelCalls(shard);
-    asking.service = m_leafs.findService(asking.service->name);
+    // The declaration of the arrival stays: a newer one may lack the request kind or name another partner.
     asking.pin = *pin;
     asking.settledShards = 0;
     asking.answeredShards = 0;
     asking.shards.clear();
     for (auto const shard : shardsOf(*asking.request, *asking.service, *pin))
         asking.shards.emplace_back().shard = shard;
+    dropStale(keys);
     scatter(asking, now);
     return true;
 }
@@ -654,10 +746,17 @@
     } else {
         ++m_counters.refusals;
     }
-    m_admission.leave(asking.service->partner);
     for (auto const& caller : asking.callers)
         giveAnswer(caller.token, caller.requestId, result);
-    m_queries.erase(asking.id);
+    forget(asking);
+}
+
+void query_engine::forget(query& settled)
+{
+    auto const keys = waitingKeys(settled);
+    m_admission.leave(settled.service->partner);
+    m_queries.erase(settled.id);
+    dropStale(keys);
 }
 
 // Timers, relays and callers that leave.
@@ -729,8 +828,7 @@
     ++m_counters.abandoned;
     for (auto& shard : asking.shards)
         cancelCalls(shard);
-    m_admission.leave(asking.service->partner);
-    m_queries.erase(asking.id);
+    forget(asking);
 }
 
 }
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -107,12 +107,16 @@
     struct waiting_shard {
         query_id query { 0 };
         std::uint32_t place { 0 };
+        /// The entry is stale once the query has another pin.
+        model::snapshot pin;
         bool isHedge { false };
     };
 
+    using waiting_line = std::deque<waiting_shard>;
+
     struct shard_queue {
-        std::deque<waiting_shard> urgent;
-        std::deque<waiting_shard> ordinary;
+        waiting_line urgent;
+        waiting_line ordinary;
     };
 
     struct call_owner {
@@ -167,7 +171,15 @@
     void send(query&, std::uint32_t place, routing::leaf_handle, bool isHedge, kernel::time_point);
     void waitForRoom(query&, std::uint32_t place, bool isHedge);
     void dispatchWaiting(shard_key const&, kernel::time_point);
-    bool dispatchFirst(std::deque<waiting_shard>&, kernel::time_point);
+    bool dispatchFirst(waiting_line&, kernel::time_point);
+    /// The query of an entry that still waits, or null.
+    query* findWaiting(waiting_shard const&);
+    void dropStale(std::vector<shard_key> const&);
+    std::vector<shard_key> waitingKeys(query const&) const;
+    /// Called when what the leafs of a service take has changed: what waits may be sent, or has nothing left to wait for.
+    void reviewWaiting(std::string const& service, kernel::time_point);
+    void reviewLine(waiting_line&&, waiting_line shard_queue::*, shard_key const&, kernel::time_point);
+    void stopWaiting(query&, std::uint32_t place, kernel::time_point);
     void hedge(query&, std::uint32_t place, kernel::time_point);
 
     // Gathering.
@@ -175,10 +187,12 @@
     void handleRefusal(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
     void handleFailure(query&, std::uint32_t place, kernel::time_point);
     void retryOrMiss(query&, std::uint32_t place, model::missing_reason, kernel::time_point);
+    void repinOrMiss(query&, std::uint32_t place, model::missing_reason, kernel::time_point);
     void miss(query&, std::uint32_t place, model::missing_reason);
     bool repin(query&, kernel::time_point);
     void cancelCalls(shard_progress&);
-    void noteLeafStatus(routing::leaf_handle, leaf_status const&);
+    /// True when it changes which calls the leaf takes.
+    bool noteLeafStatus(routing::leaf_handle, leaf_status const&);
     void settleLateReply(call_owner const&, leaf_outcome const&);
 
     // Settling.
@@ -190,6 +204,7 @@
     bool hasSoftShare(query const&) const;
     model::answer_or_error resultOf(query&);
     void settle(query&, model::answer_or_error);
+    void forget(query&);
     /// Ends a repeatable query that nobody waits for any more.
     void abandon(query&);
 
--- a/Libraries/zinnialedge/routing/leaf_table.cpp
+++ b/Libraries/zinnialedge/routing/leaf_table.cpp
@@ -123,6 +123,12 @@
     return nullptr;
 }
 
+bool leaf_table::isRepartitioning(std::string const& service) const
+{
+    auto const found = m_services.find(service);
+    return found != m_services.end() && found->second.maps.size() > 1;
+}
+
 void leaf_table::forgetPin(std::string const& service)
 {
     auto const found = m_services.find(service);
--- a/Libraries/zinnialedge/routing/leaf_table.h
+++ b/Libraries/zinnialedge/routing/leaf_table.h
@@ -52,6 +52,8 @@
     /// Called when what a leaf serves, or whether it takes work, has changed.
     void forgetPin(std::string const& service);
 
+    /// True while maps of two partition epochs are in use.
+    bool isRepartitioning(std::string const& service) const;
     partition_map const* findMap(std::string const& service, std::uint64_t epoch) const;
     /// From now on choose() takes any leaf with room, whatever its expected delay.
     void chooseAtRandom() { m_isChoosingByDelay = false; }
--- a/Tests/Differential/query_simulation.h
+++ b/Tests/Differential/query_simulation.h
@@ -28,6 +28,7 @@
         bool isOverAllShards { true };
         bool isAnswered { false };
         bool hasLeft { false };
+        bool isRelayed { false };
     };
 
     /// What became of one call to a leaf, as far as the engine was told.
