Tests: Count runs at the stand-ins under faults of queries

Killed and frozen leafs and daemons, cut replies, replies for another call, shard or version, shedding, versions and partitions that change under load, the same ticket to two daemons at once.

--- a/Tests/Faults/query_faults_test.cpp
+++ b/Tests/Faults/query_faults_test.cpp
@@ -1,7 +1,12 @@
 #include "Tests/Support/cluster.h"
 #include "Utilities/zl-load/answer_check.h"
-#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <atomic>
 #include <boost/json.hpp>
+#include <future>
+
+// It redefines new, so it comes after the standard headers.
+#include <CppUTest/TestHarness.h>
 
 using namespace zinnialedge;
 using namespace zinnialedge::tests;
@@ -11,6 +16,7 @@
 // run, and an answer's rows fit its coverage and its one snapshot.
 
 static constexpr std::chrono::milliseconds ownDeadline { 1000 };
+static constexpr std::chrono::milliseconds longDeadline { 20'000 };
 /// How much later than its deadline an answer may reach the caller on a busy machine.
 static constexpr std::chrono::milliseconds busyMachine { 3000 };
 
@@ -125,6 +131,20 @@
             running->setLeafFaults(leaf, faults);
     }
 
+    /// A confirmation whose key is of that shard.
+    model::query_request makeConfirmationOfShard(std::string const& issuer, std::uint32_t shard) const
+    {
+        auto request = makeConfirmation(issuer);
+        for (unsigned suffix = 0; model::shardOfKey(request.key, running->declarationOf("lunch-portal").shardCount) != shard; ++suffix)
+            request.key = request.id + "-" + std::to_string(suffix);
+        return request;
+    }
+
+    std::future<model::answer_or_error> startAsking(std::string const& daemon, model::query_request const& request) const
+    {
+        return std::async(std::launch::async, [place = running->daemon(daemon).callers, request] { return query(place, request); });
+    }
+
     static void checkKind(error_kind kind, model::answer_or_error const& result)
     {
         CHECK(!result);
@@ -145,3 +165,161 @@
     CHECK(waitUntil([&] { return query(running->daemon("suva-1").callers, request).has_value(); }));
     LONGS_EQUAL(1, runsOf(request.ticket));
 }
+
+TEST(QueryFaults, ALeafKilledWithCallsInFlightLosesNoRepeatableQueryAndNoTruth)
+{
+    setFaults({ { "slow_factor", 500 } });
+    auto confirmation = makeConfirmationOfShard("suva-1", 0);
+    confirmation.deadline = longDeadline;
+    auto confirming = startAsking("suva-1", confirmation);
+    CHECK(waitUntil([&] { return runsOf(confirmation.ticket) == 1; }));
+    auto request = makeRequest("search");
+    request.deadline = longDeadline;
+    auto searching = startAsking("suva-1", request);
+    CHECK(waitUntil([&] { return countOfLeafs("calls") >= 3; }));
+    auto& all = leafs();
+    auto const holder = std::find_if(all.begin(), all.end(), [&](auto const& leaf) { return getJson(leaf.place, "/counts").at("runs_of_ticket").as_object().contains(confirmation.ticket); });
+    CHECK(holder != all.end());
+    holder->process->signal(SIGKILL);
+    checkKind(error_kind::outcome_unknown, confirming.get());
+    checkKind(error_kind::outcome_unknown, query(running->daemon("suva-1").callers, confirmation));
+    all.erase(holder);
+    LONGS_EQUAL(0, runsOf(confirmation.ticket));
+    auto const answer = searching.get();
+    CHECK(answer.has_value());
+    CHECK(answer->covered.isWhole());
+    CHECK(!utilities::load::findFault(*answer, request.id));
+}
+
+TEST(QueryFaults, AFrozenLeafSettlesItsTicketWhenItWakes)
+{
+    auto const& frozen = leafs().front();
+    frozen.process->signal(SIGSTOP);
+    auto lost = makeConfirmationOfShard("suva-1", frozen.shard);
+    for (unsigned tries = 0; tries < 50 && confirm("suva-1", lost); ++tries)
+        lost = makeConfirmationOfShard("suva-1", frozen.shard);
+    checkKind(error_kind::outcome_unknown, confirmations.at(lost.ticket));
+    auto const answer = search();
+    CHECK(answer.has_value());
+    CHECK(answer->covered.isWhole());
+    frozen.process->signal(SIGCONT);
+    CHECK(waitUntil([&] { return confirm("suva-1", lost).has_value(); }));
+    CHECK(confirmations.at(lost.ticket)->isRemembered);
+    checkConfirmations();
+}
+
+TEST(QueryFaults, AReplyThatIsCutOrOfSomethingElseIsNeverMerged)
+{
+    for (auto const* fault : { "cut_replies", "answer_other_call", "answer_other_shard", "answer_other_version" }) {
+        setFaults({ { fault, true } });
+        CHECK(!search());
+        auto const request = makeConfirmation("suva-1");
+        checkKind(error_kind::outcome_unknown, confirm("suva-1", request));
+        checkKind(error_kind::outcome_unknown, confirm("suva-1", request));
+        LONGS_EQUAL(1, runsOf(request.ticket));
+        // With one healthy leaf of each shard the queries come through.
+        for (auto const& leaf : leafs()) {
+            if (&leaf != &leafs().front())
+                running->setLeafFaults(leaf, { { fault, false } });
+        }
+        CHECK(waitUntil([&] {
+            auto const answer = search();
+            return answer && answer->covered.isWhole();
+        }));
+        setFaults({ { fault, false } });
+    }
+    checkConfirmations();
+}
+
+TEST(QueryFaults, AShedRequestWasNotRunAndItsTicketIsStillGood)
+{
+    setFaults({ { "shed", true } });
+    auto const request = makeConfirmation("suva-1");
+    auto const refused = confirm("suva-1", request);
+    CHECK(!refused);
+    CHECK(errors::answerFor(refused.error().kind).ran == errors::run_state::no);
+    checkConfirmations();
+    auto const search = query(running->daemon("suva-1").callers, makeRequest("search"));
+    CHECK(!search);
+    CHECK(errors::answerFor(search.error().kind).ran == errors::run_state::no);
+    LONGS_EQUAL(0, countOfLeafs("runs"));
+    setFaults({ { "shed", false } });
+    CHECK(confirm("suva-1", request).has_value());
+    checkConfirmations();
+}
+
+TEST(QueryFaults, VersionsAndPartitionsChangeUnderLoad)
+{
+    auto const place = running->daemon("suva-1").callers;
+    std::atomic<bool> isOver { false };
+    auto const load = [&] {
+        std::vector<std::string> faults;
+        for (unsigned index = 0; !isOver; ++index) {
+            model::query_request request;
+            request.id = "load-" + std::to_string(index);
+            request.service = "lunch-portal";
+            request.requestKind = "search";
+            auto const result = query(place, request);
+            if (auto const fault = result ? utilities::load::findFault(*result, request.id) : std::nullopt)
+                faults.push_back(*fault);
+        }
+        return faults;
+    };
+    auto first = std::async(std::launch::async, load);
+    auto second = std::async(std::launch::async, load);
+    auto const waitForSnapshot = [&](model::snapshot wanted) {
+        return waitUntil([&] {
+            auto const answer = search();
+            return answer && answer->covered.isWhole() && answer->reflects == wanted;
+        });
+    };
+    setFaults({ { "versions", { 1, 2 } } });
+    CHECK(waitForSnapshot({ 1, 2 }));
+    setFaults({ { "versions", { 3 } } });
+    CHECK(waitForSnapshot({ 1, 3 }));
+    setFaults({ { "epochs", { 1, 2 } } });
+    auto moved = running->declarationOf("lunch-portal");
+    moved.epoch = 2;
+    moved.shardCount = 1;
+    for (auto& target : moved.targets)
+        target.shard = 0;
+    running->declare(moved);
+    CHECK(waitForSnapshot({ 2, 3 }));
+    setFaults({ { "epochs", { 2 } }, { "versions", { 4 } } });
+    CHECK(waitForSnapshot({ 2, 4 }));
+    isOver = true;
+    for (auto* each : { &first, &second }) {
+        auto const faults = each->get();
+        STRCMP_EQUAL("", faults.empty() ? "" : faults.front().c_str());
+    }
+}
+
+TEST(QueryFaults, TheOutcomeOfAKilledDaemonsTicketIsUnknownAndItNeverRunsElsewhere)
+{
+    startSecondDaemon();
+    setFaults({ { "slow_factor", 500 } });
+    auto request = makeConfirmation("suva-2");
+    request.deadline = longDeadline;
+    auto relayed = startAsking("suva-1", request);
+    CHECK(waitUntil([&] { return runsOf(request.ticket) == 1; }));
+    running->daemon("suva-2").process->signal(SIGKILL);
+    checkKind(error_kind::outcome_unknown, relayed.get());
+    setFaults({ { "slow_factor", 1 } });
+    checkKind(error_kind::outcome_unknown, query(running->daemon("suva-1").callers, request));
+    LONGS_EQUAL(1, runsOf(request.ticket));
+}
+
+TEST(QueryFaults, TheSameTicketToTwoDaemonsAtOnceRunsOnce)
+{
+    startSecondDaemon();
+    for (unsigned round = 0; round < 20; ++round) {
+        auto const request = makeConfirmation(round % 2 == 0 ? "suva-1" : "suva-2");
+        auto first = startAsking("suva-1", request);
+        auto second = startAsking("suva-2", request);
+        auto const answers = std::pair { first.get(), second.get() };
+        CHECK(answers.first.has_value());
+        CHECK(answers.second.has_value());
+        CHECK(answers.first->rows == answers.second->rows);
+        LONGS_EQUAL(1, runsOf(request.ticket));
+    }
+}
