Benchmarks: Measure idle daemons by their number

Processor, memory, loopback bytes and store calls of 5 to 40 daemons, and the time from a changed object to in force on all of them.

--- /dev/null
+++ b/Tests/Benchmarks/control_cost.cpp
@@ -0,0 +1,135 @@
+#include "Tests/Benchmarks/control_cost.h"
+
+#include "Tests/Benchmarks/line_fit.h"
+#include "Tests/Benchmarks/process_usage.h"
+#include "Tests/Support/cluster.h"
+#include <algorithm>
+#include <array>
+#include <boost/json.hpp>
+#include <cstdio>
+
+namespace zinnialedge::benchmarks {
+
+namespace json = boost::json;
+using namespace tests;
+
+static constexpr std::array<unsigned, 4> daemonCounts { 5, 10, 20, 40 };
+static constexpr std::array<char const*, 4> dataCentres { "suva-a", "suva-b", "suva-c", "suva-d" };
+static constexpr std::chrono::seconds settling { 8 };
+static constexpr std::chrono::seconds span { 15 };
+static constexpr unsigned changes = 3;
+static constexpr char const* serviceName = "kitchen-desk";
+
+/// What all daemons and the store have done so far.
+struct control_sample {
+    double cpuMilliseconds { 0 };
+    double residentKilobytes { 0 };
+    double loopbackBytes { 0 };
+    double storeCalls { 0 };
+};
+
+/// The costs of one daemon at some number of daemons.
+struct control_cost {
+    double cpuPercent { 0 };
+    double residentMegabytes { 0 };
+    double bytesPerSecond { 0 };
+    double storeCallsPerSecond { 0 };
+    double slowestChangeMilliseconds { 0 };
+};
+
+static control_sample sample(cluster const& cluster, std::vector<running_daemon> const& daemons)
+{
+    control_sample taken;
+    for (auto const& daemon : daemons) {
+        auto const usage = readUsage(daemon.process->id());
+        taken.cpuMilliseconds += static_cast<double>(usage.cpu.count());
+        taken.residentKilobytes += static_cast<double>(usage.residentKilobytes);
+    }
+    taken.loopbackBytes = static_cast<double>(readLoopbackBytes());
+    auto const counts = getJson(cluster.platform(), "/counts");
+    for (auto const* name : { "reads", "writes", "watches" })
+        taken.storeCalls += counts.at(name).to_number<double>();
+    return taken;
+}
+
+static std::uint64_t versionAt(running_daemon const& daemon)
+{
+    auto const state = getJson(daemon.operators, "/state");
+    if (!state.is_object())
+        return 0;
+    auto const& objects = state.at("services").at("decisions").at("objects").as_object();
+    auto const* version = objects.if_contains(std::string { "services/" } + serviceName);
+    return version ? version->to_number<std::uint64_t>() : 0;
+}
+
+/// Milliseconds until the last daemon has the changed object.
+static double measureChange(cluster& cluster, std::vector<running_daemon> const& daemons)
+{
+    auto const before = versionAt(daemons.front());
+    auto changed = cluster.declarationOf(serviceName);
+    changed.hedgePercent = changed.hedgePercent % 10 + 1;
+    auto const start = std::chrono::steady_clock::now();
+    cluster.declare(changed);
+    bool isInForce = true;
+    for (auto const& daemon : daemons)
+        isInForce = isInForce && waitUntil([&] { return versionAt(daemon) > before; });
+    if (!isInForce)
+        std::printf("a change did not reach every daemon\n");
+    return std::chrono::duration<double, std::milli> { std::chrono::steady_clock::now() - start }.count();
+}
+
+static control_cost measureDaemons(unsigned count)
+{
+    cluster cluster;
+    auto plan = kitchenDeskPlan();
+    plan.declaration.shardCount = 1;
+    // The daemons must not ask for more connections than the leaf takes.
+    plan.leaf.connectionCap = 200;
+    plan.declaration.groupSize = count;
+    cluster.startService(plan);
+    std::vector<running_daemon> daemons;
+    for (unsigned index = 0; index < count; ++index)
+        daemons.push_back(cluster.startDaemon("suva-" + std::to_string(index), "suva", dataCentres.at(index % dataCentres.size())));
+    std::this_thread::sleep_for(settling);
+    auto const before = sample(cluster, daemons);
+    std::this_thread::sleep_for(span);
+    auto const after = sample(cluster, daemons);
+    control_cost cost;
+    double const seconds = static_cast<double>(span.count());
+    cost.cpuPercent = (after.cpuMilliseconds - before.cpuMilliseconds) / (10 * seconds * count);
+    cost.residentMegabytes = after.residentKilobytes / 1024 / count;
+    // Each byte on loopback was sent by one process and received by another; a daemon pays for both directions.
+    cost.bytesPerSecond = 2 * (after.loopbackBytes - before.loopbackBytes) / (seconds * count);
+    cost.storeCallsPerSecond = (after.storeCalls - before.storeCalls) / seconds;
+    for (unsigned change = 0; change < changes; ++change)
+        cost.slowestChangeMilliseconds = std::max(cost.slowestChangeMilliseconds, measureChange(cluster, daemons));
+    std::printf("%u daemons: %.2f%% of a core, %.1f MB and %.0f bytes/s each, store %.2f calls/s in all, slowest of %u changes in force in %.0f ms\n",
+        count, cost.cpuPercent, cost.residentMegabytes, cost.bytesPerSecond, cost.storeCallsPerSecond, changes, cost.slowestChangeMilliseconds);
+    std::fflush(stdout);
+    return cost;
+}
+
+void measureControl()
+{
+    std::vector<point> cpu;
+    std::vector<point> memory;
+    std::vector<point> bytes;
+    std::vector<point> storeCalls;
+    std::vector<point> inForce;
+    for (auto const count : daemonCounts) {
+        auto const cost = measureDaemons(count);
+        double const size = count;
+        cpu.push_back({ size, cost.cpuPercent });
+        memory.push_back({ size, cost.residentMegabytes });
+        bytes.push_back({ size, cost.bytesPerSecond });
+        storeCalls.push_back({ size, cost.storeCallsPerSecond });
+        inForce.push_back({ size, cost.slowestChangeMilliseconds });
+    }
+    printSlope("an idle daemon's processor", "percent of a core", "daemon", cpu);
+    printSlope("an idle daemon's memory", "MB", "daemon", memory);
+    printSlope("an idle daemon's traffic, both directions", "bytes/s", "daemon", bytes);
+    printSlope("calls to the store by all daemons", "calls/s", "daemon", storeCalls);
+    printSlope("a change in force everywhere", "ms", "daemon", inForce);
+}
+
+}
--- a/Tests/Benchmarks/main.cpp
+++ b/Tests/Benchmarks/main.cpp
@@ -1,6 +1,7 @@
 // Measures what a daemon costs. Not a test: it checks nothing, and its figures depend on the machine.
 
 #include "Tests/Benchmarks/call_cost.h"
+#include "Tests/Benchmarks/control_cost.h"
 #include "Tests/Benchmarks/table_cost.h"
 #include <cstdio>
 #include <functional>
@@ -16,6 +17,7 @@
     gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
     std::map<std::string, std::function<void()>> const sections {
         { "calls", measureCalls },
+        { "control", measureControl },
         { "tables", measureTables },
     };
     for (int index = 1; index < argumentCount; ++index) {
