--- a/Tests/Benchmarks/control_cost.cpp
+++ b/Tests/Benchmarks/control_cost.cpp
@@ -14,6 +14,7 @@
 using namespace tests;
 
 static constexpr std::array<unsigned, 4> daemonCounts { 5, 10, 20, 40 };
+static constexpr std::array<std::uint32_t, 2> leafCounts { 8, 32 };
 static constexpr std::array<char const*, 4> dataCentres { "suva-a", "suva-b", "suva-c", "suva-d" };
 static constexpr std::chrono::seconds settling { 8 };
 static constexpr std::chrono::seconds span { 15 };
@@ -78,11 +79,11 @@
     return std::chrono::duration<double, std::milli> { std::chrono::steady_clock::now() - start }.count();
 }
 
-static control_cost measureDaemons(unsigned count)
+static control_cost measureDaemons(unsigned count, std::uint32_t leafs)
 {
     cluster cluster;
     auto plan = kitchenDeskPlan();
-    plan.declaration.shardCount = 1;
+    plan.declaration.shardCount = leafs;
     // The daemons must not ask for more connections than the leaf takes.
     plan.leaf.connectionCap = 200;
     plan.declaration.groupSize = count;
@@ -103,12 +104,26 @@
     cost.storeCallsPerSecond = (after.storeCalls - before.storeCalls) / seconds;
     for (unsigned change = 0; change < changes; ++change)
         cost.slowestChangeMilliseconds = std::max(cost.slowestChangeMilliseconds, measureChange(cluster, daemons));
-    std::printf("%u daemons: %.2f%% of a core, %.1f MB and %.0f bytes/s each, store %.2f calls/s in all, slowest of %u changes in force in %.0f ms\n",
-        count, cost.cpuPercent, cost.residentMegabytes, cost.bytesPerSecond, cost.storeCallsPerSecond, changes, cost.slowestChangeMilliseconds);
+    std::printf("%u daemons, %u leafs: %.2f%% of a core, %.1f MB and %.0f bytes/s each, store %.2f calls/s in all, slowest of %u changes in force in %.0f ms\n",
+        count, leafs, cost.cpuPercent, cost.residentMegabytes, cost.bytesPerSecond, cost.storeCallsPerSecond, changes, cost.slowestChangeMilliseconds);
     std::fflush(stdout);
     return cost;
 }
 
+/// What the status of idle leafs costs.
+static void measureLeafProbes()
+{
+    std::vector<point> cpu;
+    std::vector<point> bytes;
+    for (auto const leafs : leafCounts) {
+        auto const cost = measureDaemons(daemonCounts.front(), leafs);
+        cpu.push_back({ static_cast<double>(leafs), cost.cpuPercent });
+        bytes.push_back({ static_cast<double>(leafs), cost.bytesPerSecond });
+    }
+    printSlope("an idle daemon's processor by leafs", "percent of a core", "leaf", cpu);
+    printSlope("an idle daemon's traffic by leafs, both directions", "bytes/s", "leaf", bytes);
+}
+
 void measureControl()
 {
     std::vector<point> cpu;
@@ -117,7 +132,7 @@
     std::vector<point> storeCalls;
     std::vector<point> inForce;
     for (auto const count : daemonCounts) {
-        auto const cost = measureDaemons(count);
+        auto const cost = measureDaemons(count, 1);
         double const size = count;
         cpu.push_back({ size, cost.cpuPercent });
         memory.push_back({ size, cost.residentMegabytes });
@@ -130,6 +145,7 @@
     printSlope("an idle daemon's traffic, both directions", "bytes/s", "daemon", bytes);
     printSlope("calls to the store by all daemons", "calls/s", "daemon", storeCalls);
     printSlope("a change in force everywhere", "ms", "daemon", inForce);
+    measureLeafProbes();
 }
 
 }
