Callers: Report a caller whose connection ends before its answer

Cause: nobody looked at the connection while a request waited, so the leafs worked on for nobody. Red before: QueryFaults.AQueryWhoseOnlyCallerHasLeftIsCancelledAtTheLeafs saw no cancellation within 30 s of the caller's leaving. An answer may cross the message, so half of the ring is kept for such answers. GET /state counts abandoned queries and relays.

--- a/Libraries/zinnialedge/wire/http_message.h
+++ b/Libraries/zinnialedge/wire/http_message.h
@@ -16,6 +16,8 @@
     std::string target { "/" };
     std::string body;
     http_headers headers;
+    /// Names the request at the server that received it.
+    std::uint64_t number { 0 };
 };
 
 struct http_response {
--- a/Libraries/zinnialedge/wire/http_server.cpp
+++ b/Libraries/zinnialedge/wire/http_server.cpp
@@ -37,6 +37,7 @@
     http_server_limits const& limits() const { return m_limits; }
     http_handler const& handler() const { return m_handler; }
     std::size_t connectionCount() const { return m_sessions.size(); }
+    std::uint64_t nextRequestNumber() { return ++m_lastRequest; }
 
 private:
     void admit(tcp::socket);
@@ -46,6 +47,7 @@
     http_server_limits m_limits;
     http_handler m_handler;
     std::set<http_connection_session*> m_sessions;
+    std::uint64_t m_lastRequest { 0 };
 };
 
 /// One connection: reads a request, waits for its answer, writes it, and reads the next.
@@ -110,14 +112,29 @@
         auto message = m_parser->release();
         m_isKeepAlive = message.keep_alive();
         m_version = message.version();
-        http_request request { std::string { message.method_string() }, std::string { message.target() }, std::move(message.body()), {} };
+        m_request = m_server->nextRequestNumber();
+        http_request request { std::string { message.method_string() }, std::string { message.target() }, std::move(message.body()), {}, m_request };
         for (auto const& field : message) {
             auto name = toLowerCase(field.name_string());
             request.headers[std::move(name)] = std::string { field.value() };
         }
+        watchForClose();
         m_server->handler()(std::move(request), [self = shared_from_this()](http_response response) { self->write(std::move(response)); });
     }
 
+    /// While a request waits for its answer nobody reads, so the end of the connection has to be looked for.
+    void watchForClose()
+    {
+        if (!m_server->limits().abandoned)
+            return;
+        m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), request = m_request](beast::error_code failure) {
+            beast::error_code ignored;
+            bool const isEnded = !failure && self->m_stream.socket().available(ignored) == 0;
+            if (isEnded && self->m_request == request)
+                self->m_server->limits().abandoned(request);
+        });
+    }
+
     void refuse(errors::error const& error)
     {
         m_isKeepAlive = false;
@@ -128,6 +145,7 @@
 
     void write(http_response response)
     {
+        m_request = 0;
         m_response = {};
         m_response.version(m_version);
         m_response.result(static_cast<unsigned>(response.status));
@@ -158,6 +176,8 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
     std::shared_ptr<http_server::implementation> m_server;
+    /// The request that waits for its answer, or zero.
+    std::uint64_t m_request { 0 };
     unsigned m_version { 11 };
     bool m_isKeepAlive { true };
 };
--- a/Libraries/zinnialedge/wire/http_server.h
+++ b/Libraries/zinnialedge/wire/http_server.h
@@ -27,6 +27,8 @@
     std::chrono::microseconds openingDelay { 0 };
     /// Called when a connection is opened; false closes it at once.
     std::function<bool()> admitConnection;
+    /// Called with the number of a request whose client closed the connection before the answer. It may cross the answer.
+    std::function<void(std::uint64_t)> abandoned;
     /// Writes the body of an error that the server itself answers.
     std::function<std::string(errors::error const&)> describeError;
 };
--- a/Services/callers/caller_service.cpp
+++ b/Services/callers/caller_service.cpp
@@ -10,8 +10,10 @@
 using errors::error;
 using errors::error_kind;
 
-/// Answers that wait for this duty are bounded by the callers that wait for them.
 static constexpr std::size_t actionCapacity = 16'384;
+/// Answers that wait for this duty are bounded by the callers that wait for them; the other half of the ring is for answers
+/// that cross the message that their caller has left.
+static constexpr std::size_t waitingCapacity = actionCapacity / 2;
 static constexpr std::chrono::milliseconds overloadRetryAfter { 50 };
 static constexpr std::chrono::milliseconds leavingRetryAfter { 0 };
 static constexpr int statusOk = 200;
@@ -47,6 +49,7 @@
     wire::http_server_limits limits;
     limits.bodyBytes = settings.bodyBytes;
     limits.connections = settings.connections;
+    limits.abandoned = [this](std::uint64_t request) { handleAbandoned(request); };
     limits.describeError = [](error const& reason) { return wire::formatError(reason); };
     auto server = wire::http_server::listen(m_duty.context(), settings.place, std::move(limits), [this](wire::http_request const& request, wire::http_responder const& respond) { handleRequest(request, respond); });
     if (!server)
@@ -70,7 +73,7 @@
 
 void caller_service::handleQuery(wire::http_request const& request, wire::http_responder const& respond)
 {
-    auto const token = ++m_lastToken;
+    auto const token = request.number;
     auto parsed = wire::parseQuery(request.body, "q" + std::to_string(token));
     if (!parsed) {
         respond(makeErrorResponse(parsed.error()));
@@ -94,7 +97,7 @@
         return;
     }
     auto const dataCentre = parameters.find("data_centre");
-    auto const token = ++m_lastToken;
+    auto const token = request.number;
     decisions::directory_asked asked { token, service->second, dataCentre == parameters.end() ? std::string {} : dataCentre->second };
     submit(std::move(asked), token, { respond, {}, m_clock() }, {});
 }
@@ -102,7 +105,7 @@
 void caller_service::submit(decisions::caller_event&& event, queries::caller_token token, waiting_caller waiting, std::string const& requestId)
 {
     // Both bounds leave room for every answer in the ring that comes back.
-    if (m_waiting.size() >= actionCapacity || !m_decisions.callerInbox().push(std::move(event))) {
+    if (m_waiting.size() >= waitingCapacity || !m_decisions.callerInbox().push(std::move(event))) {
         ++m_overloadedRefusals;
         waiting.respond(makeErrorResponse({ error_kind::overloaded, "too many requests wait for a decision", overloadRetryAfter }, requestId));
         return;
@@ -110,6 +113,15 @@
     m_waiting.emplace(token, std::move(waiting));
 }
 
+void caller_service::handleAbandoned(queries::caller_token caller)
+{
+    if (m_waiting.erase(caller) == 0)
+        return;
+    ++m_abandonedRequests;
+    // When the ring is full, the query runs to its end for nobody.
+    static_cast<void>(m_decisions.callerInbox().push(queries::caller_left { caller }));
+}
+
 void caller_service::handleAction(decisions::caller_action&& action)
 {
     std::visit([this](auto const& each) { answer(each); }, action);
@@ -118,7 +130,9 @@
 void caller_service::answer(queries::answer_caller const& given)
 {
     auto const found = m_waiting.find(given.caller);
-    VERIFY(found != m_waiting.end());
+    // The caller has left meanwhile.
+    if (found == m_waiting.end())
+        return;
     auto const waiting = std::move(found->second);
     m_waiting.erase(found);
     std::string outcome = "whole";
@@ -151,7 +165,9 @@
 void caller_service::answer(decisions::directory_answered const& given)
 {
     auto const found = m_waiting.find(given.caller);
-    VERIFY(found != m_waiting.end());
+    // The caller has left meanwhile.
+    if (found == m_waiting.end())
+        return;
     auto const respond = std::move(found->second.respond);
     m_waiting.erase(found);
     if (given.result)
@@ -178,6 +194,7 @@
             { "connections", m_server->connectionCount() },
             { "waiting", m_waiting.size() },
             { "overloaded_refusals", m_overloadedRefusals },
+            { "abandoned_requests", m_abandonedRequests },
         }));
     });
 }
--- a/Services/callers/caller_service.h
+++ b/Services/callers/caller_service.h
@@ -47,6 +47,8 @@
     void handleQuery(wire::http_request const&, wire::http_responder const&);
     void handleDirectory(wire::http_request const&, wire::http_responder const&);
     void submit(decisions::caller_event&&, queries::caller_token, waiting_caller, std::string const& requestId);
+    /// The connection of a waiting caller was closed.
+    void handleAbandoned(queries::caller_token);
     void handleAction(decisions::caller_action&&);
     void answer(queries::answer_caller const&);
     void answer(decisions::directory_answered const&);
@@ -55,10 +57,11 @@
     kernel::clock_hook m_clock;
     decisions::decision_service& m_decisions;
     std::unique_ptr<wire::http_server> m_server;
+    /// By the number of the request at the server.
     std::unordered_map<queries::caller_token, waiting_caller> m_waiting;
-    queries::caller_token m_lastToken { 0 };
     latency_metrics m_metrics;
     std::uint64_t m_overloadedRefusals { 0 };
+    std::uint64_t m_abandonedRequests { 0 };
     bool m_isLeaving { false };
 };
 
--- a/Services/decisions/decision_state.cpp
+++ b/Services/decisions/decision_state.cpp
@@ -44,7 +44,7 @@
     std::uint64_t value;
 };
 
-static std::array<named_counter, 10> listCounters(queries::engine_counters const& counters)
+static std::array<named_counter, 13> listCounters(queries::engine_counters const& counters)
 {
     return { {
         { "queries", counters.queries },
@@ -55,6 +55,9 @@
         { "hedges", counters.hedges },
         { "retries", counters.retries },
         { "repins", counters.repins },
+        { "abandoned", counters.abandoned },
+        { "relays", counters.relays },
+        { "relays_without_answer", counters.relaysWithoutAnswer },
         { "late_replies", counters.lateReplies },
         { "mismatched_replies", counters.mismatchedReplies },
     } };
--- a/Tests/Faults/query_faults_test.cpp
+++ b/Tests/Faults/query_faults_test.cpp
@@ -1,3 +1,4 @@
+#include "Libraries/zinnialedge/wire/caller_codec.h"
 #include "Tests/Support/cluster.h"
 #include "Utilities/zl-load/answer_check.h"
 #include <algorithm>
@@ -323,3 +324,16 @@
         LONGS_EQUAL(1, runsOf(request.ticket));
     }
 }
+
+TEST(QueryFaults, AQueryWhoseOnlyCallerHasLeftIsCancelledAtTheLeafs)
+{
+    setFaults({ { "slow_factor", 1'000'000 } });
+    auto const& daemon = running->daemon("suva-1");
+    auto request = makeRequest("search");
+    request.deadline = std::chrono::milliseconds { 60'000 };
+    // The caller gives up long before the deadline.
+    CHECK(!callHttp(daemon.callers, { "POST", "/query", wire::formatQuery(request), {} }, ownDeadline));
+    CHECK(waitUntil([&] { return countOfLeafs("cancelled") >= 2; }));
+    CHECK(waitUntil([&] { return getJson(daemon.operators, "/state").at("services").at("decisions").at("queries_in_flight").to_number<int>() == 0; }));
+    CHECK(callHttp(daemon.callers, { "GET", "/health", {}, {} })->status == 200);
+}
