Routing: Pin a query for one key to what its own shard serves

Cause: a query for one key took the pin of the whole service, which may not cover its shard although a leaf of that shard serves another version.

--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -256,6 +256,13 @@
         m_timers.push({ deadline, running.id, 0, timer_kind::caller_deadline });
 }
 
+std::optional<model::snapshot> query_engine::choosePin(model::query_request const& request, model::service_declaration const& service)
+{
+    if (service.findRequest(request.requestKind)->isOverAllShards)
+        return m_leafs.choosePin(service.name);
+    return m_leafs.choosePinForKey(service.name, request.key);
+}
+
 std::vector<std::uint32_t> query_engine::shardsOf(model::query_request const& request, model::service_declaration const& service, model::snapshot pin) const
 {
     auto const* map = m_leafs.findMap(service.name, pin.epoch);
@@ -278,7 +285,7 @@
             m_tickets.release(request.ticket);
         refuse(arrived.caller, request, std::move(reason));
     };
-    auto const pin = m_leafs.choosePin(service->name);
+    auto const pin = choosePin(request, *service);
     if (!pin) {
         refuseUnrun({ error_kind::no_live_target, "no leaf of " + service->name + " serves any version", noLeafRetryAfter });
         return;
@@ -649,7 +656,7 @@
 
 bool query_engine::repin(query& asking, time_point now)
 {
-    auto const pin = m_leafs.choosePin(asking.service->name);
+    auto const pin = choosePin(*asking.request, *asking.service);
     if (!pin || *pin == asking.pin || !asking.lifecycle.repin())
         return false;
     ++m_counters.repins;
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -163,6 +163,7 @@
     /// Gives a caller the outcome of a request under the caller's own name for it.
     void giveAnswer(caller_token, std::string const& requestId, model::answer_or_error);
     kernel::time_point deadlineOf(model::query_request const&, kernel::time_point now) const;
+    std::optional<model::snapshot> choosePin(model::query_request const&, model::service_declaration const&);
     std::vector<std::uint32_t> shardsOf(model::query_request const&, model::service_declaration const&, model::snapshot) const;
 
     // Scattering.
--- a/Libraries/zinnialedge/routing/leaf_table.cpp
+++ b/Libraries/zinnialedge/routing/leaf_table.cpp
@@ -149,13 +149,43 @@
     return routes.pin;
 }
 
+bool leaf_table::isShardServed(partition_map const& map, std::uint32_t shard, std::uint64_t version) const
+{
+    auto const& leafs = map.leafsOfShard[shard];
+    return std::any_of(leafs.begin(), leafs.end(), [&](auto handle) {
+        return at(handle).isTakingNewWork() && at(handle).isServing(map.epoch, version);
+    });
+}
+
+std::optional<model::snapshot> leaf_table::choosePinForKey(std::string const& service, std::string const& key)
+{
+    auto const pin = choosePin(service);
+    if (!pin)
+        return std::nullopt;
+    auto const shardIn = [&](partition_map const& map) { return model::shardOfKey(key, static_cast<std::uint32_t>(map.leafsOfShard.size())); };
+    auto const* pinned = findMap(service, pin->epoch);
+    VERIFY(pinned);
+    if (isShardServed(*pinned, shardIn(*pinned), pin->version))
+        return pin;
+    for (auto const& map : m_services.at(service).maps) {
+        auto const shard = shardIn(map);
+        std::set<std::uint64_t, std::greater<>> versions;
+        for (auto const handle : map.leafsOfShard[shard])
+            versions.insert(at(handle).versions().begin(), at(handle).versions().end());
+        for (auto const version : versions) {
+            if (isShardServed(map, shard, version))
+                return model::snapshot { map.epoch, version };
+        }
+    }
+    return pin;
+}
+
 std::size_t leaf_table::countServedShards(partition_map const& map, std::uint64_t version) const
 {
-    return static_cast<std::size_t>(std::count_if(map.leafsOfShard.begin(), map.leafsOfShard.end(), [&](auto const& leafs) {
-        return std::any_of(leafs.begin(), leafs.end(), [&](leaf_handle handle) {
-            return at(handle).isTakingNewWork() && at(handle).isServing(map.epoch, version);
-        });
-    }));
+    std::size_t served = 0;
+    for (std::uint32_t shard = 0; shard < map.leafsOfShard.size(); ++shard)
+        served += isShardServed(map, shard, version) ? 1 : 0;
+    return served;
 }
 
 std::optional<model::snapshot> leaf_table::findPin(service_routes const& routes) const
--- a/Libraries/zinnialedge/routing/leaf_table.h
+++ b/Libraries/zinnialedge/routing/leaf_table.h
@@ -49,6 +49,8 @@
 
     /// The newest snapshot that every shard can serve, or else the one with the widest cover.
     std::optional<model::snapshot> choosePin(std::string const& service);
+    /// For a request that reads the shard of its key: the pin above when that shard serves it, or else the newest that it serves.
+    std::optional<model::snapshot> choosePinForKey(std::string const& service, std::string const& key);
     /// Called when what a leaf serves, or whether it takes work, has changed.
     void forgetPin(std::string const& service);
 
@@ -73,6 +75,7 @@
     leaf_handle declareLeaf(service_routes&, model::target_declaration const&);
     std::vector<leaf_change> retireLeafs(service_routes&);
     std::size_t countServedShards(partition_map const&, std::uint64_t version) const;
+    bool isShardServed(partition_map const&, std::uint32_t shard, std::uint64_t version) const;
     std::optional<model::snapshot> findPin(service_routes const&) const;
 
     std::map<std::string, service_routes> m_services;
