Daemon: Stop as planned without refusals, and say when it is cut off

Planned stop: the daemon took no more requests from the first moment on, while callers kept its address for up to 2 s. Now it says leaving in membership, registration and health, serves on for twice the directory's validity, then refuses what is new, ends what is in flight, tells the others that it is gone and exits. A second SIGTERM ends the waiting. Its directory answers leaving, since a ticket prefix would outlive the process. A ticket that ran before still gets its outcome: a plain refusal would have said ran=no of a request that had run.

Cut off: after 11 s without the store and without an answered probe, answers carry cut_off, the directory is refused, and a ticket never seen is refused as not run.

--- a/Daemons/zinnialedged/daemon.cpp
+++ b/Daemons/zinnialedged/daemon.cpp
@@ -100,24 +100,73 @@
     logEvent(log_level::info, "ready", { { "callers", toString(m_settings.callers) }, { "operators", toString(m_settings.operators) }, { "peers", toString(m_settings.peers) } });
 }
 
-bool daemon::isIdle()
+/// Asks one service for a number and waits for it; nothing when it does not answer in time.
+static std::optional<std::size_t> waitForCount(std::function<bool(std::function<void(std::size_t)>)> const& ask)
 {
     auto const waiting = std::make_shared<std::promise<std::size_t>>();
     auto answer = waiting->get_future();
-    bool const isAsked = m_registry.find<caller_service>(caller_service::serviceName).requestWaitingCount([waiting](std::size_t count) { waiting->set_value(count); });
-    return isAsked && answer.wait_for(serviceAnswerTimeout) == std::future_status::ready && answer.get() == 0;
+    bool const isAsked = ask([waiting](std::size_t count) { waiting->set_value(count); });
+    if (!isAsked || answer.wait_for(serviceAnswerTimeout) != std::future_status::ready)
+        return std::nullopt;
+    return answer.get();
+}
+
+bool daemon::isIdle()
+{
+    auto& callers = m_registry.find<caller_service>(caller_service::serviceName);
+    auto& peers = m_registry.find<peer_service>(peer_service::serviceName);
+    auto const callersWaiting = waitForCount([&](auto receiver) { return callers.requestWaitingCount(std::move(receiver)); });
+    auto const guests = waitForCount([&](auto receiver) { return peers.requestGuestCount(std::move(receiver)); });
+    return callersWaiting == 0 && guests == 0;
+}
+
+static void logUnlessDone(bool isDone, std::string_view step)
+{
+    if (!isDone)
+        logEvent(log_level::warn, "stop_step_failed", { { "step", step } });
+}
+
+void daemon::announceLeaving()
+{
+    logUnlessDone(m_registry.find<decision_service>(decision_service::serviceName).announceLeaving(), "membership");
+    logUnlessDone(m_registry.find<platform_service>(platform_service::serviceName).announceLeaving(), "registration");
+    logUnlessDone(m_registry.find<caller_service>(caller_service::serviceName).announceLeaving(), "health");
+}
+
+void daemon::refuseNew()
+{
+    logUnlessDone(m_registry.find<decision_service>(decision_service::serviceName).refuseTickets(), "refuse_tickets");
+    logUnlessDone(m_registry.find<peer_service>(peer_service::serviceName).beginRefusing(), "refuse_peers");
+    logUnlessDone(m_registry.find<caller_service>(caller_service::serviceName).beginRefusing(), "refuse_callers");
 }
 
-void daemon::leave()
+void daemon::announceStop()
+{
+    auto& decisions = m_registry.find<decision_service>(decision_service::serviceName);
+    auto& peers = m_registry.find<peer_service>(peer_service::serviceName);
+    auto const isSaid = waitForCount([&](auto receiver) { return decisions.announceStop([receiver] { receiver(0); }); });
+    // The peers' duty empties its ring before it answers, so the datagrams are out by then.
+    auto const isSent = waitForCount([&](auto receiver) { return peers.requestGuestCount(std::move(receiver)); });
+    logUnlessDone(isSaid && isSent, "announce_stop");
+}
+
+void daemon::leave(std::function<bool()> const& isHurried)
 {
     logEvent(log_level::info, "leaving");
-    if (!m_registry.find<caller_service>(caller_service::serviceName).beginLeaving())
-        logEvent(log_level::warn, "leaving_not_announced");
-    auto const giveUpAt = std::chrono::steady_clock::now() + longestLeaving;
-    while (!isIdle() && std::chrono::steady_clock::now() < giveUpAt)
-        std::this_thread::sleep_for(idleCheckInterval);
+    announceLeaving();
+    auto const begunAt = std::chrono::steady_clock::now();
+    auto const waitUntil = [&](std::chrono::steady_clock::time_point end, std::function<bool()> const& isDone) {
+        while (!isHurried() && !isDone() && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(idleCheckInterval);
+    };
+    // A directory answer of just before is used for its validity; another daemon may give one out until it hears of the leaving.
+    waitUntil(begunAt + 2 * membership::directoryValidity, [] { return false; });
+    refuseNew();
+    waitUntil(begunAt + longestLeaving, [this] { return isIdle(); });
+    bool const isInterrupted = !isIdle();
+    announceStop();
     m_registry.stopAll();
-    logEvent(log_level::info, "stopped");
+    logEvent(log_level::info, "stopped", { { "interrupted", isInterrupted ? "yes" : "no" } });
 }
 
 }
--- a/Daemons/zinnialedged/main.cpp
+++ b/Daemons/zinnialedged/main.cpp
@@ -56,6 +56,12 @@
     stop.async_wait([](boost::system::error_code, int) { });
     (*made)->start();
     signals.run();
-    (*made)->leave();
+    bool isHurried = false;
+    stop.async_wait([&](boost::system::error_code, int) { isHurried = true; });
+    signals.restart();
+    (*made)->leave([&] {
+        signals.poll();
+        return isHurried;
+    });
     return 0;
 }
--- a/Libraries/zinnialedge/membership/membership_engine.cpp
+++ b/Libraries/zinnialedge/membership/membership_engine.cpp
@@ -369,7 +369,8 @@
     m_nextContactAt = now + (knowsFew() ? m_settings.probeInterval : m_settings.contactInterval);
     std::set<model::endpoint> strangers { m_settings.seeds.begin(), m_settings.seeds.end() };
     for (auto const& [name, record] : m_registered)
-        strangers.insert(record.peers);
+        if (!record.isLeaving)
+            strangers.insert(record.peers);
     for (auto const& name : m_members.dead())
         strangers.insert(m_members.find(name)->record.peers);
     strangers.erase(m_self.record.peers);
--- a/Libraries/zinnialedge/model/query.h
+++ b/Libraries/zinnialedge/model/query.h
@@ -80,6 +80,8 @@
     std::vector<row> rows;
     /// True when the answer was remembered from an earlier asking with the same ticket.
     bool isRemembered { false };
+    /// True when the answering daemon can't know whether its configuration is still in force.
+    bool isCutOff { false };
 
     bool operator==(answer const&) const = default;
 };
--- a/Libraries/zinnialedge/queries/events.h
+++ b/Libraries/zinnialedge/queries/events.h
@@ -95,9 +95,14 @@
     model::answer_or_error result;
 };
 
+/// While there is a refusal, a ticket that was never seen is refused with it. One that is asked again still gets its outcome.
+struct ticket_intake_changed {
+    std::optional<errors::error> refusal;
+};
+
 struct timer_due { };
 
-using event = std::variant<query_arrived, caller_left, leaf_call_ended, leaf_status_seen, service_declared, service_removed, relay_ended, timer_due>;
+using event = std::variant<query_arrived, caller_left, leaf_call_ended, leaf_status_seen, service_declared, service_removed, relay_ended, ticket_intake_changed, timer_due>;
 
 // Actions.
 
--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -64,6 +64,11 @@
     return found->second;
 }
 
+void query_engine::handle(ticket_intake_changed const& changed, time_point)
+{
+    m_ticketRefusal = changed.refusal;
+}
+
 // Declarations and leaf status.
 
 void query_engine::handle(service_declared const& declared, time_point now)
@@ -214,7 +219,11 @@
     }
     switch (m_tickets.claim(request, *parsed, now)) {
     case ticket_claim::granted:
-        return true;
+        if (!m_ticketRefusal)
+            return true;
+        m_tickets.release(request.ticket);
+        refuse(arrived.caller, request, *m_ticketRefusal);
+        return false;
     case ticket_claim::expired:
         refuse(arrived.caller, request, { error_kind::ticket_expired, "the ticket has expired", std::chrono::milliseconds { 0 } });
         return false;
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -146,6 +146,7 @@
     void handle(service_declared const&, kernel::time_point);
     void handle(service_removed const&, kernel::time_point);
     void handle(relay_ended const&, kernel::time_point);
+    void handle(ticket_intake_changed const&, kernel::time_point);
     void handle(timer_due const&, kernel::time_point);
 
     // Arrival.
@@ -216,6 +217,7 @@
     routing::leaf_table m_leafs;
     limits::admission m_admission;
     ticket_book m_tickets;
+    std::optional<errors::error> m_ticketRefusal;
     engine_counters m_counters;
     std::map<std::string, service_limits> m_limits;
     std::map<shard_key, shard_queue> m_waiting;
--- a/Libraries/zinnialedge/wire/caller_codec.cpp
+++ b/Libraries/zinnialedge/wire/caller_codec.cpp
@@ -61,13 +61,15 @@
     rows.reserve(answer.rows.size());
     for (auto const& row : answer.rows)
         rows.push_back({ row.key, row.value });
-    json::object const fields {
+    json::object fields {
         { "id", answer.id },
         { "snapshot", { { "epoch", answer.reflects.epoch }, { "version", answer.reflects.version } } },
         { "coverage", { { "whole", answer.covered.isWhole() }, { "asked", answer.covered.asked }, { "answered", answer.covered.answered }, { "missing", std::move(missing) } } },
         { "remembered", answer.isRemembered },
         { "rows", std::move(rows) },
     };
+    if (answer.isCutOff)
+        fields["cut_off"] = true;
     return json::serialize(fields);
 }
 
@@ -108,6 +110,7 @@
     json_reader reader { *value, problems };
     answer.id = reader.text("id", "");
     answer.isRemembered = reader.flag("remembered", false);
+    answer.isCutOff = reader.flag("cut_off", false);
     reader.object("snapshot", true, [&](json_reader& item) {
         answer.reflects = { item.number("epoch", 0, anyNumber), item.number("version", 0, anyNumber) };
     });
--- a/Libraries/zinnialedge/wire/peer_codec.cpp
+++ b/Libraries/zinnialedge/wire/peer_codec.cpp
@@ -59,6 +59,7 @@
         added.__set_value(row.value);
     }
     relayed.__set_isRemembered(answer.isRemembered);
+    relayed.__set_isCutOff(answer.isCutOff);
     return relayed;
 }
 
@@ -74,6 +75,7 @@
     for (auto const& row : relayed.rows)
         answer.rows.push_back({ row.key, row.value });
     answer.isRemembered = relayed.isRemembered;
+    answer.isCutOff = relayed.isCutOff;
     return answer;
 }
 
--- a/Libraries/zinnialedge/wire/peer_messages.thrift
+++ b/Libraries/zinnialedge/wire/peer_messages.thrift
@@ -35,6 +35,7 @@
     6: list<MissingShard> missing;
     7: list<RelayedRow> rows;
     8: bool isRemembered;
+    9: bool isCutOff;
 }
 
 struct RelayedError {
--- a/Services/callers/caller_service.cpp
+++ b/Services/callers/caller_service.cpp
@@ -76,7 +76,8 @@
         respond(makeErrorResponse(parsed.error()));
         return;
     }
-    if (m_isLeaving) {
+    // A ticket may have run before; only the decisions know.
+    if (m_isRefusing && parsed->ticket.empty()) {
         respond(makeErrorResponse({ error_kind::leaving, "this daemon is stopping", leavingRetryAfter }, parsed->id));
         return;
     }
@@ -160,11 +161,16 @@
         respond(makeErrorResponse(given.result.error()));
 }
 
-bool caller_service::beginLeaving()
+bool caller_service::announceLeaving()
 {
     return m_duty.post([this] { m_isLeaving = true; });
 }
 
+bool caller_service::beginRefusing()
+{
+    return m_duty.post([this] { m_isRefusing = true; });
+}
+
 bool caller_service::requestWaitingCount(std::function<void(std::size_t)> receiver)
 {
     return m_duty.post([this, receiver = std::move(receiver)] { receiver(m_waiting.size()); });
@@ -175,6 +181,7 @@
     return m_duty.post([this, receiver = std::move(receiver)] {
         receiver(json::serialize(json::object {
             { "leaving", m_isLeaving },
+            { "refusing", m_isRefusing },
             { "connections", m_server->connectionCount() },
             { "waiting", m_waiting.size() },
             { "overloaded_refusals", m_overloadedRefusals },
--- a/Services/callers/caller_service.h
+++ b/Services/callers/caller_service.h
@@ -27,8 +27,10 @@
     bool requestMetrics(kernel::state_receiver) override;
 
     std::uint16_t port() const { return m_server->port(); }
+    /// Says in GET /health that this daemon leaves; requests are still taken.
+    [[nodiscard]] bool announceLeaving();
     /// Takes no new requests from now on; those in flight are answered.
-    [[nodiscard]] bool beginLeaving();
+    [[nodiscard]] bool beginRefusing();
     /// Asks how many callers wait for an answer.
     [[nodiscard]] bool requestWaitingCount(std::function<void(std::size_t)>);
 
@@ -60,6 +62,7 @@
     latency_metrics m_metrics;
     std::uint64_t m_overloadedRefusals { 0 };
     bool m_isLeaving { false };
+    bool m_isRefusing { false };
 };
 
 }
--- a/Services/decisions/decision_service.cpp
+++ b/Services/decisions/decision_service.cpp
@@ -15,6 +15,10 @@
 static constexpr std::size_t targetEventsPerCall = 2;
 /// To how many daemons an accepted change is pushed at once.
 static constexpr std::size_t mostPushes = 16;
+/// An accepted change is in force everywhere within this time, except where nothing is heard.
+static constexpr std::chrono::seconds cutOffAfter { 11 };
+static constexpr std::chrono::milliseconds cutOffRetryAfter { 1000 };
+static constexpr std::chrono::milliseconds startingRetryAfter { 100 };
 /// After this, a daemon serves although some leafs were not heard yet.
 static constexpr std::chrono::seconds longestWaitForLeafs { 2 };
 
@@ -41,6 +45,7 @@
         stepMembership(membership::configuration_changed { configuration::digestOf(m_objects) });
     }
     serveWhenReady(now);
+    noteIfCutOff(now);
     if (m_membership && m_membership->nextTimer() <= now)
         stepMembership(membership::membership_timer_due {});
     auto next = m_engine.nextTimer().value_or(now + idleWait);
@@ -49,6 +54,68 @@
     return next;
 }
 
+void decision_service::noteIfCutOff(kernel::time_point now)
+{
+    if (!m_membership)
+        return;
+    if (!m_startedAt)
+        m_startedAt = now;
+    auto lastHeard = std::max(*m_startedAt, m_lastHeardStore);
+    if (auto const heard = m_membership->lastHeard())
+        lastHeard = std::max(lastHeard, *heard);
+    bool const isCutOff = now - lastHeard >= cutOffAfter;
+    if (isCutOff == m_isCutOff)
+        return;
+    m_isCutOff = isCutOff;
+    logEvent(log_level::warn, isCutOff ? "cut_off" : "no_longer_cut_off");
+    updateTicketIntake();
+}
+
+void decision_service::updateTicketIntake()
+{
+    queries::ticket_intake_changed changed;
+    if (m_isRefusingTickets)
+        changed.refusal = errors::error { errors::error_kind::leaving, "this daemon is stopping", std::chrono::milliseconds { 0 } };
+    else if (m_isCutOff)
+        changed.refusal = errors::error { errors::error_kind::cut_off, "this daemon hears neither the store nor its peers", cutOffRetryAfter };
+    stepQueries(changed);
+}
+
+bool decision_service::announceLeaving()
+{
+    return m_duty.post([this] { stepMembership(membership::status_declared { membership::member_status::leaving }); });
+}
+
+bool decision_service::refuseTickets()
+{
+    return m_duty.post([this] {
+        m_isRefusingTickets = true;
+        updateTicketIntake();
+    });
+}
+
+bool decision_service::announceStop(std::function<void()> done)
+{
+    return m_duty.post([this, done = std::move(done)] {
+        stepMembership(membership::process_stopping {});
+        done();
+    });
+}
+
+std::optional<errors::error> decision_service::findDirectoryRefusal() const
+{
+    if (!m_membership)
+        return std::nullopt;
+    // Its addresses would be of no use to the caller, or its ticket prefix would outlive the process.
+    if (m_membership->self().status == membership::member_status::joining)
+        return errors::error { errors::error_kind::no_live_target, "this daemon is starting", startingRetryAfter };
+    if (m_isCutOff)
+        return errors::error { errors::error_kind::cut_off, "this daemon hears neither the store nor its peers; ask another one", cutOffRetryAfter };
+    if (m_membership->self().status != membership::member_status::serving)
+        return errors::error { errors::error_kind::leaving, "this daemon is stopping; ask another one", std::chrono::milliseconds { 0 } };
+    return std::nullopt;
+}
+
 void decision_service::setMembership(membership::membership_settings settings)
 {
     // A caller that asks here gets at least this daemon.
@@ -171,7 +238,12 @@
         pushToPeers(accepted->object);
         return;
     }
-    m_isStoreReachable = std::get<store_state_changed>(event).isReachable;
+    auto const& state = std::get<store_state_changed>(event);
+    if (state.isReachable)
+        m_lastHeardStore = state.askedAt;
+    if (m_isStoreReachable == state.isReachable)
+        return;
+    m_isStoreReachable = state.isReachable;
     logEvent(log_level::info, m_isStoreReachable ? "store_reachable" : "store_unreachable");
 }
 
@@ -237,7 +309,9 @@
 void decision_service::answerDirectory(directory_asked const& asked)
 {
     directory_answered answered { asked.caller, errors::fail(errors::error_kind::unknown_service, "no service " + asked.service) };
-    if (m_engine.leafs().findService(asked.service))
+    if (auto refusal = findDirectoryRefusal())
+        answered.result = tl::unexpected(std::move(*refusal));
+    else if (m_engine.leafs().findService(asked.service))
         answered.result = membership::directory_answer { asked.service, m_directory.daemonsFor(asked.service, asked.dataCentre), m_engine.issueTicketPrefix(m_clock()) };
     bool const isTaken = m_callerOutbox->push(caller_action { std::move(answered) });
     VERIFY(isTaken);
@@ -257,6 +331,8 @@
         [&](auto&& each) {
             using action_type = std::decay_t<decltype(each)>;
             if constexpr (std::is_same_v<action_type, queries::answer_caller>) {
+                if (each.result && m_isCutOff)
+                    each.result->isCutOff = true;
                 if (each.caller & peerTokenBit)
                     isTaken = m_peerOutbox->push(peer_action { std::forward<decltype(each)>(each) });
                 else
--- a/Services/decisions/decision_service.h
+++ b/Services/decisions/decision_service.h
@@ -39,6 +39,13 @@
     void setMembership(membership::membership_settings);
     void connectPeers(std::shared_ptr<kernel::ring<peer_action>> outbox) { m_peerOutbox = std::move(outbox); }
 
+    /// Says leaving to the other daemons and drops out of the directory; requests are still taken.
+    [[nodiscard]] bool announceLeaving();
+    /// Refuses requests that must not be repeated and that are new, from now on.
+    [[nodiscard]] bool refuseTickets();
+    /// Tells the other daemons that this process ends. `done` runs on the decisions' thread.
+    [[nodiscard]] bool announceStop(std::function<void()> done);
+
     /// Asks how many queries are in flight; the answer comes on the decisions' thread.
     [[nodiscard]] bool requestQueriesInFlight(std::function<void(std::size_t)>);
 
@@ -64,7 +71,11 @@
     void perform(membership::send_datagram&&);
     /// Declares this daemon serving once it can answer queries.
     void serveWhenReady(kernel::time_point now);
+    void noteIfCutOff(kernel::time_point now);
+    void updateTicketIntake();
     void answerObjects(configuration::objects_asked const&);
+    /// The error with which the directory is refused here, if it is.
+    std::optional<errors::error> findDirectoryRefusal() const;
     void answerDirectory(directory_asked const&);
     void stepQueries(queries::event const&);
     void perform(queries::action&&);
@@ -81,6 +92,10 @@
     membership::directory m_directory;
     std::optional<membership::membership_engine> m_membership;
     bool m_isStoreReachable { false };
+    bool m_isCutOff { false };
+    bool m_isRefusingTickets { false };
+    std::optional<kernel::time_point> m_startedAt;
+    kernel::time_point m_lastHeardStore;
     bool m_isDigestOld { false };
     std::optional<kernel::time_point> m_configuredAt;
 
--- a/Services/decisions/decision_state.cpp
+++ b/Services/decisions/decision_state.cpp
@@ -80,6 +80,7 @@
     return json::serialize(json::object {
         { "member", std::move(self) },
         { "members", std::move(members) },
+        { "cut_off", m_isCutOff },
         { "store_reachable", m_isStoreReachable },
         { "queries_in_flight", m_engine.queriesInFlight() },
         { "tickets_remembered", m_engine.rememberedTickets() },
--- a/Services/decisions/messages.h
+++ b/Services/decisions/messages.h
@@ -24,6 +24,8 @@
 /// Whether the platform's store answers.
 struct store_state_changed {
     bool isReachable { false };
+    /// When the call was sent that it answered.
+    kernel::time_point askedAt;
 };
 
 /// The store has taken a change that this daemon wrote.
--- a/Services/peers/peer_service.cpp
+++ b/Services/peers/peer_service.cpp
@@ -132,6 +132,10 @@
         origin->close();
         return;
     }
+    if (m_isRefusing && request->ticket.empty()) {
+        origin->send({ message.call, model::answer_or_error { tl::unexpected(errors::error { error_kind::leaving, "the daemon is stopping", std::chrono::milliseconds { 0 } }) } });
+        return;
+    }
     ++m_guestQueries;
     auto const token = decisions::peerTokenBit | ++m_lastGuest;
     m_guests.emplace(token, guest_call { origin, message.call });
@@ -268,6 +272,16 @@
     VERIFY(isTaken);
 }
 
+bool peer_service::beginRefusing()
+{
+    return m_duty.post([this] { m_isRefusing = true; });
+}
+
+bool peer_service::requestGuestCount(std::function<void(std::size_t)> receiver)
+{
+    return m_duty.post([this, receiver = std::move(receiver)] { receiver(m_guests.size()); });
+}
+
 bool peer_service::requestState(kernel::state_receiver receiver)
 {
     return m_duty.post([this, receiver = std::move(receiver)] {
--- a/Services/peers/peer_service.h
+++ b/Services/peers/peer_service.h
@@ -21,6 +21,10 @@
     void stop() override { m_duty.stop(); }
     bool requestState(kernel::state_receiver) override;
     std::uint16_t port() const;
+    /// Takes no new queries of other daemons from now on; those in flight are answered.
+    [[nodiscard]] bool beginRefusing();
+    /// Asks how many queries of other daemons run here.
+    [[nodiscard]] bool requestGuestCount(std::function<void(std::size_t)>);
 
     static constexpr char const* serviceName = "peers";
 
@@ -76,6 +80,7 @@
     std::uint64_t m_lastGuest { 0 };
     std::uint64_t m_relays { 0 };
     std::uint64_t m_guestQueries { 0 };
+    bool m_isRefusing { false };
     std::uint64_t m_droppedMessages { 0 };
     std::uint64_t m_datagramsSent { 0 };
     std::uint64_t m_datagramBytesSent { 0 };
--- a/Services/platform/platform_service.cpp
+++ b/Services/platform/platform_service.cpp
@@ -117,6 +117,7 @@
         m_pollTimer->schedule(m_budget.nextAt(now), [this, request = std::move(request), timeout, done = std::move(done)] { call(request, timeout, done); });
         return;
     }
+    m_askedAt = now;
     m_client->connectAndSend(std::move(request), timeout, std::move(done));
 }
 
@@ -211,6 +212,14 @@
     });
 }
 
+bool platform_service::announceLeaving()
+{
+    return m_duty.post([this] {
+        m_registration.isLeaving = true;
+        registerDaemon();
+    });
+}
+
 void platform_service::retryLater()
 {
     ++m_failures;
@@ -225,10 +234,10 @@
 {
     if (isReachable)
         m_failuresInARow = 0;
-    if (m_isReachable == isReachable)
+    if (!isReachable && !m_isReachable)
         return;
     m_isReachable = isReachable;
-    if (!m_decisions.platformInbox().push(decisions::store_state_changed { isReachable }))
+    if (!m_decisions.platformInbox().push(decisions::store_state_changed { isReachable, m_askedAt }))
         logEvent(log_level::warn, "event_dropped", { { "event_type", "store_state_changed" } });
 }
 
--- a/Services/platform/platform_service.h
+++ b/Services/platform/platform_service.h
@@ -42,6 +42,9 @@
     void stop() override { m_duty.stop(); }
     bool requestState(kernel::state_receiver) override;
 
+    /// Writes in the registration that this daemon leaves.
+    [[nodiscard]] bool announceLeaving();
+
     static constexpr char const* serviceName = "platform";
 
 private:
@@ -76,6 +79,8 @@
     /// The newest versions of services seen here.
     std::map<std::string, std::uint64_t> m_knownVersions;
     std::uint64_t m_revision { 0 };
+    /// When the call that waits, or the last one, was sent.
+    kernel::time_point m_askedAt;
     std::uint64_t m_failures { 0 };
     unsigned m_failuresInARow { 0 };
     kernel::time_point m_confirmedAt;
--- a/Tests/Faults/membership_processes_test.cpp
+++ b/Tests/Faults/membership_processes_test.cpp
@@ -1,7 +1,10 @@
+#include "Libraries/zinnialedge/membership/directory.h"
 #include "Tests/Support/cluster.h"
 #include <CppUTest/TestHarness.h>
 #include <boost/json.hpp>
 #include <fstream>
+#include <sstream>
+#include <thread>
 
 using namespace zinnialedge;
 using namespace zinnialedge::tests;
@@ -54,6 +57,35 @@
         return request;
     }
 
+    /// The arguments of a load tool that asks every daemon for the directory.
+    std::vector<std::string> writePlan(int daemons, std::chrono::milliseconds duration)
+    {
+        json::array places;
+        for (int number = 1; number <= daemons; ++number)
+            places.push_back({ { "address", "127.0.0.1" }, { "port", daemon(number).callers.port } });
+        auto const stream = [](char const* request, bool isKeyed, bool isTicketed) {
+            return json::value { { "service", "lunch-portal" }, { "request", request }, { "per_second", 60 }, { "keyed", isKeyed }, { "ticketed", isTicketed } };
+        };
+        json::object const plan {
+            { "directory", places },
+            { "duration_ms", duration.count() },
+            { "warm_up_ms", 0 },
+            { "streams", { stream("search", false, false), stream("read", true, false), stream("confirm", true, true) } },
+        };
+        auto const file = running->folder() / "plan.json";
+        std::ofstream { file } << json::serialize(plan);
+        return { "--plan=" + file.string(), "--csv=" + (running->folder() / "load.csv").string() };
+    }
+
+    /// Stops a daemon as planned and starts it anew at the same address.
+    void restart(int number)
+    {
+        auto const port = daemon(number).callers.port;
+        daemon(number).process->signal(SIGTERM);
+        LONGS_EQUAL(0, daemon(number).process->waitForExit().value_or(-1));
+        running->startDaemon("suva-" + std::to_string(number), "suva", "suva-a", [port](json::object& settings) { settings["callers"].as_object()["port"] = port; });
+    }
+
     static constexpr auto outOfDirectory = 3s;
 };
 
@@ -96,3 +128,87 @@
     CHECK(waitUntil([&] { return countIn(1) == 3 && countIn(2) == 3 && countIn(3) == 3; }, 11s));
     running->platformProcess().signal(SIGCONT);
 }
+
+TEST(MembershipProcesses, ARollingRestartOfAllInterruptsAndRefusesNothing)
+{
+    startDaemons(3);
+    child_process load { "zl-load", writePlan(3, 24s) };
+    // The load tool knows the addresses by then.
+    CHECK(waitUntil([&] { return getJson(daemon(1).operators, "/state").at("services").at("decisions").at("counters").at("queries").to_number<int>() > 0; }));
+    for (int number = 1; number <= 3; ++number) {
+        restart(number);
+        CHECK(waitUntil([&] { return countIn(1) == 3 && countIn(2) == 3 && countIn(3) == 3; }));
+    }
+    LONGS_EQUAL(0, load.waitForExit(60s).value_or(-1));
+    std::ifstream csv { running->folder() / "load.csv" };
+    std::string line;
+    std::getline(csv, line);
+    std::uint64_t sent = 0;
+    while (std::getline(csv, line)) {
+        std::vector<std::string> cells;
+        std::istringstream row { line };
+        for (std::string cell; std::getline(row, cell, ',');)
+            cells.push_back(cell);
+        sent += std::stoull(cells.at(3));
+        STRCMP_EQUAL_TEXT("0", cells.at(6).c_str(), line.c_str());
+    }
+    CHECK(sent > 3000);
+}
+
+TEST(MembershipProcesses, ASecondSignalEndsTheWaitOfAPlannedStop)
+{
+    startDaemons(2);
+    auto const begin = std::chrono::steady_clock::now();
+    daemon(2).process->signal(SIGTERM);
+    CHECK(daemon(2).process->waitForLine("event=leaving").has_value());
+    CHECK(waitUntil([&] { return countIn(1) == 1; }, outOfDirectory));
+    daemon(2).process->signal(SIGTERM);
+    LONGS_EQUAL(0, daemon(2).process->waitForExit().value_or(-1));
+    CHECK(std::chrono::steady_clock::now() - begin < 2 * membership::directoryValidity);
+}
+
+TEST(MembershipProcesses, ALeavingDaemonAnswersATicketThatRanBefore)
+{
+    startDaemons(2);
+    auto const request = makeConfirm(ticketPrefix(daemon(2).callers, "lunch-portal") + "~1");
+    CHECK(query(daemon(2).callers, request).has_value());
+    for (auto const& leaf : running->leafsOf("lunch-portal"))
+        running->setLeafFaults(leaf, { { "slow_factor", 12'000 } });
+    auto slow = makeConfirm(ticketPrefix(daemon(2).callers, "lunch-portal") + "~2");
+    slow.deadline = 15s;
+    std::thread caller { [&] { std::ignore = query(daemon(2).callers, slow); } };
+    daemon(2).process->signal(SIGTERM);
+    CHECK(waitUntil([&] {
+        auto const state = getJson(daemon(2).operators, "/state");
+        return state.is_object() && state.at("services").at("callers").at("refusing").as_bool();
+    }));
+    auto const again = query(daemon(2).callers, request);
+    CHECK(again.has_value() && again->isRemembered);
+    auto const fresh = query(daemon(2).callers, makeConfirm(request.ticket + "-other"));
+    CHECK(fresh.error().kind == errors::error_kind::leaving);
+    caller.join();
+    LONGS_EQUAL(0, daemon(2).process->waitForExit().value_or(-1));
+}
+
+TEST(MembershipProcesses, ADaemonThatHearsNobodySaysSoAndRunsNothingThatMustNotBeRepeated)
+{
+    startDaemons(2);
+    auto const& alone = daemon(1);
+    auto const asked = makeConfirm(ticketPrefix(alone.callers, "lunch-portal") + "~1");
+    CHECK(query(alone.callers, asked).has_value());
+    running->platformProcess().signal(SIGSTOP);
+    daemon(2).process->signal(SIGSTOP);
+    CHECK(alone.process->waitForLine("event=cut_off").has_value());
+    auto search = asked;
+    search.requestKind = "search";
+    search.ticket = {};
+    CHECK(query(alone.callers, search)->isCutOff);
+    CHECK(query(alone.callers, makeConfirm(asked.ticket + "-other")).error().kind == errors::error_kind::cut_off);
+    CHECK(query(alone.callers, asked)->isRemembered);
+    LONGS_EQUAL(0, countIn(1));
+    // One of the two is enough: with only the store out, nothing can be accepted.
+    daemon(2).process->signal(SIGCONT);
+    CHECK(waitUntil([&] { return countIn(1) == 2; }));
+    CHECK(!query(alone.callers, search)->isCutOff);
+    running->platformProcess().signal(SIGCONT);
+}
