Membership: Don't tell a table again that was read while joining

Cause: a daemon that joined queued every entry of the table as news, and told each about 3 x log2(n) times. The test was red with the queue of a joining daemon at its full length. Looking a new member up in the order of probes is also gone.

--- a/Libraries/zinnialedge/membership/member_table.cpp
+++ b/Libraries/zinnialedge/membership/member_table.cpp
@@ -55,6 +55,7 @@
             m_byPlace.erase(known->record.peers);
         m_byPlace[update.record.peers] = name;
     }
+    bool const wasKnown = known;
     bool const wasLiving = isLiving(name);
     auto& member = m_members[name];
     auto record = isDeclared(update.status) ? update.record : member.record;
@@ -64,8 +65,11 @@
         m_deaths.emplace(now, name);
     } else {
         m_dead.erase(name);
-        if (!wasLiving)
-            insert(member.record.dataCentre == ownDataCentre ? m_near : m_far, name);
+        // A member that was dead may still wait in its order.
+        auto& order = member.record.dataCentre == ownDataCentre ? m_near : m_far;
+        bool const isListed = wasKnown && !wasLiving && std::find(order.names.begin(), order.names.end(), name) != order.names.end();
+        if (!wasLiving && !isListed)
+            insert(order, name);
     }
     changed.push_back(name);
     return changed;
@@ -74,8 +78,6 @@
 void member_table::insert(probe_order& order, std::string const& name)
 {
     // At a random place, so that many observers don't probe a new member at the same time.
-    if (std::find(order.names.begin(), order.names.end(), name) != order.names.end())
-        return;
     auto const place = static_cast<std::ptrdiff_t>(m_random() % (order.names.size() + 1));
     order.names.insert(order.names.begin() + place, name);
 }
--- a/Libraries/zinnialedge/membership/membership_engine.cpp
+++ b/Libraries/zinnialedge/membership/membership_engine.cpp
@@ -89,8 +89,12 @@
     if (content.sender.record.name == m_self.record.name && content.sender.record.incarnation == m_self.record.incarnation)
         return;
     learn(content.sender, now);
-    for (auto const& update : content.updates)
+    for (auto const& update : content.updates) {
         learn(update, now);
+        // What a table holds is known to the others already.
+        if (content.kind == datagram_kind::members_page)
+            m_updates.remove(update.record.name);
+    }
     noteDigest(received, now);
     switch (content.kind) {
     case datagram_kind::ping:
--- a/Tests/Unit/membership_test.cpp
+++ b/Tests/Unit/membership_test.cpp
@@ -181,6 +181,15 @@
     CHECK(network.runUntil([&] { return network.allSee("d6", member_status::dead); }, 1s).has_value());
 }
 
+TEST(Membership, ATableThatWasReadIsNotToldAgain)
+{
+    startAll(20);
+    network.run(60s);
+    network.start("d21", 21, { 1 });
+    CHECK(network.runUntil([&] { return network.at(21).engine->members().livingCount() == 20; }, 3s).has_value());
+    CHECK(network.at(21).engine->queuedUpdates() < 5);
+}
+
 TEST(Membership, ADatagramIsNeverLargerThanItsLimit)
 {
     datagram content;
