--- a/Tests/Benchmarks/main.cpp
+++ b/Tests/Benchmarks/main.cpp
@@ -2,6 +2,7 @@
 
 #include "Tests/Benchmarks/call_cost.h"
 #include "Tests/Benchmarks/control_cost.h"
+#include "Tests/Benchmarks/membership_cost.h"
 #include "Tests/Benchmarks/table_cost.h"
 #include <cstdio>
 #include <functional>
@@ -13,12 +14,13 @@
 
 int main(int argumentCount, char** arguments)
 {
-    gflags::SetUsageMessage("[calls] [tables] [control]");
+    gflags::SetUsageMessage("[calls] [membership] [tables] [control]");
     gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
     std::map<std::string, std::function<void()>> const sections {
         { "calls", measureCalls },
         { "control", measureControl },
         { "tables", measureTables },
+        { "membership", measureMembership },
     };
     for (int index = 1; index < argumentCount; ++index) {
         auto const section = sections.find(arguments[index]);
