--- a/Libraries/zinnialedge/membership/membership_engine.cpp
+++ b/Libraries/zinnialedge/membership/membership_engine.cpp
@@ -89,8 +89,12 @@
     if (content.sender.record.name == m_self.record.name && content.sender.record.incarnation == m_self.record.incarnation)
         return;
     learn(content.sender, now);
-    for (auto const& update : content.updates)
+    for (auto const& update : content.updates) {
         learn(update, now);
+        // What a table holds is known to the others already.
+        if (content.kind == datagram_kind::members_page)
+            m_updates.remove(update.record.name);
+    }
     noteDigest(received, now);
     switch (content.kind) {
     case datagram_kind::ping:
@@ -369,7 +373,8 @@
     m_nextContactAt = now + (knowsFew() ? m_settings.probeInterval : m_settings.contactInterval);
     std::set<model::endpoint> strangers { m_settings.seeds.begin(), m_settings.seeds.end() };
     for (auto const& [name, record] : m_registered)
-        strangers.insert(record.peers);
+        if (!record.isLeaving)
+            strangers.insert(record.peers);
     for (auto const& name : m_members.dead())
         strangers.insert(m_members.find(name)->record.peers);
     strangers.erase(m_self.record.peers);
