--- a/Libraries/zinnialedge/wire/leaf_codec.cpp
+++ b/Libraries/zinnialedge/wire/leaf_codec.cpp
@@ -14,18 +14,6 @@
 static constexpr std::array<std::string_view, 7> refusalNames { "none", "version_gone", "wrong_epoch", "shed", "draining", "cancelled", "deadline" };
 static constexpr int statusOk = 200;
 
-/// Memory for one small JSON value, so that it takes no allocation for each member; a larger one goes on on the heap.
-class scratch_memory {
-public:
-    json::storage_ptr storage() { return &m_resource; }
-
-private:
-    static constexpr std::size_t scratchBytes = 4096;
-
-    std::array<unsigned char, scratchBytes> m_buffer;
-    json::monotonic_resource m_resource { m_buffer.data(), m_buffer.size() };
-};
-
 std::string_view toString(leaf_refusal refusal)
 {
     return refusalNames.at(static_cast<std::size_t>(refusal));
@@ -42,8 +30,15 @@
 
 http_request formatLeafCall(leaf_call const& call)
 {
-    scratch_memory scratch;
-    json::object fields({ { "call", call.call }, { "request", call.requestKind }, { "shard", call.shard }, { "epoch", call.pin.epoch }, { "version", call.pin.version }, { "deadline_us", call.deadline.count() }, { "urgent", call.isUrgent } }, scratch.storage());
+    json::object fields {
+        { "call", call.call },
+        { "request", call.requestKind },
+        { "shard", call.shard },
+        { "epoch", call.pin.epoch },
+        { "version", call.pin.version },
+        { "deadline_us", call.deadline.count() },
+        { "urgent", call.isUrgent },
+    };
     if (!call.key.empty())
         fields["key"] = call.key;
     if (!call.body.empty())
@@ -87,8 +82,7 @@
 std::optional<leaf_call> parseLeafCall(std::string_view body)
 {
     json::error_code failure;
-    scratch_memory scratch;
-    auto const value = json::parse(body, failure, scratch.storage());
+    auto const value = json::parse(body, failure);
     auto const* fields = failure ? nullptr : value.if_object();
     if (!fields)
         return std::nullopt;
@@ -165,8 +159,7 @@
 std::optional<leaf_status> parseLeafStatus(std::string_view body)
 {
     json::error_code failure;
-    scratch_memory scratch;
-    auto const value = json::parse(body, failure, scratch.storage());
+    auto const value = json::parse(body, failure);
     if (failure || !value.is_object())
         return std::nullopt;
     return readStatus(value.get_object());
@@ -197,8 +190,7 @@
 leaf_outcome parseLeafReply(http_response const& response, std::string_view call)
 {
     json::error_code failure;
-    scratch_memory scratch;
-    auto const value = json::parse(response.body, failure, scratch.storage());
+    auto const value = json::parse(response.body, failure);
     auto const* fields = failure ? nullptr : value.if_object();
     if (!fields)
         return makeFailure("the reply is not a JSON object");
