Queries: Let those behind a blocked retry take the room that is free

Cause: the line for a shard stopped at its first entry, also when that one could not use the leaf with room (refused there, or another pin); those behind it waited up to their deadline. The walk goes on only while some leaf of the shard has room; its cost is unmeasured.

--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -400,8 +400,10 @@
     auto const found = m_waiting.find(key);
     if (found == m_waiting.end())
         return;
-    while (dispatchFirst(found->second.urgent, now)) { }
-    while (dispatchFirst(found->second.ordinary, now)) { }
+    for (auto* line : { &found->second.urgent, &found->second.ordinary }) {
+        // The check for room spares a walk through the whole line after each call.
+        while (m_leafs.hasRoom(key.service, key.epoch, key.shard) && dispatchFirst(*line, now)) { }
+    }
     if (found->second.urgent.empty() && found->second.ordinary.empty())
         m_waiting.erase(found);
 }
@@ -417,20 +419,22 @@
 
 bool query_engine::dispatchFirst(waiting_line& line, time_point now)
 {
-    while (!line.empty()) {
-        auto const first = line.front();
-        auto* asking = findWaiting(first);
+    // The first may wait for another leaf than the one with room: it was refused there, or has another pin.
+    for (auto each = line.begin(); each != line.end();) {
+        auto const entry = *each;
+        auto* asking = findWaiting(entry);
         if (!asking || now >= asking->deadline) {
-            line.pop_front();
+            each = line.erase(each);
             continue;
         }
-        auto const& shard = asking->shards[first.place];
+        auto const& shard = asking->shards[entry.place];
         auto const choice = m_leafs.choose(asking->service->name, asking->pin, shard.shard, shard.asked, now, m_random);
-        if (!choice.chosen)
-            return false;
-        line.pop_front();
-        send(*asking, first.place, *choice.chosen, first.isHedge, now);
-        return true;
+        if (choice.chosen) {
+            line.erase(each);
+            send(*asking, entry.place, *choice.chosen, entry.isHedge, now);
+            return true;
+        }
+        ++each;
     }
     return false;
 }
--- a/Libraries/zinnialedge/routing/leaf_table.cpp
+++ b/Libraries/zinnialedge/routing/leaf_table.cpp
@@ -210,6 +210,15 @@
     return best;
 }
 
+bool leaf_table::hasRoom(std::string const& service, std::uint64_t epoch, std::uint32_t shard) const
+{
+    auto const* map = findMap(service, epoch);
+    if (!map || shard >= map->leafsOfShard.size())
+        return false;
+    auto const& leafs = map->leafsOfShard[shard];
+    return std::any_of(leafs.begin(), leafs.end(), [&](auto handle) { return at(handle).isTakingNewWork() && at(handle).hasRoom(); });
+}
+
 leaf_choice leaf_table::choose(std::string const& service, model::snapshot pin, std::uint32_t shard, std::span<leaf_handle const> excluded, kernel::time_point now, kernel::random_hook const& random) const
 {
     auto const* map = findMap(service, pin.epoch);
--- a/Libraries/zinnialedge/routing/leaf_table.h
+++ b/Libraries/zinnialedge/routing/leaf_table.h
@@ -59,6 +59,8 @@
     partition_map const* findMap(std::string const& service, std::uint64_t epoch) const;
     /// From now on choose() takes any leaf with room, whatever its expected delay.
     void chooseAtRandom() { m_isChoosingByDelay = false; }
+    /// Whether any leaf of the shard could take one more call now, whatever it serves.
+    bool hasRoom(std::string const& service, std::uint64_t epoch, std::uint32_t shard) const;
     /// The better of two leafs of the shard that serve the snapshot, take work and are not excluded.
     leaf_choice choose(std::string const& service, model::snapshot, std::uint32_t shard, std::span<leaf_handle const> excluded, kernel::time_point now, kernel::random_hook const&) const;
 
--- a/Tests/Differential/query_simulation.cpp
+++ b/Tests/Differential/query_simulation.cpp
@@ -80,6 +80,7 @@
 
 void query_simulation::step(queries::event const& event)
 {
+    m_isTimerStep = std::holds_alternative<queries::timer_due>(event);
     for (auto const& action : m_engine.step(event, m_now))
         std::visit([this](auto const& each) { check(each); }, action);
 }
@@ -346,9 +347,11 @@
             fail(asked.request.id + " was said not to have run, but another process may have run it");
         return;
     }
-    if (given.result)
+    if (given.result) {
         checkAnswer(asked, *given.result);
-    else if (errors::answerFor(given.result.error().kind).ran == errors::run_state::no)
+        checkNoneForgotten(asked, *given.result);
+    }
+    if (!given.result && errors::answerFor(given.result.error().kind).ran == errors::run_state::no)
         checkUnrun(asked, given.result.error());
 }
 
@@ -393,6 +396,28 @@
         fail(asked.request.id + " names other missing shards than those without an answer");
 }
 
+void query_simulation::checkNoneForgotten(asking const& asked, model::answer const& answer)
+{
+    // Only a timer frees no room, so that what is free now was free before.
+    auto const* map = m_engine.leafs().findMap(asked.request.service, answer.reflects.epoch);
+    if (!m_isTimerStep || !map || answer.isRemembered)
+        return;
+    for (auto const& missing : answer.covered.missing) {
+        // Any other reason was final at a time when no leaf could be asked.
+        if (missing.reason != model::missing_reason::deadline)
+            continue;
+        bool const isSent = std::any_of(m_calls.begin(), m_calls.end(), [&](auto const& entry) {
+            auto const& call = entry.second;
+            return isSameRun(call, asked) && call.sent.pin == answer.reflects && call.sent.shard == missing.shard;
+        });
+        for (auto const handle : map->leafsOfShard[missing.shard]) {
+            auto const& leaf = m_engine.leafs().at(handle);
+            if (!isSent && leaf.isTakingNewWork() && leaf.hasRoom() && leaf.isServing(answer.reflects.epoch, answer.reflects.version))
+                fail(asked.request.id + " never asked shard " + std::to_string(missing.shard) + ", though a leaf had room");
+        }
+    }
+}
+
 void query_simulation::checkEnd()
 {
     for (auto const& [caller, asked] : m_askings) {
--- a/Tests/Differential/query_simulation.h
+++ b/Tests/Differential/query_simulation.h
@@ -70,6 +70,7 @@
     void check(queries::relay_query const&);
     void check(queries::answer_caller const&);
     void checkAnswer(asking const&, model::answer const&);
+    void checkNoneForgotten(asking const&, model::answer const&);
     void checkUnrun(asking const&, errors::error const&);
     void checkEnd();
 
@@ -90,6 +91,7 @@
     std::map<queries::caller_token, asking> m_askings;
     std::map<queries::call_id, leaf_call> m_calls;
     queries::caller_token m_lastCaller { 0 };
+    bool m_isTimerStep { false };
     std::optional<std::string> m_fault;
 };
 
