--- a/Daemons/zinnialedged/daemon.cpp
+++ b/Daemons/zinnialedged/daemon.cpp
@@ -144,7 +144,7 @@
 {
     auto& decisions = m_registry.find<decision_service>(decision_service::serviceName);
     auto& peers = m_registry.find<peer_service>(peer_service::serviceName);
-    auto const isSaid = waitForCount([&](auto receiver) { return decisions.announceStop([receiver] { receiver(0); }); });
+    auto const isSaid = waitForCount([&](std::function<void(std::size_t)> const& receiver) { return decisions.announceStop([receiver] { receiver(0); }); });
     // The peers' duty empties its ring before it answers, so the datagrams are out by then.
     auto const isSent = waitForCount([&](auto receiver) { return peers.requestGuestCount(std::move(receiver)); });
     logUnlessDone(isSaid && isSent, "announce_stop");
--- a/Tests/Support/membership_network.cpp
+++ b/Tests/Support/membership_network.cpp
@@ -40,7 +40,7 @@
     perform(index, m_nodes.at(index).engine->step(event, m_now));
 }
 
-void membership_network::perform(std::uint16_t index, membership_actions actions)
+void membership_network::perform(std::uint16_t index, membership_actions const& actions)
 {
     auto& node = m_nodes.at(index);
     for (auto const& action : actions) {
@@ -48,7 +48,7 @@
             transmit(index, *sent);
         } else if (auto const* changed = std::get_if<member_changed>(&action)) {
             node.seen[changed->record.name] = changed->status;
-        node.deathsReported += changed->status == member_status::dead ? 1 : 0;
+            node.deathsReported += changed->status == member_status::dead ? 1 : 0;
         }
     }
     m_alarms.push({ node.engine->nextTimer(), index });
--- a/Tests/Support/membership_network.h
+++ b/Tests/Support/membership_network.h
@@ -63,7 +63,7 @@
         bool operator>(alarm const& other) const { return at > other.at; }
     };
 
-    void perform(std::uint16_t index, membership::membership_actions);
+    void perform(std::uint16_t index, membership::membership_actions const&);
     void transmit(std::uint16_t from, membership::send_datagram const&);
     void deliverNext();
     double draw();
