Decisions: Notice a pause before the requests that waited in it

Cause: whether the daemon is cut off was looked at after the rings had been drained, so a daemon that woke from a long pause could run a request that must not be repeated with a configuration of before. Now it is looked at before each request.

--- a/Services/decisions/decision_service.cpp
+++ b/Services/decisions/decision_service.cpp
@@ -181,6 +181,8 @@
 
 void decision_service::handle(caller_event&& event)
 {
+    // A process that was paused finds requests before its timers.
+    noteIfCutOff(m_clock());
     std::visit(
         [this](auto&& each) {
             if constexpr (std::is_same_v<std::decay_t<decltype(each)>, directory_asked>)
@@ -198,6 +200,7 @@
 
 void decision_service::handle(peer_event&& event)
 {
+    noteIfCutOff(m_clock());
     if (auto const* object = std::get_if<configuration::stored_object>(&event)) {
         handleObject(*object);
         return;
--- a/Tests/Faults/membership_processes_test.cpp
+++ b/Tests/Faults/membership_processes_test.cpp
@@ -212,3 +212,26 @@
     CHECK(!query(alone.callers, search)->isCutOff);
     running->platformProcess().signal(SIGCONT);
 }
+
+TEST(MembershipProcesses, ADaemonThatWakesRunsNothingThatWaitedUntilItHearsSomebody)
+{
+    startDaemons(2);
+    auto const& sleeper = daemon(1);
+    auto const prefix = ticketPrefix(sleeper.callers, "lunch-portal");
+    for (auto* process : { &running->platformProcess(), daemon(2).process.get(), sleeper.process.get() })
+        process->signal(SIGSTOP);
+    static constexpr int waiting = 20;
+    std::vector<model::answer_or_error> answers(waiting, errors::fail(errors::error_kind::internal, "not asked"));
+    std::vector<std::thread> callers;
+    for (int number = 0; number < waiting; ++number)
+        callers.emplace_back([&, number] { answers[number] = query(sleeper.callers, makeConfirm(prefix + "~" + std::to_string(number))); });
+    // The time itself is what is tested: the daemon must be cut off when it wakes.
+    std::this_thread::sleep_for(12s);
+    sleeper.process->signal(SIGCONT);
+    for (auto& caller : callers)
+        caller.join();
+    for (auto const& answer : answers)
+        CHECK(!answer.has_value() && answer.error().kind == errors::error_kind::cut_off);
+    daemon(2).process->signal(SIGCONT);
+    running->platformProcess().signal(SIGCONT);
+}
