--- a/Services/targets/leaf_pool.cpp
+++ b/Services/targets/leaf_pool.cpp
@@ -169,6 +169,7 @@
         outcome.mayHaveBeenSent = result.error().mayHaveBeenSent;
         outcome.reason = result.error().reason;
     }
+    m_hasHeardStatus = m_hasHeardStatus || outcome.status;
     m_hooks.callEnded({ call, std::move(outcome) });
     giveBack(carrier);
 }
@@ -204,6 +205,9 @@
     m_refreshesToSkip = std::min(m_failuresInARow, mostRefreshesToSkip);
     std::erase_if(m_idle, [](client const& each) { return !each->isUsable(); });
     openMissing();
+    // Each reply carries the leaf's status, so a leaf that answers calls is not asked besides.
+    if (std::exchange(m_hasHeardStatus, false))
+        return;
     if (auto const idle = takeIdle())
         probe(idle);
 }
--- a/Services/targets/leaf_pool.h
+++ b/Services/targets/leaf_pool.h
@@ -27,7 +27,7 @@
     void resize(std::size_t connections);
     void send(queries::send_leaf_call const&);
     void cancel(queries::call_id);
-    /// Asks for the leaf's status when a connection is idle, and opens connections that are missing.
+    /// Asks for the leaf's status when a connection is idle and no reply has told it meanwhile, and opens connections that are missing.
     void refresh();
 
     model::endpoint const& place() const { return m_place; }
@@ -64,6 +64,8 @@
     std::uint64_t m_failedConnects { 0 };
     unsigned m_refreshesToSkip { 0 };
     unsigned m_failuresInARow { 0 };
+    /// Since the last refresh.
+    bool m_hasHeardStatus { false };
     std::vector<client> m_idle;
     std::map<queries::call_id, client> m_busy;
     std::deque<queries::send_leaf_call> m_waiting;
