--- a/Tests/Benchmarks/control_cost.cpp
+++ b/Tests/Benchmarks/control_cost.cpp
@@ -89,6 +89,7 @@
     plan.declaration.groupSize = count;
     cluster.startService(plan);
     std::vector<running_daemon> daemons;
+    daemons.reserve(count);
     for (unsigned index = 0; index < count; ++index)
         daemons.push_back(cluster.startDaemon("suva-" + std::to_string(index), "suva", dataCentres.at(index % dataCentres.size())));
     std::this_thread::sleep_for(settling);
--- a/Utilities/zl-load/run_report.cpp
+++ b/Utilities/zl-load/run_report.cpp
@@ -5,6 +5,7 @@
 #include <iomanip>
 #include <limits>
 #include <ostream>
+#include <sstream>
 
 namespace zinnialedge::utilities::load {
 
@@ -76,9 +77,13 @@
     static constexpr double legendStep = 50;
     double const top = scale.y(scale.highest());
     drawText(out, marginLeft, top - labelOffset, "black", stream.name + ", ms");
-    for (double step = lowestMilliseconds; step <= scale.highest() * 1.01; step *= 10) {
+    auto const decades = static_cast<int>(std::lround(std::log10(scale.highest() / lowestMilliseconds)));
+    for (int decade = 0; decade <= decades; ++decade) {
+        double const step = lowestMilliseconds * std::pow(10, decade);
+        std::ostringstream label;
+        label << step;
         drawLine(out, marginLeft, scale.y(step), marginLeft + panelWidth, scale.y(step), "stroke=\"#ccc\"");
-        drawText(out, labelOffset, scale.y(step) + labelOffset, "black", std::to_string(step).substr(0, step < 1 ? 3 : std::to_string(step).find('.')));
+        drawText(out, labelOffset, scale.y(step) + labelOffset, "black", label.str());
     }
     for (std::size_t quantile = 0; quantile < quantileNames.size(); ++quantile) {
         drawText(out, marginLeft + panelWidth - legendStep * static_cast<double>(quantileNames.size() - quantile), top - labelOffset, colours.at(quantile), quantileNames.at(quantile));
--- a/Utilities/zl-load/run_series.cpp
+++ b/Utilities/zl-load/run_series.cpp
@@ -30,8 +30,9 @@
 template <typename T>
 static bool readNumber(std::string_view text, T& number)
 {
-    auto const* end = text.data() + text.size();
-    auto const result = std::from_chars(text.data(), end, number);
+    auto const* begin = text.data();
+    auto const* end = begin + text.size();
+    auto const result = std::from_chars(begin, end, number);
     return result.ec == std::errc {} && result.ptr == end;
 }
 
