--- a/Tests/Faults/membership_processes_test.cpp
+++ b/Tests/Faults/membership_processes_test.cpp
@@ -223,6 +223,7 @@
     static constexpr int waiting = 20;
     std::vector<model::answer_or_error> answers(waiting, errors::fail(errors::error_kind::internal, "not asked"));
     std::vector<std::thread> callers;
+    callers.reserve(waiting);
     for (int number = 0; number < waiting; ++number)
         callers.emplace_back([&, number] { answers[number] = query(sleeper.callers, makeConfirm(prefix + "~" + std::to_string(number))); });
     // The time itself is what is tested: the daemon must be cut off when it wakes.
