--- a/Tests/Faults/query_faults_test.cpp
+++ b/Tests/Faults/query_faults_test.cpp
@@ -114,6 +114,15 @@
         return runs;
     }
 
+    /// The leaf that runs the ticket.
+    running_leaf& findHolder(std::string const& ticket) const
+    {
+        auto& all = leafs();
+        auto const holder = std::find_if(all.begin(), all.end(), [&](auto const& leaf) { return getJson(leaf.place, "/counts").at("runs_of_ticket").as_object().contains(ticket); });
+        CHECK(holder != all.end());
+        return *holder;
+    }
+
     void checkConfirmations() const
     {
         for (auto const& [ticket, result] : confirmations) {
@@ -178,13 +187,11 @@
     request.deadline = longDeadline;
     auto searching = startAsking("suva-1", request);
     CHECK(waitUntil([&] { return countOfLeafs("calls") >= 3; }));
-    auto& all = leafs();
-    auto const holder = std::find_if(all.begin(), all.end(), [&](auto const& leaf) { return getJson(leaf.place, "/counts").at("runs_of_ticket").as_object().contains(confirmation.ticket); });
-    CHECK(holder != all.end());
-    holder->process->signal(SIGKILL);
+    auto& holder = findHolder(confirmation.ticket);
+    holder.process->signal(SIGKILL);
     checkKind(error_kind::outcome_unknown, confirming.get());
     checkKind(error_kind::outcome_unknown, query(running->daemon("suva-1").callers, confirmation));
-    all.erase(holder);
+    std::erase_if(leafs(), [&](auto const& leaf) { return &leaf == &holder; });
     LONGS_EQUAL(0, runsOf(confirmation.ticket));
     auto const answer = searching.get();
     CHECK(answer.has_value());
@@ -194,15 +201,21 @@
 
 TEST(QueryFaults, AFrozenLeafSettlesItsTicketWhenItWakes)
 {
-    auto const& frozen = leafs().front();
+    setFaults({ { "slow_factor", 500 } });
+    auto const lost = makeConfirmation("suva-1");
+    auto confirming = startAsking("suva-1", lost);
+    CHECK(waitUntil([&] { return runsOf(lost.ticket) == 1; }));
+    auto const& frozen = findHolder(lost.ticket);
     frozen.process->signal(SIGSTOP);
-    auto lost = makeConfirmationOfShard("suva-1", frozen.shard);
-    for (unsigned tries = 0; tries < 50 && confirm("suva-1", lost); ++tries)
-        lost = makeConfirmationOfShard("suva-1", frozen.shard);
-    checkKind(error_kind::outcome_unknown, confirmations.at(lost.ticket));
-    auto const answer = search();
-    CHECK(answer.has_value());
-    CHECK(answer->covered.isWhole());
+    checkKind(error_kind::outcome_unknown, confirming.get());
+    for (auto const& leaf : leafs()) {
+        if (&leaf != &frozen)
+            running->setLeafFaults(leaf, { { "slow_factor", 1 } });
+    }
+    CHECK(waitUntil([&] {
+        auto const answer = search();
+        return answer && answer->covered.isWhole();
+    }));
     frozen.process->signal(SIGCONT);
     CHECK(waitUntil([&] { return confirm("suva-1", lost).has_value(); }));
     CHECK(confirmations.at(lost.ticket)->isRemembered);
