--- a/Services/platform/command_writer.cpp
+++ b/Services/platform/command_writer.cpp
@@ -56,6 +56,7 @@
 {
     if (m_texts.size() >= mostWaitingTexts) {
         std::vector<command_result> refused;
+        refused.reserve(commands.size());
         for (auto const& each : commands)
             refused.push_back({ each.service, tl::unexpected(errors::error { error_kind::overloaded, "too many commands wait for the store", queueRetryAfter }) });
         receive(std::move(refused));
@@ -151,6 +152,7 @@
     if (!isFinished)
         return;
     std::vector<command_result> results;
+    results.reserve(objects.size());
     for (auto& object : objects)
         results.push_back(std::move(*object.result));
     m_texts.pop_front();
--- a/Tests/Faults/configuration_commands_test.cpp
+++ b/Tests/Faults/configuration_commands_test.cpp
@@ -202,6 +202,7 @@
     std::mutex mutex;
     std::map<std::string, std::vector<told>> all;
     std::vector<std::thread> operators;
+    operators.reserve(4);
     for (int each = 0; each < 4; ++each) {
         operators.emplace_back([&, each] {
             std::string const partner = each % 2 == 0 ? "suva" : "amman";
