Queries: Refuse at once what can't meet its deadline, and use slow leafs for probes only

Cause: a slow or frozen leaf had room whenever its twin was at its limit, so it got a share; the limit grew to the number of connections, so calls queued at the leaf; nothing looked at a shard's backlog, so overload ended in partial answers at the deadline; hedge demand exceeded the budget (only winners were sampled), which then was empty when a straggler came. Change: a leaf whose calls take 3 times as long as the best one's is avoided (never more than a third of a shard's leafs, one at least) and gets a copied call as a probe each 500 ms; limits start at 1 and end at two calls a slot; a query is judged by the backlog and the drain rate of each shard; one queue for each shard, urgent first with ageing; no hedge for a shard with calls waiting; the hedge delay grows as tokens get scarce; a hedge that was not sent gives its token back; ordinary requests leave tokens for urgent ones; a reported load is forgotten after 2 s.

--- a/Libraries/zinnialedge/limits/token_bucket.cpp
+++ b/Libraries/zinnialedge/limits/token_bucket.cpp
@@ -16,12 +16,17 @@
     m_tokens = std::min(m_burst, m_tokens + m_tokensPerEarning * static_cast<double>(times));
 }
 
-bool token_bucket::take()
+bool token_bucket::take(double reserve)
 {
-    if (m_tokens < 1)
+    if (m_tokens < 1 + reserve)
         return false;
     m_tokens -= 1;
     return true;
 }
 
+void token_bucket::giveBack()
+{
+    m_tokens = std::min(m_burst, m_tokens + 1);
+}
+
 }
--- a/Libraries/zinnialedge/limits/token_bucket.h
+++ b/Libraries/zinnialedge/limits/token_bucket.h
@@ -10,7 +10,10 @@
     token_bucket(double tokensPerEarning, double burst);
 
     void earn(std::uint64_t times = 1);
-    [[nodiscard]] bool take();
+    /// Takes a token unless that would leave fewer than `reserve`.
+    [[nodiscard]] bool take(double reserve = 0);
+    /// Returns a token that was taken and not used.
+    void giveBack();
     double tokens() const { return m_tokens; }
 
 private:
--- a/Libraries/zinnialedge/queries/events.h
+++ b/Libraries/zinnialedge/queries/events.h
@@ -79,6 +79,8 @@
     routing::leaf_handle leaf { 0 };
     /// Nothing when the leaf did not answer.
     std::optional<leaf_status> status;
+    /// How many connections to it are open, where that is known.
+    std::optional<std::uint32_t> connections;
 };
 
 struct service_declared {
--- a/Libraries/zinnialedge/queries/query.h
+++ b/Libraries/zinnialedge/queries/query.h
@@ -15,6 +15,8 @@
     routing::leaf_handle leaf { 0 };
     kernel::time_point sentAt;
     bool isHedge { false };
+    /// Sent to learn about the leaf.
+    bool isProbe { false };
 };
 
 /// How far one shard of a query has come.
--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -14,7 +14,10 @@
 static constexpr double hedgeQuantile = 0.95;
 static constexpr std::chrono::microseconds initialHedgeDelay { 10'000 };
 static constexpr double budgetBurst = 20;
+/// Tokens that calls of ordinary requests leave for the hedges of urgent ones.
+static constexpr double ordinaryHedgeReserve = 5;
 static constexpr double retryBudgetPercent = 10;
+static constexpr double lowestCallsPerSecond = 1;
 static constexpr std::chrono::milliseconds overloadRetryAfter { 50 };
 static constexpr std::chrono::milliseconds noLeafRetryAfter { 500 };
 
@@ -86,20 +89,26 @@
         m_actions.emplace_back(change_leaf_connections { change, removed.name, m_leafs.at(change.handle).name() });
 }
 
-void query_engine::noteLeafStatus(routing::leaf_handle handle, leaf_status const& status)
+void query_engine::noteLeafStatus(routing::leaf_handle handle, leaf_status const& status, time_point now)
 {
     auto& leaf = m_leafs.at(handle);
-    bool const isPinStale = leaf.versions() != status.versions || leaf.epochs() != status.epochs;
+    bool const isPinStale = !leaf.isReachable() || leaf.versions() != status.versions || leaf.epochs() != status.epochs;
     auto const stateBefore = leaf.state();
-    leaf.noteStatus(status.epochs, status.versions, status.load, status.isDraining);
+    leaf.noteStatus(status.epochs, status.versions, status.load, status.isDraining, now);
     if (isPinStale || leaf.state() != stateBefore)
         m_leafs.forgetPin(leaf.service());
 }
 
-void query_engine::handle(leaf_status_seen const& seen, time_point)
+void query_engine::handle(leaf_status_seen const& seen, time_point now)
 {
-    if (seen.status)
-        noteLeafStatus(seen.leaf, *seen.status);
+    if (seen.connections)
+        m_leafs.at(seen.leaf).noteConnections(*seen.connections);
+    if (seen.status) {
+        noteLeafStatus(seen.leaf, *seen.status, now);
+    } else if (seen.connections == 0U) {
+        m_leafs.at(seen.leaf).noteUnreachable();
+        m_leafs.forgetPin(m_leafs.at(seen.leaf).service());
+    }
 }
 
 // Arrival.
@@ -284,13 +293,9 @@
         refuseUnrun({ error_kind::overloaded, "too many calls to leafs are in flight", overloadRetryAfter });
         return;
     }
-    if (!m_admission.tryEnter(service->partner)) {
-        refuseUnrun({ error_kind::over_share, service->partner + " has no room left on this daemon", overloadRetryAfter });
-        return;
-    }
     auto const* kind = service->findRequest(request.requestKind);
     auto const id = ++m_lastQuery;
-    auto& added = m_queries[id];
+    query added;
     added.id = id;
     added.request = std::make_shared<model::query_request const>(request);
     added.service = service;
@@ -303,12 +308,53 @@
     m_queryOfCaller.emplace(arrived.caller, id);
     for (auto const shard : shards)
         added.shards.emplace_back().shard = shard;
+    auto const verdict = judge(added, now);
+    if (!verdict.isAdmitted) {
+        refuseUnrun(makeTooShort(verdict));
+        return;
+    }
+    if (!m_admission.tryEnter(service->partner)) {
+        refuseUnrun({ error_kind::over_share, service->partner + " has no room left on this daemon", overloadRetryAfter });
+        return;
+    }
+    for (auto const shard : verdict.skipped) {
+        added.shards[shard].missing = model::missing_reason::overloaded;
+        ++added.settledShards;
+    }
     if (!added.isRepeatable)
         m_runningTickets[request.ticket] = id;
     m_timers.push({ added.deadline, id, 0, timer_kind::deadline });
     if (service->coverage == model::coverage_policy::partial && kind->isOverAllShards)
         m_timers.push({ std::min(added.deadline, now + service->softDeadline), id, 0, timer_kind::soft_deadline });
-    scatter(added, now);
+    scatter(m_queries.emplace(id, std::move(added)).first->second, now);
+}
+
+limits::admission_verdict query_engine::judge(query const& arrived, time_point now)
+{
+    if (!m_settings.policy.isAdmittingByShard)
+        return {};
+    limits::admission_question question;
+    question.coverage = arrived.service->coverage;
+    question.remaining = std::chrono::duration_cast<std::chrono::microseconds>(arrived.deadline - now);
+    question.softRemaining = arrived.service->softDeadline;
+    question.softSharePercent = arrived.service->softSharePercent;
+    question.callTail = limitsOf(arrived.service->name).hedgeDelay.value();
+    for (auto const& shard : arrived.shards) {
+        auto const* queue = findQueue(arrived, shard.shard);
+        auto const ahead = queue ? queue->countAhead(arrived.isUrgent, now) : 0;
+        auto const perSecond = ahead > 0 ? m_leafs.callsPerSecond(arrived.service->name, arrived.pin, shard.shard, now) : 0;
+        std::chrono::microseconds const wait { ahead > 0 ? static_cast<std::int64_t>(1e6 * static_cast<double>(ahead) / std::max(perSecond, lowestCallsPerSecond)) : 0 };
+        question.waits.push_back({ shard.shard, wait });
+    }
+    return limits::judgeAdmission(question);
+}
+
+error query_engine::makeTooShort(limits::admission_verdict const& verdict)
+{
+    auto const drain = std::chrono::ceil<std::chrono::milliseconds>(verdict.drainTime) + std::chrono::milliseconds { 1 };
+    // Callers that were refused together must not come back together.
+    auto const jitter = std::chrono::milliseconds { static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(drain.count() + 1)) };
+    return { error_kind::deadline_too_short, "the backlog of a shard would outlast the deadline", drain + jitter };
 }
 
 // Scattering.
@@ -317,6 +363,8 @@
 {
     auto const id = scattered.id;
     for (std::uint32_t place = 0; place < scattered.shards.size(); ++place) {
+        if (scattered.shards[place].isSettled())
+            continue;
         requestShard(scattered, place, false, now);
         // A shard without a leaf may settle the whole query.
         if (!m_queries.contains(id))
@@ -330,10 +378,12 @@
     auto const choice = m_leafs.choose(asking.service->name, asking.pin, shard.shard, shard.asked, now, m_random);
     if (choice.chosen) {
         send(asking, place, *choice.chosen, isHedge, now);
+        if (!isHedge)
+            probeSlowLeaf(asking, place, now);
         return;
     }
     if (choice.isWorthWaiting) {
-        waitForRoom(asking, place, isHedge);
+        waitForRoom(asking, place, isHedge, now);
         return;
     }
     if (shard.calls.empty() && !shard.isWaiting)
@@ -358,65 +408,116 @@
         limits.hedgeBudget.earn();
         limits.retryBudget.earn();
         if (m_settings.policy.isHedging && asking.isRepeatable && !shard.isHedged)
-            m_timers.push({ now + limits.hedgeDelay.value(), asking.id, place, timer_kind::hedge });
+            m_timers.push({ now + hedgeDelayOf(limits), asking.id, place, timer_kind::hedge });
     }
     m_actions.emplace_back(send_leaf_call { call, leaf, shard.shard, asking.pin, asking.deadline, asking.isUrgent, asking.isRepeatable, asking.request });
 }
 
-void query_engine::waitForRoom(query& asking, std::uint32_t place, bool isHedge)
+void query_engine::waitForRoom(query& asking, std::uint32_t place, bool isHedge, time_point now)
 {
     auto& shard = asking.shards[place];
     shard.isWaiting = true;
-    auto& queue = m_waiting[{ asking.service->name, asking.pin.epoch, shard.shard }];
-    auto& line = asking.isUrgent ? queue.urgent : queue.ordinary;
-    line.push_back({ asking.id, place, isHedge });
+    m_waiting[{ asking.service->name, asking.pin.epoch, shard.shard }].push({ asking.id, place, isHedge, asking.isUrgent, now });
 }
 
-void query_engine::dispatchWaiting(shard_key const& key, time_point now)
+void query_engine::stopWaiting(query& asking, std::uint32_t place)
 {
-    auto const found = m_waiting.find(key);
+    auto& shard = asking.shards[place];
+    if (!shard.isWaiting)
+        return;
+    shard.isWaiting = false;
+    auto const found = m_waiting.find({ asking.service->name, asking.pin.epoch, shard.shard });
     if (found == m_waiting.end())
         return;
-    while (dispatchFirst(found->second.urgent, now)) { }
-    while (dispatchFirst(found->second.ordinary, now)) { }
-    if (found->second.urgent.empty() && found->second.ordinary.empty())
+    auto const removed = found->second.remove(asking.id, place);
+    if (removed && removed->isHedge)
+        limitsOf(asking.service->name).hedgeBudget.giveBack();
+    if (found->second.isEmpty())
         m_waiting.erase(found);
 }
 
-bool query_engine::dispatchFirst(std::deque<waiting_shard>& line, time_point now)
+shard_queue const* query_engine::findQueue(query const& asking, std::uint32_t shard) const
 {
-    while (!line.empty()) {
-        auto const first = line.front();
-        auto* asking = find(first.query);
-        if (!asking || asking->shards[first.place].isSettled() || !asking->shards[first.place].isWaiting) {
-            line.pop_front();
-            continue;
-        }
-        auto const& shard = asking->shards[first.place];
-        auto const choice = m_leafs.choose(asking->service->name, asking->pin, shard.shard, shard.asked, now, m_random);
-        if (!choice.chosen)
-            return false;
-        line.pop_front();
+    auto const found = m_waiting.find({ asking.service->name, asking.pin.epoch, shard });
+    return found == m_waiting.end() ? nullptr : &found->second;
+}
+
+void query_engine::dispatchWaiting(shard_key const& key, time_point now)
+{
+    // A shard that is given up may settle its query, which changes the queues.
+    for (auto found = m_waiting.find(key); found != m_waiting.end(); found = m_waiting.find(key)) {
+        if (!dispatchNext(found->second, now))
+            return;
+        if (auto const after = m_waiting.find(key); after != m_waiting.end() && after->second.isEmpty())
+            m_waiting.erase(after);
+    }
+}
+
+bool query_engine::dispatchNext(shard_queue& queue, time_point now)
+{
+    auto const* next = queue.next();
+    if (!next)
+        return false;
+    auto const first = *next;
+    auto* asking = find(first.query);
+    if (!asking || !asking->shards[first.place].isWaiting) {
+        queue.popNext();
+        return true;
+    }
+    auto& shard = asking->shards[first.place];
+    auto const choice = m_leafs.choose(asking->service->name, asking->pin, shard.shard, shard.asked, now, m_random);
+    if (choice.chosen) {
+        queue.popNext();
         send(*asking, first.place, *choice.chosen, first.isHedge, now);
         return true;
     }
-    return false;
+    if (choice.isWorthWaiting)
+        return false;
+    // The leafs that it waited for are gone.
+    stopWaiting(*asking, first.place);
+    if (shard.calls.empty())
+        miss(*asking, first.place, shard.asked.empty() ? model::missing_reason::no_leaf : shard.reasonSoFar);
+    return true;
+}
+
+std::chrono::microseconds query_engine::hedgeDelayOf(service_limits const& limits)
+{
+    // With few tokens left only the longest calls are hedged, in place of whichever comes first.
+    double const scarcity = 1 - limits.hedgeBudget.tokens() / budgetBurst;
+    auto const delay = static_cast<double>(limits.hedgeDelay.value().count()) * (1 + scarcity);
+    return std::chrono::microseconds { static_cast<std::int64_t>(delay) };
 }
 
 void query_engine::hedge(query& asking, std::uint32_t place, time_point now)
 {
     auto& shard = asking.shards[place];
-    if (!asking.isRepeatable || shard.isSettled() || shard.isHedged || shard.calls.size() != 1)
+    if (!asking.isRepeatable || shard.isSettled() || shard.isHedged || shard.isWaiting || shard.calls.empty())
+        return;
+    // A shard with calls waiting has no capacity to spare: an extra call would delay them all.
+    if (auto const* queue = findQueue(asking, shard.shard); queue && queue->hasPrimaries())
         return;
     auto const choice = m_leafs.choose(asking.service->name, asking.pin, shard.shard, shard.asked, now, m_random);
-    if (!choice.chosen && !choice.isWorthWaiting)
+    if (choice.isSlow || (!choice.chosen && !choice.isWorthWaiting))
         return;
-    if (!limitsOf(asking.service->name).hedgeBudget.take())
+    if (!limitsOf(asking.service->name).hedgeBudget.take(asking.isUrgent ? 0 : ordinaryHedgeReserve))
         return;
     shard.isHedged = true;
     requestShard(asking, place, true, now);
 }
 
+void query_engine::probeSlowLeaf(query& asking, std::uint32_t place, time_point now)
+{
+    if (!m_settings.policy.isHedging || !asking.isRepeatable)
+        return;
+    auto& shard = asking.shards[place];
+    auto const slow = m_leafs.findProbe(asking.service->name, asking.pin, shard.shard, shard.asked, now);
+    if (!slow || !limitsOf(asking.service->name).hedgeBudget.take())
+        return;
+    send(asking, place, *slow, true, now);
+    // It runs to its end: a cancelled probe would tell nothing.
+    shard.calls.back().isProbe = true;
+}
+
 // Gathering.
 
 void query_engine::handle(leaf_call_ended const& ended, time_point now)
@@ -431,7 +532,7 @@
     auto& leaf = m_leafs.at(owner.leaf);
     leaf.noteEnded(owner.sentAt, now, ended.outcome.kind == leaf_outcome_kind::answered);
     if (ended.outcome.status)
-        noteLeafStatus(owner.leaf, *ended.outcome.status);
+        noteLeafStatus(owner.leaf, *ended.outcome.status, now);
     if (ended.outcome.refusal == leaf_refusal::shed)
         leaf.noteShed();
     if (ended.outcome.refusal == leaf_refusal::draining) {
@@ -486,7 +587,7 @@
         return;
     }
     shard.isAnswered = true;
-    shard.isWaiting = false;
+    stopWaiting(asking, place);
     shard.rows = outcome.rows;
     cancelCalls(shard);
     ++asking.settledShards;
@@ -563,8 +664,10 @@
     if (!pin || *pin == asking.pin || !asking.lifecycle.repin())
         return false;
     ++m_counters.repins;
-    for (auto& shard : asking.shards)
-        cancelCalls(shard);
+    for (std::uint32_t place = 0; place < asking.shards.size(); ++place) {
+        stopWaiting(asking, place);
+        cancelCalls(asking.shards[place]);
+    }
     asking.service = m_leafs.findService(asking.service->name);
     asking.pin = *pin;
     asking.settledShards = 0;
@@ -578,8 +681,10 @@
 
 void query_engine::cancelCalls(shard_progress& shard)
 {
-    for (auto const& call : shard.calls)
-        m_actions.emplace_back(cancel_leaf_call { call.call, call.leaf });
+    for (auto const& call : shard.calls) {
+        if (!call.isProbe)
+            m_actions.emplace_back(cancel_leaf_call { call.call, call.leaf });
+    }
     shard.calls.clear();
 }
 
@@ -637,6 +742,8 @@
 void query_engine::settle(query& asking, model::answer_or_error result)
 {
     asking.lifecycle.settle();
+    for (std::uint32_t place = 0; place < asking.shards.size(); ++place)
+        stopWaiting(asking, place);
     if (asking.isRepeatable) {
         for (auto& shard : asking.shards)
             cancelCalls(shard);
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -2,10 +2,11 @@
 
 #include "Libraries/zinnialedge/limits/admission.h"
 #include "Libraries/zinnialedge/limits/moving_quantile.h"
+#include "Libraries/zinnialedge/limits/shard_admission.h"
 #include "Libraries/zinnialedge/limits/token_bucket.h"
 #include "Libraries/zinnialedge/queries/query.h"
+#include "Libraries/zinnialedge/queries/shard_queue.h"
 #include "Libraries/zinnialedge/queries/ticket_book.h"
-#include <deque>
 #include <map>
 #include <queue>
 #include <unordered_map>
@@ -103,18 +104,6 @@
         limits::moving_quantile hedgeDelay;
     };
 
-    /// A shard of a query that waits for room at a leaf.
-    struct waiting_shard {
-        query_id query { 0 };
-        std::uint32_t place { 0 };
-        bool isHedge { false };
-    };
-
-    struct shard_queue {
-        std::deque<waiting_shard> urgent;
-        std::deque<waiting_shard> ordinary;
-    };
-
     struct call_owner {
         query_id query { 0 };
         std::uint32_t place { 0 };
@@ -155,6 +144,8 @@
     void relay(query_arrived const&, std::string const& daemon, kernel::time_point);
     void endRelay(caller_token);
     void admit(query_arrived const&, std::shared_ptr<model::service_declaration const> const&, kernel::time_point);
+    limits::admission_verdict judge(query const&, kernel::time_point);
+    errors::error makeTooShort(limits::admission_verdict const&);
     void refuse(caller_token, model::query_request const&, errors::error);
     /// Gives a caller the outcome of a request under the caller's own name for it.
     void giveAnswer(caller_token, std::string const& requestId, model::answer_or_error);
@@ -165,10 +156,15 @@
     void scatter(query&, kernel::time_point);
     void requestShard(query&, std::uint32_t place, bool isHedge, kernel::time_point);
     void send(query&, std::uint32_t place, routing::leaf_handle, bool isHedge, kernel::time_point);
-    void waitForRoom(query&, std::uint32_t place, bool isHedge);
+    void waitForRoom(query&, std::uint32_t place, bool isHedge, kernel::time_point);
+    void stopWaiting(query&, std::uint32_t place);
+    shard_queue const* findQueue(query const&, std::uint32_t shard) const;
     void dispatchWaiting(shard_key const&, kernel::time_point);
-    bool dispatchFirst(std::deque<waiting_shard>&, kernel::time_point);
+    bool dispatchNext(shard_queue&, kernel::time_point);
+    static std::chrono::microseconds hedgeDelayOf(service_limits const&);
     void hedge(query&, std::uint32_t place, kernel::time_point);
+    /// Sends a copy of a call to a leaf that is avoided, to learn whether it still is slow.
+    void probeSlowLeaf(query&, std::uint32_t place, kernel::time_point);
 
     // Gathering.
     void accept(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
@@ -178,7 +174,7 @@
     void miss(query&, std::uint32_t place, model::missing_reason);
     bool repin(query&, kernel::time_point);
     void cancelCalls(shard_progress&);
-    void noteLeafStatus(routing::leaf_handle, leaf_status const&);
+    void noteLeafStatus(routing::leaf_handle, leaf_status const&, kernel::time_point);
     void settleLateReply(call_owner const&, leaf_outcome const&);
 
     // Settling.
--- a/Libraries/zinnialedge/routing/leaf.cpp
+++ b/Libraries/zinnialedge/routing/leaf.cpp
@@ -7,6 +7,15 @@
 
 static constexpr double initialLatencyMicroseconds = 2000;
 static constexpr double latencyWeight = 0.2;
+/// Samples that come now and then only, such as those of probes, must tell in a few of them.
+static constexpr double sparseLatencyWeight = 0.5;
+static constexpr std::chrono::milliseconds sparseSampleGap { 250 };
+static constexpr std::chrono::milliseconds probeInterval { 500 };
+static constexpr std::chrono::milliseconds reportedLoadLifetime { 2000 };
+/// Calls beyond one for each slot cover the time on the way; more would only queue at the leaf, out of our hands.
+static constexpr std::uint32_t callsPerSlot = 2;
+/// A leaf that is new, or that comes back, gets one call at first.
+static constexpr std::uint32_t coldStartLimit = 1;
 /// How much a fully loaded report lengthens the expected delay. It is small, since reports lag or mislead.
 static constexpr double reportedLoadWeight = 0.2;
 
@@ -16,7 +25,7 @@
     , m_place(declared.place)
     , m_slots(declared.slots)
     , m_connectionShare(connectionShare)
-    , m_limit(declared.slots, connectionShare)
+    , m_limit(coldStartLimit, connectionShare)
     , m_latencyMicroseconds(initialLatencyMicroseconds)
 {
     redeclare(declared, connectionShare);
@@ -27,7 +36,7 @@
     m_place = declared.place;
     m_slots = declared.slots;
     m_connectionShare = connectionShare;
-    m_limit.setMaximum(connectionShare);
+    m_limit.setMaximum(maximumInFlight(connectionShare));
     m_isDrainingByDeclaration = declared.isDraining;
     if (m_isDrainingByDeclaration)
         m_lifecycle.noteDrain();
@@ -37,8 +46,10 @@
         m_lifecycle.noteHeard();
 }
 
-void leaf::noteStatus(std::vector<std::uint64_t> epochs, std::vector<std::uint64_t> versions, double load, bool isDraining)
+void leaf::noteStatus(std::vector<std::uint64_t> epochs, std::vector<std::uint64_t> versions, double load, bool isDraining, kernel::time_point now)
 {
+    m_isReachable = true;
+    m_reportedAt = now;
     m_epochs = std::move(epochs);
     m_versions = std::move(versions);
     m_reportedLoad = std::clamp(load, 0.0, 1.0);
@@ -57,9 +68,26 @@
     m_lifecycle.noteDrain();
 }
 
+std::uint32_t leaf::maximumInFlight(std::uint32_t connections) const
+{
+    return std::max<std::uint32_t>(1, std::min(connections, callsPerSlot * m_slots));
+}
+
+void leaf::noteUnreachable()
+{
+    m_isReachable = false;
+    m_limit = { coldStartLimit, maximumInFlight(m_connectionShare) };
+}
+
+void leaf::noteConnections(std::uint32_t connections)
+{
+    m_limit.setMaximum(maximumInFlight(connections));
+}
+
 void leaf::noteSent(kernel::time_point now)
 {
     m_sentAt.push_back(now);
+    m_lastSentAt = now;
 }
 
 void leaf::noteEnded(kernel::time_point sentAt, kernel::time_point now, bool isAnswer)
@@ -68,11 +96,38 @@
     VERIFY(found != m_sentAt.end());
     bool const wasAtLimit = inFlight() >= m_limit.value();
     m_sentAt.erase(found);
-    if (!isAnswer)
-        return;
     auto const sample = static_cast<double>(std::chrono::duration_cast<std::chrono::microseconds>(now - sentAt).count());
-    m_latencyMicroseconds += latencyWeight * (sample - m_latencyMicroseconds);
-    m_limit.noteSuccess(wasAtLimit);
+    // A call that was cancelled or lost would have taken longer still.
+    if (isAnswer || sample > m_latencyMicroseconds)
+        addSample(sample, now);
+    if (isAnswer)
+        m_limit.noteSuccess(wasAtLimit);
+}
+
+void leaf::addSample(double microseconds, kernel::time_point now)
+{
+    double const weight = now - m_lastSampleAt > sparseSampleGap ? sparseLatencyWeight : latencyWeight;
+    m_latencyMicroseconds += weight * (microseconds - m_latencyMicroseconds);
+    m_lastSampleAt = now;
+}
+
+bool leaf::isProbeDue(kernel::time_point now) const
+{
+    return m_sentAt.empty() && now - m_lastSentAt >= probeInterval;
+}
+
+double leaf::oldestAgeMicroseconds(kernel::time_point now) const
+{
+    if (m_sentAt.empty())
+        return 0;
+    auto const oldest = *std::min_element(m_sentAt.begin(), m_sentAt.end());
+    return static_cast<double>(std::chrono::duration_cast<std::chrono::microseconds>(now - oldest).count());
+}
+
+double leaf::callsPerSecond(kernel::time_point now) const
+{
+    static constexpr double microsecondsPerSecond = 1e6;
+    return m_limit.value() * microsecondsPerSecond / std::max({ 1.0, m_latencyMicroseconds, oldestAgeMicroseconds(now) });
 }
 
 void leaf::noteShed()
@@ -89,13 +144,11 @@
 double leaf::expectedDelayMicroseconds(kernel::time_point now) const
 {
     double const queued = static_cast<double>(inFlight()) / m_slots;
-    double delay = m_latencyMicroseconds * (1 + queued) * (1 + reportedLoadWeight * m_reportedLoad);
+    double const reportAge = std::chrono::duration<double>(now - m_reportedAt) / std::chrono::duration<double>(reportedLoadLifetime);
+    double const reported = m_reportedLoad * std::max(0.0, 1 - reportAge);
+    double const delay = m_latencyMicroseconds * (1 + queued) * (1 + reportedLoadWeight * reported);
     // A leaf that has held a call for long is likely to hold the next one as long.
-    if (!m_sentAt.empty()) {
-        auto const oldest = *std::min_element(m_sentAt.begin(), m_sentAt.end());
-        delay += std::max(0.0, static_cast<double>(std::chrono::duration_cast<std::chrono::microseconds>(now - oldest).count()) - m_latencyMicroseconds);
-    }
-    return delay;
+    return delay + std::max(0.0, oldestAgeMicroseconds(now) - m_latencyMicroseconds);
 }
 
 }
--- a/Libraries/zinnialedge/routing/leaf.h
+++ b/Libraries/zinnialedge/routing/leaf.h
@@ -4,6 +4,7 @@
 #include "Libraries/zinnialedge/limits/concurrency_limit.h"
 #include "Libraries/zinnialedge/model/service_declaration.h"
 #include "Libraries/zinnialedge/routing/target_lifecycle.h"
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -19,12 +20,16 @@
     leaf(std::string service, model::target_declaration const&, std::uint32_t connectionShare);
 
     void redeclare(model::target_declaration const&, std::uint32_t connectionShare);
-    void noteStatus(std::vector<std::uint64_t> epochs, std::vector<std::uint64_t> versions, double load, bool isDraining);
+    void noteStatus(std::vector<std::uint64_t> epochs, std::vector<std::uint64_t> versions, double load, bool isDraining, kernel::time_point now);
     void noteSent(kernel::time_point now);
     /// `sentAt` is what was given to noteSent.
     void noteEnded(kernel::time_point sentAt, kernel::time_point now, bool isAnswer);
     void noteShed();
     void noteRefusedAsDraining();
+    /// No connection to it is open and none can be opened. Its next status ends that, with a cold start.
+    void noteUnreachable();
+    /// How many connections to it are open; no more calls than that can be in flight.
+    void noteConnections(std::uint32_t);
     void noteGone() { m_lifecycle.noteRemoved(); }
 
     std::string const& service() const { return m_service; }
@@ -37,16 +42,27 @@
     double reportedLoad() const { return m_reportedLoad; }
     std::chrono::microseconds latency() const { return std::chrono::microseconds { static_cast<std::int64_t>(m_latencyMicroseconds) }; }
 
-    bool isTakingNewWork() const { return m_lifecycle.state() == target_state::serving; }
+    bool isReachable() const { return m_isReachable; }
+    bool isTakingNewWork() const { return m_isReachable && m_lifecycle.state() == target_state::serving; }
     bool hasRoom() const { return inFlight() < m_limit.value(); }
+    /// True when nothing is in flight to it and nothing was sent to it for a while.
+    bool isProbeDue(kernel::time_point now) const;
+    /// How many calls a second it serves for this daemon when all its room is in use.
+    double callsPerSecond(kernel::time_point now) const;
     bool isServing(std::uint64_t epoch, std::uint64_t version) const;
     std::vector<std::uint64_t> const& versions() const { return m_versions; }
     std::vector<std::uint64_t> const& epochs() const { return m_epochs; }
 
+    /// How long its calls take: of late on average, or the oldest one in flight so far.
+    double callMicroseconds(kernel::time_point now) const { return std::max(m_latencyMicroseconds, oldestAgeMicroseconds(now)); }
     /// How long a call sent now would take, as far as this daemon can tell.
     double expectedDelayMicroseconds(kernel::time_point now) const;
 
 private:
+    std::uint32_t maximumInFlight(std::uint32_t connections) const;
+    double oldestAgeMicroseconds(kernel::time_point now) const;
+    void addSample(double microseconds, kernel::time_point now);
+
     std::string m_service;
     std::string m_name;
     model::endpoint m_place;
@@ -59,6 +75,10 @@
     std::vector<kernel::time_point> m_sentAt;
     double m_latencyMicroseconds { 0 };
     double m_reportedLoad { 0 };
+    kernel::time_point m_reportedAt;
+    kernel::time_point m_lastSentAt;
+    kernel::time_point m_lastSampleAt;
+    bool m_isReachable { true };
     bool m_isDrainingByItself { false };
     bool m_isDrainingByDeclaration { false };
 };
--- a/Libraries/zinnialedge/routing/leaf_table.cpp
+++ b/Libraries/zinnialedge/routing/leaf_table.cpp
@@ -2,6 +2,7 @@
 
 #include "Kernel/verify.h"
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace zinnialedge::routing {
@@ -9,6 +10,11 @@
 /// The part of a leaf's connections that stays free while the members of a group change.
 static constexpr std::uint32_t connectionReservePercent = 15;
 static constexpr std::size_t keptMaps = 2;
+/// How many times the call of the best leaf makes one slow.
+static constexpr double slowFactor = 3;
+static constexpr double negligibleMicroseconds = 3000;
+/// At most one in so many leafs of a shard is avoided, but one at least.
+static constexpr std::size_t avoidedPart = 3;
 
 std::uint32_t connectionShare(model::target_declaration const& target, std::uint32_t groupSize)
 {
@@ -174,32 +180,78 @@
     return best;
 }
 
-leaf_choice leaf_table::choose(std::string const& service, model::snapshot pin, std::uint32_t shard, std::span<leaf_handle const> excluded, kernel::time_point now, kernel::random_hook const& random) const
+std::vector<leaf_table::candidate> leaf_table::findCandidates(std::string const& service, model::snapshot pin, std::uint32_t shard, std::span<leaf_handle const> excluded, kernel::time_point now) const
 {
     auto const* map = findMap(service, pin.epoch);
     if (!map || shard >= map->leafsOfShard.size())
         return {};
-    leaf_choice choice;
-    std::vector<leaf_handle> candidates;
+    std::vector<candidate> candidates;
     for (auto const handle : map->leafsOfShard[shard]) {
         auto const& each = at(handle);
-        bool const isExcluded = std::find(excluded.begin(), excluded.end(), handle) != excluded.end();
-        if (isExcluded || !each.isTakingNewWork() || !each.isServing(pin.epoch, pin.version))
+        if (!each.isTakingNewWork() || !each.isServing(pin.epoch, pin.version))
             continue;
-        choice.isWorthWaiting = true;
-        if (each.hasRoom())
-            candidates.push_back(handle);
+        bool const isExcluded = std::find(excluded.begin(), excluded.end(), handle) != excluded.end();
+        candidates.push_back({ handle, each.expectedDelayMicroseconds(now), each.callMicroseconds(now), isExcluded });
     }
-    if (candidates.empty())
+    std::sort(candidates.begin(), candidates.end(), [](auto const& left, auto const& right) { return left.callMicroseconds < right.callMicroseconds; });
+    return candidates;
+}
+
+static bool isMuchSlower(double microseconds, double referenceMicroseconds)
+{
+    return microseconds > slowFactor * std::max(referenceMicroseconds, negligibleMicroseconds);
+}
+
+std::vector<leaf_table::candidate> leaf_table::keepUsable(std::vector<candidate> const& candidates) const
+{
+    std::vector<candidate> usable;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(usable), [](auto const& each) { return !each.isExcluded; });
+    if (usable.empty() || !m_isChoosingByDelay)
+        return usable;
+    double const reference = usable.front().callMicroseconds;
+    // If many leafs are slow, the load is, and leaving them out would make it worse.
+    auto const mostAvoided = std::max<std::size_t>(1, candidates.size() / avoidedPart);
+    for (std::size_t avoided = 0; avoided < mostAvoided && usable.size() > 1 && isMuchSlower(usable.back().callMicroseconds, reference); ++avoided)
+        usable.pop_back();
+    return usable;
+}
+
+leaf_choice leaf_table::choose(std::string const& service, model::snapshot pin, std::uint32_t shard, std::span<leaf_handle const> excluded, kernel::time_point now, kernel::random_hook const& random) const
+{
+    auto const candidates = findCandidates(service, pin, shard, excluded, now);
+    auto usable = keepUsable(candidates);
+    leaf_choice choice;
+    choice.isWorthWaiting = !usable.empty();
+    choice.isSlow = !usable.empty() && isMuchSlower(usable.front().callMicroseconds, candidates.front().callMicroseconds);
+    std::erase_if(usable, [this](auto const& each) { return !at(each.handle).hasRoom(); });
+    if (usable.empty())
         return choice;
-    auto const first = random() % candidates.size();
-    choice.chosen = candidates[first];
-    if (candidates.size() == 1 || !m_isChoosingByDelay)
+    auto const first = random() % usable.size();
+    choice.chosen = usable[first].handle;
+    if (usable.size() == 1 || !m_isChoosingByDelay)
         return choice;
-    auto const second = (first + 1 + random() % (candidates.size() - 1)) % candidates.size();
-    if (at(candidates[second]).expectedDelayMicroseconds(now) < at(candidates[first]).expectedDelayMicroseconds(now))
-        choice.chosen = candidates[second];
+    auto const second = (first + 1 + random() % (usable.size() - 1)) % usable.size();
+    if (usable[second].delayMicroseconds < usable[first].delayMicroseconds)
+        choice.chosen = usable[second].handle;
     return choice;
 }
 
+std::optional<leaf_handle> leaf_table::findProbe(std::string const& service, model::snapshot pin, std::uint32_t shard, std::span<leaf_handle const> asked, kernel::time_point now) const
+{
+    auto const candidates = findCandidates(service, pin, shard, asked, now);
+    for (auto const& each : candidates) {
+        if (!each.isExcluded && isMuchSlower(each.callMicroseconds, candidates.front().callMicroseconds) && at(each.handle).isProbeDue(now))
+            return each.handle;
+    }
+    return std::nullopt;
+}
+
+double leaf_table::callsPerSecond(std::string const& service, model::snapshot pin, std::uint32_t shard, kernel::time_point now) const
+{
+    double sum = 0;
+    for (auto const& each : findCandidates(service, pin, shard, {}, now))
+        sum += at(each.handle).callsPerSecond(now);
+    return sum;
+}
+
 }
--- a/Libraries/zinnialedge/routing/leaf_table.h
+++ b/Libraries/zinnialedge/routing/leaf_table.h
@@ -24,6 +24,8 @@
     std::optional<leaf_handle> chosen;
     /// True when a leaf could take it later: all that may are at their limit.
     bool isWorthWaiting { false };
+    /// True when the leaf that is chosen, or waited for, is much slower than another one of the shard.
+    bool isSlow { false };
 };
 
 /// What changed for the connections to leafs.
@@ -55,10 +57,23 @@
     partition_map const* findMap(std::string const& service, std::uint64_t epoch) const;
     /// From now on choose() takes any leaf with room, whatever its expected delay.
     void chooseAtRandom() { m_isChoosingByDelay = false; }
-    /// The better of two leafs of the shard that serve the snapshot, take work and are not excluded.
+    /// The better of two leafs of the shard that serve the snapshot, take work and are not excluded. One that is much slower
+    /// than the best is not used while the best can be waited for.
     leaf_choice choose(std::string const& service, model::snapshot, std::uint32_t shard, std::span<leaf_handle const> excluded, kernel::time_point now, kernel::random_hook const&) const;
+    /// A leaf of the shard that is avoided for being slow, and that no call has tried for a while.
+    std::optional<leaf_handle> findProbe(std::string const& service, model::snapshot, std::uint32_t shard, std::span<leaf_handle const> asked, kernel::time_point now) const;
+    /// How many calls a second the leafs of the shard serve for this daemon at most.
+    double callsPerSecond(std::string const& service, model::snapshot, std::uint32_t shard, kernel::time_point now) const;
 
 private:
+    /// A leaf that serves a snapshot, with its expected delay.
+    struct candidate {
+        leaf_handle handle { 0 };
+        double delayMicroseconds { 0 };
+        double callMicroseconds { 0 };
+        bool isExcluded { false };
+    };
+
     struct service_routes {
         std::shared_ptr<model::service_declaration const> declaration;
         /// Newest first.
@@ -70,6 +85,9 @@
 
     leaf_handle declareLeaf(service_routes&, model::target_declaration const&);
     std::vector<leaf_change> retireLeafs(service_routes&);
+    std::vector<candidate> findCandidates(std::string const& service, model::snapshot, std::uint32_t shard, std::span<leaf_handle const> excluded, kernel::time_point now) const;
+    /// Takes out the excluded leafs and the slow ones.
+    std::vector<candidate> keepUsable(std::vector<candidate> const&) const;
     std::size_t countServedShards(partition_map const&, std::uint64_t version) const;
     std::optional<model::snapshot> findPin(service_routes const&) const;
 
--- /dev/null
+++ b/Tests/Unit/admission_test.cpp
@@ -0,0 +1,233 @@
+#include "Libraries/zinnialedge/limits/admission.h"
+#include "Libraries/zinnialedge/limits/shard_admission.h"
+#include "Libraries/zinnialedge/queries/query_engine.h"
+#include <CppUTest/TestHarness.h>
+
+using namespace zinnialedge;
+using std::chrono::milliseconds;
+
+static limits::admission_question makeQuestion(model::coverage_policy coverage, std::vector<limits::shard_wait> waits)
+{
+    return { coverage, milliseconds { 100 }, milliseconds { 70 }, 50, milliseconds { 10 }, std::move(waits) };
+}
+
+TEST_GROUP(ShardAdmission) {};
+
+TEST(ShardAdmission, AWholeQueryThatCannotMeetItsDeadlineIsRefusedWithTheDrainTime)
+{
+    auto const verdict = limits::judgeAdmission(makeQuestion(model::coverage_policy::whole, { { 0, milliseconds { 0 } }, { 1, milliseconds { 90 } } }));
+    CHECK(!verdict.isAdmitted);
+    // 90 ms of backlog, of which a query may wait for (100 - 10) / 1.5 ms.
+    LONGS_EQUAL(30'000, verdict.drainTime.count());
+}
+
+TEST(ShardAdmission, AWholeQueryKeepsAWeakShardThatIsInTime)
+{
+    auto const verdict = limits::judgeAdmission(makeQuestion(model::coverage_policy::whole, { { 0, milliseconds { 0 } }, { 1, milliseconds { 50 } } }));
+    CHECK(verdict == limits::admission_verdict {});
+}
+
+TEST(ShardAdmission, APartialQuerySkipsAWeakShardWhileTheDeclaredShareIsLeft)
+{
+    auto const skipping = limits::judgeAdmission(makeQuestion(model::coverage_policy::partial, { { 0, milliseconds { 0 } }, { 1, milliseconds { 50 } } }));
+    CHECK(skipping.isAdmitted);
+    CHECK(skipping.skipped == std::vector<std::uint32_t> { 1 });
+    CHECK(!limits::judgeAdmission(makeQuestion(model::coverage_policy::partial, { { 0, milliseconds { 50 } }, { 1, milliseconds { 50 } } })).isAdmitted);
+}
+
+TEST_GROUP(PartnerAdmission) {};
+
+TEST(PartnerAdmission, AFloodLeavesTheOtherPartnerItsShare)
+{
+    limits::admission shares { 100 };
+    shares.setShares({ { "suva", 50 }, { "amman", 50 } });
+    std::uint32_t flood = 0;
+    while (shares.tryEnter("amman"))
+        ++flood;
+    // What suva leaves unused is lent, but for a reserve.
+    CHECK(flood > 50);
+    CHECK(flood < 100);
+    for (int index = 0; index < 50; ++index)
+        CHECK(shares.tryEnter("suva"));
+    // A lent place that comes free goes back to its owner first.
+    shares.leave("amman");
+    CHECK(!shares.tryEnter("amman"));
+}
+
+TEST_GROUP(EngineUnderLoad)
+{
+    kernel::time_point now { milliseconds { 1000 } };
+    std::unique_ptr<queries::query_engine> engine;
+    queries::caller_token lastCaller { 0 };
+    std::vector<queries::send_leaf_call> sent;
+    std::vector<queries::answer_caller> answers;
+
+    void declare(std::uint32_t leafsPerShard, model::coverage_policy coverage, std::uint32_t shards = 1)
+    {
+        queries::engine_settings settings;
+        settings.partnerShares = { { "suva", 100 } };
+        engine = std::make_unique<queries::query_engine>(settings, kernel::makeSeededRandom(1));
+        auto service = std::make_shared<model::service_declaration>();
+        service->name = "lunch-portal";
+        service->partner = "suva";
+        service->shardCount = shards;
+        service->coverage = coverage;
+        service->deadline = milliseconds { 100 };
+        service->softDeadline = milliseconds { 60 };
+        service->softSharePercent = 50;
+        service->requests = { { "menu", true, true, true }, { "order-check", false, true, true } };
+        for (std::uint32_t index = 0; index < shards * leafsPerShard; ++index)
+            service->targets.push_back({ "t" + std::to_string(index), { "127.0.0.1", 1 }, index / leafsPerShard, 1, 25, false });
+        step(queries::service_declared { service });
+        for (routing::leaf_handle leaf = 0; leaf < shards * leafsPerShard; ++leaf)
+            step(queries::leaf_status_seen { leaf, queries::leaf_status { { 1 }, { 1 }, 0, false }, {} });
+    }
+
+    void teardown() override
+    {
+        engine = nullptr;
+        sent = {};
+        answers = {};
+    }
+
+    void step(queries::event const& happened)
+    {
+        for (auto const& action : engine->step(happened, now)) {
+            if (auto const* call = std::get_if<queries::send_leaf_call>(&action))
+                sent.push_back(*call);
+            if (auto const* answer = std::get_if<queries::answer_caller>(&action))
+                answers.push_back(*answer);
+        }
+    }
+
+    void passTime(milliseconds span)
+    {
+        auto const until = now + span;
+        for (auto next = engine->nextTimer(); next && *next <= until; next = engine->nextTimer()) {
+            now = std::max(now, *next);
+            step(queries::timer_due {});
+        }
+        now = until;
+    }
+
+    queries::caller_token ask(std::string const& kind)
+    {
+        model::query_request request;
+        request.service = "lunch-portal";
+        request.requestKind = kind;
+        step(queries::query_arrived { ++lastCaller, request });
+        return lastCaller;
+    }
+
+    void reply(queries::send_leaf_call const& call)
+    {
+        queries::leaf_outcome outcome;
+        outcome.kind = queries::leaf_outcome_kind::answered;
+        outcome.shard = call.shard;
+        outcome.reflects = call.pin;
+        step(queries::leaf_call_ended { call.call, outcome });
+    }
+};
+
+TEST(EngineUnderLoad, ABacklogThatOutlastsTheDeadlineIsRefusedAtOnceAndWasNotRun)
+{
+    declare(1, model::coverage_policy::whole);
+    std::size_t admitted = 0;
+    while (answers.empty() && admitted < 1000) {
+        ask("menu");
+        ++admitted;
+    }
+    CHECK(admitted < 1000);
+    auto const& refusal = answers.front().result.error();
+    CHECK(refusal.kind == errors::error_kind::deadline_too_short);
+    CHECK(errors::answerFor(refusal.kind).ran == errors::run_state::no);
+    CHECK(refusal.retryAfter && refusal.retryAfter->count() > 0);
+    LONGS_EQUAL(1, sent.size());
+}
+
+TEST(EngineUnderLoad, APartialServiceSkipsTheShardThatIsBehind)
+{
+    declare(1, model::coverage_policy::partial, 2);
+    // Shard 1 answers, shard 0 does not.
+    for (int round = 0; round < 100; ++round) {
+        auto const count = sent.size();
+        ask("menu");
+        for (auto index = count; index < sent.size(); ++index) {
+            if (sent[index].shard == 1)
+                reply(sent[index]);
+        }
+    }
+    CHECK(!answers.empty());
+    auto const& answer = answers.front().result;
+    CHECK(answer.has_value());
+    LONGS_EQUAL(1, answer->covered.answered);
+    CHECK(answer->covered.missing.front().reason == model::missing_reason::overloaded);
+}
+
+TEST(EngineUnderLoad, AnUrgentCallGoesFirst)
+{
+    declare(1, model::coverage_policy::whole);
+    ask("menu");
+    ask("order-check");
+    ask("menu");
+    reply(sent.front());
+    CHECK(sent.at(1).isUrgent);
+    CHECK(!sent.at(2).isUrgent);
+}
+
+TEST(EngineUnderLoad, AnOldOrdinaryCallGoesBeforeAYoungUrgentOne)
+{
+    declare(1, model::coverage_policy::whole);
+    ask("menu");
+    ask("order-check");
+    passTime(milliseconds { 55 });
+    ask("menu");
+    reply(sent.front());
+    CHECK(!sent.at(1).isUrgent);
+    CHECK(sent.at(2).isUrgent);
+}
+
+TEST(EngineUnderLoad, ALateCallOfAShardWithRoomIsHedged)
+{
+    declare(2, model::coverage_policy::whole);
+    ask("menu");
+    passTime(milliseconds { 50 });
+    LONGS_EQUAL(1, engine->counters().hedges);
+}
+
+TEST(EngineUnderLoad, AShardWithCallsWaitingIsNotHedged)
+{
+    declare(2, model::coverage_policy::whole);
+    for (int index = 0; index < 6; ++index)
+        ask("menu");
+    passTime(milliseconds { 50 });
+    for (std::size_t index = 1; index < sent.size(); ++index)
+        reply(sent[index]);
+    LONGS_EQUAL(0, engine->counters().hedges);
+}
+
+TEST(EngineUnderLoad, HedgesStayWithinTheirBudgetInAnyWindow)
+{
+    declare(2, model::coverage_policy::whole);
+    static constexpr std::uint64_t burst = 20;
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> counts;
+    for (int round = 0; round < 3000; ++round) {
+        sent.clear();
+        ask("menu");
+        // A hedge is answered at once, so that hedging seems to be worth while ever earlier.
+        for (int tick = 0; tick < 30 && sent.size() == 1; ++tick)
+            passTime(milliseconds { 1 });
+        reply(sent.back());
+        if (sent.size() > 1)
+            reply(sent.front());
+        counts.emplace_back(engine->counters().leafCalls - engine->counters().hedges, engine->counters().hedges);
+    }
+    for (std::size_t begin = 0; begin < counts.size(); begin += 50) {
+        for (auto end = begin; end < counts.size(); end += 50) {
+            auto const primary = counts[end].first - counts[begin].first;
+            auto const hedges = counts[end].second - counts[begin].second;
+            CHECK(hedges * 20 <= primary + 20 * (burst + 1));
+        }
+    }
+    CHECK(counts.back().second > burst);
+}
--- /dev/null
+++ b/Tests/Unit/limits_test.cpp
@@ -0,0 +1,43 @@
+#include "Libraries/zinnialedge/limits/concurrency_limit.h"
+#include "Libraries/zinnialedge/limits/token_bucket.h"
+#include <CppUTest/TestHarness.h>
+
+using namespace zinnialedge::limits;
+
+TEST_GROUP(Limits) {};
+
+TEST(Limits, SheddingLowersTheLimitAtOnceAndSuccessRaisesItSlowly)
+{
+    concurrency_limit limit { 10, 20 };
+    limit.noteShed();
+    LONGS_EQUAL(7, limit.value());
+    for (int index = 0; index < 7; ++index)
+        limit.noteSuccess(true);
+    LONGS_EQUAL(7, limit.value());
+    limit.noteSuccess(true);
+    LONGS_EQUAL(8, limit.value());
+    limit.noteSuccess(false);
+    LONGS_EQUAL(8, limit.value());
+}
+
+TEST(Limits, ALimitNeverFallsBelowOneNorRisesAboveTheConnections)
+{
+    concurrency_limit limit { 2, 3 };
+    for (int index = 0; index < 20; ++index)
+        limit.noteSuccess(true);
+    LONGS_EQUAL(3, limit.value());
+    for (int index = 0; index < 20; ++index)
+        limit.noteShed();
+    LONGS_EQUAL(1, limit.value());
+}
+
+TEST(Limits, OrdinaryTakersLeaveTheReserveOfABudget)
+{
+    token_bucket bucket { 0.05, 6 };
+    CHECK(bucket.take(5));
+    CHECK(!bucket.take(5));
+    CHECK(bucket.take());
+    bucket.giveBack();
+    bucket.earn(20);
+    CHECK(bucket.take(5));
+}
--- /dev/null
+++ b/Tests/Unit/routing_test.cpp
@@ -0,0 +1,145 @@
+#include "Libraries/zinnialedge/routing/leaf_table.h"
+#include <CppUTest/TestHarness.h>
+
+using namespace zinnialedge;
+using std::chrono::milliseconds;
+
+TEST_GROUP(LeafChoice)
+{
+    kernel::time_point now { std::chrono::seconds { 10 } };
+    routing::leaf_table leafs;
+    kernel::random_hook random = kernel::makeSeededRandom(1);
+    model::snapshot pin { 1, 1 };
+
+    void declare(std::uint32_t count, std::uint32_t slots = 2)
+    {
+        auto service = std::make_shared<model::service_declaration>();
+        service->name = "lunch-portal";
+        service->groupSize = 1;
+        for (std::uint32_t index = 0; index < count; ++index)
+            service->targets.push_back({ "t" + std::to_string(index), { "127.0.0.1", 1 }, 0, slots, 25, false });
+        leafs.declare(service);
+        for (std::uint32_t index = 0; index < count; ++index)
+            leafs.at(index).noteStatus({ 1 }, { 1 }, 0, false, now);
+    }
+
+    void serve(routing::leaf_handle leaf, milliseconds latency, int calls)
+    {
+        for (int call = 0; call < calls; ++call) {
+            auto const sentAt = now;
+            leafs.at(leaf).noteSent(sentAt);
+            now += latency;
+            leafs.at(leaf).noteEnded(sentAt, now, true);
+        }
+    }
+
+    routing::leaf_choice choose(std::vector<routing::leaf_handle> const& excluded = {})
+    {
+        return leafs.choose("lunch-portal", pin, 0, excluded, now, random);
+    }
+
+    unsigned countChosen(routing::leaf_handle leaf)
+    {
+        unsigned count = 0;
+        for (int index = 0; index < 100; ++index)
+            count += choose().chosen == leaf ? 1 : 0;
+        return count;
+    }
+};
+
+TEST(LeafChoice, ANewLeafGetsOneCallAndThenMore)
+{
+    declare(1);
+    leafs.at(0).noteSent(now);
+    CHECK(!choose().chosen);
+    CHECK(choose().isWorthWaiting);
+    leafs.at(0).noteEnded(now, now + milliseconds { 2 }, true);
+    serve(0, milliseconds { 2 }, 1);
+    leafs.at(0).noteSent(now);
+    CHECK(choose().chosen == 0U);
+}
+
+TEST(LeafChoice, ASlowLeafGetsNoShareAlsoWhenItsTwinIsBusy)
+{
+    declare(2);
+    serve(0, milliseconds { 100 }, 20);
+    serve(1, milliseconds { 5 }, 20);
+    LONGS_EQUAL(0, countChosen(0));
+    while (leafs.at(1).hasRoom())
+        leafs.at(1).noteSent(now);
+    CHECK(!choose().chosen);
+    CHECK(choose().isWorthWaiting);
+}
+
+TEST(LeafChoice, AFrozenLeafGetsNoShareAlsoWhenItsTwinIsBusy)
+{
+    declare(2);
+    serve(0, milliseconds { 5 }, 20);
+    serve(1, milliseconds { 5 }, 20);
+    leafs.at(0).noteSent(now);
+    now += milliseconds { 40 };
+    while (leafs.at(1).hasRoom())
+        leafs.at(1).noteSent(now);
+    CHECK(leafs.at(0).hasRoom());
+    CHECK(!choose().chosen);
+}
+
+TEST(LeafChoice, AnAvoidedLeafIsProbedNowAndThenAndComesBack)
+{
+    declare(2);
+    serve(0, milliseconds { 100 }, 20);
+    serve(1, milliseconds { 5 }, 1);
+    std::vector<routing::leaf_handle> const asked { 1 };
+    CHECK(!leafs.findProbe("lunch-portal", pin, 0, asked, now));
+    for (int probe = 0; probe < 6; ++probe) {
+        now += std::chrono::seconds { 1 };
+        CHECK(probe >= 4 || leafs.findProbe("lunch-portal", pin, 0, asked, now) == 0U);
+        serve(0, milliseconds { 5 }, 1);
+    }
+    while (leafs.at(1).hasRoom())
+        leafs.at(1).noteSent(now);
+    CHECK(choose().chosen == 0U);
+}
+
+TEST(LeafChoice, NeverMoreThanAThirdOfTheLeafsIsAvoided)
+{
+    declare(6);
+    for (routing::leaf_handle leaf = 0; leaf < 6; ++leaf)
+        serve(leaf, milliseconds { leaf < 2 ? 5 : 100 }, 20);
+    unsigned used = 0;
+    for (routing::leaf_handle leaf = 0; leaf < 6; ++leaf) {
+        while (leafs.at(leaf).hasRoom() && leaf < 2)
+            leafs.at(leaf).noteSent(now);
+    }
+    for (routing::leaf_handle leaf = 2; leaf < 6; ++leaf)
+        used += countChosen(leaf) > 0 ? 1 : 0;
+    LONGS_EQUAL(2, used);
+}
+
+TEST(LeafChoice, ALeafThatIsAskedForAHedgeMustNotBeTheSlowOne)
+{
+    declare(2);
+    serve(0, milliseconds { 100 }, 20);
+    serve(1, milliseconds { 5 }, 20);
+    CHECK(choose({ 1 }).isSlow);
+    CHECK(!choose({ 0 }).isSlow);
+}
+
+TEST(LeafChoice, AnUnreachableLeafIsLeftOutAndStartsColdWhenItComesBack)
+{
+    declare(2);
+    serve(0, milliseconds { 5 }, 20);
+    CHECK(leafs.at(0).limit() > 1);
+    leafs.at(0).noteUnreachable();
+    LONGS_EQUAL(0, countChosen(0));
+    leafs.at(0).noteStatus({ 1 }, { 1 }, 0, false, now);
+    LONGS_EQUAL(1, leafs.at(0).limit());
+}
+
+TEST(LeafChoice, AReportOfLoadIsForgottenWithItsAge)
+{
+    declare(1);
+    leafs.at(0).noteStatus({ 1 }, { 1 }, 1, false, now);
+    auto const fresh = leafs.at(0).expectedDelayMicroseconds(now);
+    CHECK(leafs.at(0).expectedDelayMicroseconds(now + std::chrono::seconds { 3 }) < fresh);
+}
