Targets: Settle for the connections that a leaf accepts, and fail calls to a dead one at once

Cause: a pool whose leaf refused connections tried for its whole share each second; a call to a dead leaf waited in the pool until its deadline, since each call began a new attempt to connect. Change: a new connection that is closed at once shrinks the pool to what it has, and it tries for one more every 10 s; a pool without a connection reports its calls as not sent, and the engine leaves the leaf out until its next status. The number of open connections bounds the calls in flight. A daemon beyond the group still can find a leaf full: only the group bounds how many share a cap.

--- a/Services/targets/leaf_pool.cpp
+++ b/Services/targets/leaf_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <utility>
 
 namespace zinnialedge::services::targets {
 
@@ -12,6 +13,8 @@
 static constexpr std::chrono::milliseconds repeatableGrace { 1000 };
 static constexpr std::chrono::milliseconds notRepeatableGrace { 10'000 };
 static constexpr unsigned mostRefreshesToSkip { 8 };
+/// How many refreshes without a refusal let a pool try for one connection more.
+static constexpr unsigned refreshesPerGrowth { 10 };
 static constexpr int statusOk = 200;
 
 leaf_pool::leaf_pool(boost::asio::io_context& context, routing::leaf_handle handle, model::endpoint place, std::string callPrefix, leaf_pool_hooks hooks)
@@ -25,6 +28,8 @@
 
 void leaf_pool::resize(std::size_t connections)
 {
+    if (connections != m_wanted)
+        m_allowed = connections;
     m_wanted = connections;
     while (!m_idle.empty() && openCount() > m_wanted)
         m_idle.pop_back();
@@ -33,7 +38,7 @@
 
 void leaf_pool::openMissing()
 {
-    while (openCount() + m_opening < m_wanted)
+    while (openCount() + m_opening < allowedCount())
         openOne();
 }
 
@@ -44,32 +49,62 @@
     opened->connect(connectTimeout, [self = shared_from_this(), opened](bool isConnected) {
         --self->m_opening;
         if (isConnected) {
-            self->probe(opened);
+            self->probe(opened, true);
             return;
         }
         ++self->m_failedConnects;
-        ++self->m_failuresInARow;
-        self->m_hooks.statusSeen({ self->m_handle, std::nullopt });
+        self->noteFailure();
     });
 }
 
-void leaf_pool::probe(client const& probed)
+void leaf_pool::noteFailure()
+{
+    if (!isDead()) {
+        // The calls that wait still have a connection to wait for.
+        m_hooks.statusSeen({ m_handle, std::nullopt, std::max<std::uint32_t>(1, reportedCount()) });
+        return;
+    }
+    ++m_failuresInARow;
+    m_hooks.statusSeen({ m_handle, std::nullopt, 0 });
+    for (auto const& call : std::exchange(m_waiting, {}))
+        reportUnsent(call.call, "no connection");
+}
+
+void leaf_pool::shrink()
+{
+    // The members of the group settle under the leaf's cap: each keeps what it has.
+    m_allowed = std::max<std::size_t>(1, openCount());
+    m_refreshesSinceRefusal = 0;
+}
+
+void leaf_pool::growBack()
+{
+    if (m_allowed >= m_wanted || ++m_refreshesSinceRefusal < refreshesPerGrowth)
+        return;
+    m_refreshesSinceRefusal = 0;
+    ++m_allowed;
+}
+
+void leaf_pool::probe(client const& probed, bool isNew)
 {
     ++m_probing;
-    probed->send({ "GET", "/status", {}, {} }, probeTimeout, [self = shared_from_this(), probed](wire::http_result const& result) { self->handleProbe(probed, result); });
+    probed->send({ "GET", "/status", {}, {} }, probeTimeout, [self = shared_from_this(), probed, isNew](wire::http_result const& result) { self->handleProbe(probed, isNew, result); });
 }
 
-void leaf_pool::handleProbe(client const& probed, wire::http_result const& result)
+void leaf_pool::handleProbe(client const& probed, bool isNew, wire::http_result const& result)
 {
     --m_probing;
     auto const status = result && result->status == statusOk ? wire::parseLeafStatus(result->body) : std::nullopt;
-    m_hooks.statusSeen({ m_handle, status });
     if (!status) {
-        ++m_failuresInARow;
+        // A leaf over its cap accepts a connection and closes it at once.
+        if (isNew)
+            shrink();
+        noteFailure();
         return;
     }
     m_failuresInARow = 0;
     giveBack(probed);
+    m_hooks.statusSeen({ m_handle, status, std::max<std::uint32_t>(1, reportedCount()) });
 }
 
 void leaf_pool::giveBack(client const& returned)
@@ -117,7 +152,8 @@
         return;
     }
     openMissing();
-    if (openCount() + m_opening == 0) {
+    // While a leaf that was dead is tried again, nothing waits for the outcome.
+    if (isDead() || (openCount() == 0 && m_failuresInARow > 0)) {
         reportUnsent(call.call, "no connection");
         return;
     }
@@ -203,9 +239,10 @@
     // A leaf that does not answer is asked less and less often.
     m_refreshesToSkip = std::min(m_failuresInARow, mostRefreshesToSkip);
     std::erase_if(m_idle, [](client const& each) { return !each->isUsable(); });
+    growBack();
     openMissing();
     if (auto const idle = takeIdle())
-        probe(idle);
+        probe(idle, false);
 }
 
 }
--- a/Services/targets/leaf_pool.h
+++ b/Services/targets/leaf_pool.h
@@ -4,6 +4,7 @@
 #include "Libraries/zinnialedge/queries/events.h"
 #include "Libraries/zinnialedge/wire/http_client.h"
 #include "Libraries/zinnialedge/wire/leaf_codec.h"
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -35,6 +36,8 @@
     std::size_t openCount() const { return m_idle.size() + m_busy.size() + m_probing; }
     std::size_t busyCount() const { return m_busy.size(); }
     std::size_t wantedCount() const { return m_wanted; }
+    /// How many the leaf accepts, as far as its refusals tell.
+    std::size_t allowedCount() const { return std::min(m_wanted, m_allowed); }
     std::uint64_t failedConnects() const { return m_failedConnects; }
 
 private:
@@ -42,8 +45,14 @@
 
     void openMissing();
     void openOne();
-    void probe(client const&);
-    void handleProbe(client const&, wire::http_result const&);
+    void probe(client const&, bool isNew);
+    void handleProbe(client const&, bool isNew, wire::http_result const&);
+    /// A connection was opened in vain, or an open one has proved to be dead.
+    void noteFailure();
+    void shrink();
+    void growBack();
+    bool isDead() const { return openCount() + m_opening == 0; }
+    std::uint32_t reportedCount() const { return static_cast<std::uint32_t>(openCount()); }
     void transmit(client const&, queries::send_leaf_call const&);
     void handleReply(client const&, queries::call_id, wire::http_result const&);
     void giveBack(client const&);
@@ -59,6 +68,8 @@
     std::string m_callPrefix;
     leaf_pool_hooks m_hooks;
     std::size_t m_wanted { 0 };
+    std::size_t m_allowed { 0 };
+    unsigned m_refreshesSinceRefusal { 0 };
     std::size_t m_opening { 0 };
     std::size_t m_probing { 0 };
     std::uint64_t m_failedConnects { 0 };
--- a/Services/targets/target_service.cpp
+++ b/Services/targets/target_service.cpp
@@ -138,6 +138,7 @@
             { "open", pool->openCount() },
             { "busy", pool->busyCount() },
             { "wanted", pool->wantedCount() },
+            { "allowed", pool->allowedCount() },
             { "failed_connects", pool->failedConnects() },
         });
     }
--- /dev/null
+++ b/Tests/Faults/connection_test.cpp
@@ -0,0 +1,92 @@
+#include "Tests/Support/cluster.h"
+#include <CppUTest/TestHarness.h>
+#include <boost/json.hpp>
+
+using namespace zinnialedge;
+using namespace zinnialedge::tests;
+
+static constexpr std::uint32_t connectionCap = 10;
+static constexpr int queryCount = 30;
+
+TEST_GROUP(LeafConnections)
+{
+    std::unique_ptr<cluster> running;
+
+    void start(std::uint32_t shards)
+    {
+        running = std::make_unique<cluster>();
+        auto plan = smallPlan("lunch-portal", "suva", shards);
+        plan.leaf.connectionCap = connectionCap;
+        plan.declaration.groupSize = 1;
+        plan.declaration.hedgePercent = 0;
+        running->startService(plan);
+    }
+
+    void teardown() override
+    {
+        running = nullptr;
+    }
+
+    running_daemon& startDaemon(std::string const& name)
+    {
+        auto& daemon = running->startDaemon(name, "suva", "suva-a");
+        CHECK(running->waitForLeafs(daemon, "lunch-portal"));
+        return daemon;
+    }
+
+    static void checkWholeAnswers(running_daemon const& daemon)
+    {
+        for (int index = 0; index < queryCount; ++index) {
+            model::query_request request;
+            request.service = "lunch-portal";
+            request.requestKind = "search";
+            auto const answer = query(daemon.callers, request);
+            CHECK(answer.has_value());
+            CHECK(answer->covered.isWhole());
+        }
+    }
+
+    static std::uint64_t sumPools(running_daemon const& daemon, char const* field)
+    {
+        std::uint64_t sum = 0;
+        auto const state = getJson(daemon.operators, "/state");
+        for (auto const& pool : state.at("services").at("targets").at("pools").as_array())
+            sum += pool.at(field).to_number<std::uint64_t>();
+        return sum;
+    }
+};
+
+TEST(LeafConnections, ADaemonThatIsRefusedOverTheCapSettlesForFewer)
+{
+    start(1);
+    auto& first = startDaemon("suva-1");
+    CHECK(waitUntil([&] { return sumPools(first, "open") == sumPools(first, "wanted"); }));
+    auto& second = startDaemon("suva-2");
+    CHECK(waitUntil([&] { return sumPools(second, "allowed") < sumPools(second, "wanted"); }));
+    CHECK(waitUntil([&] { return sumPools(second, "open") == sumPools(second, "allowed"); }));
+    checkWholeAnswers(first);
+    checkWholeAnswers(second);
+    // The leafs are full, so that their counts can only be read once a daemon is gone.
+    auto const tried = 2 * sumPools(second, "wanted");
+    first.process->signal(SIGKILL);
+    for (auto const& leaf : running->leafsOf("lunch-portal")) {
+        boost::json::value counts;
+        CHECK(waitUntil([&] { return (counts = getJson(leaf.place, "/counts")).is_object(); }));
+        CHECK(counts.at("most_connections").to_number<std::uint64_t>() <= connectionCap);
+        CHECK(counts.at("refused_connections").to_number<std::uint64_t>() <= tried);
+    }
+}
+
+TEST(LeafConnections, CallsToADeadLeafGoElsewhereWithoutWaiting)
+{
+    start(3);
+    auto& daemon = startDaemon("suva-1");
+    std::uint32_t nextShard = 0;
+    for (auto const& leaf : running->leafsOf("lunch-portal")) {
+        if (leaf.shard != nextShard)
+            continue;
+        leaf.process->signal(SIGKILL);
+        ++nextShard;
+    }
+    checkWholeAnswers(daemon);
+}
