--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -50,7 +50,7 @@
 {
     std::size_t count = 0;
     for (auto const& [key, queue] : m_waiting)
-        count += queue.urgent.size() + queue.ordinary.size();
+        count += queue.size();
     return count;
 }
 
@@ -834,8 +834,10 @@
 void query_engine::abandon(query& asking)
 {
     ++m_counters.abandoned;
-    for (auto& shard : asking.shards)
-        cancelCalls(shard);
+    for (std::uint32_t place = 0; place < asking.shards.size(); ++place) {
+        stopWaiting(asking, place);
+        cancelCalls(asking.shards[place]);
+    }
     m_admission.leave(asking.service->partner);
     m_queries.erase(asking.id);
 }
--- a/Libraries/zinnialedge/queries/shard_queue.h
+++ b/Libraries/zinnialedge/queries/shard_queue.h
@@ -26,7 +26,8 @@
     /// Takes out what a query waits for at that place. Returns it when it was there.
     std::optional<waiting_shard> remove(std::uint64_t query, std::uint32_t place);
 
-    bool isEmpty() const { return m_urgent.empty() && m_ordinary.empty() && m_hedges.empty(); }
+    bool isEmpty() const { return size() == 0; }
+    std::size_t size() const { return m_urgent.size() + m_ordinary.size() + m_hedges.size(); }
     bool hasPrimaries() const { return !m_urgent.empty() || !m_ordinary.empty(); }
     /// How many would be sent before a primary call that came now.
     std::size_t countAhead(bool isUrgent, kernel::time_point now) const;
--- a/Tests/Benchmarks/table_cost.cpp
+++ b/Tests/Benchmarks/table_cost.cpp
@@ -81,7 +81,7 @@
         for (std::size_t service = 0; service * shardsPerService * leafsPerShard < leafs; ++service)
             table.declare(std::make_shared<model::service_declaration const>(makeService(service)));
         for (routing::leaf_handle handle = 0; handle < table.size(); ++handle)
-            table.at(handle).noteStatus({ 1 }, { 1, 2 }, 0, false);
+            table.at(handle).noteStatus({ 1 }, { 1, 2 }, 0, false, kernel::time_point {});
         auto const size = static_cast<double>(table.size());
         memory.push_back({ size, usedBytes() - before });
         auto const random = kernel::makeSeededRandom(1);
