Queries: Pay retries from first calls only, and none for a call that was not sent

Cause: each retry earned a part of the next one, and a call that a dead leaf's pool returned unsent used up the retry budget. Red: 500 failed calls gave more than a tenth and the burst (70) in retries.

--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -396,6 +396,7 @@
     auto& limits = limitsOf(asking.service->name);
     auto const call = ++m_lastCall;
     m_leafs.at(leaf).noteSent(now);
+    bool const isFirst = shard.asked.empty();
     shard.calls.push_back({ call, leaf, now, isHedge });
     shard.asked.push_back(leaf);
     shard.isWaiting = false;
@@ -405,8 +406,9 @@
     if (isHedge) {
         ++m_counters.hedges;
     } else {
-        limits.hedgeBudget.earn();
-        limits.retryBudget.earn();
+        // Budgets are fractions of first calls: a retry must not pay for the next one.
+        limits.hedgeBudget.earn(isFirst ? 1 : 0);
+        limits.retryBudget.earn(isFirst ? 1 : 0);
         if (m_settings.policy.isHedging && asking.isRepeatable && !shard.isHedged)
             m_timers.push({ now + hedgeDelayOf(limits), asking.id, place, timer_kind::hedge });
     }
@@ -560,7 +562,7 @@
             handleRefusal(*asking, owner.place, ended.outcome, now);
             break;
         case leaf_outcome_kind::failed:
-            handleFailure(*asking, owner.place, now);
+            handleFailure(*asking, owner.place, ended.outcome, now);
             break;
         }
     }
@@ -583,7 +585,7 @@
     if (outcome.shard != shard.shard || outcome.reflects != asking.pin) {
         // A reply for something else must never be merged; the leaf is not to be trusted with this shard now.
         ++m_counters.mismatchedReplies;
-        handleFailure(asking, place, now);
+        handleFailure(asking, place, outcome, now);
         return;
     }
     shard.isAnswered = true;
@@ -611,31 +613,32 @@
         bool const canAskElsewhere = choice.chosen || choice.isWorthWaiting || !asking.shards[place].calls.empty();
         if (!canAskElsewhere && repin(asking, now))
             return;
-        retryOrMiss(asking, place, reason, now);
+        retryOrMiss(asking, place, reason, retry_price::one_token, now);
         return;
     }
     case leaf_refusal::shed:
-        retryOrMiss(asking, place, model::missing_reason::overloaded, now);
+        retryOrMiss(asking, place, model::missing_reason::overloaded, retry_price::one_token, now);
         return;
     case leaf_refusal::none:
     case leaf_refusal::draining:
     case leaf_refusal::cancelled:
     case leaf_refusal::deadline:
-        retryOrMiss(asking, place, model::missing_reason::no_leaf, now);
+        retryOrMiss(asking, place, model::missing_reason::no_leaf, retry_price::one_token, now);
         return;
     }
 }
 
-void query_engine::handleFailure(query& asking, std::uint32_t place, time_point now)
+void query_engine::handleFailure(query& asking, std::uint32_t place, leaf_outcome const& outcome, time_point now)
 {
     if (!asking.isRepeatable) {
         miss(asking, place, model::missing_reason::failed);
         return;
     }
-    retryOrMiss(asking, place, model::missing_reason::failed, now);
+    // A call that never left costs no leaf anything, so that sending it elsewhere isn't a retry to be paid.
+    retryOrMiss(asking, place, model::missing_reason::failed, outcome.isUnrun() ? retry_price::free : retry_price::one_token, now);
 }
 
-void query_engine::retryOrMiss(query& asking, std::uint32_t place, model::missing_reason reason, time_point now)
+void query_engine::retryOrMiss(query& asking, std::uint32_t place, model::missing_reason reason, retry_price price, time_point now)
 {
     auto& shard = asking.shards[place];
     shard.reasonSoFar = reason;
@@ -643,11 +646,12 @@
         return;
     auto const choice = m_leafs.choose(asking.service->name, asking.pin, shard.shard, shard.asked, now, m_random);
     bool const isPossible = choice.chosen || choice.isWorthWaiting;
-    if (!isPossible || !limitsOf(asking.service->name).retryBudget.take()) {
+    bool const isPaid = price == retry_price::free || (isPossible && limitsOf(asking.service->name).retryBudget.take());
+    if (!isPossible || !isPaid) {
         miss(asking, place, reason);
         return;
     }
-    ++m_counters.retries;
+    m_counters.retries += price == retry_price::free ? 0 : 1;
     requestShard(asking, place, false, now);
 }
 
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -86,6 +86,11 @@
         hedge,
     };
 
+    enum class retry_price {
+        free,
+        one_token,
+    };
+
     struct timer {
         kernel::time_point at;
         query_id query { 0 };
@@ -169,8 +174,8 @@
     // Gathering.
     void accept(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
     void handleRefusal(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
-    void handleFailure(query&, std::uint32_t place, kernel::time_point);
-    void retryOrMiss(query&, std::uint32_t place, model::missing_reason, kernel::time_point);
+    void handleFailure(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
+    void retryOrMiss(query&, std::uint32_t place, model::missing_reason, retry_price, kernel::time_point);
     void miss(query&, std::uint32_t place, model::missing_reason);
     bool repin(query&, kernel::time_point);
     void cancelCalls(shard_progress&);
--- a/Tests/Unit/admission_test.cpp
+++ b/Tests/Unit/admission_test.cpp
@@ -119,6 +119,13 @@
         return lastCaller;
     }
 
+    void fail(queries::call_id call, bool mayHaveBeenSent)
+    {
+        queries::leaf_outcome outcome;
+        outcome.mayHaveBeenSent = mayHaveBeenSent;
+        step(queries::leaf_call_ended { call, outcome });
+    }
+
     void reply(queries::send_leaf_call const& call)
     {
         queries::leaf_outcome outcome;
@@ -231,3 +238,24 @@
     }
     CHECK(counts.back().second > burst);
 }
+
+TEST(EngineUnderLoad, RetriesStayWithinTheirBudgetButAnUnsentCallMovesOnFreely)
+{
+    declare(2, model::coverage_policy::whole);
+    for (int round = 0; round < 500; ++round) {
+        ask("menu");
+        fail(sent.back().call, false);
+        reply(sent.back());
+    }
+    LONGS_EQUAL(1000, sent.size());
+    LONGS_EQUAL(0, engine->counters().retries);
+    for (int round = 0; round < 500; ++round) {
+        ask("menu");
+        auto const first = sent.size();
+        fail(sent.back().call, true);
+        if (sent.size() > first)
+            reply(sent.back());
+    }
+    // A tenth of the calls and the burst.
+    CHECK(engine->counters().retries <= 50 + 20);
+}
