Routing: Take the silence of a leaf, not its oldest call, for a sign that it is stuck

Cause, from a trace of the shards that were missing at the deadline: with one leaf 20 times slower at 50% of the load all 33 missing calls were on the slow leaf. One long call on its busy twin made the twin look as slow for that time. Now a leaf is slow by a steadier mean (weight 0.05) or by its silence with calls in flight. Red: with the oldest call in place of the silence OneLongCallOfABusyLeafDoesNotBringTheSlowOneBack fails.

--- a/Libraries/zinnialedge/routing/leaf.cpp
+++ b/Libraries/zinnialedge/routing/leaf.cpp
@@ -7,6 +7,8 @@
 
 static constexpr double initialLatencyMicroseconds = 2000;
 static constexpr double latencyWeight = 0.2;
+/// For telling a slow leaf from one that had a few long calls.
+static constexpr double steadyLatencyWeight = 0.05;
 /// Samples that come now and then only, such as those of probes, must tell in a few of them.
 static constexpr double sparseLatencyWeight = 0.5;
 static constexpr std::chrono::milliseconds sparseSampleGap { 250 };
@@ -27,6 +29,7 @@
     , m_connectionShare(connectionShare)
     , m_limit(coldStartLimit, connectionShare)
     , m_latencyMicroseconds(initialLatencyMicroseconds)
+    , m_steadyLatencyMicroseconds(initialLatencyMicroseconds)
 {
     redeclare(declared, connectionShare);
 }
@@ -100,14 +103,17 @@
     // A call that was cancelled or lost would have taken longer still.
     if (isAnswer || sample > m_latencyMicroseconds)
         addSample(sample, now);
-    if (isAnswer)
-        m_limit.noteSuccess(wasAtLimit);
+    if (!isAnswer)
+        return;
+    m_lastAnswerAt = now;
+    m_limit.noteSuccess(wasAtLimit);
 }
 
 void leaf::addSample(double microseconds, kernel::time_point now)
 {
-    double const weight = now - m_lastSampleAt > sparseSampleGap ? sparseLatencyWeight : latencyWeight;
-    m_latencyMicroseconds += weight * (microseconds - m_latencyMicroseconds);
+    bool const isSparse = now - m_lastSampleAt > sparseSampleGap;
+    m_latencyMicroseconds += (isSparse ? sparseLatencyWeight : latencyWeight) * (microseconds - m_latencyMicroseconds);
+    m_steadyLatencyMicroseconds += (isSparse ? sparseLatencyWeight : steadyLatencyWeight) * (microseconds - m_steadyLatencyMicroseconds);
     m_lastSampleAt = now;
 }
 
@@ -124,10 +130,17 @@
     return static_cast<double>(std::chrono::duration_cast<std::chrono::microseconds>(now - oldest).count());
 }
 
+double leaf::silenceMicroseconds(kernel::time_point now) const
+{
+    // One long call among others that end says nothing of the next one.
+    auto const sinceAnswer = static_cast<double>(std::chrono::duration_cast<std::chrono::microseconds>(now - m_lastAnswerAt).count());
+    return std::min(oldestAgeMicroseconds(now), sinceAnswer);
+}
+
 double leaf::callsPerSecond(kernel::time_point now) const
 {
     static constexpr double microsecondsPerSecond = 1e6;
-    return m_limit.value() * microsecondsPerSecond / std::max({ 1.0, m_latencyMicroseconds, oldestAgeMicroseconds(now) });
+    return m_limit.value() * microsecondsPerSecond / std::max(1.0, callMicroseconds(now));
 }
 
 void leaf::noteShed()
--- a/Libraries/zinnialedge/routing/leaf.h
+++ b/Libraries/zinnialedge/routing/leaf.h
@@ -53,14 +53,15 @@
     std::vector<std::uint64_t> const& versions() const { return m_versions; }
     std::vector<std::uint64_t> const& epochs() const { return m_epochs; }
 
-    /// How long its calls take: of late on average, or the oldest one in flight so far.
-    double callMicroseconds(kernel::time_point now) const { return std::max(m_latencyMicroseconds, oldestAgeMicroseconds(now)); }
+    /// How long its calls take: of late on average, or as long as it has been silent with calls in flight.
+    double callMicroseconds(kernel::time_point now) const { return std::max(m_steadyLatencyMicroseconds, silenceMicroseconds(now)); }
     /// How long a call sent now would take, as far as this daemon can tell.
     double expectedDelayMicroseconds(kernel::time_point now) const;
 
 private:
     std::uint32_t maximumInFlight(std::uint32_t connections) const;
     double oldestAgeMicroseconds(kernel::time_point now) const;
+    double silenceMicroseconds(kernel::time_point now) const;
     void addSample(double microseconds, kernel::time_point now);
 
     std::string m_service;
@@ -74,10 +75,12 @@
     std::vector<std::uint64_t> m_versions;
     std::vector<kernel::time_point> m_sentAt;
     double m_latencyMicroseconds { 0 };
+    double m_steadyLatencyMicroseconds { 0 };
     double m_reportedLoad { 0 };
     kernel::time_point m_reportedAt;
     kernel::time_point m_lastSentAt;
     kernel::time_point m_lastSampleAt;
+    kernel::time_point m_lastAnswerAt;
     bool m_isReachable { true };
     bool m_isDrainingByItself { false };
     bool m_isDrainingByDeclaration { false };
--- a/Tests/Unit/routing_test.cpp
+++ b/Tests/Unit/routing_test.cpp
@@ -84,6 +84,21 @@
     CHECK(!choose().chosen);
 }
 
+TEST(LeafChoice, OneLongCallOfABusyLeafDoesNotBringTheSlowOneBack)
+{
+    declare(2);
+    serve(0, milliseconds { 100 }, 20);
+    serve(1, milliseconds { 5 }, 20);
+    leafs.at(1).noteSent(now);
+    for (int round = 0; round < 10; ++round) {
+        serve(1, milliseconds { 6 }, 1);
+        LONGS_EQUAL(0, countChosen(0));
+    }
+    while (leafs.at(1).hasRoom())
+        leafs.at(1).noteSent(now);
+    CHECK(!choose().chosen);
+}
+
 TEST(LeafChoice, AnAvoidedLeafIsProbedNowAndThenAndComesBack)
 {
     declare(2);
