Routing: Leave avoided leafs out of the capacity of their shard

Cause: admission counted the drain rate of a leaf that gets no calls, so that the real waits were longer than expected. Red: AnAvoidedLeafAddsNothingToTheCapacityOfItsShard is red without it by construction (the slow leaf adds 20 calls/s).

--- a/Libraries/zinnialedge/routing/leaf_table.cpp
+++ b/Libraries/zinnialedge/routing/leaf_table.cpp
@@ -249,7 +249,7 @@
 double leaf_table::callsPerSecond(std::string const& service, model::snapshot pin, std::uint32_t shard, kernel::time_point now) const
 {
     double sum = 0;
-    for (auto const& each : findCandidates(service, pin, shard, {}, now))
+    for (auto const& each : keepUsable(findCandidates(service, pin, shard, {}, now)))
         sum += at(each.handle).callsPerSecond(now);
     return sum;
 }
--- a/Libraries/zinnialedge/routing/leaf_table.h
+++ b/Libraries/zinnialedge/routing/leaf_table.h
@@ -62,7 +62,7 @@
     leaf_choice choose(std::string const& service, model::snapshot, std::uint32_t shard, std::span<leaf_handle const> excluded, kernel::time_point now, kernel::random_hook const&) const;
     /// A leaf of the shard that is avoided for being slow, and that no call has tried for a while.
     std::optional<leaf_handle> findProbe(std::string const& service, model::snapshot, std::uint32_t shard, std::span<leaf_handle const> asked, kernel::time_point now) const;
-    /// How many calls a second the leafs of the shard serve for this daemon at most.
+    /// How many calls a second the leafs of the shard that are not avoided serve for this daemon at most.
     double callsPerSecond(std::string const& service, model::snapshot, std::uint32_t shard, kernel::time_point now) const;
 
 private:
--- a/Tests/Unit/routing_test.cpp
+++ b/Tests/Unit/routing_test.cpp
@@ -158,3 +158,11 @@
     auto const fresh = leafs.at(0).expectedDelayMicroseconds(now);
     CHECK(leafs.at(0).expectedDelayMicroseconds(now + std::chrono::seconds { 3 }) < fresh);
 }
+
+TEST(LeafChoice, AnAvoidedLeafAddsNothingToTheCapacityOfItsShard)
+{
+    declare(2);
+    serve(0, milliseconds { 100 }, 20);
+    serve(1, milliseconds { 5 }, 20);
+    DOUBLES_EQUAL(leafs.at(1).callsPerSecond(now), leafs.callsPerSecond("lunch-portal", pin, 0, now), 0.1);
+}
