--- a/Libraries/zinnialedge/limits/token_bucket.h
+++ b/Libraries/zinnialedge/limits/token_bucket.h
@@ -9,6 +9,8 @@
 public:
     token_bucket(double tokensPerEarning, double burst);
 
+    /// Changes how it grows. What it holds stays, up to the new burst.
+    void setRate(double tokensPerEarning, double burst);
     void earn(std::uint64_t times = 1);
     /// Takes a token unless that would leave fewer than `reserve`.
     [[nodiscard]] bool take(double reserve = 0);
--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -67,48 +67,60 @@
     return found->second;
 }
 
+void query_engine::handle(ticket_intake_changed const& changed, time_point)
+{
+    m_ticketRefusal = changed.refusal;
+}
+
 // Declarations and leaf status.
 
-void query_engine::handle(service_declared const& declared, time_point)
+void query_engine::handle(service_declared const& declared, time_point now)
 {
     auto const& service = *declared.declaration;
     double const hedgeShare = service.hedgePercent / 100.0;
     auto const found = m_limits.find(service.name);
-    limits::token_bucket const hedgeBudget { hedgeShare, hedgeShare > 0 ? budgetBurst : 0 };
+    double const hedgeBurst = hedgeShare > 0 ? budgetBurst : 0;
     if (found == m_limits.end())
-        m_limits.emplace(service.name, service_limits { hedgeBudget, { retryBudgetPercent / 100, budgetBurst }, { hedgeQuantile, initialHedgeDelay } });
+        m_limits.emplace(service.name, service_limits { { hedgeShare, hedgeBurst }, { retryBudgetPercent / 100, budgetBurst }, { hedgeQuantile, initialHedgeDelay } });
     else
-        found->second.hedgeBudget = hedgeBudget;
+        found->second.hedgeBudget.setRate(hedgeShare, hedgeBurst);
     for (auto const& change : m_leafs.declare(declared.declaration))
         m_actions.emplace_back(change_leaf_connections { change, service.name, m_leafs.at(change.handle).name() });
+    reviewWaiting(service.name, now);
 }
 
-void query_engine::handle(service_removed const& removed, time_point)
+void query_engine::handle(service_removed const& removed, time_point now)
 {
     for (auto const& change : m_leafs.remove(removed.name))
         m_actions.emplace_back(change_leaf_connections { change, removed.name, m_leafs.at(change.handle).name() });
+    reviewWaiting(removed.name, now);
 }
 
-void query_engine::noteLeafStatus(routing::leaf_handle handle, leaf_status const& status, time_point now)
+bool query_engine::noteLeafStatus(routing::leaf_handle handle, leaf_status const& status, time_point now)
 {
     auto& leaf = m_leafs.at(handle);
     bool const isPinStale = !leaf.isReachable() || leaf.versions() != status.versions || leaf.epochs() != status.epochs;
     auto const stateBefore = leaf.state();
     leaf.noteStatus(status.epochs, status.versions, status.load, status.isDraining, now);
-    if (isPinStale || leaf.state() != stateBefore)
+    bool const isChanged = isPinStale || leaf.state() != stateBefore;
+    if (isChanged)
         m_leafs.forgetPin(leaf.service());
+    return isChanged;
 }
 
 void query_engine::handle(leaf_status_seen const& seen, time_point now)
 {
+    auto& leaf = m_leafs.at(seen.leaf);
     if (seen.connections)
-        m_leafs.at(seen.leaf).noteConnections(*seen.connections);
-    if (seen.status) {
-        noteLeafStatus(seen.leaf, *seen.status, now);
-    } else if (seen.connections == 0U) {
-        m_leafs.at(seen.leaf).noteUnreachable();
-        m_leafs.forgetPin(m_leafs.at(seen.leaf).service());
+        leaf.noteConnections(*seen.connections);
+    bool isChanged = seen.status && noteLeafStatus(seen.leaf, *seen.status, now);
+    if (!seen.status && seen.connections == 0U && leaf.isReachable()) {
+        leaf.noteUnreachable();
+        m_leafs.forgetPin(leaf.service());
+        isChanged = true;
     }
+    if (isChanged)
+        reviewWaiting(std::string { leaf.service() }, now);
 }
 
 // Arrival.
@@ -219,7 +231,11 @@
     }
     switch (m_tickets.claim(request, *parsed, now)) {
     case ticket_claim::granted:
-        return true;
+        if (!m_ticketRefusal)
+            return true;
+        m_tickets.release(request.ticket);
+        refuse(arrived.caller, request, *m_ticketRefusal);
+        return false;
     case ticket_claim::expired:
         refuse(arrived.caller, request, { error_kind::ticket_expired, "the ticket has expired", std::chrono::milliseconds { 0 } });
         return false;
@@ -261,6 +277,13 @@
         m_timers.push({ deadline, running.id, 0, timer_kind::caller_deadline });
 }
 
+std::optional<model::snapshot> query_engine::choosePin(model::query_request const& request, model::service_declaration const& service)
+{
+    if (service.findRequest(request.requestKind)->isOverAllShards)
+        return m_leafs.choosePin(service.name);
+    return m_leafs.choosePinForKey(service.name, request.key);
+}
+
 std::vector<std::uint32_t> query_engine::shardsOf(model::query_request const& request, model::service_declaration const& service, model::snapshot pin) const
 {
     auto const* map = m_leafs.findMap(service.name, pin.epoch);
@@ -283,7 +306,7 @@
             m_tickets.release(request.ticket);
         refuse(arrived.caller, request, std::move(reason));
     };
-    auto const pin = m_leafs.choosePin(service->name);
+    auto const pin = choosePin(request, *service);
     if (!pin) {
         refuseUnrun({ error_kind::no_live_target, "no leaf of " + service->name + " serves any version", noLeafRetryAfter });
         return;
@@ -374,6 +397,9 @@
 
 void query_engine::requestShard(query& asking, std::uint32_t place, bool isHedge, time_point now)
 {
+    // The deadline's timer may be late; it settles the query.
+    if (now >= asking.deadline)
+        return;
     auto& shard = asking.shards[place];
     auto const choice = m_leafs.choose(asking.service->name, asking.pin, shard.shard, shard.asked, now, m_random);
     if (choice.chosen) {
@@ -419,7 +445,7 @@
 {
     auto& shard = asking.shards[place];
     shard.isWaiting = true;
-    m_waiting[{ asking.service->name, asking.pin.epoch, shard.shard }].push({ asking.id, place, isHedge, asking.isUrgent, now });
+    m_waiting[{ asking.service->name, asking.pin.epoch, shard.shard }].push({ asking.id, place, asking.pin, isHedge, asking.isUrgent, now });
 }
 
 void query_engine::stopWaiting(query& asking, std::uint32_t place)
@@ -455,18 +481,27 @@
     }
 }
 
+query* query_engine::findWaiting(waiting_shard const& entry)
+{
+    auto* asking = find(entry.query);
+    if (!asking || asking->pin != entry.pin)
+        return nullptr;
+    auto const& shard = asking->shards[entry.place];
+    return shard.isSettled() || !shard.isWaiting ? nullptr : asking;
+}
+
 bool query_engine::dispatchNext(shard_queue& queue, time_point now)
 {
     auto const* next = queue.next();
     if (!next)
         return false;
     auto const first = *next;
-    auto* asking = find(first.query);
-    if (!asking || !asking->shards[first.place].isWaiting) {
+    auto* asking = findWaiting(first);
+    if (!asking || now >= asking->deadline) {
         queue.popNext();
         return true;
     }
-    auto& shard = asking->shards[first.place];
+    auto const& shard = asking->shards[first.place];
     auto const choice = m_leafs.choose(asking->service->name, asking->pin, shard.shard, shard.asked, now, m_random);
     if (choice.chosen) {
         queue.popNext();
@@ -476,9 +511,7 @@
     if (choice.isWorthWaiting)
         return false;
     // The leafs that it waited for are gone.
-    stopWaiting(*asking, first.place);
-    if (shard.calls.empty())
-        miss(*asking, first.place, shard.asked.empty() ? model::missing_reason::no_leaf : shard.reasonSoFar);
+    giveUpWaiting(*asking, first.place, now);
     return true;
 }
 
@@ -490,10 +523,50 @@
     return std::chrono::microseconds { static_cast<std::int64_t>(delay) };
 }
 
+void query_engine::reviewWaiting(std::string const& service, time_point now)
+{
+    std::vector<shard_key> keys;
+    for (auto each = m_waiting.lower_bound({ service, 0, 0 }); each != m_waiting.end() && each->first.service == service; ++each)
+        keys.push_back(each->first);
+    for (auto const& key : keys) {
+        // A review may pin queries anew and so add to any line; these entries go behind those that waited before.
+        auto const found = m_waiting.find(key);
+        if (found == m_waiting.end())
+            continue;
+        auto const queue = std::move(found->second);
+        m_waiting.erase(found);
+        for (auto const& entry : queue.entries())
+            review(entry, now);
+    }
+}
+
+void query_engine::review(waiting_shard const& entry, time_point now)
+{
+    auto* asking = findWaiting(entry);
+    if (!asking || now >= asking->deadline)
+        return;
+    auto const& shard = asking->shards[entry.place];
+    auto const choice = m_leafs.choose(asking->service->name, asking->pin, shard.shard, shard.asked, now, m_random);
+    if (choice.chosen)
+        send(*asking, entry.place, *choice.chosen, entry.isHedge, now);
+    else if (choice.isWorthWaiting)
+        m_waiting[{ asking->service->name, asking->pin.epoch, shard.shard }].push(entry);
+    else
+        giveUpWaiting(*asking, entry.place, now);
+}
+
+void query_engine::giveUpWaiting(query& asking, std::uint32_t place, time_point now)
+{
+    stopWaiting(asking, place);
+    auto const& shard = asking.shards[place];
+    if (shard.calls.empty())
+        repinOrMiss(asking, place, shard.asked.empty() ? model::missing_reason::no_leaf : shard.reasonSoFar, now);
+}
+
 void query_engine::hedge(query& asking, std::uint32_t place, time_point now)
 {
     auto& shard = asking.shards[place];
-    if (!asking.isRepeatable || shard.isSettled() || shard.isHedged || shard.isWaiting || shard.calls.empty())
+    if (!asking.isRepeatable || shard.isSettled() || shard.isHedged || shard.isWaiting || shard.calls.empty() || now >= asking.deadline)
         return;
     // A shard with calls waiting has no capacity to spare: an extra call would delay them all.
     if (auto const* queue = findQueue(asking, shard.shard); queue && queue->hasPrimaries())
@@ -533,13 +606,13 @@
     m_calls.erase(found);
     auto& leaf = m_leafs.at(owner.leaf);
     leaf.noteEnded(owner.sentAt, now, ended.outcome.kind == leaf_outcome_kind::answered);
-    if (ended.outcome.status)
-        noteLeafStatus(owner.leaf, *ended.outcome.status, now);
+    bool isLeafChanged = ended.outcome.status && noteLeafStatus(owner.leaf, *ended.outcome.status, now);
     if (ended.outcome.refusal == leaf_refusal::shed)
         leaf.noteShed();
     if (ended.outcome.refusal == leaf_refusal::draining) {
         leaf.noteRefusedAsDraining();
         m_leafs.forgetPin(leaf.service());
+        isLeafChanged = true;
     }
     auto const service = leaf.service();
     auto* asking = find(owner.query);
@@ -566,8 +639,11 @@
             break;
         }
     }
-    // FIXME: A leaf that moved to another shard in a newer epoch should wake the calls that wait there too.
-    dispatchWaiting({ service, owner.pin.epoch, owner.shard }, now);
+    // While a repartition goes on, the leaf may own other shards in the other epoch.
+    if (isLeafChanged || m_leafs.isRepartitioning(service))
+        reviewWaiting(service, now);
+    else
+        dispatchWaiting({ service, owner.pin.epoch, owner.shard }, now);
 }
 
 void query_engine::settleLateReply(call_owner const& owner, leaf_outcome const& outcome)
@@ -608,11 +684,6 @@
     case leaf_refusal::version_gone:
     case leaf_refusal::wrong_epoch: {
         auto const reason = outcome.refusal == leaf_refusal::version_gone ? model::missing_reason::version_gone : model::missing_reason::repartitioned;
-        asking.shards[place].reasonSoFar = reason;
-        auto const choice = m_leafs.choose(asking.service->name, asking.pin, asking.shards[place].shard, asking.shards[place].asked, now, m_random);
-        bool const canAskElsewhere = choice.chosen || choice.isWorthWaiting || !asking.shards[place].calls.empty();
-        if (!canAskElsewhere && repin(asking, now))
-            return;
         retryOrMiss(asking, place, reason, retry_price::one_token, now);
         return;
     }
@@ -648,13 +719,22 @@
     bool const isPossible = choice.chosen || choice.isWorthWaiting;
     bool const isPaid = price == retry_price::free || (isPossible && limitsOf(asking.service->name).retryBudget.take());
     if (!isPossible || !isPaid) {
-        miss(asking, place, reason);
+        repinOrMiss(asking, place, reason, now);
         return;
     }
     m_counters.retries += price == retry_price::free ? 0 : 1;
     requestShard(asking, place, false, now);
 }
 
+void query_engine::repinOrMiss(query& asking, std::uint32_t place, model::missing_reason reason, time_point now)
+{
+    // Only a snapshot that can't be had is a cause for another one, and only as long as a second sending does no harm.
+    bool const isSnapshotGone = reason != model::missing_reason::failed && reason != model::missing_reason::overloaded;
+    bool const mayAskAgain = asking.isRepeatable || asking.shards[place].asked.empty();
+    if (!isSnapshotGone || !mayAskAgain || !repin(asking, now))
+        miss(asking, place, reason);
+}
+
 void query_engine::miss(query& asking, std::uint32_t place, model::missing_reason reason)
 {
     asking.shards[place].missing = reason;
@@ -664,7 +744,7 @@
 
 bool query_engine::repin(query& asking, time_point now)
 {
-    auto const pin = m_leafs.choosePin(asking.service->name);
+    auto const pin = choosePin(*asking.request, *asking.service);
     if (!pin || *pin == asking.pin || !asking.lifecycle.repin())
         return false;
     ++m_counters.repins;
@@ -672,7 +752,7 @@
         stopWaiting(asking, place);
         cancelCalls(asking.shards[place]);
     }
-    asking.service = m_leafs.findService(asking.service->name);
+    // The declaration of the arrival stays: a newer one may lack the request kind or name another partner.
     asking.pin = *pin;
     asking.settledShards = 0;
     asking.answeredShards = 0;
@@ -746,8 +826,6 @@
 void query_engine::settle(query& asking, model::answer_or_error result)
 {
     asking.lifecycle.settle();
-    for (std::uint32_t place = 0; place < asking.shards.size(); ++place)
-        stopWaiting(asking, place);
     if (asking.isRepeatable) {
         for (auto& shard : asking.shards)
             cancelCalls(shard);
@@ -765,10 +843,17 @@
     } else {
         ++m_counters.refusals;
     }
-    m_admission.leave(asking.service->partner);
     for (auto const& caller : asking.callers)
         giveAnswer(caller.token, caller.requestId, result);
-    m_queries.erase(asking.id);
+    forget(asking);
+}
+
+void query_engine::forget(query& settled)
+{
+    for (std::uint32_t place = 0; place < settled.shards.size(); ++place)
+        stopWaiting(settled, place);
+    m_admission.leave(settled.service->partner);
+    m_queries.erase(settled.id);
 }
 
 // Timers, relays and callers that leave.
@@ -838,12 +923,9 @@
 void query_engine::abandon(query& asking)
 {
     ++m_counters.abandoned;
-    for (std::uint32_t place = 0; place < asking.shards.size(); ++place) {
-        stopWaiting(asking, place);
-        cancelCalls(asking.shards[place]);
-    }
-    m_admission.leave(asking.service->partner);
-    m_queries.erase(asking.id);
+    for (auto& shard : asking.shards)
+        cancelCalls(shard);
+    forget(asking);
 }
 
 }
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -136,6 +136,7 @@
     void handle(service_declared const&, kernel::time_point);
     void handle(service_removed const&, kernel::time_point);
     void handle(relay_ended const&, kernel::time_point);
+    void handle(ticket_intake_changed const&, kernel::time_point);
     void handle(timer_due const&, kernel::time_point);
 
     // Arrival.
@@ -155,6 +156,7 @@
     /// Gives a caller the outcome of a request under the caller's own name for it.
     void giveAnswer(caller_token, std::string const& requestId, model::answer_or_error);
     kernel::time_point deadlineOf(model::query_request const&, kernel::time_point now) const;
+    std::optional<model::snapshot> choosePin(model::query_request const&, model::service_declaration const&);
     std::vector<std::uint32_t> shardsOf(model::query_request const&, model::service_declaration const&, model::snapshot) const;
 
     // Scattering.
@@ -166,6 +168,12 @@
     shard_queue const* findQueue(query const&, std::uint32_t shard) const;
     void dispatchWaiting(shard_key const&, kernel::time_point);
     bool dispatchNext(shard_queue&, kernel::time_point);
+    /// The query of an entry that still waits, or null.
+    query* findWaiting(waiting_shard const&);
+    /// Called when what the leafs of a service take has changed: what waits may be sent, or has nothing left to wait for.
+    void reviewWaiting(std::string const& service, kernel::time_point);
+    void review(waiting_shard const&, kernel::time_point);
+    void giveUpWaiting(query&, std::uint32_t place, kernel::time_point);
     static std::chrono::microseconds hedgeDelayOf(service_limits const&);
     void hedge(query&, std::uint32_t place, kernel::time_point);
     /// Sends a copy of a call to a leaf that is avoided, to learn whether it still is slow.
@@ -176,10 +184,12 @@
     void handleRefusal(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
     void handleFailure(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
     void retryOrMiss(query&, std::uint32_t place, model::missing_reason, retry_price, kernel::time_point);
+    void repinOrMiss(query&, std::uint32_t place, model::missing_reason, kernel::time_point);
     void miss(query&, std::uint32_t place, model::missing_reason);
     bool repin(query&, kernel::time_point);
     void cancelCalls(shard_progress&);
-    void noteLeafStatus(routing::leaf_handle, leaf_status const&, kernel::time_point);
+    /// True when it changes which calls the leaf takes.
+    bool noteLeafStatus(routing::leaf_handle, leaf_status const&, kernel::time_point);
     void settleLateReply(call_owner const&, leaf_outcome const&);
 
     // Settling.
@@ -191,6 +201,7 @@
     bool hasSoftShare(query const&) const;
     model::answer_or_error resultOf(query&);
     void settle(query&, model::answer_or_error);
+    void forget(query&);
     /// Ends a repeatable query that nobody waits for any more.
     void abandon(query&);
 
@@ -202,6 +213,7 @@
     routing::leaf_table m_leafs;
     limits::admission m_admission;
     ticket_book m_tickets;
+    std::optional<errors::error> m_ticketRefusal;
     engine_counters m_counters;
     std::map<std::string, service_limits> m_limits;
     std::map<shard_key, shard_queue> m_waiting;
--- a/Libraries/zinnialedge/queries/shard_queue.cpp
+++ b/Libraries/zinnialedge/queries/shard_queue.cpp
@@ -57,6 +57,14 @@
     return std::nullopt;
 }
 
+std::vector<waiting_shard> shard_queue::entries() const
+{
+    std::vector<waiting_shard> all;
+    for (auto const* line : { &m_urgent, &m_ordinary, &m_hedges })
+        all.insert(all.end(), line->begin(), line->end());
+    return all;
+}
+
 std::size_t shard_queue::countAhead(bool isUrgent, kernel::time_point now) const
 {
     if (!isUrgent)
--- a/Libraries/zinnialedge/queries/shard_queue.h
+++ b/Libraries/zinnialedge/queries/shard_queue.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "Kernel/clock.h"
+#include "Libraries/zinnialedge/model/query.h"
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <vector>
 
 namespace zinnialedge::queries {
 
@@ -11,6 +13,8 @@
 struct waiting_shard {
     std::uint64_t query { 0 };
     std::uint32_t place { 0 };
+    /// The entry is stale once the query has another pin.
+    model::snapshot pin;
     bool isHedge { false };
     bool isUrgent { false };
     kernel::time_point since;
@@ -26,6 +30,8 @@
     /// Takes out what a query waits for at that place. Returns it when it was there.
     std::optional<waiting_shard> remove(std::uint64_t query, std::uint32_t place);
 
+    /// All of them, those that are alike in the order of their arrival.
+    std::vector<waiting_shard> entries() const;
     bool isEmpty() const { return size() == 0; }
     std::size_t size() const { return m_urgent.size() + m_ordinary.size() + m_hedges.size(); }
     bool hasPrimaries() const { return !m_urgent.empty() || !m_ordinary.empty(); }
--- a/Libraries/zinnialedge/routing/leaf_table.h
+++ b/Libraries/zinnialedge/routing/leaf_table.h
@@ -51,9 +51,13 @@
 
     /// The newest snapshot that every shard can serve, or else the one with the widest cover.
     std::optional<model::snapshot> choosePin(std::string const& service);
+    /// For a request that reads the shard of its key: the pin above when that shard serves it, or else the newest that it serves.
+    std::optional<model::snapshot> choosePinForKey(std::string const& service, std::string const& key);
     /// Called when what a leaf serves, or whether it takes work, has changed.
     void forgetPin(std::string const& service);
 
+    /// True while maps of two partition epochs are in use.
+    bool isRepartitioning(std::string const& service) const;
     partition_map const* findMap(std::string const& service, std::uint64_t epoch) const;
     /// From now on choose() takes any leaf with room, whatever its expected delay.
     void chooseAtRandom() { m_isChoosingByDelay = false; }
@@ -89,6 +93,7 @@
     /// Takes out the excluded leafs and the slow ones.
     std::vector<candidate> keepUsable(std::vector<candidate> const&) const;
     std::size_t countServedShards(partition_map const&, std::uint64_t version) const;
+    bool isShardServed(partition_map const&, std::uint32_t shard, std::uint64_t version) const;
     std::optional<model::snapshot> findPin(service_routes const&) const;
 
     std::map<std::string, service_routes> m_services;
