--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -14,7 +14,10 @@
 static constexpr double hedgeQuantile = 0.95;
 static constexpr std::chrono::microseconds initialHedgeDelay { 10'000 };
 static constexpr double budgetBurst = 20;
+/// Tokens that calls of ordinary requests leave for the hedges of urgent ones.
+static constexpr double ordinaryHedgeReserve = 5;
 static constexpr double retryBudgetPercent = 10;
+static constexpr double lowestCallsPerSecond = 1;
 static constexpr std::chrono::milliseconds overloadRetryAfter { 50 };
 static constexpr std::chrono::milliseconds noLeafRetryAfter { 500 };
 
@@ -38,16 +41,19 @@
 
 std::optional<time_point> query_engine::nextTimer() const
 {
-    if (m_timers.empty())
-        return std::nullopt;
-    return m_timers.top().at;
+    std::optional<time_point> next;
+    if (!m_timers.empty())
+        next = m_timers.top().at;
+    if (!m_waiting.empty())
+        next = std::min(next.value_or(m_nextWaitingReview), m_nextWaitingReview);
+    return next;
 }
 
 std::size_t query_engine::waitingShards() const
 {
     std::size_t count = 0;
     for (auto const& [key, queue] : m_waiting)
-        count += queue.urgent.size() + queue.ordinary.size();
+        count += queue.size();
     return count;
 }
 
@@ -93,12 +99,12 @@
     reviewWaiting(removed.name, now);
 }
 
-bool query_engine::noteLeafStatus(routing::leaf_handle handle, leaf_status const& status)
+bool query_engine::noteLeafStatus(routing::leaf_handle handle, leaf_status const& status, time_point now)
 {
     auto& leaf = m_leafs.at(handle);
-    bool const isPinStale = leaf.versions() != status.versions || leaf.epochs() != status.epochs;
+    bool const isPinStale = !leaf.isReachable() || leaf.versions() != status.versions || leaf.epochs() != status.epochs;
     auto const stateBefore = leaf.state();
-    leaf.noteStatus(status.epochs, status.versions, status.load, status.isDraining);
+    leaf.noteStatus(status.epochs, status.versions, status.load, status.isDraining, now);
     bool const isChanged = isPinStale || leaf.state() != stateBefore;
     if (isChanged)
         m_leafs.forgetPin(leaf.service());
@@ -107,8 +113,17 @@
 
 void query_engine::handle(leaf_status_seen const& seen, time_point now)
 {
-    if (seen.status && noteLeafStatus(seen.leaf, *seen.status))
-        reviewWaiting(m_leafs.at(seen.leaf).service(), now);
+    auto& leaf = m_leafs.at(seen.leaf);
+    if (seen.connections)
+        leaf.noteConnections(*seen.connections);
+    bool isChanged = seen.status && noteLeafStatus(seen.leaf, *seen.status, now);
+    if (!seen.status && seen.connections == 0U && leaf.isReachable()) {
+        leaf.noteUnreachable();
+        m_leafs.forgetPin(leaf.service());
+        isChanged = true;
+    }
+    if (isChanged)
+        reviewWaiting(std::string { leaf.service() }, now);
 }
 
 // Arrival.
@@ -304,13 +319,9 @@
         refuseUnrun({ error_kind::overloaded, "too many calls to leafs are in flight", overloadRetryAfter });
         return;
     }
-    if (!m_admission.tryEnter(service->partner)) {
-        refuseUnrun({ error_kind::over_share, service->partner + " has no room left on this daemon", overloadRetryAfter });
-        return;
-    }
     auto const* kind = service->findRequest(request.requestKind);
     auto const id = ++m_lastQuery;
-    auto& added = m_queries[id];
+    query added;
     added.id = id;
     added.request = std::make_shared<model::query_request const>(request);
     added.service = service;
@@ -323,12 +334,53 @@
     m_queryOfCaller.emplace(arrived.caller, id);
     for (auto const shard : shards)
         added.shards.emplace_back().shard = shard;
+    auto const verdict = judge(added, now);
+    if (!verdict.isAdmitted) {
+        refuseUnrun(makeTooShort(verdict));
+        return;
+    }
+    if (!m_admission.tryEnter(service->partner)) {
+        refuseUnrun({ error_kind::over_share, service->partner + " has no room left on this daemon", overloadRetryAfter });
+        return;
+    }
+    for (auto const shard : verdict.skipped) {
+        added.shards[shard].missing = model::missing_reason::overloaded;
+        ++added.settledShards;
+    }
     if (!added.isRepeatable)
         m_runningTickets[request.ticket] = id;
     m_timers.push({ added.deadline, id, 0, timer_kind::deadline });
     if (service->coverage == model::coverage_policy::partial && kind->isOverAllShards)
         m_timers.push({ std::min(added.deadline, now + service->softDeadline), id, 0, timer_kind::soft_deadline });
-    scatter(added, now);
+    scatter(m_queries.emplace(id, std::move(added)).first->second, now);
+}
+
+limits::admission_verdict query_engine::judge(query const& arrived, time_point now)
+{
+    if (!m_settings.policy.isAdmittingByShard)
+        return {};
+    limits::admission_question question;
+    question.coverage = arrived.service->coverage;
+    question.remaining = std::chrono::duration_cast<std::chrono::microseconds>(arrived.deadline - now);
+    question.softRemaining = arrived.service->softDeadline;
+    question.softSharePercent = arrived.service->softSharePercent;
+    question.callTail = limitsOf(arrived.service->name).hedgeDelay.value();
+    for (auto const& shard : arrived.shards) {
+        auto const* queue = findQueue(arrived, shard.shard);
+        auto const ahead = queue ? queue->countAhead(arrived.isUrgent, now) : 0;
+        auto const perSecond = ahead > 0 ? m_leafs.callsPerSecond(arrived.service->name, arrived.pin, shard.shard, now) : 0;
+        std::chrono::microseconds const wait { ahead > 0 ? static_cast<std::int64_t>(1e6 * static_cast<double>(ahead) / std::max(perSecond, lowestCallsPerSecond)) : 0 };
+        question.waits.push_back({ shard.shard, wait });
+    }
+    return limits::judgeAdmission(question);
+}
+
+error query_engine::makeTooShort(limits::admission_verdict const& verdict)
+{
+    auto const drain = std::chrono::ceil<std::chrono::milliseconds>(verdict.drainTime) + std::chrono::milliseconds { 1 };
+    // Callers that were refused together must not come back together.
+    auto const jitter = std::chrono::milliseconds { static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(drain.count() + 1)) };
+    return { error_kind::deadline_too_short, "the backlog of a shard would outlast the deadline", drain + jitter };
 }
 
 // Scattering.
@@ -337,6 +389,8 @@
 {
     auto const id = scattered.id;
     for (std::uint32_t place = 0; place < scattered.shards.size(); ++place) {
+        if (scattered.shards[place].isSettled())
+            continue;
         requestShard(scattered, place, false, now);
         // A shard without a leaf may settle the whole query.
         if (!m_queries.contains(id))
@@ -353,10 +407,12 @@
     auto const choice = m_leafs.choose(asking.service->name, asking.pin, shard.shard, shard.asked, now, m_random);
     if (choice.chosen) {
         send(asking, place, *choice.chosen, isHedge, now);
+        if (!isHedge)
+            probeSlowLeaf(asking, place, now);
         return;
     }
     if (choice.isWorthWaiting) {
-        waitForRoom(asking, place, isHedge);
+        waitForRoom(asking, place, isHedge, now);
         return;
     }
     if (shard.calls.empty() && !shard.isWaiting)
@@ -369,6 +425,7 @@
     auto& limits = limitsOf(asking.service->name);
     auto const call = ++m_lastCall;
     m_leafs.at(leaf).noteSent(now);
+    bool const isFirst = shard.asked.empty();
     shard.calls.push_back({ call, leaf, now, isHedge });
     shard.asked.push_back(leaf);
     shard.isWaiting = false;
@@ -378,36 +435,58 @@
     if (isHedge) {
         ++m_counters.hedges;
     } else {
-        limits.hedgeBudget.earn();
-        limits.retryBudget.earn();
+        // Budgets are fractions of first calls: a retry must not pay for the next one.
+        limits.hedgeBudget.earn(isFirst ? 1 : 0);
+        limits.retryBudget.earn(isFirst ? 1 : 0);
         if (m_settings.policy.isHedging && asking.isRepeatable && !shard.isHedged)
-            m_timers.push({ now + limits.hedgeDelay.value(), asking.id, place, timer_kind::hedge });
+            m_timers.push({ now + hedgeDelayOf(limits), asking.id, place, timer_kind::hedge });
     }
     m_actions.emplace_back(send_leaf_call { call, leaf, shard.shard, asking.pin, asking.deadline, asking.isUrgent, asking.isRepeatable, asking.request });
 }
 
-void query_engine::waitForRoom(query& asking, std::uint32_t place, bool isHedge)
+void query_engine::waitForRoom(query& asking, std::uint32_t place, bool isHedge, time_point now)
 {
     auto& shard = asking.shards[place];
     shard.isWaiting = true;
-    auto& queue = m_waiting[{ asking.service->name, asking.pin.epoch, shard.shard }];
-    auto& line = asking.isUrgent ? queue.urgent : queue.ordinary;
-    line.push_back({ asking.id, place, asking.pin, isHedge });
+    if (m_waiting.empty())
+        m_nextWaitingReview = now + waitingReviewInterval;
+    m_waiting[{ asking.service->name, asking.pin.epoch, shard.shard }].push({ asking.id, place, asking.pin, isHedge, asking.isUrgent, now });
 }
 
-void query_engine::dispatchWaiting(shard_key const& key, time_point now)
+void query_engine::stopWaiting(query& asking, std::uint32_t place)
 {
-    auto const found = m_waiting.find(key);
+    auto& shard = asking.shards[place];
+    if (!shard.isWaiting)
+        return;
+    shard.isWaiting = false;
+    auto const found = m_waiting.find({ asking.service->name, asking.pin.epoch, shard.shard });
     if (found == m_waiting.end())
         return;
-    for (auto* line : { &found->second.urgent, &found->second.ordinary }) {
-        // The check for room spares a walk through the whole line after each call.
-        while (m_leafs.hasRoom(key.service, key.epoch, key.shard) && dispatchFirst(*line, now)) { }
-    }
-    if (found->second.urgent.empty() && found->second.ordinary.empty())
+    auto const removed = found->second.remove(asking.id, place);
+    if (removed && removed->isHedge)
+        limitsOf(asking.service->name).hedgeBudget.giveBack();
+    if (found->second.isEmpty())
         m_waiting.erase(found);
 }
 
+shard_queue const* query_engine::findQueue(query const& asking, std::uint32_t shard) const
+{
+    auto const found = m_waiting.find({ asking.service->name, asking.pin.epoch, shard });
+    return found == m_waiting.end() ? nullptr : &found->second;
+}
+
+void query_engine::dispatchWaiting(shard_key const& key, time_point now)
+{
+    // A shard that is given up may settle its query, which changes the queues. The check for room spares a walk through
+    // the whole queue after each call.
+    for (auto found = m_waiting.find(key); found != m_waiting.end(); found = m_waiting.find(key)) {
+        if (!m_leafs.hasRoom(key.service, key.epoch, key.shard) || !dispatchNext(found->second, now))
+            return;
+        if (auto const after = m_waiting.find(key); after != m_waiting.end() && after->second.isEmpty())
+            m_waiting.erase(after);
+    }
+}
+
 query* query_engine::findWaiting(waiting_shard const& entry)
 {
     auto* asking = find(entry.query);
@@ -417,51 +496,38 @@
     return shard.isSettled() || !shard.isWaiting ? nullptr : asking;
 }
 
-bool query_engine::dispatchFirst(waiting_line& line, time_point now)
+bool query_engine::dispatchNext(shard_queue& queue, time_point now)
 {
+    routing::leaf_choice choice;
     // The first may wait for another leaf than the one with room: it was refused there, or has another pin.
-    for (auto each = line.begin(); each != line.end();) {
-        auto const entry = *each;
-        auto* asking = findWaiting(entry);
-        if (!asking || now >= asking->deadline) {
-            each = line.erase(each);
-            continue;
-        }
-        auto const& shard = asking->shards[entry.place];
-        auto const choice = m_leafs.choose(asking->service->name, asking->pin, shard.shard, shard.asked, now, m_random);
-        if (choice.chosen) {
-            line.erase(each);
-            send(*asking, entry.place, *choice.chosen, entry.isHedge, now);
+    auto const* const next = queue.findFirst([&](waiting_shard const& entry) {
+        auto* const asking = findWaiting(entry);
+        if (!asking || now >= asking->deadline)
             return true;
-        }
-        ++each;
-    }
-    return false;
-}
-
-void query_engine::dropStale(std::vector<shard_key> const& keys)
-{
-    for (auto const& key : keys) {
-        auto const found = m_waiting.find(key);
-        if (found == m_waiting.end())
-            continue;
-        for (auto* line : { &found->second.urgent, &found->second.ordinary }) {
-            while (!line->empty() && !findWaiting(line->front()))
-                line->pop_front();
-        }
-        if (found->second.urgent.empty() && found->second.ordinary.empty())
-            m_waiting.erase(found);
-    }
+        auto const& shard = asking->shards[entry.place];
+        choice = m_leafs.choose(asking->service->name, asking->pin, shard.shard, shard.asked, now, m_random);
+        return choice.chosen || !choice.isWorthWaiting;
+    });
+    if (!next)
+        return false;
+    auto const entry = *next;
+    queue.remove(entry);
+    auto* const asking = findWaiting(entry);
+    if (!asking || now >= asking->deadline)
+        return true;
+    if (choice.chosen)
+        send(*asking, entry.place, *choice.chosen, entry.isHedge, now);
+    else
+        giveUpWaiting(*asking, entry.place, now);
+    return true;
 }
 
-std::vector<query_engine::shard_key> query_engine::waitingKeys(query const& asking) const
+std::chrono::microseconds query_engine::hedgeDelayOf(service_limits const& limits)
 {
-    std::vector<shard_key> keys;
-    for (auto const& shard : asking.shards) {
-        if (shard.isWaiting)
-            keys.push_back({ asking.service->name, asking.pin.epoch, shard.shard });
-    }
-    return keys;
+    // With few tokens left only the longest calls are hedged, in place of whichever comes first.
+    double const scarcity = 1 - limits.hedgeBudget.tokens() / budgetBurst;
+    auto const delay = static_cast<double>(limits.hedgeDelay.value().count()) * (1 + scarcity);
+    return std::chrono::microseconds { static_cast<std::int64_t>(delay) };
 }
 
 void query_engine::reviewWaiting(std::string const& service, time_point now)
@@ -474,34 +540,32 @@
         auto const found = m_waiting.find(key);
         if (found == m_waiting.end())
             continue;
-        auto queue = std::move(found->second);
+        auto const queue = std::move(found->second);
         m_waiting.erase(found);
-        reviewLine(std::move(queue.urgent), &shard_queue::urgent, key, now);
-        reviewLine(std::move(queue.ordinary), &shard_queue::ordinary, key, now);
+        for (auto const& entry : queue.entries())
+            review(entry, now);
     }
 }
 
-void query_engine::reviewLine(waiting_line&& line, waiting_line shard_queue::* place, shard_key const& key, time_point now)
+void query_engine::review(waiting_shard const& entry, time_point now)
 {
-    for (auto const& entry : line) {
-        auto* asking = findWaiting(entry);
-        if (!asking || now >= asking->deadline)
-            continue;
-        auto const& shard = asking->shards[entry.place];
-        auto const choice = m_leafs.choose(asking->service->name, asking->pin, shard.shard, shard.asked, now, m_random);
-        if (choice.chosen)
-            send(*asking, entry.place, *choice.chosen, entry.isHedge, now);
-        else if (choice.isWorthWaiting)
-            (m_waiting[key].*place).push_back(entry);
-        else
-            stopWaiting(*asking, entry.place, now);
-    }
+    auto* asking = findWaiting(entry);
+    if (!asking || now >= asking->deadline)
+        return;
+    auto const& shard = asking->shards[entry.place];
+    auto const choice = m_leafs.choose(asking->service->name, asking->pin, shard.shard, shard.asked, now, m_random);
+    if (choice.chosen)
+        send(*asking, entry.place, *choice.chosen, entry.isHedge, now);
+    else if (choice.isWorthWaiting)
+        m_waiting[{ asking->service->name, asking->pin.epoch, shard.shard }].push(entry);
+    else
+        giveUpWaiting(*asking, entry.place, now);
 }
 
-void query_engine::stopWaiting(query& asking, std::uint32_t place, time_point now)
+void query_engine::giveUpWaiting(query& asking, std::uint32_t place, time_point now)
 {
-    auto& shard = asking.shards[place];
-    shard.isWaiting = false;
+    stopWaiting(asking, place);
+    auto const& shard = asking.shards[place];
     if (shard.calls.empty())
         repinOrMiss(asking, place, shard.asked.empty() ? model::missing_reason::no_leaf : shard.reasonSoFar, now);
 }
@@ -509,17 +573,33 @@
 void query_engine::hedge(query& asking, std::uint32_t place, time_point now)
 {
     auto& shard = asking.shards[place];
-    if (!asking.isRepeatable || shard.isSettled() || shard.isHedged || shard.calls.size() != 1 || now >= asking.deadline)
+    if (!asking.isRepeatable || shard.isSettled() || shard.isHedged || shard.isWaiting || shard.calls.empty() || now >= asking.deadline)
+        return;
+    // A shard with calls waiting has no capacity to spare: an extra call would delay them all.
+    if (auto const* queue = findQueue(asking, shard.shard); queue && queue->hasPrimaries())
         return;
     auto const choice = m_leafs.choose(asking.service->name, asking.pin, shard.shard, shard.asked, now, m_random);
-    if (!choice.chosen && !choice.isWorthWaiting)
+    if (choice.isSlow || (!choice.chosen && !choice.isWorthWaiting))
         return;
-    if (!limitsOf(asking.service->name).hedgeBudget.take())
+    if (!limitsOf(asking.service->name).hedgeBudget.take(asking.isUrgent ? 0 : ordinaryHedgeReserve))
         return;
     shard.isHedged = true;
     requestShard(asking, place, true, now);
 }
 
+void query_engine::probeSlowLeaf(query& asking, std::uint32_t place, time_point now)
+{
+    if (!m_settings.policy.isHedging || !asking.isRepeatable)
+        return;
+    auto& shard = asking.shards[place];
+    auto const slow = m_leafs.findProbe(asking.service->name, asking.pin, shard.shard, shard.asked, now);
+    if (!slow || !limitsOf(asking.service->name).hedgeBudget.take())
+        return;
+    send(asking, place, *slow, true, now);
+    // It runs to its end: a cancelled probe would tell nothing.
+    shard.calls.back().isProbe = true;
+}
+
 // Gathering.
 
 void query_engine::handle(leaf_call_ended const& ended, time_point now)
@@ -533,7 +613,7 @@
     m_calls.erase(found);
     auto& leaf = m_leafs.at(owner.leaf);
     leaf.noteEnded(owner.sentAt, now, ended.outcome.kind == leaf_outcome_kind::answered);
-    bool isLeafChanged = ended.outcome.status && noteLeafStatus(owner.leaf, *ended.outcome.status);
+    bool isLeafChanged = ended.outcome.status && noteLeafStatus(owner.leaf, *ended.outcome.status, now);
     if (ended.outcome.refusal == leaf_refusal::shed)
         leaf.noteShed();
     if (ended.outcome.refusal == leaf_refusal::draining) {
@@ -562,7 +642,7 @@
             handleRefusal(*asking, owner.place, ended.outcome, now);
             break;
         case leaf_outcome_kind::failed:
-            handleFailure(*asking, owner.place, now);
+            handleFailure(*asking, owner.place, ended.outcome, now);
             break;
         }
     }
@@ -588,11 +668,11 @@
     if (outcome.shard != shard.shard || outcome.reflects != asking.pin) {
         // A reply for something else must never be merged; the leaf is not to be trusted with this shard now.
         ++m_counters.mismatchedReplies;
-        handleFailure(asking, place, now);
+        handleFailure(asking, place, outcome, now);
         return;
     }
     shard.isAnswered = true;
-    shard.isWaiting = false;
+    stopWaiting(asking, place);
     shard.rows = outcome.rows;
     cancelCalls(shard);
     ++asking.settledShards;
@@ -611,31 +691,32 @@
     case leaf_refusal::version_gone:
     case leaf_refusal::wrong_epoch: {
         auto const reason = outcome.refusal == leaf_refusal::version_gone ? model::missing_reason::version_gone : model::missing_reason::repartitioned;
-        retryOrMiss(asking, place, reason, now);
+        retryOrMiss(asking, place, reason, retry_price::one_token, now);
         return;
     }
     case leaf_refusal::shed:
-        retryOrMiss(asking, place, model::missing_reason::overloaded, now);
+        retryOrMiss(asking, place, model::missing_reason::overloaded, retry_price::one_token, now);
         return;
     case leaf_refusal::none:
     case leaf_refusal::draining:
     case leaf_refusal::cancelled:
     case leaf_refusal::deadline:
-        retryOrMiss(asking, place, model::missing_reason::no_leaf, now);
+        retryOrMiss(asking, place, model::missing_reason::no_leaf, retry_price::one_token, now);
         return;
     }
 }
 
-void query_engine::handleFailure(query& asking, std::uint32_t place, time_point now)
+void query_engine::handleFailure(query& asking, std::uint32_t place, leaf_outcome const& outcome, time_point now)
 {
     if (!asking.isRepeatable) {
         miss(asking, place, model::missing_reason::failed);
         return;
     }
-    retryOrMiss(asking, place, model::missing_reason::failed, now);
+    // A call that never left costs no leaf anything, so that sending it elsewhere isn't a retry to be paid.
+    retryOrMiss(asking, place, model::missing_reason::failed, outcome.isUnrun() ? retry_price::free : retry_price::one_token, now);
 }
 
-void query_engine::retryOrMiss(query& asking, std::uint32_t place, model::missing_reason reason, time_point now)
+void query_engine::retryOrMiss(query& asking, std::uint32_t place, model::missing_reason reason, retry_price price, time_point now)
 {
     auto& shard = asking.shards[place];
     shard.reasonSoFar = reason;
@@ -643,11 +724,12 @@
         return;
     auto const choice = m_leafs.choose(asking.service->name, asking.pin, shard.shard, shard.asked, now, m_random);
     bool const isPossible = choice.chosen || choice.isWorthWaiting;
-    if (!isPossible || !limitsOf(asking.service->name).retryBudget.take()) {
+    bool const isPaid = price == retry_price::free || (isPossible && limitsOf(asking.service->name).retryBudget.take());
+    if (!isPossible || !isPaid) {
         repinOrMiss(asking, place, reason, now);
         return;
     }
-    ++m_counters.retries;
+    m_counters.retries += price == retry_price::free ? 0 : 1;
     requestShard(asking, place, false, now);
 }
 
@@ -673,9 +755,10 @@
     if (!pin || *pin == asking.pin || !asking.lifecycle.repin())
         return false;
     ++m_counters.repins;
-    auto const keys = waitingKeys(asking);
-    for (auto& shard : asking.shards)
-        cancelCalls(shard);
+    for (std::uint32_t place = 0; place < asking.shards.size(); ++place) {
+        stopWaiting(asking, place);
+        cancelCalls(asking.shards[place]);
+    }
     // The declaration of the arrival stays: a newer one may lack the request kind or name another partner.
     asking.pin = *pin;
     asking.settledShards = 0;
@@ -683,15 +766,16 @@
     asking.shards.clear();
     for (auto const shard : shardsOf(*asking.request, *asking.service, *pin))
         asking.shards.emplace_back().shard = shard;
-    dropStale(keys);
     scatter(asking, now);
     return true;
 }
 
 void query_engine::cancelCalls(shard_progress& shard)
 {
-    for (auto const& call : shard.calls)
-        m_actions.emplace_back(cancel_leaf_call { call.call, call.leaf });
+    for (auto const& call : shard.calls) {
+        if (!call.isProbe)
+            m_actions.emplace_back(cancel_leaf_call { call.call, call.leaf });
+    }
     shard.calls.clear();
 }
 
@@ -773,16 +857,31 @@
 
 void query_engine::forget(query& settled)
 {
-    auto const keys = waitingKeys(settled);
+    for (std::uint32_t place = 0; place < settled.shards.size(); ++place)
+        stopWaiting(settled, place);
     m_admission.leave(settled.service->partner);
     m_queries.erase(settled.id);
-    dropStale(keys);
 }
 
 // Timers, relays and callers that leave.
 
+void query_engine::dispatchAllWaiting(time_point now)
+{
+    // A leaf falls silent without an event: what waited for it is then for a slower one.
+    if (m_waiting.empty() || now < m_nextWaitingReview)
+        return;
+    m_nextWaitingReview = now + waitingReviewInterval;
+    std::vector<shard_key> keys;
+    keys.reserve(m_waiting.size());
+    for (auto const& [key, queue] : m_waiting)
+        keys.push_back(key);
+    for (auto const& key : keys)
+        dispatchWaiting(key, now);
+}
+
 void query_engine::handle(timer_due const&, time_point now)
 {
+    dispatchAllWaiting(now);
     while (!m_timers.empty() && m_timers.top().at <= now) {
         auto const due = m_timers.top();
         m_timers.pop();
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -2,10 +2,11 @@
 
 #include "Libraries/zinnialedge/limits/admission.h"
 #include "Libraries/zinnialedge/limits/moving_quantile.h"
+#include "Libraries/zinnialedge/limits/shard_admission.h"
 #include "Libraries/zinnialedge/limits/token_bucket.h"
 #include "Libraries/zinnialedge/queries/query.h"
+#include "Libraries/zinnialedge/queries/shard_queue.h"
 #include "Libraries/zinnialedge/queries/ticket_book.h"
-#include <deque>
 #include <map>
 #include <queue>
 #include <unordered_map>
@@ -85,6 +86,11 @@
         hedge,
     };
 
+    enum class retry_price {
+        free,
+        one_token,
+    };
+
     struct timer {
         kernel::time_point at;
         query_id query { 0 };
@@ -103,22 +109,6 @@
         limits::moving_quantile hedgeDelay;
     };
 
-    /// A shard of a query that waits for room at a leaf.
-    struct waiting_shard {
-        query_id query { 0 };
-        std::uint32_t place { 0 };
-        /// The entry is stale once the query has another pin.
-        model::snapshot pin;
-        bool isHedge { false };
-    };
-
-    using waiting_line = std::deque<waiting_shard>;
-
-    struct shard_queue {
-        waiting_line urgent;
-        waiting_line ordinary;
-    };
-
     struct call_owner {
         query_id query { 0 };
         std::uint32_t place { 0 };
@@ -160,6 +150,8 @@
     void relay(query_arrived const&, std::string const& daemon, kernel::time_point);
     void endRelay(caller_token);
     void admit(query_arrived const&, std::shared_ptr<model::service_declaration const> const&, kernel::time_point);
+    limits::admission_verdict judge(query const&, kernel::time_point);
+    errors::error makeTooShort(limits::admission_verdict const&);
     void refuse(caller_token, model::query_request const&, errors::error);
     /// Gives a caller the outcome of a request under the caller's own name for it.
     void giveAnswer(caller_token, std::string const& requestId, model::answer_or_error);
@@ -171,30 +163,34 @@
     void scatter(query&, kernel::time_point);
     void requestShard(query&, std::uint32_t place, bool isHedge, kernel::time_point);
     void send(query&, std::uint32_t place, routing::leaf_handle, bool isHedge, kernel::time_point);
-    void waitForRoom(query&, std::uint32_t place, bool isHedge);
+    void waitForRoom(query&, std::uint32_t place, bool isHedge, kernel::time_point);
+    void stopWaiting(query&, std::uint32_t place);
+    shard_queue const* findQueue(query const&, std::uint32_t shard) const;
     void dispatchWaiting(shard_key const&, kernel::time_point);
-    bool dispatchFirst(waiting_line&, kernel::time_point);
+    void dispatchAllWaiting(kernel::time_point);
+    bool dispatchNext(shard_queue&, kernel::time_point);
     /// The query of an entry that still waits, or null.
     query* findWaiting(waiting_shard const&);
-    void dropStale(std::vector<shard_key> const&);
-    std::vector<shard_key> waitingKeys(query const&) const;
     /// Called when what the leafs of a service take has changed: what waits may be sent, or has nothing left to wait for.
     void reviewWaiting(std::string const& service, kernel::time_point);
-    void reviewLine(waiting_line&&, waiting_line shard_queue::*, shard_key const&, kernel::time_point);
-    void stopWaiting(query&, std::uint32_t place, kernel::time_point);
+    void review(waiting_shard const&, kernel::time_point);
+    void giveUpWaiting(query&, std::uint32_t place, kernel::time_point);
+    static std::chrono::microseconds hedgeDelayOf(service_limits const&);
     void hedge(query&, std::uint32_t place, kernel::time_point);
+    /// Sends a copy of a call to a leaf that is avoided, to learn whether it still is slow.
+    void probeSlowLeaf(query&, std::uint32_t place, kernel::time_point);
 
     // Gathering.
     void accept(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
     void handleRefusal(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
-    void handleFailure(query&, std::uint32_t place, kernel::time_point);
-    void retryOrMiss(query&, std::uint32_t place, model::missing_reason, kernel::time_point);
+    void handleFailure(query&, std::uint32_t place, leaf_outcome const&, kernel::time_point);
+    void retryOrMiss(query&, std::uint32_t place, model::missing_reason, retry_price, kernel::time_point);
     void repinOrMiss(query&, std::uint32_t place, model::missing_reason, kernel::time_point);
     void miss(query&, std::uint32_t place, model::missing_reason);
     bool repin(query&, kernel::time_point);
     void cancelCalls(shard_progress&);
     /// True when it changes which calls the leaf takes.
-    bool noteLeafStatus(routing::leaf_handle, leaf_status const&);
+    bool noteLeafStatus(routing::leaf_handle, leaf_status const&, kernel::time_point);
     void settleLateReply(call_owner const&, leaf_outcome const&);
 
     // Settling.
@@ -222,6 +218,7 @@
     engine_counters m_counters;
     std::map<std::string, service_limits> m_limits;
     std::map<shard_key, shard_queue> m_waiting;
+    kernel::time_point m_nextWaitingReview;
     std::unordered_map<query_id, query> m_queries;
     std::unordered_map<caller_token, query_id> m_queryOfCaller;
     /// The request ids of queries that another daemon runs, by caller.
