--- /dev/null
+++ b/Libraries/zinnialedge/queries/query_arrival.cpp
@@ -0,0 +1,273 @@
+// The arrival of queries: checks, tickets and admission.
+
+#include "Libraries/zinnialedge/queries/query_engine.h"
+
+#include "Kernel/verify.h"
+#include <algorithm>
+
+namespace zinnialedge::queries {
+
+using errors::error;
+using errors::error_kind;
+using kernel::time_point;
+
+static constexpr std::chrono::milliseconds maximumDeadline { 60'000 };
+static constexpr double lowestCallsPerSecond = 1;
+static constexpr std::chrono::milliseconds overloadRetryAfter { 50 };
+
+errors::error_or<void> query_engine::check(model::query_request const& request, model::service_declaration const* service) const
+{
+    if (!service)
+        return errors::fail(error_kind::unknown_service, "no service " + request.service);
+    auto const* kind = service->findRequest(request.requestKind);
+    if (!kind)
+        return errors::fail(error_kind::unknown_request_kind, request.service + " has no request " + request.requestKind);
+    if (!kind->isOverAllShards && request.key.empty())
+        return errors::fail(error_kind::missing_key, request.requestKind + " needs a key");
+    if (request.deadline < std::chrono::milliseconds::zero() || request.deadline > maximumDeadline)
+        return errors::fail(error_kind::deadline_out_of_range, "deadline_ms must be from 1 to " + std::to_string(maximumDeadline.count()));
+    if (!kind->isRepeatable && request.ticket.empty())
+        return errors::fail(error_kind::ticket_required, request.requestKind + " is not repeatable; ask /directory for a ticket prefix");
+    return {};
+}
+
+void query_engine::refuse(caller_token caller, model::query_request const& request, error reason)
+{
+    ++m_counters.refusals;
+    m_actions.emplace_back(answer_caller { caller, request.id, tl::unexpected(std::move(reason)) });
+}
+
+void query_engine::giveAnswer(caller_token caller, std::string const& requestId, model::answer_or_error result)
+{
+    if (result)
+        result->id = requestId;
+    m_queryOfCaller.erase(caller);
+    m_actions.emplace_back(answer_caller { caller, requestId, std::move(result) });
+}
+
+time_point query_engine::deadlineOf(model::query_request const& request, time_point now) const
+{
+    auto deadline = request.deadline;
+    if (deadline.count() == 0) {
+        auto const service = m_leafs.findService(request.service);
+        deadline = service ? service->deadline : model::service_declaration {}.deadline;
+    }
+    return now + std::clamp<std::chrono::milliseconds>(deadline - m_settings.returnMargin, std::chrono::milliseconds { 1 }, maximumDeadline);
+}
+
+void query_engine::handle(query_arrived const& arrived, time_point now)
+{
+    ++m_counters.queries;
+    auto const& request = arrived.request;
+    auto const service = m_leafs.findService(request.service);
+    auto const* kind = service ? service->findRequest(request.requestKind) : nullptr;
+    // The ticket goes first: a refusal for want of a declaration would deny a run that the ticket had before.
+    bool const mayNeedTicket = !kind || !kind->isRepeatable;
+    if (mayNeedTicket && answerByTicket(arrived, now))
+        return;
+    if (auto const checked = check(request, service.get()); !checked) {
+        refuse(arrived.caller, request, checked.error());
+        return;
+    }
+    if (!kind->isRepeatable && !claimTicket(arrived, now))
+        return;
+    admit(arrived, service, now);
+}
+
+bool query_engine::answerByTicket(query_arrived const& arrived, time_point now)
+{
+    auto const& request = arrived.request;
+    auto const parsed = parseTicket(request.ticket);
+    if (!parsed)
+        return false;
+    if (!m_tickets.isOwn(*parsed)) {
+        // A relayed request whose ticket names an earlier process of this daemon has an outcome that nobody knows.
+        if (request.isRelayed || parsed->daemon == m_settings.daemon)
+            refuse(arrived.caller, request, { error_kind::outcome_unknown, "the process that the ticket names is gone", {} });
+        else
+            relay(arrived, parsed->daemon, now);
+        return true;
+    }
+    switch (m_tickets.lookUp(request, *parsed, now)) {
+    case ticket_state::unused:
+        return false;
+    case ticket_state::running:
+        join(*find(m_runningTickets.at(request.ticket)), arrived, now);
+        return true;
+    case ticket_state::settled: {
+        auto result = m_tickets.outcomeOf(request.ticket);
+        if (result)
+            result->isRemembered = true;
+        giveAnswer(arrived.caller, request.id, std::move(result));
+        return true;
+    }
+    case ticket_state::other_request:
+        refuse(arrived.caller, request, { error_kind::malformed_request, "ticket: used for a request with other contents; give each request a suffix of its own", {} });
+        return true;
+    case ticket_state::forgotten:
+        refuse(arrived.caller, request, { error_kind::outcome_unknown, "the ticket expired long ago, and whether it ran is no longer known", {} });
+        return true;
+    }
+    VERIFY(false);
+}
+
+bool query_engine::claimTicket(query_arrived const& arrived, time_point now)
+{
+    auto const& request = arrived.request;
+    auto const parsed = parseTicket(request.ticket);
+    if (!parsed) {
+        refuse(arrived.caller, request, { error_kind::malformed_request, "ticket: expected a prefix from /directory, '~' and a suffix", {} });
+        return false;
+    }
+    switch (m_tickets.claim(request, *parsed, now)) {
+    case ticket_claim::granted:
+        if (!m_ticketRefusal)
+            return true;
+        m_tickets.release(request.ticket);
+        refuse(arrived.caller, request, *m_ticketRefusal);
+        return false;
+    case ticket_claim::expired:
+        refuse(arrived.caller, request, { error_kind::ticket_expired, "the ticket has expired", std::chrono::milliseconds { 0 } });
+        return false;
+    case ticket_claim::memory_full:
+        refuse(arrived.caller, request, { error_kind::ticket_memory_full, "too many unexpired tickets", noLeafRetryAfter });
+        return false;
+    }
+    VERIFY(false);
+}
+
+void query_engine::relay(query_arrived const& arrived, std::string const& daemon, time_point now)
+{
+    ++m_counters.relays;
+    auto const& request = arrived.request;
+    // The other daemon may be frozen, so the caller's deadline is kept here too.
+    m_timers.push({ deadlineOf(request, now), 0, 0, timer_kind::relay_deadline, arrived.caller });
+    m_relays.emplace(arrived.caller, request.id);
+    m_actions.emplace_back(relay_query { arrived.caller, daemon, request });
+}
+
+void query_engine::endRelay(caller_token caller)
+{
+    auto const found = m_relays.find(caller);
+    if (found == m_relays.end())
+        return;
+    ++m_counters.relaysWithoutAnswer;
+    auto const requestId = std::move(found->second);
+    m_relays.erase(found);
+    m_actions.emplace_back(abandon_relay { caller });
+    giveAnswer(caller, requestId, errors::fail(error_kind::outcome_unknown, "the daemon that the ticket names did not answer by the deadline"));
+}
+
+void query_engine::join(query& running, query_arrived const& arrived, time_point now)
+{
+    auto const deadline = deadlineOf(arrived.request, now);
+    running.callers.push_back({ arrived.caller, arrived.request.id, deadline });
+    m_queryOfCaller.emplace(arrived.caller, running.id);
+    if (deadline < running.deadline)
+        m_timers.push({ deadline, running.id, 0, timer_kind::caller_deadline });
+}
+
+std::optional<model::snapshot> query_engine::choosePin(model::query_request const& request, model::service_declaration const& service)
+{
+    if (service.findRequest(request.requestKind)->isOverAllShards)
+        return m_leafs.choosePin(service.name);
+    return m_leafs.choosePinForKey(service.name, request.key);
+}
+
+std::vector<std::uint32_t> query_engine::shardsOf(model::query_request const& request, model::service_declaration const& service, model::snapshot pin) const
+{
+    auto const* map = m_leafs.findMap(service.name, pin.epoch);
+    VERIFY(map);
+    auto const shardCount = static_cast<std::uint32_t>(map->leafsOfShard.size());
+    if (!service.findRequest(request.requestKind)->isOverAllShards)
+        return { model::shardOfKey(request.key, shardCount) };
+    std::vector<std::uint32_t> shards(shardCount);
+    for (std::uint32_t shard = 0; shard < shardCount; ++shard)
+        shards[shard] = shard;
+    return shards;
+}
+
+void query_engine::admit(query_arrived const& arrived, std::shared_ptr<model::service_declaration const> const& service, time_point now)
+{
+    auto const& request = arrived.request;
+    auto const refuseUnrun = [&](error reason) {
+        // A request that may be repeated needs no ticket; the one it carries may belong to another that runs.
+        if (!service->findRequest(request.requestKind)->isRepeatable)
+            m_tickets.release(request.ticket);
+        refuse(arrived.caller, request, std::move(reason));
+    };
+    auto const pin = choosePin(request, *service);
+    if (!pin) {
+        refuseUnrun({ error_kind::no_live_target, "no leaf of " + service->name + " serves any version", noLeafRetryAfter });
+        return;
+    }
+    auto const shards = shardsOf(request, *service, *pin);
+    if (m_calls.size() + 2 * shards.size() > m_settings.leafCallCapacity) {
+        refuseUnrun({ error_kind::overloaded, "too many calls to leafs are in flight", overloadRetryAfter });
+        return;
+    }
+    auto const* kind = service->findRequest(request.requestKind);
+    auto const id = ++m_lastQuery;
+    query added;
+    added.id = id;
+    added.request = std::make_shared<model::query_request const>(request);
+    added.service = service;
+    added.isUrgent = kind->isUrgent;
+    added.isRepeatable = kind->isRepeatable;
+    added.pin = *pin;
+    added.arrivedAt = now;
+    added.deadline = deadlineOf(request, now);
+    added.callers = { { arrived.caller, request.id, added.deadline } };
+    m_queryOfCaller.emplace(arrived.caller, id);
+    for (auto const shard : shards)
+        added.shards.emplace_back().shard = shard;
+    auto const verdict = judge(added, now);
+    if (!verdict.isAdmitted) {
+        refuseUnrun(makeTooShort(verdict));
+        return;
+    }
+    if (!m_admission.tryEnter(service->partner)) {
+        refuseUnrun({ error_kind::over_share, service->partner + " has no room left on this daemon", overloadRetryAfter });
+        return;
+    }
+    for (auto const shard : verdict.skipped) {
+        added.shards[shard].missing = model::missing_reason::overloaded;
+        ++added.settledShards;
+    }
+    if (!added.isRepeatable)
+        m_runningTickets[request.ticket] = id;
+    m_timers.push({ added.deadline, id, 0, timer_kind::deadline });
+    if (service->coverage == model::coverage_policy::partial && kind->isOverAllShards)
+        m_timers.push({ std::min(added.deadline, now + service->softDeadline), id, 0, timer_kind::soft_deadline });
+    scatter(m_queries.emplace(id, std::move(added)).first->second, now);
+}
+
+limits::admission_verdict query_engine::judge(query const& arrived, time_point now)
+{
+    if (!m_settings.policy.isAdmittingByShard)
+        return {};
+    limits::admission_question question;
+    question.coverage = arrived.service->coverage;
+    question.remaining = std::chrono::duration_cast<std::chrono::microseconds>(arrived.deadline - now);
+    question.softRemaining = arrived.service->softDeadline;
+    question.softSharePercent = arrived.service->softSharePercent;
+    question.callTail = limitsOf(arrived.service->name).hedgeDelay.value();
+    for (auto const& shard : arrived.shards) {
+        auto const* queue = findQueue(arrived, shard.shard);
+        auto const ahead = queue ? queue->countAhead(arrived.isUrgent, now) : 0;
+        auto const perSecond = ahead > 0 ? m_leafs.callsPerSecond(arrived.service->name, arrived.pin, shard.shard, now) : 0;
+        std::chrono::microseconds const wait { ahead > 0 ? static_cast<std::int64_t>(1e6 * static_cast<double>(ahead) / std::max(perSecond, lowestCallsPerSecond)) : 0 };
+        question.waits.push_back({ shard.shard, wait });
+    }
+    return limits::judgeAdmission(question);
+}
+
+error query_engine::makeTooShort(limits::admission_verdict const& verdict)
+{
+    auto const drain = std::chrono::ceil<std::chrono::milliseconds>(verdict.drainTime) + std::chrono::milliseconds { 1 };
+    // Callers that were refused together must not come back together.
+    auto const jitter = std::chrono::milliseconds { static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(drain.count() + 1)) };
+    return { error_kind::deadline_too_short, "the backlog of a shard would outlast the deadline", drain + jitter };
+}
+
+}
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -78,6 +78,10 @@
     limits::admission const& admission() const { return m_admission; }
 
 private:
+    /// Tokens that a budget of extra calls holds at most.
+    static constexpr double budgetBurst = 20;
+    static constexpr std::chrono::milliseconds noLeafRetryAfter { 500 };
+
     enum class timer_kind {
         deadline,
         soft_deadline,
