Wire: Keep rows, compact bytes and listening in one place each

Rows were parsed in two codecs, Thrift's buffers handled in two, and acceptors opened in two; duplicates named them. Unit, golden and differential tests green.

--- a/Libraries/zinnialedge/wire/caller_codec.cpp
+++ b/Libraries/zinnialedge/wire/caller_codec.cpp
@@ -1,6 +1,7 @@
 #include "Libraries/zinnialedge/wire/caller_codec.h"
 
 #include "Libraries/zinnialedge/configuration/json_reader.h"
+#include "Libraries/zinnialedge/wire/row_codec.h"
 #include <boost/algorithm/string/join.hpp>
 #include <boost/json.hpp>
 
@@ -57,16 +58,12 @@
     json::array missing;
     for (auto const& each : answer.covered.missing)
         missing.push_back({ { "shard", each.shard }, { "reason", model::toString(each.reason) } });
-    json::array rows;
-    rows.reserve(answer.rows.size());
-    for (auto const& row : answer.rows)
-        rows.push_back({ row.key, row.value });
     json::object fields {
         { "id", answer.id },
         { "snapshot", { { "epoch", answer.reflects.epoch }, { "version", answer.reflects.version } } },
         { "coverage", { { "whole", answer.covered.isWhole() }, { "asked", answer.covered.asked }, { "answered", answer.covered.answered }, { "missing", std::move(missing) } } },
         { "remembered", answer.isRemembered },
-        { "rows", std::move(rows) },
+        { "rows", formatRows(answer.rows) },
     };
     if (answer.isCutOff)
         fields["cut_off"] = true;
@@ -85,20 +82,6 @@
     return static_cast<missing_reason>(reader.choice("reason", words));
 }
 
-static bool parseRows(json::value const& value, std::vector<model::row>& rows)
-{
-    auto const* items = value.if_array();
-    if (!items)
-        return false;
-    for (auto const& item : *items) {
-        auto const* pair = item.if_array();
-        if (!pair || pair->size() != 2 || !(*pair)[0].is_string() || !(*pair)[1].is_string())
-            return false;
-        rows.push_back({ std::string { (*pair)[0].get_string() }, std::string { (*pair)[1].get_string() } });
-    }
-    return true;
-}
-
 errors::error_or<model::answer> parseAnswer(std::string_view body)
 {
     static constexpr auto anyNumber = std::numeric_limits<std::uint64_t>::max();
@@ -122,8 +105,7 @@
             answer.covered.missing.push_back({ static_cast<std::uint32_t>(shard.number("shard", 0, anyNumber)), parseReason(shard) });
         });
     });
-    auto const* rows = value->get_object().if_contains("rows");
-    if (!rows || !parseRows(*rows, answer.rows))
+    if (!parseRows(value->get_object().if_contains("rows"), answer.rows))
         problems.emplace_back("rows: expected a list of pairs of texts");
     if (!problems.empty())
         return errors::fail(errors::error_kind::internal, boost::algorithm::join(problems, "; "));
--- a/Libraries/zinnialedge/wire/http_server.cpp
+++ b/Libraries/zinnialedge/wire/http_server.cpp
@@ -1,5 +1,6 @@
 #include "Libraries/zinnialedge/wire/http_server.h"
 
+#include "Libraries/zinnialedge/wire/tcp_listener.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -27,7 +28,7 @@
     {
     }
 
-    errors::error_or<void> open(model::endpoint const& place);
+    errors::error_or<void> open(model::endpoint const& place) { return listenAt(m_acceptor, place); }
     void accept();
     void remove(http_connection_session* session) { m_sessions.erase(session); }
     void cutConnections();
@@ -182,25 +183,6 @@
     bool m_isKeepAlive { true };
 };
 
-errors::error_or<void> http_server::implementation::open(model::endpoint const& place)
-{
-    beast::error_code failure;
-    auto const address = asio::ip::make_address(place.address, failure);
-    if (failure)
-        return errors::fail(errors::error_kind::internal, "not an IP number: " + place.address);
-    tcp::endpoint const local { address, place.port };
-    m_acceptor.open(local.protocol(), failure);
-    if (!failure)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
-    if (!failure)
-        m_acceptor.bind(local, failure);
-    if (!failure)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, failure);
-    if (failure)
-        return errors::fail(errors::error_kind::internal, "can't listen on " + toString(place) + ": " + failure.message());
-    return {};
-}
-
 void http_server::implementation::accept()
 {
     m_acceptor.async_accept([self = shared_from_this()](beast::error_code failure, tcp::socket socket) {
--- a/Libraries/zinnialedge/wire/leaf_codec.cpp
+++ b/Libraries/zinnialedge/wire/leaf_codec.cpp
@@ -1,5 +1,6 @@
 #include "Libraries/zinnialedge/wire/leaf_codec.h"
 
+#include "Libraries/zinnialedge/wire/row_codec.h"
 #include <array>
 #include <boost/json.hpp>
 
@@ -119,15 +120,11 @@
 std::string formatLeafAnswer(leaf_call const& call, leaf_status const& status, std::vector<model::row> const& rows)
 {
     auto fields = describe(status);
-    json::array items;
-    items.reserve(rows.size());
-    for (auto const& row : rows)
-        items.push_back({ row.key, row.value });
     fields["call"] = call.call;
     fields["shard"] = call.shard;
     fields["epoch"] = call.pin.epoch;
     fields["version"] = call.pin.version;
-    fields["rows"] = std::move(items);
+    fields["rows"] = formatRows(rows);
     return json::serialize(fields);
 }
 
@@ -172,21 +169,6 @@
     return outcome;
 }
 
-static bool readRows(json::object const& fields, std::vector<model::row>& rows)
-{
-    auto const* value = fields.if_contains("rows");
-    if (!value || !value->is_array())
-        return false;
-    rows.reserve(value->get_array().size());
-    for (auto const& item : value->get_array()) {
-        auto const* pair = item.if_array();
-        if (!pair || pair->size() != 2 || !(*pair)[0].is_string() || !(*pair)[1].is_string())
-            return false;
-        rows.push_back({ std::string { (*pair)[0].get_string() }, std::string { (*pair)[1].get_string() } });
-    }
-    return true;
-}
-
 leaf_outcome parseLeafReply(http_response const& response, std::string_view call)
 {
     json::error_code failure;
@@ -210,7 +192,7 @@
     auto const shard = readNumber(*fields, "shard");
     auto const epoch = readNumber(*fields, "epoch");
     auto const version = readNumber(*fields, "version");
-    if (response.status != statusOk || !shard || !epoch || !version || !readRows(*fields, outcome.rows))
+    if (response.status != statusOk || !shard || !epoch || !version || !parseRows(fields->if_contains("rows"), outcome.rows))
         return makeFailure("the reply lacks a field");
     outcome.kind = leaf_outcome_kind::answered;
     outcome.shard = static_cast<std::uint32_t>(*shard);
--- a/Libraries/zinnialedge/wire/membership_codec.cpp
+++ b/Libraries/zinnialedge/wire/membership_codec.cpp
@@ -1,15 +1,11 @@
 #include "Libraries/zinnialedge/wire/membership_codec.h"
 
+#include "Libraries/zinnialedge/wire/compact_bytes.h"
 #include "Libraries/zinnialedge/wire/generated/peer_messages_types.h"
 #include <boost/asio/ip/address.hpp>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 namespace zinnialedge::wire {
 
-using apache::thrift::TException;
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
 using errors::error_kind;
 using membership::datagram;
 using membership::datagram_kind;
@@ -54,10 +50,7 @@
     for (auto const& update : content.updates)
         encoded.updates.push_back(toThrift(update));
     encoded.__set_isLastPage(content.isLastPage);
-    auto const buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocolT<TMemoryBuffer> protocol { buffer };
-    encoded.write(&protocol);
-    return buffer->getBufferAsString();
+    return toCompactBytes(encoded);
 }
 
 static errors::error_or<model::endpoint> parsePlace(generated::Place const& place)
@@ -124,16 +117,10 @@
 
 errors::error_or<datagram> decodeDatagram(std::string_view bytes)
 {
-    generated::MembershipDatagram decoded;
-    try {
-        std::string copy { bytes };
-        auto const buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(copy.data()), static_cast<std::uint32_t>(copy.size()));
-        TCompactProtocolT<TMemoryBuffer> protocol { buffer };
-        decoded.read(&protocol);
-    } catch (TException const& failure) {
-        return errors::fail(error_kind::malformed_request, std::string { "not a datagram: " } + failure.what());
-    }
-    return parseDatagram(decoded);
+    auto const decoded = fromCompactBytes<generated::MembershipDatagram>(bytes, "datagram");
+    if (!decoded)
+        return tl::unexpected(decoded.error());
+    return parseDatagram(*decoded);
 }
 
 }
--- a/Libraries/zinnialedge/wire/peer_codec.cpp
+++ b/Libraries/zinnialedge/wire/peer_codec.cpp
@@ -1,16 +1,11 @@
 #include "Libraries/zinnialedge/wire/peer_codec.h"
 
+#include "Libraries/zinnialedge/wire/compact_bytes.h"
 #include "Libraries/zinnialedge/wire/generated/peer_messages_types.h"
 #include <boost/endian/conversion.hpp>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 namespace zinnialedge::wire {
 
-using apache::thrift::TException;
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-
 static generated::RelayedQuery toThrift(model::query_request const& request)
 {
     generated::RelayedQuery query;
@@ -166,10 +161,7 @@
     generated::PeerMessage encoded;
     encoded.__set_call(static_cast<std::int64_t>(message.call));
     std::visit([&](auto const& content) { fillContent(encoded, content); }, message.content);
-    auto const buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocolT<TMemoryBuffer> protocol { buffer };
-    encoded.write(&protocol);
-    auto const bytes = buffer->getBufferAsString();
+    auto const bytes = toCompactBytes(encoded);
     std::string framed(peerLengthBytes, '\0');
     boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(framed.data()), static_cast<std::uint32_t>(bytes.size()));
     return framed + bytes;
@@ -177,15 +169,10 @@
 
 errors::error_or<peer_message> decodePeerMessage(std::string_view bytes)
 {
-    generated::PeerMessage decoded;
-    try {
-        std::string copy { bytes };
-        auto const buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(copy.data()), static_cast<std::uint32_t>(copy.size()));
-        TCompactProtocolT<TMemoryBuffer> protocol { buffer };
-        decoded.read(&protocol);
-    } catch (TException const& failure) {
-        return errors::fail(errors::error_kind::malformed_request, std::string { "not a peer message: " } + failure.what());
-    }
+    auto const parsed = fromCompactBytes<generated::PeerMessage>(bytes, "peer message");
+    if (!parsed)
+        return tl::unexpected(parsed.error());
+    auto const& decoded = *parsed;
     peer_message message;
     message.call = static_cast<std::uint64_t>(decoded.call);
     if (decoded.__isset.query)
--- /dev/null
+++ b/Libraries/zinnialedge/wire/tcp_listener.cpp
@@ -0,0 +1,27 @@
+#include "Libraries/zinnialedge/wire/tcp_listener.h"
+
+namespace zinnialedge::wire {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+errors::error_or<void> listenAt(tcp::acceptor& acceptor, model::endpoint const& place)
+{
+    boost::system::error_code failure;
+    auto const address = asio::ip::make_address(place.address, failure);
+    if (failure)
+        return errors::fail(errors::error_kind::internal, "not an IP number: " + place.address);
+    tcp::endpoint const local { address, place.port };
+    acceptor.open(local.protocol(), failure);
+    if (!failure)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    if (!failure)
+        acceptor.bind(local, failure);
+    if (!failure)
+        acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    if (failure)
+        return errors::fail(errors::error_kind::internal, "can't listen on " + toString(place) + ": " + failure.message());
+    return {};
+}
+
+}
--- a/Services/peers/peer_service.cpp
+++ b/Services/peers/peer_service.cpp
@@ -1,6 +1,8 @@
 #include "Services/peers/peer_service.h"
 
+#include "Kernel/try.h"
 #include "Libraries/zinnialedge/wire/membership_codec.h"
+#include "Libraries/zinnialedge/wire/tcp_listener.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 
@@ -33,42 +35,33 @@
     m_decisions.connectPeers(m_duty.makeInbox<decisions::peer_action>(actionCapacity, [this](decisions::peer_action&& action) { handle(std::move(action)); }));
 }
 
-error_code peer_service::bind(tcp::endpoint const& local)
+errors::error_or<void> peer_service::bind(model::endpoint const& place)
 {
+    TRY_VOID(wire::listenAt(m_acceptor, place));
     error_code failure;
-    m_acceptor.open(local.protocol(), failure);
+    udp::endpoint const local { asio::ip::make_address(place.address), m_acceptor.local_endpoint(failure).port() };
     if (!failure)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+        m_datagrams.open(local.protocol(), failure);
     if (!failure)
-        m_acceptor.bind(local, failure);
-    if (!failure)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, failure);
-    udp::endpoint const place { local.address(), failure ? local.port() : m_acceptor.local_endpoint(failure).port() };
-    if (!failure)
-        m_datagrams.open(place.protocol(), failure);
-    if (!failure)
-        m_datagrams.bind(place, failure);
+        m_datagrams.bind(local, failure);
     if (!failure)
         m_datagrams.non_blocking(true, failure);
-    return failure;
+    if (failure)
+        return errors::fail(error_kind::internal, "can't receive datagrams at " + toString(place) + ": " + failure.message());
+    return {};
 }
 
 errors::error_or<void> peer_service::listen(model::endpoint const& place)
 {
-    error_code failure;
-    tcp::endpoint const local { asio::ip::make_address(place.address, failure), place.port };
-    if (!failure)
-        failure = bind(local);
+    auto bound = bind(place);
     // A free port of one protocol may be taken in the other.
-    for (int attempt = 1; failure && place.port == 0 && attempt < bindAttempts; ++attempt) {
+    for (int attempt = 1; !bound && place.port == 0 && attempt < bindAttempts; ++attempt) {
         error_code ignored;
         m_acceptor.close(ignored);
         m_datagrams.close(ignored);
-        failure = bind(local);
+        bound = bind(place);
     }
-    if (failure)
-        return errors::fail(error_kind::internal, "can't listen on " + toString(place) + ": " + failure.message());
-    return {};
+    return bound;
 }
 
 std::uint16_t peer_service::port() const
--- a/Services/peers/peer_service.h
+++ b/Services/peers/peer_service.h
@@ -45,7 +45,7 @@
 
     explicit peer_service(decisions::decision_service&);
     errors::error_or<void> listen(model::endpoint const&);
-    boost::system::error_code bind(boost::asio::ip::tcp::endpoint const&);
+    errors::error_or<void> bind(model::endpoint const&);
     void accept();
     void serve(boost::asio::ip::tcp::socket);
     connection connectTo(model::endpoint const&);
--- a/Tests/Experiments/experiment.cpp
+++ b/Tests/Experiments/experiment.cpp
@@ -118,6 +118,7 @@
         cluster.startService(std::move(plan));
     }
     std::vector<running_daemon> daemons;
+    daemons.reserve(run.daemons);
     for (unsigned index = 0; index < run.daemons; ++index) {
         daemons.push_back(cluster.startDaemon(daemonNames.at(index), "suva", "suva-a", [&](boost::json::object& file) {
             file["load_policy"] = settings.isPolicyFull ? "full" : "naive";
