Targets: End the calls that wait for a leaf that is removed

Cause: a pool that was resized to nothing kept the calls that waited for a connection; they never ended, so the leaf's count of calls in flight leaked. They are now reported as not sent, and a closed pool is forgotten. Found by reading.

--- a/Services/targets/leaf_pool.cpp
+++ b/Services/targets/leaf_pool.cpp
@@ -33,6 +33,8 @@
     m_wanted = connections;
     while (!m_idle.empty() && openCount() > m_wanted)
         m_idle.pop_back();
+    if (m_wanted == 0)
+        failWaiting("the leaf is not called any more");
     openMissing();
 }
 
@@ -66,8 +68,13 @@
     }
     ++m_failuresInARow;
     m_hooks.statusSeen({ m_handle, std::nullopt, 0 });
+    failWaiting("no connection");
+}
+
+void leaf_pool::failWaiting(std::string const& reason)
+{
     for (auto const& call : std::exchange(m_waiting, {}))
-        reportUnsent(call.call, "no connection");
+        reportUnsent(call.call, reason);
 }
 
 void leaf_pool::shrink()
--- a/Services/targets/leaf_pool.h
+++ b/Services/targets/leaf_pool.h
@@ -60,6 +60,8 @@
     /// True when the call is past its deadline; it is then reported as not sent.
     bool isTooLate(queries::send_leaf_call const&);
     void reportUnsent(queries::call_id, std::string reason);
+    /// Reports every call that waits for a connection as not sent.
+    void failWaiting(std::string const& reason);
     client takeIdle();
 
     boost::asio::io_context& m_context;
--- a/Services/targets/target_service.cpp
+++ b/Services/targets/target_service.cpp
@@ -96,6 +96,7 @@
 
 void target_service::refreshPools()
 {
+    std::erase_if(m_pools, [](auto const& entry) { return entry.second->isClosed(); });
     for (auto const& [handle, pool] : m_pools)
         pool->refresh();
 }
--- a/Tests/Unit/leaf_pool_test.cpp
+++ b/Tests/Unit/leaf_pool_test.cpp
@@ -59,15 +59,21 @@
         CHECK(condition());
     }
 
-    void callOnce()
+    void send(queries::call_id id)
     {
         queries::send_leaf_call call;
-        call.call = m_ended + 1;
+        call.call = id;
         call.pin = { 1, 1 };
         call.deadline = std::chrono::steady_clock::now() + std::chrono::seconds { 30 };
         call.request = std::make_shared<model::query_request const>();
         m_pool->send(call);
-        runUntil([this, &call] { return m_ended == call.call; });
+    }
+
+    void callOnce()
+    {
+        auto const id = m_ended + 1;
+        send(id);
+        runUntil([this, id] { return m_ended == id; });
     }
 };
 
@@ -78,6 +84,16 @@
     LONGS_EQUAL(2, m_statusRequests);
 }
 
+TEST(LeafPool, CallsThatWaitForALeafThatIsRemovedEndAsNotSent)
+{
+    send(1);
+    send(2);
+    m_pool->resize(0);
+    LONGS_EQUAL(1, m_ended);
+    runUntil([this] { return m_ended == 2; });
+    CHECK(m_pool->isClosed());
+}
+
 TEST(LeafPool, AReplyStandsInForAStatusRequest)
 {
     callOnce();
