Wire: Refuse idempotency_key until it is honoured

The field was read and then ignored, so a caller could believe that its key protected it. It is an unknown field now, and the error says so.

--- a/Libraries/zinnialedge/model/query.h
+++ b/Libraries/zinnialedge/model/query.h
@@ -34,7 +34,6 @@
     std::string key;
     std::string body;
     std::string ticket;
-    std::string idempotencyKey;
     /// Zero for the service's own deadline.
     std::chrono::milliseconds deadline { 0 };
     /// True when another daemon passed it on; it is then never passed on again.
--- a/Libraries/zinnialedge/wire/caller_codec.cpp
+++ b/Libraries/zinnialedge/wire/caller_codec.cpp
@@ -26,7 +26,6 @@
         request.key = reader.text("key", "");
         request.body = reader.text("body", "");
         request.ticket = reader.text("ticket", "");
-        request.idempotencyKey = reader.text("idempotency_key", "");
         request.deadline = reader.has("deadline_ms") ? reader.milliseconds("deadline_ms", 1, maximumDeadlineMilliseconds) : std::chrono::milliseconds { 0 };
         if (request.id.size() > maximumIdLength)
             reader.report("id", "at most " + std::to_string(maximumIdLength) + " bytes");
@@ -47,7 +46,6 @@
     addText("key", request.key);
     addText("body", request.body);
     addText("ticket", request.ticket);
-    addText("idempotency_key", request.idempotencyKey);
     if (request.deadline.count() > 0)
         fields["deadline_ms"] = request.deadline.count();
     return json::serialize(fields);
--- a/Libraries/zinnialedge/wire/peer_codec.cpp
+++ b/Libraries/zinnialedge/wire/peer_codec.cpp
@@ -15,7 +15,6 @@
     query.__set_key(request.key);
     query.__set_body(request.body);
     query.__set_ticket(request.ticket);
-    query.__set_idempotencyKey(request.idempotencyKey);
     query.__set_deadlineMilliseconds(request.deadline.count());
     return query;
 }
@@ -29,7 +28,6 @@
         .key = query.key,
         .body = query.body,
         .ticket = query.ticket,
-        .idempotencyKey = query.idempotencyKey,
         .deadline = std::chrono::milliseconds { query.deadlineMilliseconds },
         .isRelayed = true,
     };
--- a/Libraries/zinnialedge/wire/peer_messages.thrift
+++ b/Libraries/zinnialedge/wire/peer_messages.thrift
@@ -11,7 +11,6 @@
     4: string key;
     5: string body;
     6: string ticket;
-    7: string idempotencyKey;
     /// What is left of the deadline.
     8: required i64 deadlineMilliseconds;
 }
