Operators: Keep the parsed state while its leafs are listed

Cause: 'show targets' walked a part of a JSON value that had already gone, and ended the whole daemon. Found by running the documented commands by hand. Red: TheControlToolTellsEachOutcomeByItsExitCode, exit code 3 (daemon not reached) in place of 0; the test now runs every kind of show. No other loop of the kind is in the tree.

--- a/Services/operators/command_handler.cpp
+++ b/Services/operators/command_handler.cpp
@@ -212,7 +212,8 @@
     auto const answer = onOperatorsThread(respond);
     auto const receive = [answer, shown](std::string const& state) {
         json::array list;
-        for (auto const& leaf : json::parse(state).at("leafs").as_array()) {
+        auto const parsed = json::parse(state);
+        for (auto const& leaf : parsed.at("leafs").as_array()) {
             bool const isWanted = leaf.at("service").as_string() == shown.service && (shown.state.empty() || leaf.at("state").as_string() == shown.state);
             if (isWanted)
                 list.push_back(leaf);
--- a/Tests/Faults/configuration_commands_test.cpp
+++ b/Tests/Faults/configuration_commands_test.cpp
@@ -151,6 +151,9 @@
     LONGS_EQUAL(2, control({ "drain", "target", "t9", "of", "a" }));
     LONGS_EQUAL(2, control({ "apply", "/nonexistent" }));
     LONGS_EQUAL(0, control({ "show", "services", "--as=declarations" }));
+    LONGS_EQUAL(0, control({ "show", "targets", "of", "a" }));
+    LONGS_EQUAL(0, control({ "show", "targets", "of", "a", "where", "state", "=", "draining" }));
+    LONGS_EQUAL(0, control({ "show", "daemons" }));
     LONGS_EQUAL(0, control({ "state" }));
     CHECK(stored("a")->targets.front().isDraining);
     running->daemon("suva-1").process->signal(SIGKILL);
