--- a/Daemons/zinnialedged/daemon.cpp
+++ b/Daemons/zinnialedged/daemon.cpp
@@ -116,8 +116,8 @@
     auto& callers = m_registry.find<caller_service>(caller_service::serviceName);
     auto& peers = m_registry.find<peer_service>(peer_service::serviceName);
     auto const callersWaiting = waitForCount([&](auto receiver) { return callers.requestWaitingCount(std::move(receiver)); });
-    auto const guests = waitForCount([&](auto receiver) { return peers.requestGuestCount(std::move(receiver)); });
-    return callersWaiting == 0 && guests == 0;
+    auto const inboundRelays = waitForCount([&](auto receiver) { return peers.requestInboundCount(std::move(receiver)); });
+    return callersWaiting == 0 && inboundRelays == 0;
 }
 
 static void logUnlessDone(bool isDone, std::string_view step)
@@ -146,7 +146,7 @@
     auto& peers = m_registry.find<peer_service>(peer_service::serviceName);
     auto const isSaid = waitForCount([&](std::function<void(std::size_t)> const& receiver) { return decisions.announceStop([receiver] { receiver(0); }); });
     // The peers' duty empties its ring before it answers, so the datagrams are out by then.
-    auto const isSent = waitForCount([&](auto receiver) { return peers.requestGuestCount(std::move(receiver)); });
+    auto const isSent = waitForCount([&](auto receiver) { return peers.requestInboundCount(std::move(receiver)); });
     logUnlessDone(isSaid && isSent, "announce_stop");
 }
 
--- a/Libraries/zinnialedge/membership/membership_engine.cpp
+++ b/Libraries/zinnialedge/membership/membership_engine.cpp
@@ -13,7 +13,7 @@
 /// With fewer living members, others are looked for in each interval.
 static constexpr std::size_t enoughMembers = 3;
 static constexpr std::size_t contactsAtOnce = 3;
-static constexpr std::size_t newsReceivers = 3;
+static constexpr std::size_t tellReceivers = 3;
 /// Bytes of a datagram besides sender, subject and updates.
 static constexpr std::size_t fixedDatagramBytes = 64;
 static constexpr std::chrono::milliseconds exchangeInterval { 500 };
@@ -37,7 +37,7 @@
         m_nextContactAt = now;
     }
     if (now > *m_nextProbeAt + m_settings.probeInterval)
-        forgiveAfterPause(now);
+        restartTimersAfterPause(now);
     std::visit([&](auto const& each) { handle(each, now); }, event);
     return std::exchange(m_actions, {});
 }
@@ -56,7 +56,7 @@
     return next;
 }
 
-void membership_engine::forgiveAfterPause(kernel::time_point now)
+void membership_engine::restartTimersAfterPause(kernel::time_point now)
 {
     m_probe = std::nullopt;
     for (auto& [name, end] : m_suspicionEnds)
@@ -222,7 +222,7 @@
     m_self.status = declared.status;
     m_self.record.isLeaving = declared.status == member_status::leaving;
     ++m_self.version;
-    spreadNews({});
+    tellAtOnce({});
 }
 
 void membership_engine::handle(configuration_changed const& changed, kernel::time_point)
@@ -269,7 +269,7 @@
     if (!isOfThisProcess || !isWrong || m_self.status == member_status::dead)
         return;
     m_self.version = update.version + 1;
-    spreadNews({});
+    tellAtOnce({});
 }
 
 void membership_engine::suspect(std::string const& name, kernel::time_point now)
@@ -280,13 +280,13 @@
     auto update = *known;
     update.status = member_status::suspect;
     learn(update, now);
-    spreadNews(name);
+    tellAtOnce(name);
 }
 
-void membership_engine::spreadNews(std::string const& about)
+void membership_engine::tellAtOnce(std::string const& about)
 {
     // A head start for what began here; the rest of the way it rides on the probes.
-    for (std::size_t sent = 0; sent < newsReceivers; ++sent) {
+    for (std::size_t sent = 0; sent < tellReceivers; ++sent) {
         auto const name = m_members.pick(about);
         if (!name)
             return;
@@ -319,7 +319,7 @@
     if (now >= *m_nextProbeAt)
         beginProbe(now);
     if (now >= m_nextContactAt)
-        contactStrangers(now);
+        pingUnknownDaemons(now);
     if (m_nextPage && now >= m_nextPage->at)
         askForMembers(m_nextPage->place, now);
 }
@@ -353,33 +353,34 @@
 
 void membership_engine::askOthersToPing()
 {
-    std::set<std::string> helpers;
-    for (std::size_t attempt = 0; attempt < 2 * m_settings.indirectProbes && helpers.size() < m_settings.indirectProbes; ++attempt) {
-        if (auto const helper = m_members.pick(m_probe->target))
-            helpers.insert(*helper);
+    std::set<std::string> intermediaries;
+    for (std::size_t attempt = 0; attempt < 2 * m_settings.indirectProbes && intermediaries.size() < m_settings.indirectProbes; ++attempt) {
+        if (auto const intermediary = m_members.pick(m_probe->target))
+            intermediaries.insert(*intermediary);
     }
-    for (auto const& helper : helpers) {
+    for (auto const& intermediary : intermediaries) {
         auto request = makeDatagram(datagram_kind::ping_request, m_probe->sequence, m_probe->target);
         request.subjectPlace = m_members.find(m_probe->target)->record.peers;
-        send(m_members.find(helper)->record.peers, std::move(request));
+        send(m_members.find(intermediary)->record.peers, std::move(request));
     }
     // A second direct try, in case one datagram was lost.
     auto ping = makeDatagram(datagram_kind::ping, m_probe->sequence, m_probe->target);
     send(m_members.find(m_probe->target)->record.peers, std::move(ping));
 }
 
-void membership_engine::contactStrangers(kernel::time_point now)
+void membership_engine::pingUnknownDaemons(kernel::time_point now)
 {
     m_nextContactAt = now + (knowsFew() ? m_settings.probeInterval : m_settings.contactInterval);
-    std::set<model::endpoint> strangers { m_settings.seeds.begin(), m_settings.seeds.end() };
-    for (auto const& [name, record] : m_registered)
+    std::set<model::endpoint> unknown { m_settings.seeds.begin(), m_settings.seeds.end() };
+    for (auto const& [name, record] : m_registered) {
         if (!record.isLeaving)
-            strangers.insert(record.peers);
+            unknown.insert(record.peers);
+    }
     for (auto const& name : m_members.dead())
-        strangers.insert(m_members.find(name)->record.peers);
-    strangers.erase(m_self.record.peers);
-    std::erase_if(strangers, [this](auto const& place) { return m_members.isLivingAt(place); });
-    std::vector<model::endpoint> places { strangers.begin(), strangers.end() };
+        unknown.insert(m_members.find(name)->record.peers);
+    unknown.erase(m_self.record.peers);
+    std::erase_if(unknown, [this](auto const& place) { return m_members.isLivingAt(place); });
+    std::vector<model::endpoint> places { unknown.begin(), unknown.end() };
     for (std::size_t sent = 0; sent < (knowsFew() ? contactsAtOnce : 1) && !places.empty(); ++sent) {
         auto const chosen = places.begin() + static_cast<std::ptrdiff_t>(m_random() % places.size());
         auto ping = makeDatagram(datagram_kind::ping, 0, {});
--- a/Libraries/zinnialedge/membership/membership_engine.h
+++ b/Libraries/zinnialedge/membership/membership_engine.h
@@ -131,13 +131,13 @@
     void beginProbe(kernel::time_point);
     void askOthersToPing();
     void suspect(std::string const& name, kernel::time_point);
-    /// Tells a few random members at once, but not the one that the news is about.
-    void spreadNews(std::string const& about);
+    /// Tells a few random members at once, but not the one that the update is about.
+    void tellAtOnce(std::string const& about);
     void endSuspicions(kernel::time_point);
-    void contactStrangers(kernel::time_point);
+    void pingUnknownDaemons(kernel::time_point);
     void askForMembers(model::endpoint const&, kernel::time_point);
     /// After a pause of this process, silence of others proves nothing.
-    void forgiveAfterPause(kernel::time_point);
+    void restartTimersAfterPause(kernel::time_point);
     bool knowsFew() const;
     std::chrono::milliseconds suspicionTimeout() const;
     std::size_t tellLimit() const;
--- a/Libraries/zinnialedge/membership/update_queue.h
+++ b/Libraries/zinnialedge/membership/update_queue.h
@@ -8,7 +8,7 @@
 
 namespace zinnialedge::membership {
 
-/// The names of members of whom there is news. Those told least often go first; each is told a limited number of times.
+/// The names of members with updates to tell. Those told least often go first; each is told a limited number of times.
 class update_queue {
 public:
     /// Its count starts again when it waits already.
--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -155,7 +155,7 @@
             settleAtSoftDeadline(*asking);
             break;
         case timer_kind::caller_deadline:
-            answerImpatientCallers(*asking, now);
+            answerCallersPastDeadline(*asking, now);
             break;
         case timer_kind::relay_deadline:
             break;
--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -202,7 +202,7 @@
     void settleAtDeadline(query&);
     void settleAtSoftDeadline(query&);
     /// Answers the callers who joined with a deadline that is earlier than that of the running request.
-    void answerImpatientCallers(query&, kernel::time_point);
+    void answerCallersPastDeadline(query&, kernel::time_point);
     bool hasSoftShare(query const&) const;
     model::answer_or_error resultOf(query&);
     void settle(query&, model::answer_or_error);
--- a/Libraries/zinnialedge/queries/query_settle.cpp
+++ b/Libraries/zinnialedge/queries/query_settle.cpp
@@ -49,7 +49,7 @@
         settle(asking, resultOf(asking));
 }
 
-void query_engine::answerImpatientCallers(query& asking, time_point now)
+void query_engine::answerCallersPastDeadline(query& asking, time_point now)
 {
     std::erase_if(asking.callers, [&](waiting_caller const& caller) {
         if (caller.deadline > now)
--- a/Services/peers/peer_service.cpp
+++ b/Services/peers/peer_service.cpp
@@ -94,7 +94,7 @@
     auto const self = std::make_shared<std::weak_ptr<peer_connection>>();
     auto const received = [this, self](wire::peer_message message) {
         if (auto const origin = self->lock())
-            handleGuest(origin, std::move(message));
+            handleInbound(origin, std::move(message));
     };
     auto const made = std::make_shared<peer_connection>(std::move(socket), peer_connection_hooks { received, [] { } });
     *self = made;
@@ -110,7 +110,7 @@
         ++m_droppedMessages;
 }
 
-void peer_service::handleGuest(connection const& origin, wire::peer_message message)
+void peer_service::handleInbound(connection const& origin, wire::peer_message message)
 {
     if (auto* object = std::get_if<configuration::stored_object>(&message.content)) {
         passOn(std::move(*object));
@@ -129,15 +129,15 @@
         origin->send({ message.call, model::answer_or_error { tl::unexpected(errors::error { error_kind::leaving, "the daemon is stopping", std::chrono::milliseconds { 0 } }) } });
         return;
     }
-    ++m_guestQueries;
-    auto const token = decisions::peerTokenBit | ++m_lastGuest;
-    m_guests.emplace(token, guest_call { origin, message.call });
+    ++m_inboundTotal;
+    auto const token = decisions::peerTokenBit | ++m_lastInbound;
+    m_inbound.emplace(token, inbound_relay { origin, message.call });
     // The answers to our own relays need room in the same ring.
     auto& inbox = m_decisions.peerInbox();
-    bool const hasRoom = m_guests.size() < actionCapacity && inbox.freeSlots() > m_relayed.size() + 1;
+    bool const hasRoom = m_inbound.size() < actionCapacity && inbox.freeSlots() > m_relayed.size() + 1;
     if (hasRoom && inbox.push(queries::query_arrived { token, std::move(*request) }))
         return;
-    m_guests.erase(token);
+    m_inbound.erase(token);
     origin->send({ message.call, model::answer_or_error { tl::unexpected(errors::error { error_kind::overloaded, "too many requests wait for a decision", overloadRetryAfter }) } });
 }
 
@@ -194,12 +194,12 @@
 
 void peer_service::perform(queries::answer_caller const& given)
 {
-    auto const found = m_guests.find(given.caller);
-    VERIFY(found != m_guests.end());
-    auto const guest = found->second;
-    m_guests.erase(found);
-    if (auto const origin = guest.origin.lock())
-        origin->send({ guest.call, given.result });
+    auto const found = m_inbound.find(given.caller);
+    VERIFY(found != m_inbound.end());
+    auto const inbound = found->second;
+    m_inbound.erase(found);
+    if (auto const origin = inbound.origin.lock())
+        origin->send({ inbound.call, given.result });
 }
 
 peer_service::connection peer_service::connectTo(model::endpoint const& place)
@@ -270,9 +270,9 @@
     return m_duty.post([this] { m_isRefusing = true; });
 }
 
-bool peer_service::requestGuestCount(std::function<void(std::size_t)> receiver)
+bool peer_service::requestInboundCount(std::function<void(std::size_t)> receiver)
 {
-    return m_duty.post([this, receiver = std::move(receiver)] { receiver(m_guests.size()); });
+    return m_duty.post([this, receiver = std::move(receiver)] { receiver(m_inbound.size()); });
 }
 
 bool peer_service::requestState(kernel::state_receiver receiver)
@@ -281,14 +281,14 @@
         receiver(boost::json::serialize(boost::json::object {
             { "connections", m_connections.size() },
             { "relays", m_relays },
-            { "guest_queries", m_guestQueries },
+            { "inbound_relays", m_inboundTotal },
             { "dropped_messages", m_droppedMessages },
             { "datagrams_sent", m_datagramsSent },
             { "datagram_bytes_sent", m_datagramBytesSent },
             { "datagrams_received", m_datagramsReceived },
             { "datagram_bytes_received", m_datagramBytesReceived },
             { "relays_in_flight", m_relayed.size() },
-            { "guests_in_flight", m_guests.size() },
+            { "inbound_in_flight", m_inbound.size() },
         }));
     });
 }
--- a/Services/peers/peer_service.h
+++ b/Services/peers/peer_service.h
@@ -24,7 +24,7 @@
     /// Takes no new queries of other daemons from now on; those in flight are answered.
     [[nodiscard]] bool beginRefusing();
     /// Asks how many queries of other daemons run here.
-    [[nodiscard]] bool requestGuestCount(std::function<void(std::size_t)>);
+    [[nodiscard]] bool requestInboundCount(std::function<void(std::size_t)>);
 
     static constexpr char const* serviceName = "peers";
 
@@ -38,7 +38,7 @@
     };
 
     /// A query of another daemon that runs here.
-    struct guest_call {
+    struct inbound_relay {
         std::weak_ptr<peer_connection> origin;
         std::uint64_t call { 0 };
     };
@@ -60,7 +60,7 @@
     template <typename T>
     void passOn(T&&);
     void perform(queries::abandon_relay const&);
-    void handleGuest(connection const&, wire::peer_message);
+    void handleInbound(connection const&, wire::peer_message);
     void handleAnswer(wire::peer_message);
     void handleClosed(model::endpoint const&);
     void finishRelay(std::uint64_t call, model::answer_or_error);
@@ -75,11 +75,11 @@
     std::map<model::endpoint, connection> m_connections;
     std::unordered_map<std::uint64_t, relayed_call> m_relayed;
     std::unordered_map<queries::caller_token, std::uint64_t> m_relayOfCaller;
-    std::unordered_map<queries::caller_token, guest_call> m_guests;
+    std::unordered_map<queries::caller_token, inbound_relay> m_inbound;
     std::uint64_t m_lastCall { 0 };
-    std::uint64_t m_lastGuest { 0 };
+    std::uint64_t m_lastInbound { 0 };
     std::uint64_t m_relays { 0 };
-    std::uint64_t m_guestQueries { 0 };
+    std::uint64_t m_inboundTotal { 0 };
     bool m_isRefusing { false };
     std::uint64_t m_droppedMessages { 0 };
     std::uint64_t m_datagramsSent { 0 };
