Wire, peers, decisions: Remove members that nothing calls

isBusy, hasWritten with its flag, and requestQueriesInFlight were left over from the first wiring. Found by reading the whole change.

--- a/Libraries/zinnialedge/wire/http_client.cpp
+++ b/Libraries/zinnialedge/wire/http_client.cpp
@@ -87,8 +87,6 @@
         return failure != asio::error::would_block;
     }
 
-    bool isBusy() const { return static_cast<bool>(m_done); }
-
 private:
     using executor = asio::io_context::executor_type;
     using clock = std::chrono::steady_clock;
--- a/Services/decisions/decision_service.cpp
+++ b/Services/decisions/decision_service.cpp
@@ -411,9 +411,4 @@
     return m_duty.post([this, receiver = std::move(receiver)] { receiver(describeMetrics()); });
 }
 
-bool decision_service::requestQueriesInFlight(std::function<void(std::size_t)> receiver)
-{
-    return m_duty.post([this, receiver = std::move(receiver)] { receiver(m_engine.queriesInFlight()); });
-}
-
 }
--- a/Services/decisions/decision_service.h
+++ b/Services/decisions/decision_service.h
@@ -46,9 +46,6 @@
     /// Tells the other daemons that this process ends. `done` runs on the decisions' thread.
     [[nodiscard]] bool announceStop(std::function<void()> done);
 
-    /// Asks how many queries are in flight; the answer comes on the decisions' thread.
-    [[nodiscard]] bool requestQueriesInFlight(std::function<void(std::size_t)>);
-
     /// Asks for the objects in force whose keys begin with the prefix; they come on the decisions' thread.
     [[nodiscard]] bool requestObjects(std::string prefix, std::function<void(std::vector<configuration::stored_object>)>);
 
--- a/Services/peers/peer_connection.cpp
+++ b/Services/peers/peer_connection.cpp
@@ -60,7 +60,6 @@
     if (!m_isOpen || m_isWriting || m_unwritten.empty())
         return;
     m_isWriting = true;
-    m_hasWritten = true;
     asio::async_write(m_socket, asio::buffer(m_unwritten.front()), [self = shared_from_this()](error_code failure, std::size_t) {
         self->m_isWriting = false;
         self->m_unwritten.pop_front();
--- a/Services/peers/peer_connection.h
+++ b/Services/peers/peer_connection.h
@@ -27,8 +27,6 @@
     void run();
     void send(wire::peer_message const&);
     void close();
-    /// True once a byte of any message may have left this process.
-    bool hasWritten() const { return m_hasWritten; }
 
 private:
     void readLength();
@@ -43,7 +41,6 @@
     bool m_isOpen { false };
     bool m_isClosed { false };
     bool m_isWriting { false };
-    bool m_hasWritten { false };
 };
 
 }
