--- /dev/null
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -0,0 +1,106 @@
+#include "Daemons/zinnialedge-edge/edge_daemon.h"
+
+#include "Kernel/event_log.h"
+#include "Kernel/try.h"
+#include "Libraries/zinnialedge/configuration/partner_keys.h"
+#include "Services/fleet/fleet_service.h"
+#include "Services/operators/operator_service.h"
+#include "Services/traffic/traffic_service.h"
+#include <boost/json.hpp>
+#include <future>
+#include <thread>
+
+namespace zinnialedge::daemons {
+
+using kernel::log_level;
+using kernel::logEvent;
+using services::fleet::fleet_service;
+using services::operators::operator_service;
+using services::traffic::traffic_service;
+
+static constexpr std::chrono::milliseconds idleCheckInterval { 20 };
+static constexpr std::chrono::milliseconds directoryValidity { 1000 };
+/// Some callers keep an answer of the directory three times as long as it is valid.
+static constexpr int validityFactor = 3;
+static constexpr std::chrono::milliseconds directorySlack { 300 };
+/// Left for the last answers to reach their callers before the process is killed.
+static constexpr std::chrono::milliseconds stopMargin { 600 };
+static constexpr std::chrono::milliseconds serviceAnswerTimeout { 200 };
+
+/// Later processes of one VM get higher numbers, unless its clock jumped.
+static std::uint64_t makeIncarnation()
+{
+    auto const sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+}
+
+edge_daemon::edge_daemon(configuration::edge_settings settings)
+    : m_settings(std::move(settings))
+    , m_incarnation(makeIncarnation())
+{
+}
+
+errors::error_or<std::unique_ptr<edge_daemon>> edge_daemon::create(configuration::edge_settings const& settings, edge_protocols protocols)
+{
+    std::unique_ptr<edge_daemon> made { new edge_daemon(settings) };
+    TRY_VOID(made->wire(std::move(protocols)));
+    return made;
+}
+
+errors::error_or<void> edge_daemon::wire(edge_protocols protocols)
+{
+    services::traffic::traffic_settings traffic;
+    traffic.callers = m_settings.callers;
+    traffic.engine.dataCentre = m_settings.dataCentre;
+    traffic.engine.extraCalls = { m_settings.extraCallRatio, m_settings.extraCallWindow, m_settings.extraCallSlack };
+    auto const serving = TRY(traffic_service::create(traffic, std::move(protocols.edge), kernel::makeRandom()));
+    services::fleet::fleet_settings fleet {
+        .name = m_settings.name,
+        .region = m_settings.region,
+        .dataCentre = m_settings.dataCentre,
+        .incarnation = m_incarnation,
+        .callers = { m_settings.callers.address, serving->port() },
+        .readiness = m_settings.readiness,
+        .directory = m_settings.directory,
+        .peers = m_settings.peers,
+        .store = m_settings.store,
+        .seeds = m_settings.seeds,
+        .directoryValidity = directoryValidity,
+    };
+    auto const knowing = TRY(fleet_service::create(std::move(fleet), std::move(protocols.store), *serving));
+    boost::json::object const about { { "daemon", m_settings.name }, { "callers", toString(m_settings.callers) }, { "data_centre", m_settings.dataCentre }, { "incarnation", m_incarnation }, { "version", ZINNIALEDGE_VERSION } };
+    auto const operators = TRY(operator_service::create(m_settings.operators, boost::json::serialize(about), TRY(configuration::partner_keys::load({})), m_registry));
+    // They stop in the opposite order: the traffic last, since the others tell it what they know.
+    m_registry.add(serving);
+    m_registry.add(knowing);
+    m_registry.add(operators);
+    return {};
+}
+
+void edge_daemon::start()
+{
+    m_registry.startAll();
+    logEvent(log_level::info, "started", { { "callers", toString(m_settings.callers) }, { "data_centre", m_settings.dataCentre }, { "incarnation", m_incarnation }, { "version", ZINNIALEDGE_VERSION } });
+}
+
+void edge_daemon::leave(std::function<bool()> const& isHurried)
+{
+    auto& fleet = m_registry.find<fleet_service>(fleet_service::serviceName);
+    auto& traffic = m_registry.find<traffic_service>(traffic_service::serviceName);
+    auto const begunAt = std::chrono::steady_clock::now();
+    if (!fleet.announceLeaving())
+        logEvent(log_level::warn, "stop_step_failed", { { "step", "leaving" } });
+    auto const latest = begunAt + m_settings.stopTime - stopMargin;
+    auto const noCallersAt = std::min(begunAt + directoryValidity * validityFactor + directorySlack, latest);
+    auto const now = [] { return std::chrono::steady_clock::now(); };
+    while (!isHurried() && now() < latest && (now() < noCallersAt || traffic.requestsInFlight() > 0))
+        std::this_thread::sleep_for(idleCheckInterval);
+    auto const said = std::make_shared<std::promise<void>>();
+    if (!fleet.announceStop([said] { said->set_value(); }) || said->get_future().wait_for(serviceAnswerTimeout) != std::future_status::ready)
+        logEvent(log_level::warn, "stop_step_failed", { { "step", "announce_stop" } });
+    auto const left = traffic.requestsInFlight();
+    m_registry.stopAll();
+    logEvent(log_level::info, "stopped", { { "requests_interrupted", left } });
+}
+
+}
--- a/Kernel/event_log.h
+++ b/Kernel/event_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -35,11 +36,14 @@
     }
 };
 
-/// Sets up the log of this process on standard error. Call it once, first.
+/// Sets up the log of this process on standard output. Call it once, first. A thread of its own writes the lines; whoever
+/// logs never waits for it.
 void openLog(std::string_view process, std::string_view level);
 /// False when there is no such level.
 bool setLogLevel(std::string_view level);
 std::string logLevel();
+/// How many lines were left out since the start because too many waited.
+std::uint64_t droppedLogLines();
 /// Writes one line "event=NAME key=value ...".
 void logEvent(log_level, std::string_view event, std::initializer_list<log_field> fields = {});
 
--- /dev/null
+++ b/Libraries/zinnialedge/configuration/edge_settings.cpp
@@ -0,0 +1,52 @@
+#include "Libraries/zinnialedge/configuration/edge_settings.h"
+
+#include "Libraries/zinnialedge/configuration/json_reader.h"
+
+namespace zinnialedge::configuration {
+
+static constexpr double longestWindowSeconds = 3600;
+static constexpr double mostExtraCalls = 1e6;
+static constexpr double longestStopSeconds = 600;
+
+static void parseExtraCalls(json_reader& reader, edge_settings& settings)
+{
+    settings.extraCallRatio = reader.real("ratio", 0, 1);
+    settings.extraCallWindow = std::chrono::seconds { static_cast<std::int64_t>(reader.real("window_s", 1, longestWindowSeconds)) };
+    settings.extraCallSlack = reader.real("slack", 0, mostExtraCalls);
+}
+
+tl::expected<edge_settings, std::vector<std::string>> parseEdgeSettings(std::string_view text)
+{
+    std::vector<std::string> problems;
+    auto const value = parseJson(text, problems);
+    if (!value)
+        return tl::unexpected(problems);
+    json_reader reader { *value, problems };
+    edge_settings settings;
+    settings.name = reader.text("name");
+    settings.region = reader.text("region");
+    settings.dataCentre = reader.text("data_centre");
+    settings.callers = reader.place("callers");
+    settings.readiness = reader.place("readiness");
+    settings.directory = reader.place("directory");
+    settings.peers = reader.place("peers");
+    settings.operators = reader.place("operators");
+    settings.store = reader.place("store");
+    for (auto const& each : reader.texts("seeds")) {
+        auto const place = model::parseEndpoint(each);
+        if (place)
+            settings.seeds.push_back({ place->address, settings.peers.port });
+        else
+            reader.report("seeds", "places like \"10.0.0.1:7380\"");
+    }
+    reader.object("extra_calls", true, [&](json_reader& item) { parseExtraCalls(item, settings); });
+    settings.stopTime = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("stop_time_s", 1, longestStopSeconds) * 1000) };
+    static std::vector<std::string_view> const levels { "trace", "debug", "info", "warn", "error" };
+    settings.logLevel = std::string { levels[reader.choice("log_level", levels, 2)] };
+    reader.finish();
+    if (!problems.empty())
+        return tl::unexpected(problems);
+    return settings;
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/configuration/edge_settings.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Libraries/zinnialedge/model/endpoint.h"
+#include <chrono>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace zinnialedge::configuration {
+
+/// The settings file of a daemon that forwards requests by declared routes.
+struct edge_settings {
+    std::string name;
+    std::string region;
+    std::string dataCentre;
+    model::endpoint callers;
+    model::endpoint readiness;
+    model::endpoint directory;
+    /// UDP and TCP between daemons; the port is the same on all daemons of a deployment.
+    model::endpoint peers;
+    model::endpoint operators;
+    model::endpoint store;
+    /// Daemons that may be stale or down; their port is that of `peers`.
+    std::vector<model::endpoint> seeds;
+    double extraCallRatio { 0.2 };
+    std::chrono::seconds extraCallWindow { 10 };
+    /// Extra calls in a window besides; of all daemons together.
+    double extraCallSlack { 50 };
+    /// The process is killed this long after it was asked to stop.
+    std::chrono::milliseconds stopTime { 6000 };
+    std::string logLevel { "info" };
+
+    bool operator==(edge_settings const&) const = default;
+};
+
+/// Every problem of a settings text, one line each, when there are any.
+tl::expected<edge_settings, std::vector<std::string>> parseEdgeSettings(std::string_view text);
+
+}
--- a/Libraries/zinnialedge/configuration/json_reader.cpp
+++ b/Libraries/zinnialedge/configuration/json_reader.cpp
@@ -101,6 +101,33 @@
     return 0;
 }
 
+double json_reader::real(std::string_view name, double minimum, double maximum)
+{
+    auto const* value = find(name);
+    if (value && value->is_number()) {
+        auto const read = value->to_number<double>();
+        if (read >= minimum && read <= maximum)
+            return read;
+    }
+    report(name, "a number from " + std::to_string(minimum) + " to " + std::to_string(maximum));
+    return minimum;
+}
+
+model::endpoint json_reader::place(std::string_view name)
+{
+    auto const* value = find(name);
+    if (value && value->is_string()) {
+        boost::system::error_code failure;
+        auto const read = model::parseEndpoint(std::string_view { value->get_string() });
+        if (read)
+            boost::asio::ip::make_address(read->address, failure);
+        if (read && !failure)
+            return *read;
+    }
+    report(name, "an IP number and a port like \"10.0.0.1:7380\"");
+    return {};
+}
+
 model::endpoint json_reader::endpoint(std::string_view name, bool mayPortBeZero)
 {
     model::endpoint place;
--- a/Libraries/zinnialedge/configuration/json_reader.h
+++ b/Libraries/zinnialedge/configuration/json_reader.h
@@ -25,6 +25,9 @@
     std::chrono::milliseconds milliseconds(std::string_view name, std::uint64_t minimum, std::uint64_t maximum, std::optional<std::chrono::milliseconds> fallback = {});
     /// One of a few words; returns the place of the word in the list.
     std::size_t choice(std::string_view name, std::vector<std::string_view> const& words, std::optional<std::size_t> fallback = {});
+    double real(std::string_view name, double minimum, double maximum);
+    /// A text of the form "address:port".
+    model::endpoint place(std::string_view name);
     /// An object of "address" and "port".
     model::endpoint endpoint(std::string_view name, bool mayPortBeZero);
     /// Calls `read` for the object of that name, if it is there or needed.
--- a/Libraries/zinnialedge/errors/error_kind.cpp
+++ b/Libraries/zinnialedge/errors/error_kind.cpp
@@ -30,6 +30,10 @@
     error_answer { "conflict", 409, run_state::no, false, "Another operator changed the same object first." },
     error_answer { "not_permitted", 403, run_state::no, false, "The key does not allow the command." },
     error_answer { "malformed_command", 400, run_state::no, false, "The command does not parse." },
+    error_answer { "not_configured", 503, run_state::no, true, "This daemon has not read any configuration yet." },
+    error_answer { "leaf_failed", 502, run_state::maybe, true, "The request was sent to leafs, and none gave a usable answer." },
+    error_answer { "headers_too_large", 431, run_state::no, false, "The headers are larger than the limit." },
+    error_answer { "request_timeout", 408, run_state::no, true, "The request did not arrive in time." },
     error_answer { "internal", 500, run_state::maybe, false, "A bug; the log has more." },
 };
 
--- a/Libraries/zinnialedge/errors/error_kind.h
+++ b/Libraries/zinnialedge/errors/error_kind.h
@@ -33,6 +33,10 @@
     conflict,
     not_permitted,
     malformed_command,
+    not_configured,
+    leaf_failed,
+    headers_too_large,
+    request_timeout,
     internal,
 };
 
--- /dev/null
+++ b/Libraries/zinnialedge/fleet/object_mirror.cpp
@@ -0,0 +1,160 @@
+#include "Libraries/zinnialedge/fleet/object_mirror.h"
+
+#include <algorithm>
+
+namespace zinnialedge::fleet {
+
+using kernel::time_point;
+
+object_mirror::object_mirror(mirror_settings settings, kernel::random_hook random)
+    : m_settings(settings)
+    , m_random(std::move(random))
+{
+}
+
+std::optional<mirror_request> object_mirror::nextRequest(time_point now)
+{
+    if (now < m_nextAt)
+        return std::nullopt;
+    return mirror_request { m_isListing, m_listAfter, m_asOf };
+}
+
+void object_mirror::noteAnswer(time_point now)
+{
+    m_isConnected = true;
+    m_failuresInARow = 0;
+    if (!m_outageBegan)
+        return;
+    if (now - *m_outageBegan >= m_settings.shortOutage)
+        m_removalsHeldUntil = now + m_settings.returnWait;
+    m_outageBegan.reset();
+}
+
+void object_mirror::put(store_object const& object)
+{
+    m_missing.erase(object.name);
+    auto& known = m_objects[object.name];
+    if (known.revision >= object.revision && !known.name.empty())
+        return;
+    known = object;
+    ++m_generation;
+}
+
+void object_mirror::remove(std::string const& name, time_point now)
+{
+    if (!m_objects.contains(name))
+        return;
+    if (m_removalsHeldUntil && now < *m_removalsHeldUntil) {
+        m_missing.insert(name);
+        return;
+    }
+    m_objects.erase(name);
+    m_missing.erase(name);
+    ++m_generation;
+}
+
+void object_mirror::handlePage(object_page const& page, time_point now)
+{
+    noteAnswer(now);
+    if (m_listAfter.empty()) {
+        m_listed.clear();
+        m_listAsOf = page.asOf;
+    }
+    for (auto const& object : page.objects) {
+        m_listed.insert(object.name);
+        put(object);
+    }
+    m_nextAt = now;
+    if (page.hasMore && !page.objects.empty()) {
+        m_listAfter = page.objects.back().name;
+        return;
+    }
+    finishListing(now);
+}
+
+void object_mirror::finishListing(time_point now)
+{
+    std::vector<std::string> gone;
+    for (auto const& [name, object] : m_objects) {
+        if (!m_listed.contains(name))
+            gone.push_back(name);
+    }
+    for (auto const& name : gone)
+        remove(name, now);
+    m_listAfter.clear();
+    m_isListing = false;
+    m_hasListed = true;
+    // Pages may show different revisions; a change that a later page shows already is harmless to see twice.
+    m_asOf = m_listAsOf;
+}
+
+void object_mirror::handleChanges(change_page const& page, time_point now)
+{
+    noteAnswer(now);
+    for (auto const& change : page.changes) {
+        if (change.isRemoved)
+            remove(change.object.name, now);
+        else
+            put(change.object);
+    }
+    m_asOf = std::max(m_asOf, page.asOf);
+    m_nextAt = now + (page.changes.empty() ? std::chrono::milliseconds { 0 } : m_settings.batchPause);
+}
+
+void object_mirror::handleHistoryGone(time_point now)
+{
+    noteAnswer(now);
+    m_isListing = true;
+    m_listAfter.clear();
+    m_nextAt = now;
+}
+
+void object_mirror::handleFailure(time_point now)
+{
+    m_isConnected = false;
+    if (!m_outageBegan)
+        m_outageBegan = now;
+    auto const doublings = std::min(m_failuresInARow, 4U);
+    ++m_failuresInARow;
+    auto const pause = std::min(m_settings.firstRetry * (1U << doublings), m_settings.longestRetry);
+    // Half of the pause is random, so that daemons that lost the store together do not come back together.
+    m_nextAt = now + pause / 2 + std::chrono::milliseconds { m_random() % static_cast<std::uint64_t>(pause.count() / 2 + 1) };
+}
+
+bool object_mirror::adopt(std::vector<store_object> const& objects, std::uint64_t asOf)
+{
+    if (asOf <= m_asOf)
+        return false;
+    auto const before = m_generation;
+    std::set<std::string> names;
+    for (auto const& object : objects) {
+        names.insert(object.name);
+        put(object);
+    }
+    for (auto const& [name, object] : m_objects) {
+        if (!names.contains(name))
+            m_missing.insert(name);
+    }
+    // What is missing there may have lapsed there; the store's own list decides.
+    m_isListing = true;
+    m_listAfter.clear();
+    return m_generation != before;
+}
+
+bool object_mirror::endOutage(time_point now)
+{
+    if (!m_removalsHeldUntil || now < *m_removalsHeldUntil)
+        return false;
+    m_removalsHeldUntil.reset();
+    auto const missing = std::exchange(m_missing, {});
+    for (auto const& name : missing)
+        remove(name, now);
+    return !missing.empty();
+}
+
+std::optional<time_point> object_mirror::outageEnd() const
+{
+    return m_removalsHeldUntil;
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/forwarding/active_request.cpp
@@ -0,0 +1,26 @@
+#include "Libraries/zinnialedge/forwarding/active_request.h"
+
+#include <algorithm>
+
+namespace zinnialedge::forwarding {
+
+/// The share is a decimal fraction and has no exact binary form.
+static constexpr double shareTolerance = 1e-9;
+
+bool active_request::mayHaveRun() const
+{
+    return std::any_of(parts.begin(), parts.end(), [](auto const& part) { return part.mayHaveRun(); });
+}
+
+bool active_request::hasLeastShare() const
+{
+    return answered > 0 && static_cast<double>(answered) / static_cast<double>(parts.size()) + shareTolerance >= to->gather.leastShare;
+}
+
+bool active_request::canReachLeastShare() const
+{
+    auto const possible = parts.size() - missing;
+    return possible > 0 && static_cast<double>(possible) / static_cast<double>(parts.size()) + shareTolerance >= to->gather.leastShare;
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/forwarding/active_request.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "Libraries/zinnialedge/forwarding/leaf_roster.h"
+#include "Libraries/zinnialedge/forwarding/messages.h"
+
+namespace zinnialedge::forwarding {
+
+/// One call in flight for a part.
+struct part_call {
+    call_number number { 0 };
+    leaf_handle leaf { 0 };
+    kernel::time_point sentAt;
+};
+
+/// What one service contributes to an answer: one shard of a gather, or the whole request.
+struct request_part {
+    std::string const* service { nullptr };
+    std::vector<leaf_handle> asked;
+    std::vector<part_call> calls;
+    std::optional<leaf_reply> reply;
+    /// The leaf's own error answer, passed on when no other leaf does better.
+    std::optional<leaf_reply> errorReply;
+    /// No more leafs will be tried.
+    bool isMissing { false };
+    bool isWaiting { false };
+    bool hasCopy { false };
+    /// Calls that were sent, less those that certainly have not run.
+    std::size_t unaccountedCalls { 0 };
+
+    bool mayHaveRun() const { return unaccountedCalls > 0; }
+    bool isSettled() const { return isMissing || reply.has_value(); }
+};
+
+/// One request in flight.
+struct active_request {
+    request_token token { 0 };
+    std::shared_ptr<caller_request const> request;
+    /// Keeps the route alive.
+    route_table_pointer table;
+    route const* to { nullptr };
+    kernel::time_point arrivedAt;
+    kernel::time_point objectiveAt;
+    kernel::time_point endAt;
+    std::optional<kernel::time_point> callerDeadline;
+    std::vector<request_part> parts;
+    std::size_t answered { 0 };
+    std::size_t missing { 0 };
+    std::size_t copies { 0 };
+    std::size_t retries { 0 };
+    bool hasCallerLeft { false };
+    /// The objective has passed; the least share is enough from now on.
+    bool isLate { false };
+
+    std::size_t settled() const { return answered + missing; }
+    bool mayHaveRun() const;
+    bool hasLeastShare() const;
+    bool canReachLeastShare() const;
+};
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.cpp
@@ -0,0 +1,120 @@
+#include "Libraries/zinnialedge/forwarding/leaf_roster.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace zinnialedge::forwarding {
+
+using kernel::time_point;
+
+/// Part of a leaf's connections that the daemons use; the rest covers overlap while daemons join.
+static constexpr double usedConnectionShare = 0.85;
+/// A leaf of another data centre is used when one of the own is expected to take this many times as long: bytes between
+/// data centres have a price.
+static constexpr double farFactor = 3;
+
+leaf_roster::leaf_roster(std::string ownDataCentre, kernel::random_hook random)
+    : m_ownDataCentre(std::move(ownDataCentre))
+    , m_random(std::move(random))
+{
+}
+
+std::uint32_t leaf_roster::connectionLimitOf(std::string const& service) const
+{
+    auto const cap = m_routes ? m_routes->connectionCapOf(service) : service_rules {}.connectionCap;
+    auto const share = usedConnectionShare * cap / static_cast<double>(std::max<std::size_t>(m_daemonCount, 1));
+    return std::max(1U, static_cast<std::uint32_t>(share));
+}
+
+void leaf_roster::setSharing(route_table_pointer routes, std::size_t daemonCount)
+{
+    m_routes = std::move(routes);
+    m_daemonCount = daemonCount;
+    for (auto& [handle, record] : m_leafs)
+        record.setConnectionLimit(connectionLimitOf(record.registration().service));
+}
+
+std::vector<leaf_handle> leaf_roster::replace(std::vector<leaf_registration> const& registrations, time_point now)
+{
+    std::vector<leaf_handle> ended;
+    std::unordered_map<std::string, leaf_handle> kept;
+    m_byService.clear();
+    for (auto const& each : registrations) {
+        auto const known = m_byId.find(each.id);
+        bool const isSameIncarnation = known != m_byId.end() && at(known->second).registration().startedAt == each.startedAt
+            && at(known->second).registration().place == each.place && at(known->second).registration().service == each.service;
+        leaf_handle handle = 0;
+        if (isSameIncarnation) {
+            handle = known->second;
+            bool const wasTaking = at(handle).isTakingNewCalls();
+            at(handle).renew(each, now);
+            if (wasTaking && !at(handle).isTakingNewCalls())
+                ended.push_back(handle);
+        } else {
+            handle = ++m_lastHandle;
+            m_leafs.emplace(handle, leaf_record { each, connectionLimitOf(each.service), now });
+        }
+        kept[each.id] = handle;
+        m_byService[each.service].push_back(handle);
+    }
+    for (auto const& [id, handle] : m_byId) {
+        auto const found = kept.find(id);
+        if (found != kept.end() && found->second == handle)
+            continue;
+        at(handle).noteGone();
+        ended.push_back(handle);
+    }
+    m_byId = std::move(kept);
+    // A leaf that is gone is kept while its calls run.
+    std::unordered_set<leaf_handle> listed;
+    for (auto const& [id, handle] : m_byId)
+        listed.insert(handle);
+    std::erase_if(m_leafs, [&](auto const& entry) { return !listed.contains(entry.first) && entry.second.inFlight() == 0; });
+    return ended;
+}
+
+std::optional<leaf_pick> leaf_roster::pick(std::string const& service, std::span<leaf_handle const> excluded, kernel::duration patience, time_point now) const
+{
+    auto const leafs = m_byService.find(service);
+    if (leafs == m_byService.end())
+        return std::nullopt;
+    std::optional<leaf_pick> best;
+    double bestDelay = 0;
+    auto const offset = leafs->second.empty() ? 0 : m_random() % leafs->second.size();
+    for (std::size_t index = 0; index < leafs->second.size(); ++index) {
+        auto const handle = leafs->second[(index + offset) % leafs->second.size()];
+        auto const& record = at(handle);
+        if (!record.isTakingNewCalls() || !record.hasConnectionLeft() || std::find(excluded.begin(), excluded.end(), handle) != excluded.end())
+            continue;
+        bool const isSuspect = record.isSuspect(now, patience);
+        bool const isFar = record.registration().dataCentre != m_ownDataCentre;
+        auto const delay = record.expectedDelay(now) * (isFar ? farFactor : 1);
+        bool const isBetter = !best || (best->isSuspect && !isSuspect) || (best->isSuspect == isSuspect && delay < bestDelay);
+        if (!isBetter)
+            continue;
+        best = leaf_pick { handle, isSuspect };
+        bestDelay = delay;
+    }
+    return best;
+}
+
+bool leaf_roster::hasLeaf(std::string const& service, std::span<leaf_handle const> excluded) const
+{
+    auto const leafs = m_byService.find(service);
+    return leafs != m_byService.end() && std::any_of(leafs->second.begin(), leafs->second.end(), [&](auto handle) {
+        return at(handle).isTakingNewCalls() && std::find(excluded.begin(), excluded.end(), handle) == excluded.end();
+    });
+}
+
+double leaf_roster::coverageOf(std::string const& dataCentre, std::span<std::string const> services) const
+{
+    if (services.empty())
+        return 0;
+    auto const covered = std::count_if(services.begin(), services.end(), [&](auto const& service) {
+        auto const leafs = m_byService.find(service);
+        return leafs != m_byService.end() && std::any_of(leafs->second.begin(), leafs->second.end(), [&](auto handle) { return at(handle).isTakingNewCalls() && at(handle).registration().dataCentre == dataCentre; });
+    });
+    return static_cast<double>(covered) / static_cast<double>(services.size());
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -0,0 +1,191 @@
+#pragma once
+
+#include "Libraries/zinnialedge/forwarding/active_request.h"
+#include "Libraries/zinnialedge/forwarding/extra_call_budget.h"
+#include "Libraries/zinnialedge/forwarding/leaf_roster.h"
+#include "Libraries/zinnialedge/limits/moving_quantile.h"
+#include <deque>
+#include <functional>
+#include <queue>
+
+namespace zinnialedge::forwarding {
+
+struct engine_settings {
+    std::string dataCentre;
+    /// The most requests in flight at once.
+    std::size_t capacity { 2000 };
+    extra_call_limits extraCalls;
+    /// Time that an answer needs to reach its caller.
+    std::chrono::milliseconds returnMargin { 6 };
+};
+
+/// How one request went, for logs and metrics.
+struct request_report {
+    std::string const& attemptId;
+    std::string const& route;
+    std::uint64_t version { 0 };
+    int status { 0 };
+    std::size_t parts { 0 };
+    std::size_t missing { 0 };
+    std::size_t copies { 0 };
+    std::size_t retries { 0 };
+    kernel::duration elapsed {};
+    std::chrono::milliseconds objective { 0 };
+    std::string const& reason;
+    bool hasCallerLeft { false };
+};
+
+/// Why a call was sent beyond the first of its shard.
+enum class extra_call_reason {
+    slow,
+    refused,
+    failed,
+};
+
+struct engine_hooks {
+    /// Sends a call; its end is reported later, never from within.
+    std::function<void(leaf_call)> send;
+    /// Ends a call with that failure; its end is reported like any other.
+    std::function<void(call_number, call_failure)> cancel;
+    std::function<void(request_token, final_answer)> answer;
+    std::function<void(request_report const&)> report;
+    /// A leaf's answer to a call that is worth a line: anything but a success.
+    std::function<void(std::string const& attemptId, std::string const& leafId, std::string_view event, kernel::duration age)> note;
+};
+
+/// Counts since the process started.
+struct engine_counters {
+    std::uint64_t requests { 0 };
+    std::uint64_t answers { 0 };
+    std::uint64_t partialAnswers { 0 };
+    std::uint64_t refusals { 0 };
+    std::uint64_t failures { 0 };
+    std::uint64_t callersLeft { 0 };
+    std::uint64_t calls { 0 };
+    std::uint64_t copies { 0 };
+    std::uint64_t retries { 0 };
+    std::uint64_t extraCallsDenied { 0 };
+    std::uint64_t lateReplies { 0 };
+};
+
+/// Decides for each request which leafs are called, when a copy is sent, and what the caller gets. No I/O: what happens
+/// is told to it together with the time, and it acts through hooks.
+class request_engine {
+public:
+    request_engine(engine_settings, engine_hooks, kernel::random_hook, kernel::time_point startedAt);
+
+    void setRoutes(route_table_pointer, kernel::time_point now);
+    void setLeafs(std::vector<leaf_registration> const&, kernel::time_point now);
+    void setDaemonCount(std::size_t);
+
+    void arrive(request_token, caller_request, kernel::time_point now);
+    void callerLeft(request_token, kernel::time_point now);
+    void callEnded(call_number, call_result, kernel::time_point now);
+    void runTimers(kernel::time_point now);
+    std::optional<kernel::time_point> nextTimer() const;
+
+    engine_counters const& counters() const { return m_counters; }
+    std::size_t requestsInFlight() const { return m_requests.size(); }
+    std::size_t callsInFlight() const { return m_calls.size(); }
+    leaf_roster const& leafs() const { return m_leafs; }
+    route_table_pointer const& routes() const { return m_routes; }
+
+private:
+    enum class timer_kind {
+        copy,
+        objective,
+        late,
+        end,
+        abandon,
+        call_given_up,
+    };
+
+    struct timer {
+        kernel::time_point at;
+        timer_kind kind { timer_kind::end };
+        /// A request, or a call.
+        std::uint64_t subject { 0 };
+
+        bool operator>(timer const& other) const { return at > other.at; }
+    };
+
+    struct call_owner {
+        request_token request { 0 };
+        std::size_t place { 0 };
+        leaf_handle leaf { 0 };
+        kernel::time_point sentAt;
+    };
+
+    struct waiting_part {
+        request_token request { 0 };
+        std::size_t place { 0 };
+        std::uint32_t priority { 0 };
+    };
+
+    /// What is kept of a route over its versions.
+    struct route_history {
+        limits::moving_quantile callTime;
+    };
+
+    struct service_history {
+        extra_call_budget budget;
+        std::deque<waiting_part> waiting;
+    };
+
+    // Arrival.
+    void refuse(request_token, caller_request const&, final_answer);
+    final_answer makeRefusal(errors::error_kind, std::string reason, kernel::duration wait);
+    std::string const& chooseService(route const&);
+    active_request* admit(request_token, caller_request, route const&, kernel::time_point now);
+
+    // Calls.
+    void startPart(active_request&, std::size_t place, kernel::time_point now);
+    void send(active_request&, std::size_t place, leaf_handle, kernel::time_point now);
+    void wait(active_request&, std::size_t place);
+    void dispatchWaiting(std::string const& service, kernel::time_point now);
+    /// Sends a copy of each call that takes longer than usual.
+    void sendCopies(active_request&, kernel::time_point now);
+    bool sendCopy(active_request&, std::size_t place, kernel::time_point now);
+    kernel::duration copyDelayOf(route const&);
+    kernel::duration patienceOf(route const&);
+
+    // Replies.
+    void noteLeaf(call_owner const&, call_result const&, kernel::time_point now);
+    void noteEvent(active_request const&, call_owner const&, std::string_view event, kernel::time_point now);
+    void handleReply(active_request&, call_owner const&, leaf_reply, kernel::time_point now);
+    void handleFailure(active_request&, call_owner const&, call_failure, kernel::time_point now);
+    /// Tries another leaf, or gives the part up.
+    void retryOrMiss(active_request&, std::size_t place, bool hasReachedLeaf, kernel::time_point now);
+    bool mayRetry(active_request const&, std::size_t place, kernel::time_point now) const;
+    void miss(active_request&, std::size_t place, kernel::time_point now);
+
+    // Settling.
+    void settleIfDecided(active_request&, kernel::time_point now);
+    void settleMerged(active_request&, std::string reason, kernel::time_point now);
+    void settleSingle(active_request&, kernel::time_point now);
+    void settleAtEnd(active_request&, kernel::time_point now);
+    void settleRefused(active_request&, errors::error_kind, std::string reason, kernel::time_point now);
+    void settle(active_request&, final_answer, kernel::time_point now);
+    void abandon(active_request&);
+
+    route_history& historyOf(route const&);
+    service_history& historyOf(std::string const& service);
+    active_request* find(request_token);
+
+    engine_settings m_settings;
+    engine_hooks m_hooks;
+    kernel::random_hook m_random;
+    kernel::time_point m_startedAt;
+    leaf_roster m_leafs;
+    route_table_pointer m_routes;
+    std::size_t m_daemonCount { 1 };
+    std::unordered_map<request_token, active_request> m_requests;
+    std::unordered_map<call_number, call_owner> m_calls;
+    std::unordered_map<std::string, route_history> m_routeHistories;
+    std::unordered_map<std::string, service_history> m_serviceHistories;
+    std::priority_queue<timer, std::vector<timer>, std::greater<>> m_timers;
+    call_number m_lastCall { 0 };
+    engine_counters m_counters;
+};
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -0,0 +1,245 @@
+// What leafs answer, and when a request is settled.
+
+#include "Libraries/zinnialedge/forwarding/record_merge.h"
+#include "Libraries/zinnialedge/forwarding/request_engine.h"
+
+#include <algorithm>
+#include <array>
+
+namespace zinnialedge::forwarding {
+
+using kernel::time_point;
+
+/// With less time left a second call can't be answered.
+static constexpr std::chrono::milliseconds leastRetryTime { 5 };
+/// Without a leaf there is nothing to wait for but a change of the registrations, about half a heartbeat.
+static constexpr std::chrono::milliseconds noLeafWait { 600 };
+/// About the time in which a full leaf works off its queue.
+static constexpr std::chrono::milliseconds fullWait { 120 };
+
+/// Callers take these statuses as a promise that the request has not run and never will.
+static bool isPromiseOfNotRun(int status)
+{
+    static constexpr std::array promises { 408, 421, 429, 503 };
+    return std::find(promises.begin(), promises.end(), status) != promises.end();
+}
+
+void request_engine::noteLeaf(call_owner const& owner, call_result const& result, time_point now)
+{
+    auto& record = m_leafs.at(owner.leaf);
+    if (!result) {
+        record.noteFailed(result.error(), owner.sentAt, now);
+        return;
+    }
+    if (result->load)
+        record.noteLoad(*result->load);
+    if (result->isMisdirected)
+        record.noteMisdirected();
+    if (result->isNotRun || result->isMisdirected)
+        record.noteShed(owner.sentAt, now);
+    else if (result->isSuccess())
+        record.noteAnswered(owner.sentAt, now);
+    else
+        record.noteError(owner.sentAt, now);
+}
+
+void request_engine::noteEvent(active_request const& request, call_owner const& owner, std::string_view event, time_point now)
+{
+    if (m_hooks.note)
+        m_hooks.note(request.request->attemptId, m_leafs.at(owner.leaf).registration().id, event, now - owner.sentAt);
+}
+
+void request_engine::callEnded(call_number number, call_result result, time_point now)
+{
+    auto const found = m_calls.find(number);
+    if (found == m_calls.end())
+        return;
+    auto const owner = found->second;
+    m_calls.erase(found);
+    noteLeaf(owner, result, now);
+    auto const service = m_leafs.at(owner.leaf).registration().service;
+    auto* const request = find(owner.request);
+    if (!request) {
+        ++m_counters.lateReplies;
+    } else {
+        if (result && result->isSuccess())
+            historyOf(*request->to).callTime.add(std::chrono::duration_cast<std::chrono::microseconds>(now - owner.sentAt));
+        std::erase_if(request->parts[owner.place].calls, [&](auto const& call) { return call.number == number; });
+        if (request->parts[owner.place].isSettled())
+            ++m_counters.lateReplies;
+        else if (result)
+            handleReply(*request, owner, std::move(*result), now);
+        else
+            handleFailure(*request, owner, result.error(), now);
+    }
+    dispatchWaiting(service, now);
+}
+
+void request_engine::handleReply(active_request& request, call_owner const& owner, leaf_reply reply, time_point now)
+{
+    auto& part = request.parts[owner.place];
+    if (reply.isSuccess()) {
+        part.reply = std::move(reply);
+        ++request.answered;
+        settleIfDecided(request, now);
+        return;
+    }
+    if (reply.isNotRun || reply.isMisdirected) {
+        noteEvent(request, owner, reply.isMisdirected ? "leaf_misdirected" : "leaf_shed", now);
+        --part.unaccountedCalls;
+        retryOrMiss(request, owner.place, true, now);
+        return;
+    }
+    noteEvent(request, owner, "leaf_error", now);
+    // A success without proof is nobody's answer, and some statuses would promise the caller that nothing has run.
+    if (reply.status < 300 || isPromiseOfNotRun(reply.status)) {
+        retryOrMiss(request, owner.place, true, now);
+        return;
+    }
+    bool const isFinal = !request.to->isGather() && (!request.to->isRepeatable || reply.status < 500);
+    part.errorReply = std::move(reply);
+    if (isFinal)
+        miss(request, owner.place, now);
+    else
+        retryOrMiss(request, owner.place, true, now);
+}
+
+void request_engine::handleFailure(active_request& request, call_owner const& owner, call_failure failure, time_point now)
+{
+    auto& part = request.parts[owner.place];
+    noteEvent(request, owner, failure == call_failure::not_sent ? "call_not_sent" : failure == call_failure::broken ? "call_broken"
+                                                                                                                    : "call_timed_out",
+        now);
+    if (failure == call_failure::not_sent)
+        --part.unaccountedCalls;
+    retryOrMiss(request, owner.place, failure != call_failure::not_sent, now);
+}
+
+bool request_engine::mayRetry(active_request const& request, std::size_t place, time_point now) const
+{
+    auto const& part = request.parts[place];
+    if (request.hasCallerLeft || part.asked.size() >= request.to->attempts || now + leastRetryTime >= request.endAt)
+        return false;
+    return request.to->isRepeatable || !part.mayHaveRun();
+}
+
+void request_engine::retryOrMiss(active_request& request, std::size_t place, bool hasReachedLeaf, time_point now)
+{
+    auto& part = request.parts[place];
+    if (!part.calls.empty() || part.isWaiting)
+        return;
+    bool const isPossible = mayRetry(request, place, now) && m_leafs.hasLeaf(*part.service, part.asked);
+    // A call that reached no leaf costs the service nothing, and neither does the one in its place.
+    bool const isPaid = isPossible && (!hasReachedLeaf || historyOf(*part.service).budget.take(now, m_daemonCount));
+    if (!isPaid) {
+        m_counters.extraCallsDenied += isPossible ? 1 : 0;
+        miss(request, place, now);
+        return;
+    }
+    ++m_counters.retries;
+    ++request.retries;
+    startPart(request, place, now);
+    if (part.isMissing)
+        settleIfDecided(request, now);
+}
+
+void request_engine::miss(active_request& request, std::size_t place, time_point now)
+{
+    request.parts[place].isMissing = true;
+    ++request.missing;
+    settleIfDecided(request, now);
+}
+
+void request_engine::settleIfDecided(active_request& request, time_point now)
+{
+    if (!request.to->isGather()) {
+        if (request.settled() == 1)
+            settleSingle(request, now);
+        return;
+    }
+    if (!request.canReachLeastShare())
+        settleRefused(request, request.mayHaveRun() ? errors::error_kind::leaf_failed : errors::error_kind::no_live_target, "too_few_shards", now);
+    else if (request.settled() == request.parts.size())
+        settleMerged(request, request.missing == 0 ? "whole" : "rest_missing", now);
+    else if (request.isLate && request.hasLeastShare())
+        settleMerged(request, "late", now);
+}
+
+void request_engine::settleMerged(active_request& request, std::string reason, time_point now)
+{
+    final_answer answer;
+    answer.status = 200;
+    answer.isMerged = true;
+    answer.reason = std::move(reason);
+    std::vector<std::string const*> bodies;
+    for (auto const& part : request.parts) {
+        if (!part.reply)
+            continue;
+        answer.partSeals.push_back(part.reply->seal);
+        bodies.push_back(&part.reply->body);
+    }
+    answer.missingParts = request.parts.size() - bodies.size();
+    answer.body = mergeGreatest(bodies, request.to->gather.recordLimit);
+    m_counters.partialAnswers += answer.missingParts > 0 ? 1 : 0;
+    settle(request, std::move(answer), now);
+}
+
+void request_engine::settleSingle(active_request& request, time_point now)
+{
+    auto& part = request.parts.front();
+    auto& reply = part.reply ? part.reply : part.errorReply;
+    if (!reply) {
+        if (part.mayHaveRun())
+            settleRefused(request, errors::error_kind::leaf_failed, "leaf_failed", now);
+        else
+            settleRefused(request, errors::error_kind::overloaded, "leafs_full", now);
+        return;
+    }
+    final_answer answer;
+    answer.status = reply->status;
+    answer.headers = std::move(reply->headers);
+    answer.body = std::move(reply->body);
+    answer.seal = std::move(reply->seal);
+    answer.reason = part.reply ? "answered" : "leaf_error";
+    settle(request, std::move(answer), now);
+}
+
+void request_engine::settleAtEnd(active_request& request, time_point now)
+{
+    if (request.to->isGather() && request.hasLeastShare()) {
+        settleMerged(request, "end", now);
+        return;
+    }
+    if (!request.to->isGather() && request.parts.front().errorReply) {
+        settleSingle(request, now);
+        return;
+    }
+    bool const mayHaveRun = request.mayHaveRun();
+    settleRefused(request, mayHaveRun ? errors::error_kind::deadline_exceeded : errors::error_kind::overloaded, mayHaveRun ? "timed_out" : "no_room", now);
+}
+
+void request_engine::settleRefused(active_request& request, errors::error_kind kind, std::string reason, time_point now)
+{
+    bool const hasRun = errors::answerFor(kind).ran != errors::run_state::no;
+    auto answer = makeRefusal(kind, std::move(reason), hasRun ? kernel::duration::zero() : kernel::duration { kind == errors::error_kind::no_live_target ? noLeafWait : fullWait });
+    if (!hasRun)
+        ++m_counters.refusals;
+    else
+        ++m_counters.failures;
+    settle(request, std::move(answer), now);
+}
+
+void request_engine::settle(active_request& request, final_answer answer, time_point now)
+{
+    m_counters.answers += answer.refused ? 0 : 1;
+    if (m_hooks.report)
+        m_hooks.report({ request.request->attemptId, request.to->name, request.table->version(), answer.status, request.parts.size(), request.parts.size() - request.answered, request.copies, request.retries, now - request.arrivedAt, request.to->objective, answer.reason, request.hasCallerLeft });
+    auto const token = request.token;
+    bool const hasCallerLeft = request.hasCallerLeft;
+    // Copies that lost run on: to cut one costs its leaf a new connection, which is more than the rest of its work.
+    m_requests.erase(token);
+    if (!hasCallerLeft)
+        m_hooks.answer(token, std::move(answer));
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/forwarding/route_table.cpp
@@ -0,0 +1,33 @@
+#include "Libraries/zinnialedge/forwarding/route_table.h"
+
+#include <algorithm>
+
+namespace zinnialedge::forwarding {
+
+route_table::route_table(route_declarations declarations)
+    : m_declarations(std::move(declarations))
+{
+    for (auto const& each : m_declarations.routes)
+        m_byHost[each.host].push_back(&each);
+    for (auto& [host, routes] : m_byHost)
+        std::stable_sort(routes.begin(), routes.end(), [](auto const* left, auto const* right) { return left->pathPrefix.size() > right->pathPrefix.size(); });
+    for (auto const& each : m_declarations.services)
+        m_connectionCaps[each.name] = each.connectionCap;
+}
+
+route const* route_table::find(std::string_view host, std::string_view path) const
+{
+    auto const routes = m_byHost.find(host);
+    if (routes == m_byHost.end())
+        return nullptr;
+    auto const found = std::find_if(routes->second.begin(), routes->second.end(), [&](auto const* each) { return path.starts_with(each->pathPrefix); });
+    return found == routes->second.end() ? nullptr : *found;
+}
+
+std::uint32_t route_table::connectionCapOf(std::string const& service) const
+{
+    auto const found = m_connectionCaps.find(service);
+    return found == m_connectionCaps.end() ? service_rules {}.connectionCap : found->second;
+}
+
+}
--- /dev/null
+++ b/Libraries/zinnialedge/forwarding/route_table.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Libraries/zinnialedge/forwarding/route.h"
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+namespace zinnialedge::forwarding {
+
+/// What a route table is made of.
+struct route_declarations {
+    std::uint64_t version { 0 };
+    std::vector<route> routes;
+    std::vector<service_rules> services;
+    caller_limits limits;
+
+    bool operator==(route_declarations const&) const = default;
+};
+
+/// One version of the declared routes. Immutable: a request keeps the table that it arrived under.
+class route_table {
+public:
+    explicit route_table(route_declarations);
+    route_table(route_table const&) = delete;
+    route_table& operator=(route_table const&) = delete;
+
+    std::uint64_t version() const { return m_declarations.version; }
+    caller_limits const& limits() const { return m_declarations.limits; }
+    std::vector<route> const& routes() const { return m_declarations.routes; }
+    /// The route of the host whose prefix is the longest that begins the path, or null.
+    route const* find(std::string_view host, std::string_view path) const;
+    /// The declared connection cap of a leaf of the service, or the default.
+    std::uint32_t connectionCapOf(std::string const& service) const;
+
+private:
+    route_declarations m_declarations;
+    /// The routes of each host, those with the longest prefix first.
+    std::unordered_map<std::string_view, std::vector<route const*>> m_byHost;
+    std::unordered_map<std::string_view, std::uint32_t> m_connectionCaps;
+};
+
+using route_table_pointer = std::shared_ptr<route_table const>;
+
+}
--- a/Libraries/zinnialedge/wire/http_client.cpp
+++ b/Libraries/zinnialedge/wire/http_client.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <optional>
 
 namespace zinnialedge::wire {
@@ -93,12 +95,20 @@
 
     static constexpr unsigned httpVersion = 11;
     static constexpr std::size_t readBytes = 8192;
+    static constexpr int probeIdleSeconds = 1;
+    static constexpr int probeIntervalSeconds = 1;
+    static constexpr int probeCount = 2;
 
     void configureSocket()
     {
         beast::error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
         m_socket.non_blocking(true, ignored);
+        // A connection may fall silent without a reset while an answer is waited for; probes find that.
+        m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
+        m_socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>(probeIdleSeconds), ignored);
+        m_socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>(probeIntervalSeconds), ignored);
+        m_socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>(probeCount), ignored);
     }
 
     void limitTime(std::chrono::milliseconds timeout)
--- /dev/null
+++ b/Services/fleet/fleet_service.cpp
@@ -0,0 +1,407 @@
+#include "Services/fleet/fleet_service.h"
+
+#include "Kernel/event_log.h"
+#include "Services/fleet/snapshot_codec.h"
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <random>
+#include <set>
+#include <sstream>
+
+namespace zinnialedge::services::fleet {
+
+using kernel::log_level;
+using kernel::logEvent;
+using membership::member_status;
+using zinnialedge::fleet::mirror_settings;
+using zinnialedge::fleet::object_kind;
+
+/// Configurations come in quick succession at times, and each must be in force within seconds.
+static constexpr std::chrono::milliseconds routesBatchPause { 40 };
+static constexpr std::chrono::milliseconds leafsBatchPause { 250 };
+static constexpr std::chrono::milliseconds daemonsBatchPause { 1000 };
+/// How often peers are asked while the store does not answer.
+static constexpr std::chrono::milliseconds tickInterval { 500 };
+static constexpr std::chrono::milliseconds peerTimeout { 1000 };
+/// The directory names at most so many daemons.
+static constexpr std::size_t directoryLimit = 64;
+/// Fewer daemons near the leafs do not carry the load of all when one of them is lost.
+static constexpr std::size_t leastNearDaemons = 2;
+static constexpr double nearShare = 0.5;
+static constexpr int statusOk = 200;
+static constexpr int statusNoContent = 204;
+static constexpr int statusUnavailable = 503;
+static constexpr char const* snapshotPath = "/fleet/snapshot";
+
+fleet_service::fleet_service(fleet_settings settings, zinnialedge::fleet::store_protocol protocol, traffic::traffic_service& traffic)
+    : m_settings(std::move(settings))
+    , m_duty(serviceName)
+    , m_protocol(std::move(protocol))
+    , m_traffic(traffic)
+    , m_routes(m_duty.context(), m_settings.store, object_kind::routes, m_protocol, mirror_settings { .batchPause = routesBatchPause, .returnWait = std::chrono::milliseconds { 0 } }, [this] { routesChanged(); })
+    , m_leafs(m_duty.context(), m_settings.store, object_kind::leafs, m_protocol, mirror_settings { .batchPause = leafsBatchPause }, [this] { leafsChanged(); })
+    , m_daemons(m_duty.context(), m_settings.store, object_kind::daemons, m_protocol, mirror_settings { .batchPause = daemonsBatchPause, .returnWait = std::chrono::milliseconds { 0 } }, [this] { daemonsChanged(); })
+    , m_registration(m_duty.context(), m_settings.store, m_protocol)
+    , m_members(m_duty.context(), { .self = makeRecord(), .seeds = m_settings.seeds }, { [this] { membersChanged(); }, [this](model::endpoint const& place) { askPeer(place); } })
+    , m_tickTimer(m_duty.context())
+    , m_random(kernel::makeRandom())
+{
+}
+
+errors::error_or<std::shared_ptr<fleet_service>> fleet_service::create(fleet_settings settings, zinnialedge::fleet::store_protocol protocol, traffic::traffic_service& traffic)
+{
+    std::shared_ptr<fleet_service> made { new fleet_service(std::move(settings), std::move(protocol), traffic) };
+    if (auto listening = made->listen(); !listening)
+        return tl::unexpected(listening.error());
+    return made;
+}
+
+/// A process of the same VM that was there before is another member: its clock may have been ahead.
+static std::string memberName(fleet_settings const& settings)
+{
+    std::ostringstream name;
+    name << settings.name << "." << std::hex << settings.incarnation;
+    return name.str();
+}
+
+membership::daemon_record fleet_service::makeRecord() const
+{
+    return {
+        .name = memberName(m_settings),
+        .partner = "all",
+        .region = m_settings.region,
+        .dataCentre = m_settings.dataCentre,
+        .incarnation = m_settings.incarnation,
+        .callers = m_settings.callers,
+        .peers = m_settings.peers,
+    };
+}
+
+errors::error_or<void> fleet_service::listen()
+{
+    auto const serve = [this](model::endpoint const& place, wire::http_handler handler) {
+        return wire::http_server::listen(m_duty.context(), place, {}, std::move(handler));
+    };
+    auto directory = serve(m_settings.directory, [this](wire::http_request const& request, wire::http_responder const& respond) {
+        if (m_protocol.isDirectoryAsked(request))
+            answerDirectory(respond);
+        else
+            respond({ errors::answerFor(errors::error_kind::unknown_route).httpStatus, "{}", {} });
+    });
+    if (!directory)
+        return tl::unexpected(directory.error());
+    m_directoryServer = std::move(*directory);
+    auto readiness = serve(m_settings.readiness, [this](wire::http_request const& request, wire::http_responder const& respond) {
+        if (m_protocol.isReadinessAsked(request))
+            answerReadiness(respond);
+        else
+            respond({ errors::answerFor(errors::error_kind::unknown_route).httpStatus, "{}", {} });
+    });
+    if (!readiness)
+        return tl::unexpected(readiness.error());
+    m_readinessServer = std::move(*readiness);
+    auto peers = serve(m_settings.peers, [this](wire::http_request const& request, wire::http_responder const& respond) { answerPeer(request, respond); });
+    if (!peers)
+        return tl::unexpected(peers.error());
+    m_peerServer = std::move(*peers);
+    return m_members.open(m_settings.peers);
+}
+
+void fleet_service::start()
+{
+    m_duty.start();
+    bool const isPosted = m_duty.post([this] {
+        m_routes.start();
+        m_leafs.start();
+        m_daemons.start();
+        m_registration.put(m_settings.name, boost::json::parse(membership::formatDaemonRecord(makeRecord())));
+        m_members.step(membership::membership_timer_due {});
+        tick();
+    });
+    VERIFY(isPosted);
+}
+
+void fleet_service::tell(traffic::traffic_event event)
+{
+    // The traffic empties its ring in each turn of its loop; a full one means that it stands still.
+    if (!m_traffic.inbox().push(std::move(event)))
+        logEvent(log_level::error, "traffic_inbox_full");
+}
+
+void fleet_service::routesChanged()
+{
+    for (auto const& [name, object] : m_routes.mirror().objects()) {
+        auto declarations = m_protocol.parseRoutes(object);
+        if (!declarations) {
+            ++m_malformedObjects;
+            logEvent(log_level::warn, "configuration_unusable", { { "object", name }, { "revision", object.revision }, { "reason", declarations.error().message }, { "version_kept", m_table ? m_table->version() : 0 } });
+            continue;
+        }
+        if (m_table && declarations->version <= m_table->version())
+            continue;
+        m_table = std::make_shared<forwarding::route_table const>(std::move(*declarations));
+        logEvent(log_level::info, "configuration_read", { { "version", m_table->version() }, { "revision", object.revision } });
+        tell(m_table);
+        m_members.step(membership::configuration_changed { m_table->version() });
+    }
+    serveWhenReady();
+}
+
+void fleet_service::leafsChanged()
+{
+    m_leafList.clear();
+    std::size_t draining = 0;
+    std::size_t unusable = 0;
+    for (auto const& [name, object] : m_leafs.mirror().objects()) {
+        auto registration = m_protocol.parseLeaf(object);
+        if (!registration) {
+            // Another writer's entry names no leaf, and leaves the others alone.
+            ++unusable;
+            logEvent(log_level::debug, "leaf_entry_unusable", { { "object", name }, { "reason", registration.error().message } });
+            continue;
+        }
+        draining += registration->isDraining ? 1 : 0;
+        m_leafList.push_back(std::move(*registration));
+    }
+    logEvent(log_level::info, "leafs_read", { { "leafs", m_leafList.size() }, { "draining", draining }, { "unusable", unusable }, { "as_of", m_leafs.mirror().asOf() } });
+    tell(traffic::leafs_changed { m_leafList });
+    serveWhenReady();
+}
+
+void fleet_service::daemonsChanged()
+{
+    for (auto const& [name, object] : m_daemons.mirror().objects()) {
+        auto const record = membership::parseDaemonRecord(boost::json::serialize(object.content));
+        if (!record) {
+            ++m_malformedObjects;
+            logEvent(log_level::warn, "daemon_entry_unusable", { { "object", name }, { "reason", record.error().message } });
+            continue;
+        }
+        m_members.step(membership::daemon_registered { *record });
+    }
+}
+
+void fleet_service::membersChanged()
+{
+    std::set<model::endpoint> living { m_settings.callers };
+    for (auto const& [name, member] : m_members.engine().members().all()) {
+        if (member.status != member_status::dead)
+            living.insert(member.record.callers);
+    }
+    if (living.size() == m_daemonCount)
+        return;
+    m_daemonCount = living.size();
+    tell(traffic::daemon_count_changed { m_daemonCount });
+}
+
+void fleet_service::serveWhenReady()
+{
+    if (m_isServing || m_isLeaving || !m_table || m_leafList.empty())
+        return;
+    m_isServing = true;
+    logEvent(log_level::info, "ready", { { "version", m_table->version() }, { "leafs", m_leafList.size() } });
+    m_members.step(membership::status_declared { member_status::serving });
+}
+
+void fleet_service::tick()
+{
+    if (!m_routes.mirror().isConnected() || !m_leafs.mirror().isConnected())
+        askPeers();
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([this](boost::system::error_code failure) {
+        if (!failure)
+            tick();
+    });
+}
+
+// The directory.
+
+bool fleet_service::isNearLeafs(std::string const& dataCentre) const
+{
+    std::set<std::string> shards;
+    for (auto const& each : m_table->routes())
+        shards.insert(each.gather.shards.begin(), each.gather.shards.end());
+    if (shards.empty())
+        return true;
+    std::set<std::string> near;
+    for (auto const& leaf : m_leafList) {
+        if (leaf.dataCentre == dataCentre && shards.contains(leaf.service))
+            near.insert(leaf.service);
+    }
+    return static_cast<double>(near.size()) >= nearShare * static_cast<double>(shards.size());
+}
+
+std::vector<model::endpoint> fleet_service::chooseAddresses() const
+{
+    std::set<model::endpoint> all;
+    std::set<model::endpoint> near;
+    std::map<std::string, bool> isNear;
+    auto const add = [&](membership::daemon_record const& record) {
+        all.insert(record.callers);
+        auto const [known, isNew] = isNear.try_emplace(record.dataCentre, false);
+        if (isNew)
+            known->second = m_table && isNearLeafs(record.dataCentre);
+        if (known->second)
+            near.insert(record.callers);
+    };
+    if (m_isServing && !m_isLeaving)
+        add(makeRecord());
+    for (auto const& [name, member] : m_members.engine().members().all()) {
+        if (member.status == member_status::serving)
+            add(member.record);
+    }
+    auto const& chosen = near.size() >= leastNearDaemons ? near : all;
+    std::vector<model::endpoint> addresses { chosen.begin(), chosen.end() };
+    std::shuffle(addresses.begin(), addresses.end(), std::minstd_rand { static_cast<std::uint32_t>(m_random()) });
+    if (addresses.size() > directoryLimit)
+        addresses.resize(directoryLimit);
+    return addresses;
+}
+
+void fleet_service::answerDirectory(wire::http_responder const& respond)
+{
+    ++m_directoryAnswers;
+    auto const addresses = chooseAddresses();
+    if (addresses.empty()) {
+        respond({ statusUnavailable, "{}", {} });
+        return;
+    }
+    respond({ statusOk, m_protocol.formatDirectory(addresses, m_settings.directoryValidity), {} });
+}
+
+void fleet_service::answerReadiness(wire::http_responder const& respond)
+{
+    respond({ m_isServing && !m_isLeaving ? statusOk : statusUnavailable, "{}", {} });
+}
+
+// Between daemons.
+
+void fleet_service::answerPeer(wire::http_request const& request, wire::http_responder const& respond)
+{
+    if (wire::pathOf(request) != snapshotPath) {
+        respond({ errors::answerFor(errors::error_kind::unknown_route).httpStatus, "{}", {} });
+        return;
+    }
+    if (!m_routes.mirror().hasListed() && !m_table) {
+        respond({ statusNoContent, {}, {} });
+        return;
+    }
+    respond({ statusOk, formatSnapshot({ { m_routes.mirror().asOf(), m_routes.mirror().objects() }, { m_leafs.mirror().asOf(), m_leafs.mirror().objects() } }), {} });
+}
+
+void fleet_service::askPeers()
+{
+    std::vector<model::endpoint> places;
+    for (auto const& [name, member] : m_members.engine().members().all()) {
+        if (member.status != member_status::dead)
+            places.push_back(member.record.peers);
+    }
+    if (places.empty())
+        places = m_settings.seeds;
+    std::erase(places, m_settings.peers);
+    if (!places.empty())
+        askPeer(places[m_random() % places.size()]);
+}
+
+void fleet_service::askPeer(model::endpoint const& place)
+{
+    if (m_isAskingPeer)
+        return;
+    m_isAskingPeer = true;
+    auto const client = std::make_shared<wire::http_client>(m_duty.context(), place);
+    client->connectAndSend({ "GET", snapshotPath, {}, {}, 0 }, peerTimeout, [this, client, place](wire::http_result const& result) {
+        m_isAskingPeer = false;
+        if (result && result->status == statusOk)
+            takeSnapshot(result->body, place);
+        else if (!result)
+            logEvent(log_level::debug, "peer_not_reached", { { "peer", toString(place) }, { "reason", result.error().reason } });
+    });
+}
+
+void fleet_service::takeSnapshot(std::string const& body, model::endpoint const& origin)
+{
+    auto const snapshot = parseSnapshot(body);
+    if (!snapshot) {
+        logEvent(log_level::warn, "snapshot_unusable", { { "peer", toString(origin) }, { "reason", snapshot.error().message } });
+        return;
+    }
+    auto const objectsOf = [](snapshot_part const& part) {
+        std::vector<zinnialedge::fleet::store_object> objects;
+        for (auto const& [name, object] : part.objects)
+            objects.push_back(object);
+        return objects;
+    };
+    // A configuration is in force once the store has taken it, whoever read it first; leafs are taken from a peer only
+    // while the store does not answer here.
+    if (m_routes.adopt(objectsOf(snapshot->routes), snapshot->routes.asOf)) {
+        logEvent(log_level::info, "configuration_from_peer", { { "peer", toString(origin) }, { "as_of", snapshot->routes.asOf } });
+        routesChanged();
+    }
+    if (!m_leafs.mirror().isConnected() && m_leafs.adopt(objectsOf(snapshot->leafs), snapshot->leafs.asOf)) {
+        logEvent(log_level::info, "leafs_from_peer", { { "peer", toString(origin) }, { "as_of", snapshot->leafs.asOf } });
+        leafsChanged();
+    }
+}
+
+// Stopping.
+
+bool fleet_service::announceLeaving()
+{
+    return m_duty.post([this] {
+        m_isLeaving = true;
+        logEvent(log_level::info, "leaving", { { "requests_in_flight", m_traffic.requestsInFlight() } });
+        m_members.step(membership::status_declared { member_status::leaving });
+        m_registration.remove();
+        tell(traffic::leaving_begun {});
+    });
+}
+
+bool fleet_service::announceStop(std::function<void()> done)
+{
+    return m_duty.post([this, done = std::move(done)] {
+        m_members.step(membership::process_stopping {});
+        done();
+    });
+}
+
+// State.
+
+bool fleet_service::requestState(kernel::state_receiver receiver)
+{
+    return m_duty.post([this, receiver = std::move(receiver)] {
+        boost::json::array members;
+        for (auto const& [name, member] : m_members.engine().members().all())
+            members.push_back({ { "name", name }, { "status", membership::toString(member.status) }, { "callers", toString(member.record.callers) } });
+        boost::json::object const state {
+            { "serving", m_isServing },
+            { "leaving", m_isLeaving },
+            { "configuration_version", m_table ? m_table->version() : 0 },
+            { "leafs", m_leafList.size() },
+            { "store_reached", m_routes.mirror().isConnected() && m_leafs.mirror().isConnected() },
+            { "store_calls", m_routes.counters().calls + m_leafs.counters().calls + m_daemons.counters().calls + m_registration.calls() },
+            { "members", std::move(members) },
+        };
+        receiver(boost::json::serialize(state));
+    });
+}
+
+bool fleet_service::requestMetrics(kernel::state_receiver receiver)
+{
+    return m_duty.post([this, receiver = std::move(receiver)] {
+        std::ostringstream text;
+        text << "# TYPE zinnialedge_store_calls_total counter\n";
+        for (auto const& [kind, link] : { std::pair { object_kind::routes, &m_routes }, std::pair { object_kind::leafs, &m_leafs }, std::pair { object_kind::daemons, &m_daemons } })
+            text << "zinnialedge_store_calls_total{kind=\"" << nameOf(kind) << "\"} " << link->counters().calls << "\n";
+        text << "# TYPE zinnialedge_store_call_failures_total counter\n";
+        for (auto const& [kind, link] : { std::pair { object_kind::routes, &m_routes }, std::pair { object_kind::leafs, &m_leafs }, std::pair { object_kind::daemons, &m_daemons } })
+            text << "zinnialedge_store_call_failures_total{kind=\"" << nameOf(kind) << "\"} " << link->counters().failures << "\n";
+        text << "# TYPE zinnialedge_store_reached gauge\nzinnialedge_store_reached " << (m_leafs.mirror().isConnected() ? 1 : 0) << "\n";
+        text << "# TYPE zinnialedge_members_living gauge\nzinnialedge_members_living " << m_daemonCount << "\n";
+        text << "# TYPE zinnialedge_directory_answers_total counter\nzinnialedge_directory_answers_total " << m_directoryAnswers << "\n";
+        text << "# TYPE zinnialedge_malformed_objects_total counter\nzinnialedge_malformed_objects_total " << m_malformedObjects << "\n";
+        receiver(text.str());
+    });
+}
+
+}
--- /dev/null
+++ b/Services/fleet/fleet_service.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "Kernel/duty.h"
+#include "Kernel/registry.h"
+#include "Libraries/zinnialedge/wire/http_server.h"
+#include "Services/fleet/member_link.h"
+#include "Services/fleet/registration_link.h"
+#include "Services/fleet/store_link.h"
+#include "Services/traffic/traffic_service.h"
+#include <atomic>
+
+namespace zinnialedge::services::fleet {
+
+struct fleet_settings {
+    std::string name;
+    std::string region;
+    std::string dataCentre;
+    std::uint64_t incarnation { 0 };
+    model::endpoint callers;
+    model::endpoint readiness;
+    model::endpoint directory;
+    /// UDP and TCP between daemons.
+    model::endpoint peers;
+    model::endpoint store;
+    /// Places of daemons that may be stale or down.
+    std::vector<model::endpoint> seeds;
+    /// How long callers may keep an answer of the directory.
+    std::chrono::milliseconds directoryValidity { 1000 };
+};
+
+/// Knows the fleet: reads configuration and leafs from the store or from peers, takes part in membership, and tells
+/// callers which daemons to use.
+class fleet_service final : public kernel::service {
+public:
+    static errors::error_or<std::shared_ptr<fleet_service>> create(fleet_settings, zinnialedge::fleet::store_protocol, traffic::traffic_service&);
+
+    std::string const& name() const override { return m_duty.name(); }
+    void start() override;
+    void stop() override { m_duty.stop(); }
+    bool requestState(kernel::state_receiver) override;
+    bool requestMetrics(kernel::state_receiver) override;
+    /// Leaves the directory and the readiness; requests are still taken.
+    [[nodiscard]] bool announceLeaving();
+    [[nodiscard]] bool announceStop(std::function<void()> done);
+
+    static constexpr char const* serviceName = "fleet";
+
+private:
+    fleet_service(fleet_settings, zinnialedge::fleet::store_protocol, traffic::traffic_service&);
+    errors::error_or<void> listen();
+    membership::daemon_record makeRecord() const;
+
+    void routesChanged();
+    void leafsChanged();
+    void daemonsChanged();
+    void membersChanged();
+    void tell(traffic::traffic_event);
+    void serveWhenReady();
+    void tick();
+
+    void answerDirectory(wire::http_responder const&);
+    std::vector<model::endpoint> chooseAddresses() const;
+    /// Data centres that have a leaf of most services that routes over shards name.
+    bool isNearLeafs(std::string const& dataCentre) const;
+    void answerReadiness(wire::http_responder const&);
+
+    // Between daemons.
+    void answerPeer(wire::http_request const&, wire::http_responder const&);
+    void askPeers();
+    void askPeer(model::endpoint const&);
+    void takeSnapshot(std::string const& body, model::endpoint const& origin);
+
+    fleet_settings m_settings;
+    kernel::io_duty m_duty;
+    zinnialedge::fleet::store_protocol m_protocol;
+    traffic::traffic_service& m_traffic;
+    store_link m_routes;
+    store_link m_leafs;
+    store_link m_daemons;
+    registration_link m_registration;
+    member_link m_members;
+    std::unique_ptr<wire::http_server> m_directoryServer;
+    std::unique_ptr<wire::http_server> m_readinessServer;
+    std::unique_ptr<wire::http_server> m_peerServer;
+    boost::asio::steady_timer m_tickTimer;
+    kernel::random_hook m_random;
+    std::vector<forwarding::leaf_registration> m_leafList;
+    forwarding::route_table_pointer m_table;
+    std::size_t m_daemonCount { 0 };
+    std::uint64_t m_malformedObjects { 0 };
+    std::uint64_t m_directoryAnswers { 0 };
+    bool m_isServing { false };
+    bool m_isLeaving { false };
+    bool m_isAskingPeer { false };
+};
+
+}
--- /dev/null
+++ b/Services/fleet/member_link.cpp
@@ -0,0 +1,95 @@
+#include "Services/fleet/member_link.h"
+
+#include "Kernel/event_log.h"
+#include "Libraries/zinnialedge/wire/membership_codec.h"
+
+namespace zinnialedge::services::fleet {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using kernel::log_level;
+using kernel::logEvent;
+
+member_link::member_link(asio::io_context& context, membership::membership_settings settings, member_link_hooks hooks)
+    : m_engine(std::move(settings), kernel::makeRandom())
+    , m_hooks(std::move(hooks))
+    , m_socket(context)
+    , m_timer(context)
+{
+}
+
+errors::error_or<void> member_link::open(model::endpoint const& place)
+{
+    boost::system::error_code failure;
+    udp::endpoint const local { asio::ip::make_address(place.address, failure), place.port };
+    if (!failure)
+        m_socket.open(udp::v4(), failure);
+    if (!failure)
+        m_socket.bind(local, failure);
+    if (!failure)
+        m_socket.non_blocking(true, failure);
+    if (failure)
+        return errors::fail(errors::error_kind::internal, "can't open UDP " + toString(place) + ": " + failure.message());
+    receive();
+    return {};
+}
+
+void member_link::receive()
+{
+    m_socket.async_receive_from(asio::buffer(m_buffer), m_origin, [this](boost::system::error_code failure, std::size_t bytes) {
+        if (failure == asio::error::operation_aborted)
+            return;
+        if (!failure) {
+            auto const content = wire::decodeDatagram({ m_buffer.data(), bytes });
+            if (content)
+                step(membership::datagram_received { { m_origin.address().to_string(), m_origin.port() }, *content });
+            else
+                logEvent(log_level::debug, "datagram_malformed", { { "origin", m_origin.address().to_string() } });
+        }
+        receive();
+    });
+}
+
+void member_link::step(membership::membership_event const& event)
+{
+    m_hasChanged = false;
+    for (auto const& action : m_engine.step(event, std::chrono::steady_clock::now()))
+        std::visit([this](auto const& each) { perform(each); }, action);
+    armTimer();
+    if (m_hasChanged)
+        m_hooks.membersChanged();
+}
+
+void member_link::armTimer()
+{
+    m_timer.expires_at(m_engine.nextTimer());
+    m_timer.async_wait([this](boost::system::error_code failure) {
+        if (!failure)
+            step(membership::membership_timer_due {});
+    });
+}
+
+void member_link::perform(membership::send_datagram const& action)
+{
+    boost::system::error_code failure;
+    udp::endpoint const to { asio::ip::make_address(action.place.address, failure), action.place.port };
+    if (failure)
+        return;
+    // A datagram that is lost is made good by the next probe.
+    m_socket.send_to(asio::buffer(wire::encodeDatagram(action.content)), to, 0, failure);
+    if (failure)
+        logEvent(log_level::debug, "datagram_not_sent", { { "to", toString(action.place) }, { "reason", failure.message() } });
+}
+
+void member_link::perform(membership::member_changed const& action)
+{
+    m_hasChanged = true;
+    logEvent(log_level::info, "member_changed", { { "member", action.record.name }, { "status", membership::toString(action.status) }, { "incarnation", action.record.incarnation } });
+}
+
+void member_link::perform(membership::configuration_differs const& action)
+{
+    m_hooks.configurationDiffers(action.place);
+}
+
+}
--- /dev/null
+++ b/Services/fleet/member_link.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Libraries/zinnialedge/membership/membership_engine.h"
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+
+namespace zinnialedge::services::fleet {
+
+struct member_link_hooks {
+    std::function<void()> membersChanged;
+    /// The daemon at that place knows another configuration.
+    std::function<void(model::endpoint const&)> configurationDiffers;
+};
+
+/// Takes part in membership over UDP.
+class member_link {
+public:
+    member_link(boost::asio::io_context&, membership::membership_settings, member_link_hooks);
+
+    errors::error_or<void> open(model::endpoint const&);
+    void step(membership::membership_event const&);
+    membership::membership_engine const& engine() const { return m_engine; }
+
+private:
+    void receive();
+    void armTimer();
+    void perform(membership::send_datagram const&);
+    void perform(membership::member_changed const&);
+    void perform(membership::configuration_differs const&);
+
+    membership::membership_engine m_engine;
+    member_link_hooks m_hooks;
+    boost::asio::ip::udp::socket m_socket;
+    boost::asio::ip::udp::endpoint m_origin;
+    std::array<char, 2 * membership::maximumDatagramBytes> m_buffer {};
+    boost::asio::steady_timer m_timer;
+    bool m_hasChanged { false };
+};
+
+}
--- /dev/null
+++ b/Services/fleet/registration_link.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Kernel/clock.h"
+#include "Libraries/zinnialedge/fleet/store_protocol.h"
+#include "Libraries/zinnialedge/wire/http_client.h"
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/value.hpp>
+
+namespace zinnialedge::services::fleet {
+
+/// Writes this daemon's registration at its start and removes it at a planned stop. Each write is conditional, so that one
+/// whose answer was lost can be repeated.
+class registration_link {
+public:
+    registration_link(boost::asio::io_context&, model::endpoint store, zinnialedge::fleet::store_protocol const&);
+
+    void put(std::string name, boost::json::value content);
+    void remove();
+    std::uint64_t calls() const { return m_calls; }
+
+private:
+    void write();
+    void handle(wire::http_result const&);
+    void retryLater();
+
+    boost::asio::io_context& m_context;
+    model::endpoint m_store;
+    zinnialedge::fleet::store_protocol const& m_protocol;
+    std::unique_ptr<wire::http_client> m_client;
+    boost::asio::steady_timer m_timer;
+    kernel::random_hook m_random;
+    std::string m_name;
+    boost::json::value m_content;
+    std::optional<std::uint64_t> m_revision;
+    std::chrono::milliseconds m_pause;
+    std::uint64_t m_calls { 0 };
+    bool m_isWritten { false };
+    bool m_isRemoved { false };
+};
+
+}
--- /dev/null
+++ b/Services/fleet/snapshot_codec.cpp
@@ -0,0 +1,43 @@
+#include "Services/fleet/snapshot_codec.h"
+
+#include <boost/json.hpp>
+
+namespace zinnialedge::services::fleet {
+
+namespace json = boost::json;
+
+static json::object format(snapshot_part const& part)
+{
+    json::array objects;
+    for (auto const& [name, object] : part.objects)
+        objects.push_back({ { "name", name }, { "revision", object.revision }, { "content", object.content } });
+    return { { "as_of", part.asOf }, { "objects", std::move(objects) } };
+}
+
+std::string formatSnapshot(snapshot const& whole)
+{
+    return json::serialize(json::object { { "routes", format(whole.routes) }, { "leafs", format(whole.leafs) } });
+}
+
+static snapshot_part parse(json::value const& value)
+{
+    snapshot_part part;
+    part.asOf = value.at("as_of").to_number<std::uint64_t>();
+    for (auto const& each : value.at("objects").as_array()) {
+        std::string const name { each.at("name").as_string() };
+        part.objects[name] = { name, each.at("revision").to_number<std::uint64_t>(), each.at("content") };
+    }
+    return part;
+}
+
+errors::error_or<snapshot> parseSnapshot(std::string_view text)
+{
+    try {
+        auto const value = json::parse({ text.data(), text.size() });
+        return snapshot { parse(value.at("routes")), parse(value.at("leafs")) };
+    } catch (std::exception const& failure) {
+        return errors::fail(errors::error_kind::malformed_request, std::string { "snapshot: " } + failure.what());
+    }
+}
+
+}
--- /dev/null
+++ b/Services/fleet/store_link.cpp
@@ -0,0 +1,146 @@
+#include "Services/fleet/store_link.h"
+
+#include "Kernel/event_log.h"
+#include <boost/asio/io_context.hpp>
+
+namespace zinnialedge::services::fleet {
+
+using kernel::log_level;
+using kernel::logEvent;
+using zinnialedge::fleet::mirror_request;
+using zinnialedge::fleet::object_kind;
+
+/// How long a watch waits for a change; each one that ends is a call to be paid.
+static constexpr std::chrono::milliseconds watchWait { 20'000 };
+/// Beyond its wait a watch gets this long; a dead connection is found sooner by its keep-alive probes.
+static constexpr std::chrono::milliseconds watchSlack { 1500 };
+/// A list is answered in milliseconds, or in hundreds of them while the store is slow.
+static constexpr std::chrono::milliseconds listTimeout { 2000 };
+
+std::string_view nameOf(object_kind kind)
+{
+    switch (kind) {
+    case object_kind::routes:
+        return "routes";
+    case object_kind::leafs:
+        return "leafs";
+    case object_kind::daemons:
+        return "daemons";
+    }
+    return "unknown";
+}
+
+store_link::store_link(boost::asio::io_context& context, model::endpoint store, object_kind kind, zinnialedge::fleet::store_protocol const& protocol, zinnialedge::fleet::mirror_settings settings, std::function<void()> changed)
+    : m_context(context)
+    , m_kind(kind)
+    , m_protocol(protocol)
+    , m_mirror(settings, kernel::makeRandom())
+    , m_changed(std::move(changed))
+    , m_store(std::move(store))
+    , m_client(std::make_unique<wire::http_client>(context, m_store))
+    , m_timer(context)
+{
+}
+
+void store_link::sleepUntil(kernel::time_point end)
+{
+    m_timer.expires_at(end);
+    m_timer.async_wait([this](boost::system::error_code failure) {
+        if (!failure)
+            advance();
+    });
+}
+
+void store_link::advance()
+{
+    auto const now = std::chrono::steady_clock::now();
+    if (m_mirror.endOutage(now)) {
+        logEvent(log_level::info, "lapsed_objects_removed", { { "kind", nameOf(m_kind) }, { "left", m_mirror.objects().size() } });
+        m_changed();
+    }
+    if (m_isCalling) {
+        if (auto const end = m_mirror.outageEnd())
+            sleepUntil(*end);
+        return;
+    }
+    if (auto const request = m_mirror.nextRequest(now))
+        send(*request);
+    else
+        sleepUntil(m_mirror.nextTime());
+}
+
+void store_link::send(mirror_request const& request)
+{
+    m_isCalling = true;
+    ++m_counters.calls;
+    auto const message = request.isList ? m_protocol.list(m_kind, request.after) : m_protocol.watch(m_kind, request.revision, watchWait);
+    auto const timeout = request.isList ? listTimeout : watchWait + watchSlack;
+    m_client->connectAndSend(message, timeout, [this, request](wire::http_result const& result) {
+        m_isCalling = false;
+        handle(request, result);
+        advance();
+    });
+    if (auto const end = m_mirror.outageEnd())
+        sleepUntil(*end);
+}
+
+void store_link::noteFailure(std::string const& reason)
+{
+    ++m_counters.failures;
+    if (m_mirror.isConnected())
+        logEvent(log_level::warn, "store_lost", { { "kind", nameOf(m_kind) }, { "reason", reason }, { "as_of", m_mirror.asOf() } });
+    m_mirror.handleFailure(std::chrono::steady_clock::now());
+    // A connection on which an answer was lost gives no further ones.
+    m_client = std::make_unique<wire::http_client>(m_context, m_store);
+}
+
+void store_link::handle(mirror_request const& request, wire::http_result const& result)
+{
+    auto const now = std::chrono::steady_clock::now();
+    bool const wasConnected = m_mirror.isConnected();
+    auto const generation = m_mirror.generation();
+    if (!result) {
+        noteFailure(result.error().reason);
+        return;
+    }
+    if (result->status == zinnialedge::fleet::statusHistoryGone) {
+        logEvent(log_level::info, "store_history_gone", { { "kind", nameOf(m_kind) }, { "as_of", request.revision } });
+        m_mirror.handleHistoryGone(now);
+        return;
+    }
+    if (result->status != zinnialedge::fleet::statusOk) {
+        noteFailure("status " + std::to_string(result->status));
+        return;
+    }
+    if (request.isList) {
+        auto const page = m_protocol.parsePage(result->body);
+        if (!page) {
+            noteFailure(page.error().message);
+            return;
+        }
+        m_mirror.handlePage(*page, now);
+    } else {
+        auto const changes = m_protocol.parseChanges(result->body);
+        if (!changes) {
+            noteFailure(changes.error().message);
+            return;
+        }
+        m_mirror.handleChanges(*changes, now);
+    }
+    publish(wasConnected, generation);
+}
+
+void store_link::publish(bool wasConnected, std::uint64_t generation)
+{
+    if (!wasConnected)
+        logEvent(log_level::info, "store_reached", { { "kind", nameOf(m_kind) }, { "as_of", m_mirror.asOf() }, { "objects", m_mirror.objects().size() } });
+    if (!wasConnected || generation != m_mirror.generation())
+        m_changed();
+}
+
+bool store_link::adopt(std::vector<zinnialedge::fleet::store_object> const& objects, std::uint64_t asOf)
+{
+    return m_mirror.adopt(objects, asOf);
+}
+
+}
--- /dev/null
+++ b/Services/fleet/store_link.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Libraries/zinnialedge/fleet/object_mirror.h"
+#include "Libraries/zinnialedge/fleet/store_protocol.h"
+#include "Libraries/zinnialedge/wire/http_client.h"
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+namespace zinnialedge::services::fleet {
+
+struct store_link_counters {
+    std::uint64_t calls { 0 };
+    std::uint64_t failures { 0 };
+};
+
+/// Keeps the mirror of one kind of objects up to date over a connection of its own.
+class store_link {
+public:
+    store_link(boost::asio::io_context&, model::endpoint store, zinnialedge::fleet::object_kind, zinnialedge::fleet::store_protocol const&, zinnialedge::fleet::mirror_settings, std::function<void()> changed);
+
+    void start() { advance(); }
+    /// Takes over what another daemon has read. True when something changed.
+    bool adopt(std::vector<zinnialedge::fleet::store_object> const&, std::uint64_t asOf);
+
+    zinnialedge::fleet::object_mirror const& mirror() const { return m_mirror; }
+    store_link_counters const& counters() const { return m_counters; }
+
+private:
+    void advance();
+    void sleepUntil(kernel::time_point);
+    void send(zinnialedge::fleet::mirror_request const&);
+    void handle(zinnialedge::fleet::mirror_request const&, wire::http_result const&);
+    void noteFailure(std::string const& reason);
+    void publish(bool wasConnected, std::uint64_t generation);
+
+    boost::asio::io_context& m_context;
+    zinnialedge::fleet::object_kind m_kind;
+    zinnialedge::fleet::store_protocol const& m_protocol;
+    zinnialedge::fleet::object_mirror m_mirror;
+    std::function<void()> m_changed;
+    model::endpoint m_store;
+    std::unique_ptr<wire::http_client> m_client;
+    boost::asio::steady_timer m_timer;
+    store_link_counters m_counters;
+    bool m_isCalling { false };
+};
+
+std::string_view nameOf(zinnialedge::fleet::object_kind);
+
+}
--- /dev/null
+++ b/Services/traffic/leaf_connection.cpp
@@ -0,0 +1,239 @@
+#include "Services/traffic/leaf_connection.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+
+namespace zinnialedge::services::traffic {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using forwarding::call_failure;
+
+static constexpr std::size_t readBytes = 8192;
+/// Answers are bounded by the users' sheets to tens of kilobytes; more is no answer of a leaf.
+static constexpr std::size_t replyBodyLimit = 8U << 20U;
+/// A leaf that names no idle timeout keeps a connection for less than a second.
+static constexpr std::chrono::milliseconds unnamedIdleLimit { 700 };
+/// The way of a request to the leaf, and its clock's grain.
+static constexpr std::chrono::milliseconds idleMargin { 500 };
+/// A request that may run once is not sent over a connection that the leaf may be closing.
+static constexpr std::chrono::milliseconds onceIdleLimit { 300 };
+/// Answers to earlier calls that are passed over before the connection is given up.
+static constexpr unsigned skippedReplyLimit = 2;
+
+leaf_connection::leaf_connection(asio::io_context& context, leaf_connection_hooks hooks)
+    : m_context(context)
+    , m_hooks(std::move(hooks))
+    , m_socket(context)
+    , m_idleLimit(unnamedIdleLimit)
+{
+}
+
+void leaf_connection::connect(model::endpoint const& place, call_message call)
+{
+    m_connectsSince = std::chrono::steady_clock::now();
+    m_call = std::move(call);
+    beast::error_code failure;
+    auto const address = asio::ip::make_address(place.address, failure);
+    if (failure) {
+        asio::post(m_context, [self = shared_from_this()] { self->cut(call_failure::not_sent); });
+        return;
+    }
+    m_socket.async_connect(tcp::endpoint { address, place.port }, [self = shared_from_this()](beast::error_code result) {
+        if (self->m_isClosed)
+            return;
+        if (result) {
+            self->cut(call_failure::not_sent);
+            return;
+        }
+        beast::error_code ignored;
+        self->m_socket.set_option(tcp::no_delay(true), ignored);
+        self->m_socket.non_blocking(true, ignored);
+        self->m_isOpen = true;
+        self->transmit();
+        if (!self->m_isClosed)
+            self->read();
+    });
+}
+
+bool leaf_connection::isFresh(kernel::time_point now, bool isRepeatable) const
+{
+    auto const limit = isRepeatable ? m_idleLimit : std::min<kernel::duration>(m_idleLimit, onceIdleLimit);
+    return now - m_idleSince < limit;
+}
+
+void leaf_connection::send(call_message call)
+{
+    m_call = std::move(call);
+    transmit();
+}
+
+void leaf_connection::transmit()
+{
+    m_skippedReplies = 0;
+    m_parser.reset();
+    beast::error_code failure;
+    auto const written = m_socket.write_some(asio::buffer(m_call->bytes), failure);
+    if (failure && failure != asio::error::would_block) {
+        asio::post(m_context, [self = shared_from_this()] { self->cut(call_failure::broken); });
+        return;
+    }
+    if (written < m_call->bytes.size())
+        writeRest(written);
+}
+
+void leaf_connection::writeRest(std::size_t written)
+{
+    m_isWriting = true;
+    auto const bytes = std::make_shared<std::string>(m_call->bytes.substr(written));
+    asio::async_write(m_socket, asio::buffer(*bytes), [self = shared_from_this(), bytes](beast::error_code failure, std::size_t) {
+        self->m_isWriting = false;
+        if (failure && !self->m_isClosed && self->m_call)
+            self->cut(call_failure::broken);
+    });
+}
+
+void leaf_connection::read()
+{
+    m_socket.async_read_some(m_buffer.prepare(readBytes), [self = shared_from_this()](beast::error_code failure, std::size_t bytes) { self->handleRead(failure, bytes); });
+}
+
+void leaf_connection::handleRead(beast::error_code failure, std::size_t bytes)
+{
+    if (m_isClosed)
+        return;
+    m_buffer.commit(bytes);
+    if (failure == asio::error::eof && m_call && m_parser && m_parser->got_some()) {
+        // A body without a length ends with the connection; a reset does not complete it.
+        beast::error_code incomplete;
+        m_parser->put_eof(incomplete);
+        if (!incomplete && m_parser->is_done()) {
+            finishReply();
+            return;
+        }
+    }
+    if (failure || !m_call) {
+        // Bytes that answer no call make the connection useless.
+        cut(call_failure::broken);
+        return;
+    }
+    parse();
+    if (!m_isClosed)
+        read();
+}
+
+void leaf_connection::parse()
+{
+    while (m_call && m_buffer.size() > 0) {
+        if (!m_parser) {
+            m_parser.emplace();
+            m_parser->eager(true);
+            m_parser->body_limit(replyBodyLimit);
+            m_parser->skip(m_call->isHead);
+        }
+        beast::error_code failure;
+        m_buffer.consume(m_parser->put(m_buffer.data(), failure));
+        if (failure == http::error::need_more)
+            return;
+        if (failure) {
+            cut(call_failure::broken);
+            return;
+        }
+        if (!m_parser->is_done())
+            return;
+        finishReply();
+    }
+}
+
+void leaf_connection::finishReply()
+{
+    auto reply = takeReply();
+    bool const isKeptAlive = m_parser->keep_alive();
+    m_parser.reset();
+    bool const isOther = !reply.attemptId.empty() && reply.attemptId != m_call->attemptId;
+    bool const isInterim = reply.status < 200;
+    if (isKeptAlive && (isInterim || (isOther && ++m_skippedReplies <= skippedReplyLimit)))
+        return;
+    // A success that does not name its request may be the answer to another one.
+    if (isOther || isInterim || (reply.attemptId.empty() && reply.status < 300 && !m_call->attemptId.empty())) {
+        cut(call_failure::broken);
+        return;
+    }
+    bool const isReusable = isKeptAlive && !m_isWriting && m_buffer.size() == 0;
+    m_idleSince = std::chrono::steady_clock::now();
+    if (!isReusable)
+        close();
+    endCall(std::move(reply));
+    if (isReusable && !m_isClosed && !m_call)
+        m_hooks.becameIdle();
+}
+
+/// The seconds of a "timeout=N" parameter, or nothing.
+static std::optional<unsigned> parseKeepAlive(std::string_view value)
+{
+    static constexpr std::string_view name = "timeout=";
+    auto const start = value.find(name);
+    if (start == std::string_view::npos)
+        return std::nullopt;
+    unsigned seconds = 0;
+    auto const* const begin = value.data() + start + name.size();
+    if (std::from_chars(begin, value.data() + value.size(), seconds).ec != std::errc {})
+        return std::nullopt;
+    return seconds;
+}
+
+forwarding::leaf_reply leaf_connection::takeReply()
+{
+    forwarding::leaf_reply reply;
+    auto message = m_parser->release();
+    reply.status = static_cast<int>(message.result_int());
+    for (auto const& field : message) {
+        std::string_view const name { field.name_string().data(), field.name_string().size() };
+        std::string_view const value { field.value().data(), field.value().size() };
+        if (field.name() == http::field::keep_alive) {
+            if (auto const seconds = parseKeepAlive(value))
+                m_idleLimit = std::max<kernel::duration>(std::chrono::seconds { *seconds } - idleMargin, unnamedIdleLimit / 2);
+        }
+        if (field.name() == http::field::content_encoding)
+            reply.isEncoded = true;
+        if (!forwarding::isConnectionHeader(name) && m_hooks.protocol->takeReplyHeader(name, value, reply))
+            reply.headers.push_back({ std::string { name }, std::string { value } });
+    }
+    reply.body = std::move(message.body());
+    return reply;
+}
+
+void leaf_connection::endCall(forwarding::call_result result)
+{
+    auto const number = m_call->number;
+    m_call.reset();
+    m_hooks.callEnded(number, std::move(result));
+}
+
+void leaf_connection::close()
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    m_isOpen = false;
+    beast::error_code ignored;
+    m_socket.close(ignored);
+    m_hooks.closed();
+}
+
+void leaf_connection::cut(call_failure failure)
+{
+    if (m_isClosed)
+        return;
+    auto const self = shared_from_this();
+    bool const hasSent = m_isOpen;
+    close();
+    if (m_call)
+        endCall(tl::unexpected(hasSent ? failure : call_failure::not_sent));
+}
+
+}
--- /dev/null
+++ b/Services/traffic/leaf_pools.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Services/traffic/leaf_connection.h"
+#include <unordered_map>
+#include <vector>
+
+namespace zinnialedge::services::traffic {
+
+struct leaf_pools_counters {
+    std::uint64_t opened { 0 };
+    std::uint64_t reused { 0 };
+};
+
+/// The connections to all leafs. A call takes an idle one of its leaf or opens another.
+class leaf_pools {
+public:
+    leaf_pools(boost::asio::io_context&, forwarding::edge_protocol const&, std::function<void(forwarding::call_number, forwarding::call_result)> callEnded);
+
+    void send(std::uint32_t leaf, model::endpoint const&, call_message, kernel::time_point now);
+    /// Ends a call with its connection.
+    void cancel(forwarding::call_number, forwarding::call_failure);
+    /// Ends connections that are not opened in time or idle for too long.
+    void sweep(kernel::time_point now);
+
+    std::size_t openCount() const { return m_all.size(); }
+    leaf_pools_counters const& counters() const { return m_counters; }
+
+private:
+    using connection = std::shared_ptr<leaf_connection>;
+
+    connection takeIdle(std::uint32_t leaf, bool isRepeatable, kernel::time_point now);
+    connection makeConnection(std::uint32_t leaf);
+
+    boost::asio::io_context& m_context;
+    forwarding::edge_protocol const& m_protocol;
+    std::function<void(forwarding::call_number, forwarding::call_result)> m_callEnded;
+    std::unordered_map<std::uint32_t, std::vector<connection>> m_idle;
+    std::unordered_map<leaf_connection*, connection> m_all;
+    std::unordered_map<forwarding::call_number, std::weak_ptr<leaf_connection>> m_busy;
+    leaf_pools_counters m_counters;
+};
+
+}
--- /dev/null
+++ b/Services/traffic/request_log.cpp
@@ -0,0 +1,62 @@
+#include "Services/traffic/request_log.h"
+
+#include "Kernel/event_log.h"
+
+namespace zinnialedge::services::traffic {
+
+using kernel::log_level;
+using kernel::logEvent;
+
+/// Lines a second on requests; the rest is counted.
+static constexpr unsigned linesPerSecond = 40;
+/// Of the requests that were served whole and in time, one in so many gets a line.
+static constexpr std::uint64_t ordinarySampling = 200;
+
+request_log::request_log(kernel::clock_hook clock)
+    : m_clock(std::move(clock))
+{
+}
+
+bool request_log::mayWrite()
+{
+    auto const now = m_clock();
+    if (now - m_secondBegan >= std::chrono::seconds { 1 }) {
+        if (m_leftOut > 0)
+            logEvent(log_level::info, "request_lines_left_out", { { "count", m_leftOut } });
+        m_secondBegan = now;
+        m_linesThisSecond = 0;
+        m_leftOut = 0;
+    }
+    if (m_linesThisSecond >= linesPerSecond) {
+        ++m_leftOut;
+        return false;
+    }
+    ++m_linesThisSecond;
+    return true;
+}
+
+static auto millisecondsOf(kernel::duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+void request_log::note(forwarding::request_report const& report)
+{
+    bool const isOrdinary = report.status >= 200 && report.status < 300 && report.missing == 0 && report.elapsed <= report.objective;
+    if (isOrdinary && m_ordinary++ % ordinarySampling != 0)
+        return;
+    if (!mayWrite())
+        return;
+    logEvent(log_level::info, report.hasCallerLeft ? "caller_left" : "request_ended",
+        { { "id", report.attemptId }, { "route", report.route }, { "version", report.version }, { "status", report.status }, { "reason", report.reason },
+            { "parts", report.parts }, { "missing", report.missing }, { "copies", report.copies }, { "retries", report.retries },
+            { "elapsed_ms", millisecondsOf(report.elapsed) }, { "objective_ms", report.objective.count() } });
+}
+
+void request_log::noteLeafEvent(std::string const& attemptId, std::string const& leafId, std::string_view event, kernel::duration age)
+{
+    if (mayWrite())
+        logEvent(log_level::info, event, { { "id", attemptId }, { "leaf", leafId }, { "age_ms", millisecondsOf(age) } });
+}
+
+}
--- /dev/null
+++ b/Services/traffic/traffic_service.cpp
@@ -0,0 +1,320 @@
+#include "Services/traffic/traffic_service.h"
+
+#include "Kernel/event_log.h"
+#include "Libraries/zinnialedge/wire/tcp_listener.h"
+#include "Services/callers/latency_metrics.h"
+#include "Services/traffic/caller_connection.h"
+#include "Services/traffic/leaf_pools.h"
+#include "Services/traffic/request_log.h"
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <sstream>
+
+namespace zinnialedge::services::traffic {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using forwarding::request_token;
+using kernel::log_level;
+using kernel::logEvent;
+
+static constexpr std::size_t inboxCapacity = 256;
+/// How often connections are looked at for their time limits.
+static constexpr std::chrono::milliseconds sweepInterval { 200 };
+static constexpr std::chrono::milliseconds acceptPause { 50 };
+
+class traffic_service::implementation {
+public:
+    implementation(asio::io_context& context, traffic_settings settings, forwarding::edge_protocol protocol, kernel::random_hook random, std::atomic<std::size_t>& inFlight)
+        : m_context(context)
+        , m_settings(std::move(settings))
+        , m_protocol(std::move(protocol))
+        , m_inFlight(inFlight)
+        , m_acceptor(context)
+        , m_timer(context)
+        , m_sweepTimer(context)
+        , m_pools(context, m_protocol, [this](forwarding::call_number number, forwarding::call_result result) { endCall(number, std::move(result)); })
+        , m_log(kernel::makeSteadyClock())
+        , m_engine(m_settings.engine, makeHooks(), std::move(random), now())
+    {
+    }
+
+    errors::error_or<void> listen()
+    {
+        if (auto opened = wire::listenAt(m_acceptor, m_settings.callers); !opened)
+            return opened;
+        accept();
+        sweep();
+        return {};
+    }
+
+    std::uint16_t port() const
+    {
+        boost::system::error_code ignored;
+        return m_acceptor.local_endpoint(ignored).port();
+    }
+
+    void handle(traffic_event&& event)
+    {
+        std::visit([this](auto&& each) { perform(std::move(each)); }, std::move(event));
+        armTimer();
+    }
+
+    std::string describeState() const
+    {
+        boost::json::object const state {
+            { "requests_in_flight", m_engine.requestsInFlight() },
+            { "calls_in_flight", m_engine.callsInFlight() },
+            { "caller_connections", m_callers.size() },
+            { "leaf_connections", m_pools.openCount() },
+            { "leafs", m_engine.leafs().size() },
+            { "configuration_version", m_engine.routes() ? m_engine.routes()->version() : 0 },
+            { "is_leaving", m_isLeaving },
+        };
+        return boost::json::serialize(state);
+    }
+
+    std::string describeMetrics() const
+    {
+        auto const& counters = m_engine.counters();
+        std::ostringstream text;
+        auto const counter = [&text](char const* metric, std::uint64_t value) {
+            text << "# TYPE zinnialedge_" << metric << " counter\nzinnialedge_" << metric << " " << value << "\n";
+        };
+        auto const gauge = [&text](char const* metric, std::uint64_t value) {
+            text << "# TYPE zinnialedge_" << metric << " gauge\nzinnialedge_" << metric << " " << value << "\n";
+        };
+        counter("requests_total", counters.requests);
+        counter("answers_total", counters.answers);
+        counter("partial_answers_total", counters.partialAnswers);
+        counter("refusals_total", counters.refusals);
+        counter("failures_total", counters.failures);
+        counter("callers_left_total", counters.callersLeft);
+        counter("leaf_calls_total", counters.calls);
+        counter("leaf_call_copies_total", counters.copies);
+        counter("leaf_call_retries_total", counters.retries);
+        counter("leaf_calls_denied_by_budget_total", counters.extraCallsDenied);
+        counter("late_replies_total", counters.lateReplies);
+        counter("leaf_connections_opened_total", m_pools.counters().opened);
+        counter("leaf_connections_reused_total", m_pools.counters().reused);
+        counter("log_lines_dropped_total", kernel::droppedLogLines());
+        gauge("requests_in_flight", m_engine.requestsInFlight());
+        gauge("leaf_calls_in_flight", m_engine.callsInFlight());
+        gauge("caller_connections", m_callers.size());
+        gauge("leafs", m_engine.leafs().size());
+        gauge("configuration_version", m_engine.routes() ? m_engine.routes()->version() : 0);
+        return text.str() + m_latencies.describe();
+    }
+
+private:
+    static kernel::time_point now() { return std::chrono::steady_clock::now(); }
+
+    forwarding::engine_hooks makeHooks()
+    {
+        forwarding::engine_hooks hooks;
+        hooks.send = [this](forwarding::leaf_call const& call) { sendCall(call); };
+        hooks.cancel = [this](forwarding::call_number number, forwarding::call_failure failure) {
+            // Its end reaches the engine in a turn of its own.
+            asio::post(m_context, [this, number, failure] { m_pools.cancel(number, failure); });
+        };
+        hooks.answer = [this](request_token token, forwarding::final_answer const& answer) { giveAnswer(token, answer); };
+        hooks.report = [this](forwarding::request_report const& report) {
+            m_log.note(report);
+            m_latencies.add(report.route, report.hasCallerLeft ? "caller_left" : report.reason, std::chrono::duration_cast<std::chrono::microseconds>(report.elapsed));
+        };
+        hooks.note = [this](std::string const& id, std::string const& leaf, std::string_view event, kernel::duration age) { m_log.noteLeafEvent(id, leaf, event, age); };
+        return hooks;
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code failure, tcp::socket accepted) {
+            if (failure == asio::error::operation_aborted)
+                return;
+            if (failure) {
+                // Out of descriptors: those that are open end in time.
+                logEvent(log_level::warn, "accept_failed", { { "reason", failure.message() } });
+                m_acceptTimer.expires_after(acceptPause);
+                m_acceptTimer.async_wait([this](boost::system::error_code) { accept(); });
+                return;
+            }
+            admit(std::move(accepted));
+            accept();
+        });
+    }
+
+    void admit(tcp::socket accepted)
+    {
+        if (m_callers.size() >= m_settings.callerConnections) {
+            logEvent(log_level::warn, "caller_connection_refused", { { "open", m_callers.size() } });
+            return;
+        }
+        boost::system::error_code ignored;
+        accepted.set_option(tcp::no_delay(true), ignored);
+        accepted.non_blocking(true, ignored);
+        caller_connection_hooks hooks;
+        hooks.protocol = &m_protocol;
+        hooks.limits = [this] { return m_engine.routes() ? m_engine.routes()->limits() : forwarding::caller_limits {}; };
+        hooks.arrived = [this](std::shared_ptr<caller_connection> const& origin, forwarding::caller_request request) { takeRequest(origin, std::move(request)); };
+        hooks.left = [this](request_token token) {
+            m_origins.erase(token);
+            m_inFlight = m_origins.size();
+            m_engine.callerLeft(token, now());
+            armTimer();
+        };
+        hooks.closed = [this](caller_connection* closed) { m_callers.erase(closed); };
+        hooks.isLeaving = [this] { return m_isLeaving; };
+        hooks.refused = [](errors::error const& error) { logEvent(log_level::info, "request_rejected", { { "reason", errors::answerFor(error.kind).name } }); };
+        auto const made = std::make_shared<caller_connection>(std::move(accepted), std::move(hooks));
+        m_callers[made.get()] = made;
+        made->start();
+    }
+
+    void takeRequest(std::shared_ptr<caller_connection> const& origin, forwarding::caller_request request)
+    {
+        auto const token = ++m_lastToken;
+        origin->beginRequest(token);
+        m_origins[token] = origin;
+        m_inFlight = m_origins.size();
+        m_engine.arrive(token, std::move(request), now());
+        armTimer();
+    }
+
+    void giveAnswer(request_token token, forwarding::final_answer const& answer)
+    {
+        auto const found = m_origins.find(token);
+        if (found == m_origins.end())
+            return;
+        auto const origin = found->second;
+        m_origins.erase(found);
+        origin->answer(answer);
+        m_inFlight = m_origins.size();
+    }
+
+    void sendCall(forwarding::leaf_call const& call)
+    {
+        auto const at = now();
+        call_message message { call.number, call.request->attemptId, call.request->method == "HEAD", call.isRepeatable, {} };
+        auto& bytes = message.bytes;
+        bytes.reserve(512 + call.request->body.size());
+        bytes += call.request->method + " " + call.request->target + " HTTP/1.1\r\n";
+        for (auto const& each : call.request->headers)
+            bytes += each.name + ": " + each.value + "\r\n";
+        std::optional<std::chrono::milliseconds> left;
+        if (call.deadline)
+            left = std::max(std::chrono::duration_cast<std::chrono::milliseconds>(*call.deadline - at), std::chrono::milliseconds { 1 });
+        m_protocol.writeCallHeaders(call, left, bytes);
+        bool const hasBody = !call.request->body.empty() || call.request->method == "POST" || call.request->method == "PUT" || call.request->method == "PATCH";
+        if (hasBody)
+            bytes += "Content-Length: " + std::to_string(call.request->body.size()) + "\r\n";
+        bytes += "\r\n";
+        bytes += call.request->body;
+        m_pools.send(call.leaf, call.place, std::move(message), at);
+    }
+
+    void endCall(forwarding::call_number number, forwarding::call_result result)
+    {
+        m_engine.callEnded(number, std::move(result), now());
+        armTimer();
+    }
+
+    void armTimer()
+    {
+        auto const next = m_engine.nextTimer();
+        if (!next || (m_armedFor && *m_armedFor <= *next))
+            return;
+        m_armedFor = next;
+        m_timer.expires_at(*next);
+        m_timer.async_wait([this](boost::system::error_code failure) {
+            if (failure)
+                return;
+            m_armedFor.reset();
+            m_engine.runTimers(now());
+            armTimer();
+        });
+    }
+
+    void sweep()
+    {
+        m_sweepTimer.expires_after(sweepInterval);
+        m_sweepTimer.async_wait([this](boost::system::error_code failure) {
+            if (failure)
+                return;
+            auto const at = now();
+            m_pools.sweep(at);
+            std::vector<std::shared_ptr<caller_connection>> open;
+            open.reserve(m_callers.size());
+            for (auto const& [pointer, each] : m_callers)
+                open.push_back(each);
+            for (auto const& each : open)
+                each->checkTime(at);
+            sweep();
+        });
+    }
+
+    void perform(forwarding::route_table_pointer&& routes)
+    {
+        auto const before = m_engine.routes() ? m_engine.routes()->version() : 0;
+        m_engine.setRoutes(std::move(routes), now());
+        auto const after = m_engine.routes()->version();
+        if (after != before)
+            logEvent(log_level::info, "configuration_in_force", { { "version", after }, { "before", before }, { "routes", m_engine.routes()->routes().size() } });
+    }
+
+    void perform(leafs_changed&& changed) { m_engine.setLeafs(changed.leafs, now()); }
+    void perform(daemon_count_changed&& changed) { m_engine.setDaemonCount(changed.count); }
+    void perform(leaving_begun&&) { m_isLeaving = true; }
+
+    asio::io_context& m_context;
+    traffic_settings m_settings;
+    forwarding::edge_protocol m_protocol;
+    std::atomic<std::size_t>& m_inFlight;
+    tcp::acceptor m_acceptor;
+    asio::steady_timer m_timer;
+    asio::steady_timer m_sweepTimer;
+    asio::steady_timer m_acceptTimer { m_context };
+    std::unordered_map<caller_connection*, std::shared_ptr<caller_connection>> m_callers;
+    std::unordered_map<request_token, std::shared_ptr<caller_connection>> m_origins;
+    std::optional<kernel::time_point> m_armedFor;
+    request_token m_lastToken { 0 };
+    bool m_isLeaving { false };
+    leaf_pools m_pools;
+    request_log m_log;
+    callers::latency_metrics m_latencies;
+    forwarding::request_engine m_engine;
+};
+
+errors::error_or<std::shared_ptr<traffic_service>> traffic_service::create(traffic_settings settings, forwarding::edge_protocol protocol, kernel::random_hook random)
+{
+    std::shared_ptr<traffic_service> made { new traffic_service(std::move(settings), std::move(protocol), std::move(random)) };
+    if (auto listening = made->m_implementation->listen(); !listening)
+        return tl::unexpected(listening.error());
+    return made;
+}
+
+traffic_service::traffic_service(traffic_settings settings, forwarding::edge_protocol protocol, kernel::random_hook random)
+    : m_duty(serviceName)
+    , m_implementation(std::make_unique<implementation>(m_duty.context(), std::move(settings), std::move(protocol), std::move(random), m_requestsInFlight))
+    , m_inbox(m_duty.makeInbox<traffic_event>(inboxCapacity, [this](traffic_event&& event) { m_implementation->handle(std::move(event)); }))
+{
+}
+
+traffic_service::~traffic_service() = default;
+
+std::uint16_t traffic_service::port() const
+{
+    return m_implementation->port();
+}
+
+bool traffic_service::requestState(kernel::state_receiver receiver)
+{
+    return m_duty.post([this, receiver = std::move(receiver)] { receiver(m_implementation->describeState()); });
+}
+
+bool traffic_service::requestMetrics(kernel::state_receiver receiver)
+{
+    return m_duty.post([this, receiver = std::move(receiver)] { receiver(m_implementation->describeMetrics()); });
+}
+
+}
--- /dev/null
+++ b/Services/traffic/traffic_service.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "Kernel/duty.h"
+#include "Kernel/registry.h"
+#include "Libraries/zinnialedge/forwarding/edge_protocol.h"
+#include "Libraries/zinnialedge/forwarding/request_engine.h"
+#include <atomic>
+#include <memory>
+#include <variant>
+
+namespace zinnialedge::services::traffic {
+
+struct traffic_settings {
+    model::endpoint callers;
+    std::size_t callerConnections { 3000 };
+    forwarding::engine_settings engine;
+};
+
+// What the control side tells the traffic.
+
+struct leafs_changed {
+    std::vector<forwarding::leaf_registration> leafs;
+};
+
+struct daemon_count_changed {
+    std::size_t count { 1 };
+};
+
+/// Answers ask callers to close their connections from now on.
+struct leaving_begun { };
+
+using traffic_event = std::variant<forwarding::route_table_pointer, leafs_changed, daemon_count_changed, leaving_begun>;
+
+/// Takes requests of callers and calls leafs, all on one event loop: a leaf's reply costs one wake and crosses no thread.
+class traffic_service final : public kernel::service {
+public:
+    static errors::error_or<std::shared_ptr<traffic_service>> create(traffic_settings, forwarding::edge_protocol, kernel::random_hook);
+    ~traffic_service() override;
+
+    std::string const& name() const override { return m_duty.name(); }
+    void start() override { m_duty.start(); }
+    void stop() override { m_duty.stop(); }
+    bool requestState(kernel::state_receiver) override;
+    bool requestMetrics(kernel::state_receiver) override;
+
+    /// Where the control side puts its events; it is the only producer.
+    kernel::ring<traffic_event>& inbox() { return *m_inbox; }
+    std::uint16_t port() const;
+    /// How many requests wait for their answers. Any thread may ask.
+    std::size_t requestsInFlight() const { return m_requestsInFlight.load(); }
+
+    static constexpr char const* serviceName = "traffic";
+
+private:
+    class implementation;
+
+    explicit traffic_service(traffic_settings, forwarding::edge_protocol, kernel::random_hook);
+
+    kernel::io_duty m_duty;
+    std::atomic<std::size_t> m_requestsInFlight { 0 };
+    std::unique_ptr<implementation> m_implementation;
+    std::shared_ptr<kernel::ring<traffic_event>> m_inbox;
+};
+
+}
