Forwarding: End the calls of callers who have left, and of settled requests

Ruled out: the close not being noticed; callers_left counted it.

Tests first: WorkForACallerWhoLeftEndsEvenWhenItsObjectivePasses and CallsThatLostAreEndedSoonAfterTheAnswer, 0 of 2 calls cut before, 2 of 2 after.

--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -238,7 +238,7 @@
             continue;
         }
         auto* const request = find(due.subject);
-        if (!request)
+        if (!request || (request->hasCallerLeft && due.kind != timer_kind::abandon))
             continue;
         switch (due.kind) {
         case timer_kind::copy:
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -12,6 +12,8 @@
 
 /// With less time left a second call can't be answered.
 static constexpr std::chrono::milliseconds leastRetryTime { 5 };
+/// The platform asks that work for a caller who has left ends within half a second, and a caller may leave with its answer.
+static constexpr std::chrono::milliseconds lostCallGrace { 250 };
 /// Without a leaf there is nothing to wait for but a change of the registrations, about half a heartbeat.
 static constexpr std::chrono::milliseconds noLeafWait { 600 };
 /// About the time in which a full leaf works off its queue.
@@ -152,6 +154,9 @@
 
 void request_engine::settleIfDecided(active_request& request, time_point now)
 {
+    // Nobody waits for the answer; the calls that are open end together.
+    if (request.hasCallerLeft)
+        return;
     if (!request.to->isGather()) {
         if (request.settled() == 1)
             settleSingle(request, now);
@@ -234,12 +239,17 @@
     m_counters.answers += answer.refused ? 0 : 1;
     if (m_hooks.report)
         m_hooks.report({ request.request->attemptId, request.to->name, request.table->version(), answer.status, request.parts.size(), request.parts.size() - request.answered, request.copies, request.retries, now - request.arrivedAt, request.to->objective, answer.reason, request.hasCallerLeft });
+    // A call that lost may end by itself: to cut it costs its leaf a new connection, which is more than the rest of its
+    // work, unless the leaf is slow.
+    if (request.to->isRepeatable) {
+        for (auto const& part : request.parts) {
+            for (auto const& call : part.calls)
+                m_timers.push({ now + lostCallGrace, timer_kind::call_given_up, call.number });
+        }
+    }
     auto const token = request.token;
-    bool const hasCallerLeft = request.hasCallerLeft;
-    // Copies that lost run on: to cut one costs its leaf a new connection, which is more than the rest of its work.
     m_requests.erase(token);
-    if (!hasCallerLeft)
-        m_hooks.answer(token, std::move(answer));
+    m_hooks.answer(token, std::move(answer));
 }
 
 }
--- /dev/null
+++ b/Tests/Unit/request_engine_test.cpp
@@ -0,0 +1,254 @@
+#include "Tests/Support/engine_harness.h"
+#include <CppUTest/TestHarness.h>
+
+using namespace zinnialedge;
+using namespace std::chrono_literals;
+using errors::error_kind;
+using forwarding::call_failure;
+using forwarding::leaf_reply;
+using tests::engine_harness;
+
+namespace {
+
+std::vector<std::string> shardNames(std::size_t count)
+{
+    return engine_harness::gatherRoute(count, 1).gather.shards;
+}
+
+/// Twenty shards of two leafs, and a service of two leafs.
+struct fleet_of_twenty : engine_harness {
+    explicit fleet_of_twenty(double leastShare = 0.89, bool isSingleRepeatable = true)
+    {
+        declare(1, { gatherRoute(20, leastShare), singleRoute(isSingleRepeatable) });
+        auto services = shardNames(20);
+        services.emplace_back("desk");
+        registerLeafs(services, 2);
+    }
+
+    void succeedAllBut(std::string const& service)
+    {
+        for (auto const& call : openCalls()) {
+            if (!call.leafId.starts_with(service + "/"))
+                succeed(call.number);
+        }
+    }
+};
+
+leaf_reply errorReply(int status)
+{
+    leaf_reply reply;
+    reply.status = status;
+    reply.seal = "seal";
+    return reply;
+}
+
+}
+
+TEST_GROUP(RequestEngine) {};
+
+TEST(RequestEngine, AWholeGatherNamesEachPartOnce)
+{
+    fleet_of_twenty fleet;
+    auto const token = fleet.arrive("/gather/1");
+    LONGS_EQUAL(20, fleet.openCalls().size());
+    fleet.succeedAllBut("none");
+    auto const* const answer = fleet.answerOf(token);
+    CHECK(answer);
+    CHECK(answer->isMerged);
+    LONGS_EQUAL(20, answer->partSeals.size());
+    LONGS_EQUAL(0, answer->missingParts);
+}
+
+TEST(RequestEngine, TheObjectiveEndsTheWaitForTheLastShard)
+{
+    fleet_of_twenty fleet;
+    auto const token = fleet.arrive("/gather/1");
+    fleet.succeedAllBut("shard3");
+    fleet.pass(50ms);
+    CHECK(!fleet.answerOf(token));
+    fleet.pass(50ms);
+    auto const* const answer = fleet.answerOf(token);
+    CHECK(answer);
+    LONGS_EQUAL(19, answer->partSeals.size());
+    LONGS_EQUAL(1, answer->missingParts);
+}
+
+TEST(RequestEngine, FewerThanTheLeastShareAreNoAnswer)
+{
+    fleet_of_twenty fleet;
+    auto const token = fleet.arrive("/gather/1");
+    for (auto const& call : fleet.openCalls()) {
+        if (!call.leafId.starts_with("shard1"))
+            fleet.succeed(call.number);
+    }
+    fleet.pass(1000ms);
+    CHECK(!fleet.answerOf(token));
+    fleet.pass(500ms);
+    auto const* const answer = fleet.answerOf(token);
+    CHECK(answer);
+    CHECK(answer->refused && answer->refused->kind == error_kind::deadline_exceeded);
+}
+
+TEST(RequestEngine, TooManyShardsWithoutLeafsAreRefusedAtOnceAsNotRun)
+{
+    engine_harness fleet;
+    fleet.declare(1, { engine_harness::gatherRoute(20, 0.89) });
+    fleet.registerLeafs(shardNames(17), 2);
+    auto const token = fleet.arrive("/gather/1");
+    auto const* const answer = fleet.answerOf(token);
+    CHECK(answer);
+    CHECK(answer->refused && answer->refused->kind == error_kind::no_live_target);
+    CHECK(answer->refused->retryAfter.has_value());
+    LONGS_EQUAL(0, fleet.openCalls().size());
+}
+
+TEST(RequestEngine, ACopyOfASlowCallGoesToTheOtherLeaf)
+{
+    fleet_of_twenty fleet;
+    auto const token = fleet.arrive("/gather/1");
+    fleet.succeedAllBut("shard3");
+    auto const first = fleet.openCalls().front();
+    fleet.pass(45ms);
+    LONGS_EQUAL(2, fleet.openCalls().size());
+    auto const copy = fleet.openCalls().back();
+    CHECK(first.leafId != copy.leafId);
+    fleet.succeed(copy.number);
+    CHECK(fleet.answerOf(token));
+    LONGS_EQUAL(0, fleet.answerOf(token)->missingParts);
+}
+
+TEST(RequestEngine, AtMostAsManyLeafsAsAttemptsAreAskedForAShard)
+{
+    engine_harness fleet;
+    fleet.declare(1, { engine_harness::gatherRoute(1, 1) });
+    fleet.registerLeafs(shardNames(1), 4);
+    auto const token = fleet.arrive("/gather/1");
+    fleet.fail(fleet.openCalls().front().number, call_failure::broken);
+    LONGS_EQUAL(1, fleet.openCalls().size());
+    fleet.fail(fleet.openCalls().front().number, call_failure::broken);
+    LONGS_EQUAL(0, fleet.openCalls().size());
+    CHECK(fleet.answerOf(token)->refused->kind == error_kind::leaf_failed);
+}
+
+TEST(RequestEngine, WhatMayRunOnceIsNotSentAgainAfterALostAnswer)
+{
+    fleet_of_twenty fleet { 0.89, false };
+    auto const token = fleet.arrive("/single/1");
+    fleet.fail(fleet.openCalls("desk").front().number, call_failure::broken);
+    LONGS_EQUAL(0, fleet.openCalls("desk").size());
+    auto const* const answer = fleet.answerOf(token);
+    CHECK(answer);
+    CHECK(errors::answerFor(answer->refused->kind).ran == errors::run_state::maybe);
+    CHECK(answer->status == 502);
+}
+
+TEST(RequestEngine, WhatMayRunOnceIsSentAgainAfterTheLeafsOwnRefusal)
+{
+    fleet_of_twenty fleet { 0.89, false };
+    auto const token = fleet.arrive("/single/1");
+    auto const first = fleet.openCalls("desk").front();
+    fleet.shed(first.number);
+    LONGS_EQUAL(1, fleet.openCalls("desk").size());
+    CHECK(fleet.openCalls("desk").front().leafId != first.leafId);
+    fleet.shed(fleet.openCalls("desk").front().number);
+    auto const* const answer = fleet.answerOf(token);
+    CHECK(answer);
+    LONGS_EQUAL(503, answer->status);
+    CHECK(answer->refused->retryAfter.has_value());
+}
+
+TEST(RequestEngine, WhatMayRunOnceGetsNoCopy)
+{
+    fleet_of_twenty fleet { 0.89, false };
+    (void)fleet.arrive("/single/1", 6000ms);
+    fleet.pass(3000ms);
+    LONGS_EQUAL(1, fleet.openCalls("desk").size());
+}
+
+TEST(RequestEngine, ALeafsStatusThatWouldPromiseNotRunIsNotPassedOnWithoutItsWord)
+{
+    fleet_of_twenty fleet { 0.89, false };
+    auto const token = fleet.arrive("/single/1");
+    fleet.reply(fleet.openCalls("desk").front().number, errorReply(503));
+    LONGS_EQUAL(502, fleet.answerOf(token)->status);
+    CHECK(fleet.answerOf(token)->seal.empty());
+}
+
+TEST(RequestEngine, ALeafsOwnErrorIsPassedOnWithItsSeal)
+{
+    fleet_of_twenty fleet { 0.89, false };
+    auto const token = fleet.arrive("/single/1");
+    fleet.reply(fleet.openCalls("desk").front().number, errorReply(500));
+    LONGS_EQUAL(500, fleet.answerOf(token)->status);
+    STRCMP_EQUAL("seal", fleet.answerOf(token)->seal.c_str());
+}
+
+TEST(RequestEngine, ASuccessWithoutSealIsNoAnswer)
+{
+    fleet_of_twenty fleet { 0.89, false };
+    auto const token = fleet.arrive("/single/1");
+    leaf_reply unsealed;
+    unsealed.status = 200;
+    fleet.reply(fleet.openCalls("desk").front().number, unsealed);
+    LONGS_EQUAL(502, fleet.answerOf(token)->status);
+}
+
+TEST(RequestEngine, WithoutConfigurationARequestHasNotRun)
+{
+    engine_harness fleet;
+    auto const token = fleet.arrive("/gather/1");
+    LONGS_EQUAL(503, fleet.answerOf(token)->status);
+    fleet.declare(1, { engine_harness::gatherRoute(1, 1) });
+    LONGS_EQUAL(404, fleet.answerOf(fleet.arrive("/other/1"))->status);
+}
+
+TEST(RequestEngine, AnOlderConfigurationIsNotTakenOver)
+{
+    engine_harness fleet;
+    fleet.declare(5, { engine_harness::gatherRoute(1, 1) });
+    fleet.declare(4, {});
+    fleet.declare(5, {});
+    LONGS_EQUAL(5, fleet.engine.routes()->version());
+    CHECK(fleet.engine.routes()->find("host", "/gather/1"));
+}
+
+TEST(RequestEngine, ARequestKeepsTheShardsThatItArrivedUnder)
+{
+    engine_harness fleet;
+    fleet.declare(1, { engine_harness::gatherRoute(2, 1) });
+    fleet.registerLeafs(shardNames(5), 2);
+    auto const token = fleet.arrive("/gather/1");
+    fleet.declare(2, { engine_harness::gatherRoute(5, 1) });
+    LONGS_EQUAL(2, fleet.openCalls().size());
+    fleet.succeed(fleet.openCalls().front().number);
+    fleet.succeed(fleet.openCalls().front().number);
+    LONGS_EQUAL(2, fleet.answerOf(token)->partSeals.size());
+}
+
+TEST(RequestEngine, WorkForACallerWhoLeftEndsEvenWhenItsObjectivePasses)
+{
+    // Many callers leave while the leafs are slow.
+    fleet_of_twenty fleet;
+    auto const token = fleet.arrive("/gather/1");
+    fleet.succeedAllBut("shard3");
+    fleet.pass(30ms);
+    fleet.engine.callerLeft(token, fleet.now());
+    auto const open = fleet.openCalls();
+    CHECK(!open.empty());
+    fleet.pass(400ms);
+    LONGS_EQUAL(open.size(), fleet.cancelled().size());
+}
+
+TEST(RequestEngine, CallsThatLostAreEndedSoonAfterTheAnswer)
+{
+    fleet_of_twenty fleet;
+    auto const token = fleet.arrive("/gather/1");
+    fleet.succeedAllBut("shard3");
+    fleet.pass(100ms);
+    CHECK(fleet.answerOf(token));
+    auto const open = fleet.openCalls();
+    LONGS_EQUAL(2, open.size());
+    LONGS_EQUAL(0, fleet.cancelled().size());
+    fleet.pass(400ms);
+    LONGS_EQUAL(2, fleet.cancelled().size());
+}
