Traffic: Take status 421 as the word of another leaf

Test first: ALeafWhoseAddressHasAnotherOneIsNotCalledAgain, 5 calls in place of 1. With it come a leaf that answers with raw bytes and tests of the ways in which an answer is spoilt.

--- a/Services/traffic/leaf_connection.cpp
+++ b/Services/traffic/leaf_connection.cpp
@@ -14,6 +14,8 @@
 using forwarding::call_failure;
 
 static constexpr std::size_t readBytes = 8192;
+/// RFC 9110, section 15.5.20. Beast 1.81 has no name for it.
+static constexpr int misdirectedStatus = 421;
 /// Answers are bounded by the users' sheets to tens of kilobytes; more is no answer of a leaf.
 static constexpr std::size_t replyBodyLimit = 8U << 20U;
 /// A leaf that names no idle timeout keeps a connection for less than a second.
@@ -191,6 +193,7 @@
     forwarding::leaf_reply reply;
     auto message = m_parser->release();
     reply.status = static_cast<int>(message.result_int());
+    reply.isMisdirected = reply.status == misdirectedStatus;
     for (auto const& field : message) {
         std::string_view const name { field.name_string().data(), field.name_string().size() };
         std::string_view const value { field.value().data(), field.value().size() };
--- /dev/null
+++ b/Tests/Faults/edge_traffic_test.cpp
@@ -0,0 +1,145 @@
+#include "Tests/Support/edge_bench.h"
+#include "Tests/Support/engine_harness.h"
+#include <CppUTest/TestHarness.h>
+
+using namespace zinnialedge;
+using tests::edge_bench;
+using tests::engine_harness;
+using tests::raw_leaf;
+using tests::raw_reply;
+using tests::rawHeader;
+using tests::registrationOf;
+using tests::sealedReply;
+
+namespace {
+
+raw_reply answerWell(std::string const& request)
+{
+    return { sealedReply(request, "body of " + rawHeader(request, "Zinnialedge-Attempt-Id")), false, false };
+}
+
+/// One service with one leaf.
+struct one_leaf {
+    explicit one_leaf(std::function<raw_reply(std::string const&)> answer, bool isRepeatable = false)
+        : leaf(std::move(answer))
+    {
+        bench.declare(1, { engine_harness::singleRoute(isRepeatable) });
+        bench.registerLeafs({ registrationOf("leaf", "desk", leaf) });
+    }
+
+    raw_leaf leaf;
+    edge_bench bench;
+};
+
+}
+
+TEST_GROUP(EdgeTraffic) {};
+
+TEST(EdgeTraffic, ARequestIsPassedOnAsItIs)
+{
+    one_leaf fleet { answerWell };
+    auto const answer = fleet.bench.send("POST /single/a?b=c%20d HTTP/1.1\r\nHost: host\r\nZinnialedge-Attempt-Id: a1\r\nZinnialedge-Deadline-Ms: 1000\r\nX-Other: kept\r\n"
+                                         "Connection: X-Hop\r\nX-Hop: dropped\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    LONGS_EQUAL(200, answer.status);
+    STRCMP_EQUAL("body of a1", answer.body.c_str());
+    STRCMP_EQUAL("seal-leaf", answer.header("Zinnialedge-Server-Seal").c_str());
+    auto const request = fleet.leaf.requests().front();
+    CHECK(request.starts_with("POST /single/a?b=c%20d HTTP/1.1\r\n"));
+    STRCMP_EQUAL("host", rawHeader(request, "Host").c_str());
+    STRCMP_EQUAL("kept", rawHeader(request, "X-Other").c_str());
+    STRCMP_EQUAL("", rawHeader(request, "X-Hop").c_str());
+    STRCMP_EQUAL("leaf", rawHeader(request, "Zinnialedge-Target-Instance").c_str());
+    CHECK(request.ends_with("\r\n\r\nabcde"));
+    auto const left = std::stoi(rawHeader(request, "Zinnialedge-Deadline-Ms"));
+    CHECK(left > 0 && left <= 1000);
+}
+
+TEST(EdgeTraffic, ALeafWhoseAddressHasAnotherOneIsNotCalledAgain)
+{
+    // Addresses of leafs that are gone are used again by leafs of other services.
+    one_leaf fleet { [](std::string const&) { return raw_reply { "HTTP/1.1 421 Misdirected Request\r\nZinnialedge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false, false }; } };
+    for (int count = 0; count < 5; ++count)
+        LONGS_EQUAL(503, fleet.bench.get("/single/a", "a" + std::to_string(count)).status);
+    LONGS_EQUAL(1, fleet.leaf.requests().size());
+}
+
+TEST(EdgeTraffic, AnAnswerToAnEarlierRequestIsPassedOver)
+{
+    one_leaf fleet { [](std::string const& request) {
+        auto const id = rawHeader(request, "Zinnialedge-Attempt-Id");
+        // The answer to the first request comes a second time, where that to the next one is due.
+        auto const extra = id == "a2" ? sealedReply("\r\nZinnialedge-Attempt-Id: a1\r\n", "body of a1") : std::string {};
+        return raw_reply { extra + sealedReply(request, "body of " + id), false, false };
+    } };
+    STRCMP_EQUAL("body of a1", fleet.bench.get("/single/a", "a1").body.c_str());
+    STRCMP_EQUAL("body of a2", fleet.bench.get("/single/a", "a2").body.c_str());
+    STRCMP_EQUAL("body of a3", fleet.bench.get("/single/a", "a3").body.c_str());
+}
+
+TEST(EdgeTraffic, BytesBehindAnAnswerEndTheConnection)
+{
+    one_leaf fleet { [](std::string const& request) { return raw_reply { sealedReply(request, "one") + sealedReply(request, "two"), false, false }; } };
+    STRCMP_EQUAL("one", fleet.bench.get("/single/a", "a1").body.c_str());
+    STRCMP_EQUAL("one", fleet.bench.get("/single/a", "a2").body.c_str());
+    LONGS_EQUAL(2, fleet.leaf.connectionCount());
+}
+
+TEST(EdgeTraffic, AnAnswerThatIsCutShortIsNone)
+{
+    one_leaf fleet { [](std::string const& request) {
+        auto whole = sealedReply(request, "a body of some length");
+        whole.resize(whole.size() - 4);
+        return raw_reply { whole, true, false };
+    } };
+    LONGS_EQUAL(502, fleet.bench.get("/single/a", "a1").status);
+    LONGS_EQUAL(1, fleet.leaf.requests().size());
+}
+
+TEST(EdgeTraffic, AnAnswerWithoutLengthEndsWithItsConnection)
+{
+    one_leaf fleet { [](std::string const& request) {
+        return raw_reply { "HTTP/1.1 200 OK\r\nZinnialedge-Server-Seal: s\r\nZinnialedge-Attempt-Id: " + rawHeader(request, "Zinnialedge-Attempt-Id") + "\r\n\r\nall of it", true, false };
+    } };
+    auto const answer = fleet.bench.get("/single/a", "a1");
+    LONGS_EQUAL(200, answer.status);
+    STRCMP_EQUAL("all of it", answer.body.c_str());
+}
+
+TEST(EdgeTraffic, AnAnswerWithoutLengthThatIsResetIsNone)
+{
+    one_leaf fleet { [](std::string const& request) {
+        return raw_reply { "HTTP/1.1 200 OK\r\nZinnialedge-Server-Seal: s\r\nZinnialedge-Attempt-Id: " + rawHeader(request, "Zinnialedge-Attempt-Id") + "\r\n\r\npart of it", false, true };
+    } };
+    LONGS_EQUAL(502, fleet.bench.get("/single/a", "a1").status);
+}
+
+TEST(EdgeTraffic, WhatMayRunOnceReachesOneLeafWhateverHappensToItsAnswer)
+{
+    raw_leaf first { [](std::string const&) { return raw_reply { "", false, true }; } };
+    raw_leaf second { [](std::string const&) { return raw_reply { "garbage\r\n\r\n", true, false }; } };
+    edge_bench bench;
+    bench.declare(1, { engine_harness::singleRoute(false) });
+    bench.registerLeafs({ registrationOf("first", "desk", first), registrationOf("second", "desk", second) });
+    static constexpr std::size_t requestCount = 20;
+    for (std::size_t count = 0; count < requestCount; ++count)
+        LONGS_EQUAL(502, bench.post("/single/a", "a" + std::to_string(count), "order").status);
+    LONGS_EQUAL(requestCount, first.requests().size() + second.requests().size());
+}
+
+TEST(EdgeTraffic, WrongRequestsGetTheirErrors)
+{
+    one_leaf fleet { answerWell };
+    LONGS_EQUAL(404, fleet.bench.get("/other/a", "a1").status);
+    LONGS_EQUAL(400, fleet.bench.send("nonsense\r\n\r\n").status);
+    LONGS_EQUAL(431, fleet.bench.send("GET /single/a HTTP/1.1\r\nHost: host\r\nX-Long: " + std::string(20'000, 'x') + "\r\n\r\n").status);
+    LONGS_EQUAL(413, fleet.bench.send("POST /single/a HTTP/1.1\r\nHost: host\r\nContent-Length: 300000\r\n\r\n").status);
+    LONGS_EQUAL(0, fleet.leaf.requests().size());
+}
+
+TEST(EdgeTraffic, ARequestSmuggledBehindAnotherLengthIsRefused)
+{
+    one_leaf fleet { answerWell };
+    auto const answer = fleet.bench.send("POST /single/a HTTP/1.1\r\nHost: host\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /single/smuggled HTTP/1.1\r\nHost: host\r\n\r\n");
+    LONGS_EQUAL(400, answer.status);
+    LONGS_EQUAL(0, fleet.leaf.requests().size());
+}
--- /dev/null
+++ b/Tests/Support/edge_bench.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Services/traffic/traffic_service.h"
+#include "Tests/Support/raw_leaf.h"
+
+namespace zinnialedge::tests {
+
+/// An answer as a caller gets it.
+struct raw_answer {
+    int status { 0 };
+    std::string head;
+    std::string body;
+    /// The connection ended before the answer was whole.
+    bool isCut { false };
+
+    std::string header(std::string const& name) const { return rawHeader(head, name); }
+};
+
+/// The traffic of one daemon with the platform's headers, in this process, on loopback.
+class edge_bench {
+public:
+    edge_bench();
+    ~edge_bench();
+    edge_bench(edge_bench const&) = delete;
+    edge_bench& operator=(edge_bench const&) = delete;
+
+    void declare(std::uint64_t version, std::vector<forwarding::route>);
+    void registerLeafs(std::vector<forwarding::leaf_registration>);
+    /// Sends bytes over a connection of its own and reads one answer.
+    raw_answer send(std::string const& bytes);
+    /// A GET with the attempt id and a second of patience.
+    raw_answer get(std::string const& path, std::string const& attemptId);
+    raw_answer post(std::string const& path, std::string const& attemptId, std::string const& body);
+
+private:
+    void waitUntilTold();
+
+    std::shared_ptr<services::traffic::traffic_service> m_traffic;
+};
+
+forwarding::leaf_registration registrationOf(std::string const& id, std::string const& service, raw_leaf const&);
+/// A whole answer of a leaf.
+std::string sealedReply(std::string const& request, std::string const& body, std::string const& moreHeaders = {});
+
+}
--- /dev/null
+++ b/Tests/Support/raw_leaf.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Libraries/zinnialedge/model/endpoint.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace zinnialedge::tests {
+
+/// What a leaf does with one request.
+struct raw_reply {
+    std::string bytes;
+    /// Ends the connection after the bytes.
+    bool isClosing { false };
+    /// Ends it with a reset.
+    bool isResetting { false };
+};
+
+/// A leaf that answers each request with bytes of the test's choice, so that they need not be HTTP.
+class raw_leaf {
+public:
+    /// `answer` gets the whole request and runs on the leaf's thread.
+    explicit raw_leaf(std::function<raw_reply(std::string const& request)> answer);
+    ~raw_leaf();
+    raw_leaf(raw_leaf const&) = delete;
+    raw_leaf& operator=(raw_leaf const&) = delete;
+
+    model::endpoint place() const;
+    std::vector<std::string> requests() const;
+    std::size_t connectionCount() const;
+
+private:
+    struct connection;
+
+    void accept();
+    void read(std::shared_ptr<connection> const&);
+    void answerAll(std::shared_ptr<connection> const&);
+
+    std::function<raw_reply(std::string const&)> m_answer;
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_requests;
+    std::size_t m_connections { 0 };
+    std::thread m_thread;
+};
+
+/// The value of a header in a raw request, or nothing.
+std::string rawHeader(std::string const& request, std::string const& name);
+
+}
