Fleet: Find a silent store by a short watch, and end the process at once

A store that takes calls and answers none keeps the connection alive, so that keep-alive probes do not find it; the watch of leafs waited 21 s, and a leaf that left was called 3.2 s after its word (DRAIN).

The log goes to standard output over a bounded queue and a thread of its own. A stand-in of the store and daemons as processes on loopback come with these tests.

--- a/Daemons/zinnialedge-edge/main.cpp
+++ b/Daemons/zinnialedge-edge/main.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -77,5 +78,8 @@
         signals.poll();
         return isHurried;
     });
-    return 0;
+    // Everything of ours has ended. Destructors of static objects in libraries may wait for threads of their own.
+    made->reset();
+    kernel::closeLog();
+    std::quick_exit(0);
 }
--- a/Kernel/event_log.cpp
+++ b/Kernel/event_log.cpp
@@ -31,14 +31,18 @@
     {
     }
 
-    ~log_writer()
+    ~log_writer() { finish(); }
+
+    /// Writes what waits and ends the thread; later lines are dropped.
+    void finish()
     {
         {
             std::lock_guard const lock(m_mutex);
             m_isStopping = true;
         }
         m_changed.notify_one();
-        m_thread.join();
+        if (m_thread.joinable())
+            m_thread.join();
     }
 
     log_writer(log_writer const&) = delete;
@@ -48,7 +52,7 @@
     {
         {
             std::lock_guard const lock(m_mutex);
-            if (m_waiting.size() >= waitingLineLimit) {
+            if (m_isStopping || m_waiting.size() >= waitingLineLimit) {
                 ++m_dropped;
                 return;
             }
@@ -126,6 +130,11 @@
     writer();
 }
 
+void closeLog()
+{
+    writer().finish();
+}
+
 std::uint64_t droppedLogLines()
 {
     return writer().droppedTotal();
--- a/Kernel/event_log.h
+++ b/Kernel/event_log.h
@@ -39,6 +39,8 @@
 /// Sets up the log of this process on standard output. Call it once, first. A thread of its own writes the lines; whoever
 /// logs never waits for it.
 void openLog(std::string_view process, std::string_view level);
+/// Writes the lines that wait; later ones are dropped.
+void closeLog();
 /// False when there is no such level.
 bool setLogLevel(std::string_view level);
 std::string logLevel();
--- a/Services/fleet/store_link.cpp
+++ b/Services/fleet/store_link.cpp
@@ -10,10 +10,10 @@
 using zinnialedge::fleet::mirror_request;
 using zinnialedge::fleet::object_kind;
 
-/// How long a watch waits for a change; each one that ends is a call to be paid.
-static constexpr std::chrono::milliseconds watchWait { 20'000 };
-/// Beyond its wait a watch gets this long; a dead connection is found sooner by its keep-alive probes.
-static constexpr std::chrono::milliseconds watchSlack { 1500 };
+/// Beyond its wait a watch gets this long for its answer.
+static constexpr std::chrono::milliseconds watchSlack { 800 };
+/// After a failure a short wait tells soon whether the store answers again.
+static constexpr std::chrono::milliseconds probeWait { 200 };
 /// A list is answered in milliseconds, or in hundreds of them while the store is slow.
 static constexpr std::chrono::milliseconds listTimeout { 2000 };
 
@@ -30,11 +30,12 @@
     return "unknown";
 }
 
-store_link::store_link(boost::asio::io_context& context, model::endpoint store, object_kind kind, zinnialedge::fleet::store_protocol const& protocol, zinnialedge::fleet::mirror_settings settings, std::function<void()> changed)
+store_link::store_link(boost::asio::io_context& context, model::endpoint store, object_kind kind, zinnialedge::fleet::store_protocol const& protocol, zinnialedge::fleet::mirror_settings settings, std::chrono::milliseconds watchWait, std::function<void()> changed)
     : m_context(context)
     , m_kind(kind)
     , m_protocol(protocol)
     , m_mirror(settings, kernel::makeRandom())
+    , m_watchWait(watchWait)
     , m_changed(std::move(changed))
     , m_store(std::move(store))
     , m_client(std::make_unique<wire::http_client>(context, m_store))
@@ -73,8 +74,9 @@
 {
     m_isCalling = true;
     ++m_counters.calls;
-    auto const message = request.isList ? m_protocol.list(m_kind, request.after) : m_protocol.watch(m_kind, request.revision, watchWait);
-    auto const timeout = request.isList ? listTimeout : watchWait + watchSlack;
+    auto const wait = m_mirror.isConnected() ? m_watchWait : std::min(m_watchWait, probeWait);
+    auto const message = request.isList ? m_protocol.list(m_kind, request.after) : m_protocol.watch(m_kind, request.revision, wait);
+    auto const timeout = request.isList ? listTimeout : wait + watchSlack;
     m_client->connectAndSend(message, timeout, [this, request](wire::http_result const& result) {
         m_isCalling = false;
         handle(request, result);
@@ -92,6 +94,15 @@
     m_mirror.handleFailure(std::chrono::steady_clock::now());
     // A connection on which an answer was lost gives no further ones.
     m_client = std::make_unique<wire::http_client>(m_context, m_store);
+    if (failed)
+        failed();
+}
+
+void store_link::reconnect()
+{
+    // The call that is open ends with a failure and is made again.
+    if (m_isCalling)
+        m_client->close();
 }
 
 void store_link::handle(mirror_request const& request, wire::http_result const& result)
--- a/Services/fleet/store_link.h
+++ b/Services/fleet/store_link.h
@@ -17,9 +17,13 @@
 /// Keeps the mirror of one kind of objects up to date over a connection of its own.
 class store_link {
 public:
-    store_link(boost::asio::io_context&, model::endpoint store, zinnialedge::fleet::object_kind, zinnialedge::fleet::store_protocol const&, zinnialedge::fleet::mirror_settings, std::function<void()> changed);
+    store_link(boost::asio::io_context&, model::endpoint store, zinnialedge::fleet::object_kind, zinnialedge::fleet::store_protocol const&, zinnialedge::fleet::mirror_settings, std::chrono::milliseconds watchWait, std::function<void()> changed);
 
     void start() { advance(); }
+    /// Makes the present call again over a new connection: the store may have forgotten the old one.
+    void reconnect();
+    /// Called when a call fails.
+    std::function<void()> failed;
     /// Takes over what another daemon has read. True when something changed.
     bool adopt(std::vector<zinnialedge::fleet::store_object> const&, std::uint64_t asOf);
 
@@ -38,6 +42,7 @@
     zinnialedge::fleet::object_kind m_kind;
     zinnialedge::fleet::store_protocol const& m_protocol;
     zinnialedge::fleet::object_mirror m_mirror;
+    std::chrono::milliseconds m_watchWait;
     std::function<void()> m_changed;
     model::endpoint m_store;
     std::unique_ptr<wire::http_client> m_client;
--- a/Tests/Support/child_process.cpp
+++ b/Tests/Support/child_process.cpp
@@ -25,6 +25,7 @@
     VERIFY(piped == 0);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
     posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
     auto const path = findProgram(program);
     std::vector<char*> texts { const_cast<char*>(path.c_str()) };
@@ -109,7 +110,7 @@
     if (m_exitCode)
         return m_exitCode;
     {
-        // Its standard error ends when it does.
+        // Its output ends when it does.
         std::unique_lock lock(m_mutex);
         if (!m_changed.wait_for(lock, timeout, [&] { return m_isAtEnd; }))
             return std::nullopt;
--- a/Tests/Support/child_process.h
+++ b/Tests/Support/child_process.h
@@ -21,9 +21,9 @@
     child_process(child_process const&) = delete;
     child_process& operator=(child_process const&) = delete;
 
-    /// Waits until it has written a line with that text to standard error. Returns the line.
+    /// Waits until it has written a line with that text to standard output or error. Returns the line.
     std::optional<std::string> waitForLine(std::string const& text, std::chrono::milliseconds timeout = defaultTimeout);
-    /// Every line of standard error so far.
+    /// Every line of its output so far.
     std::vector<std::string> lines();
     void signal(int number) const;
     /// The exit code, or minus the signal; nothing when it still runs after the timeout.
--- a/Tests/Support/edge_bench.cpp
+++ b/Tests/Support/edge_bench.cpp
@@ -48,13 +48,18 @@
     waitUntilTold();
 }
 
-raw_answer edge_bench::send(std::string const& bytes)
+raw_answer askOnce(model::endpoint const& place, std::string const& bytes)
 {
     asio::io_context context;
     tcp::socket socket { context };
-    socket.connect({ asio::ip::make_address("127.0.0.1"), m_traffic->port() });
-    asio::write(socket, asio::buffer(bytes));
     raw_answer answer;
+    boost::system::error_code refused;
+    socket.connect({ asio::ip::make_address(place.address), place.port }, refused);
+    if (refused) {
+        answer.isCut = true;
+        return answer;
+    }
+    asio::write(socket, asio::buffer(bytes), refused);
     std::string received;
     std::array<char, 4096> buffer {};
     std::size_t bodyLength = 0;
@@ -80,6 +85,11 @@
     return answer;
 }
 
+raw_answer edge_bench::send(std::string const& bytes)
+{
+    return askOnce({ "127.0.0.1", m_traffic->port() }, bytes);
+}
+
 raw_answer edge_bench::get(std::string const& path, std::string const& attemptId)
 {
     return send("GET " + path + " HTTP/1.1\r\nHost: host\r\nZinnialedge-Attempt-Id: " + attemptId + "\r\nZinnialedge-Deadline-Ms: 1000\r\n\r\n");
--- a/Tests/Support/edge_bench.h
+++ b/Tests/Support/edge_bench.h
@@ -38,6 +38,8 @@
     std::shared_ptr<services::traffic::traffic_service> m_traffic;
 };
 
+/// Sends a request over a connection of its own and reads the answer.
+raw_answer askOnce(model::endpoint const&, std::string const& bytes);
 forwarding::leaf_registration registrationOf(std::string const& id, std::string const& service, raw_leaf const&);
 /// A whole answer of a leaf.
 std::string sealedReply(std::string const& request, std::string const& body, std::string const& moreHeaders = {});
--- /dev/null
+++ b/Tests/Support/fleet_store.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "Libraries/zinnialedge/wire/http_server.h"
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
+#include <deque>
+#include <map>
+#include <thread>
+
+namespace zinnialedge::tests {
+
+/// A stand-in of the platform's store on loopback: objects by kind and name, lists, watches and conditional writes.
+class fleet_store {
+public:
+    enum class trouble {
+        none,
+        /// Takes calls and never answers them, nor those that wait.
+        silent,
+        /// Answers 503.
+        busy,
+    };
+
+    explicit fleet_store(model::endpoint const& = { "127.0.0.1", 0 });
+    ~fleet_store();
+    fleet_store(fleet_store const&) = delete;
+    fleet_store& operator=(fleet_store const&) = delete;
+
+    model::endpoint place() const { return { m_address, m_port }; }
+    void put(std::string const& kind, std::string const& name, boost::json::value spec);
+    void erase(std::string const& kind, std::string const& name);
+    std::optional<boost::json::value> find(std::string const& kind, std::string const& name);
+    void setTrouble(trouble);
+    /// Watches get 410 for what is older than now.
+    void dropHistory();
+    std::size_t callCount() const { return m_calls; }
+
+private:
+    struct object {
+        std::uint64_t revision { 0 };
+        boost::json::value spec;
+    };
+
+    struct change {
+        std::uint64_t revision { 0 };
+        std::string kind;
+        std::string name;
+        boost::json::value shown;
+        bool isRemoved { false };
+    };
+
+    struct watcher {
+        std::string kind;
+        std::uint64_t from { 0 };
+        std::chrono::steady_clock::time_point until;
+        wire::http_responder respond;
+    };
+
+    void run(std::function<void()>);
+    void handle(wire::http_request const&, wire::http_responder const&);
+    void handleRead(std::string const& kind, std::map<std::string, std::string> const& parameters, wire::http_responder const&);
+    void handleWrite(wire::http_request const&, std::string const& kind, std::string const& name, wire::http_responder const&);
+    void changeObject(std::string const& kind, std::string const& name, std::optional<boost::json::value> spec);
+    bool answerWatch(watcher const&, bool isOver);
+    void serveWatchers();
+    void tick();
+    static boost::json::value show(std::string const& name, object const&);
+
+    boost::asio::io_context m_context;
+    std::unique_ptr<wire::http_server> m_server;
+    std::string m_address;
+    std::uint16_t m_port { 0 };
+    std::map<std::string, std::map<std::string, object>> m_objects;
+    std::deque<change> m_history;
+    std::uint64_t m_revision { 1 };
+    std::uint64_t m_historyBegins { 0 };
+    std::vector<watcher> m_watchers;
+    std::vector<wire::http_responder> m_unanswered;
+    trouble m_trouble { trouble::none };
+    std::atomic<std::size_t> m_calls { 0 };
+    std::thread m_thread;
+};
+
+}
