Forwarding, fleet: Keep idle leafs' times near the usual one, and probe the store

Cause 1: what was known of an idle leaf halved each second, so that a leaf of another data centre looked faster than the near one as soon as it had been idle for two seconds; with 32 daemons each leaf is idle most of the time. It now decays towards what leafs take as a rule. Tests: AnIdleLeafOfAnotherDataCentreIsNotTriedBecauseItIsIdle (failed first), ASlowLeafIsTriedAgainAfterAWhile.

Cause 2: a watch of 2 s on each daemon is a call to be paid. Watches wait 20 s again, and a probe that may be answered with old data, at a tenth of the price, finds a store that has fallen silent.

--- a/Libraries/zinnialedge/fleet/store_protocol.h
+++ b/Libraries/zinnialedge/fleet/store_protocol.h
@@ -24,6 +24,8 @@
     std::function<errors::error_or<object_page>(std::string_view body)> parsePage;
     std::function<errors::error_or<change_page>(std::string_view body)> parseChanges;
 
+    /// Asks for an object of the own kind, at the lowest price; only whether there is an answer counts.
+    std::function<wire::http_request(std::string const& name)> probe;
     /// Writes an object of the own kind. Without a revision it is created.
     std::function<wire::http_request(std::string const& name, boost::json::value const& content, std::optional<std::uint64_t> revision)> write;
     std::function<wire::http_request(std::string const& name)> remove;
--- a/Libraries/zinnialedge/forwarding/leaf_record.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_record.cpp
@@ -20,7 +20,8 @@
 static constexpr unsigned failuresBeforePause = 2;
 /// Time in which a full leaf has ended at least one call.
 static constexpr std::chrono::milliseconds shedPause { 20 };
-/// What is known of a leaf that is not called loses half of its weight in this time, so that it is tried again.
+/// What is known of a leaf that is not called loses half of its weight in this time against what is usual, so that a slow
+/// one is tried again.
 static constexpr std::chrono::duration<double> sampleHalfLife { 1.0 };
 static constexpr double mostHalvings = 5;
 
@@ -104,7 +105,7 @@
     return now < m_avoidedUntil || silence(now) > patience;
 }
 
-double leaf_record::expectedDelay(time_point now) const
+double leaf_record::expectedDelay(time_point now, double usualMicroseconds) const
 {
     auto const slots = static_cast<double>(std::max(m_registration.slots, 1U));
     auto const queued = static_cast<double>(m_inFlight.size()) / slots;
@@ -112,7 +113,8 @@
     // Other daemons' calls are seen only through the load that the leaf reports.
     auto const reported = static_cast<double>(m_load.waiting) / slots;
     auto const idle = m_inFlight.empty() ? std::chrono::duration<double> { now - m_lastAnswerAt } / sampleHalfLife : 0.0;
-    auto const latency = m_latencyMicroseconds * std::exp2(-std::clamp(idle, 0.0, mostHalvings));
+    auto const known = m_latencyMicroseconds == 0 ? usualMicroseconds : m_latencyMicroseconds;
+    auto const latency = usualMicroseconds + (known - usualMicroseconds) * std::exp2(-std::clamp(idle, 0.0, mostHalvings));
     return (latency + 1) * (1 + queued + reported / 2) * warmth * (1 + errorFactor * m_errorShare);
 }
 
--- a/Libraries/zinnialedge/forwarding/leaf_record.h
+++ b/Libraries/zinnialedge/forwarding/leaf_record.h
@@ -34,8 +34,8 @@
     kernel::duration silence(kernel::time_point now) const;
     /// It fails or is silent for longer than `patience`; calls go elsewhere while another leaf is sound.
     bool isSuspect(kernel::time_point now, kernel::duration patience) const;
-    /// How long a call sent now is expected to take, in microseconds.
-    double expectedDelay(kernel::time_point now) const;
+    /// How long a call sent now is expected to take, in microseconds. `usualMicroseconds` is what leafs take as a rule.
+    double expectedDelay(kernel::time_point now, double usualMicroseconds) const;
 
 private:
     void noteEnded(kernel::time_point sentAt);
--- a/Libraries/zinnialedge/forwarding/leaf_roster.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.cpp
@@ -12,6 +12,8 @@
 /// A leaf of another data centre is used when one of the own is expected to take this many times as long: bytes between
 /// data centres have a price.
 static constexpr double farFactor = 3;
+/// Weight of one call in what is usual over all leafs.
+static constexpr double usualWeight = 0.01;
 
 leaf_roster::leaf_roster(std::string ownDataCentre, kernel::random_hook random)
     : m_ownDataCentre(std::move(ownDataCentre))
@@ -73,6 +75,13 @@
     return ended;
 }
 
+void leaf_roster::noteUsual(kernel::duration callTime)
+{
+    ++m_usualSamples;
+    auto const weight = std::max(usualWeight, 1 / static_cast<double>(m_usualSamples));
+    m_usualMicroseconds += weight * (std::chrono::duration<double, std::micro> { callTime }.count() - m_usualMicroseconds);
+}
+
 std::optional<leaf_pick> leaf_roster::pick(std::string const& service, std::span<leaf_handle const> excluded, kernel::duration patience, time_point now) const
 {
     auto const leafs = m_byService.find(service);
@@ -88,7 +97,7 @@
             continue;
         bool const isSuspect = record.isSuspect(now, patience);
         bool const isFar = record.registration().dataCentre != m_ownDataCentre;
-        auto const delay = record.expectedDelay(now) * (isFar ? farFactor : 1);
+        auto const delay = record.expectedDelay(now, m_usualMicroseconds) * (isFar ? farFactor : 1);
         bool const isBetter = !best || (best->isSuspect && !isSuspect) || (best->isSuspect == isSuspect && delay < bestDelay);
         if (!isBetter)
             continue;
--- a/Libraries/zinnialedge/forwarding/leaf_roster.h
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.h
@@ -27,6 +27,9 @@
     /// What a leaf accepts is shared by that many daemons.
     void setSharing(route_table_pointer, std::size_t daemonCount);
 
+    /// A leaf has answered a call in that time.
+    void noteUsual(kernel::duration callTime);
+
     leaf_record& at(leaf_handle leaf) { return m_leafs.at(leaf); }
     leaf_record const& at(leaf_handle leaf) const { return m_leafs.at(leaf); }
     std::size_t size() const { return m_byId.size(); }
@@ -46,6 +49,8 @@
     kernel::random_hook m_random;
     route_table_pointer m_routes;
     std::size_t m_daemonCount { 1 };
+    double m_usualMicroseconds { 0 };
+    std::uint64_t m_usualSamples { 0 };
     std::unordered_map<leaf_handle, leaf_record> m_leafs;
     std::unordered_map<std::string, leaf_handle> m_byId;
     std::unordered_map<std::string, std::vector<leaf_handle>> m_byService;
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -91,6 +91,19 @@
     }
 }
 
+void request_engine::dispatchAllWaiting(time_point now)
+{
+    // A part that is given up may settle its request, so the services are collected first.
+    std::vector<std::string> services;
+    services.reserve(m_serviceHistories.size());
+    for (auto const& [service, history] : m_serviceHistories) {
+        if (!history.waiting.empty())
+            services.push_back(service);
+    }
+    for (auto const& service : services)
+        dispatchWaiting(service, now);
+}
+
 void request_engine::sendCopies(active_request& request, time_point now)
 {
     if (request.hasCallerLeft || now >= request.endAt)
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -36,23 +36,13 @@
         return;
     m_routes = std::move(routes);
     m_leafs.setSharing(m_routes, m_daemonCount);
-    std::vector<std::string> services;
-    for (auto const& [service, history] : m_serviceHistories)
-        services.push_back(service);
-    for (auto const& service : services)
-        dispatchWaiting(service, now);
+    dispatchAllWaiting(now);
 }
 
 void request_engine::setLeafs(std::vector<leaf_registration> const& registrations, time_point now)
 {
     m_leafs.replace(registrations, now);
-    std::vector<std::string> services;
-    for (auto const& [service, history] : m_serviceHistories) {
-        if (!history.waiting.empty())
-            services.push_back(service);
-    }
-    for (auto const& service : services)
-        dispatchWaiting(service, now);
+    dispatchAllWaiting(now);
 }
 
 void request_engine::setDaemonCount(std::size_t count)
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -143,6 +143,7 @@
     void send(active_request&, std::size_t place, leaf_handle, kernel::time_point now);
     void wait(active_request&, std::size_t place);
     void dispatchWaiting(std::string const& service, kernel::time_point now);
+    void dispatchAllWaiting(kernel::time_point now);
     /// Sends a copy of each call that takes longer than usual.
     void sendCopies(active_request&, kernel::time_point now);
     bool sendCopy(active_request&, std::size_t place, kernel::time_point now);
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -37,12 +37,14 @@
         record.noteLoad(*result->load);
     if (result->isMisdirected)
         record.noteMisdirected();
-    if (result->isNotRun || result->isMisdirected)
+    if (result->isNotRun || result->isMisdirected) {
         record.noteShed(owner.sentAt, now);
-    else if (result->isSuccess())
+    } else if (result->isSuccess()) {
         record.noteAnswered(owner.sentAt, now);
-    else
+        m_leafs.noteUsual(now - owner.sentAt);
+    } else {
         record.noteError(owner.sentAt, now);
+    }
 }
 
 void request_engine::noteEvent(active_request const& request, call_owner const& owner, std::string_view event, time_point now)
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -19,12 +19,10 @@
 
 /// Configurations come in quick succession at times, and each must be in force within seconds.
 static constexpr std::chrono::milliseconds routesBatchPause { 40 };
-static constexpr std::chrono::milliseconds leafsBatchPause { 250 };
+static constexpr std::chrono::milliseconds leafsBatchPause { 500 };
 static constexpr std::chrono::milliseconds daemonsBatchPause { 1000 };
-/// A store that stops answering is found when this watch ends. Its failure makes the other two be made again, so that
-/// these may wait for long: each watch that ends is a call to be paid.
-static constexpr std::chrono::milliseconds routesWatchWait { 2000 };
-static constexpr std::chrono::milliseconds otherWatchWait { 20'000 };
+/// Each watch that ends is a call to be paid; a store that has stopped answering is found by the probe.
+static constexpr std::chrono::milliseconds watchWait { 20'000 };
 /// How often peers are asked while the store does not answer.
 static constexpr std::chrono::milliseconds tickInterval { 500 };
 static constexpr std::chrono::milliseconds peerTimeout { 1000 };
@@ -43,18 +41,18 @@
     , m_duty(serviceName)
     , m_protocol(std::move(protocol))
     , m_traffic(traffic)
-    , m_routes(m_duty.context(), m_settings.store, object_kind::routes, m_protocol, mirror_settings { .batchPause = routesBatchPause, .returnWait = std::chrono::milliseconds { 0 } }, routesWatchWait, [this] { routesChanged(); })
-    , m_leafs(m_duty.context(), m_settings.store, object_kind::leafs, m_protocol, mirror_settings { .batchPause = leafsBatchPause }, otherWatchWait, [this] { leafsChanged(); })
-    , m_daemons(m_duty.context(), m_settings.store, object_kind::daemons, m_protocol, mirror_settings { .batchPause = daemonsBatchPause, .returnWait = std::chrono::milliseconds { 0 } }, otherWatchWait, [this] { daemonsChanged(); })
+    , m_routes(m_duty.context(), m_settings.store, object_kind::routes, m_protocol, mirror_settings { .batchPause = routesBatchPause, .returnWait = std::chrono::milliseconds { 0 } }, watchWait, [this] { routesChanged(); })
+    , m_leafs(m_duty.context(), m_settings.store, object_kind::leafs, m_protocol, mirror_settings { .batchPause = leafsBatchPause }, watchWait, [this] { leafsChanged(); })
+    , m_daemons(m_duty.context(), m_settings.store, object_kind::daemons, m_protocol, mirror_settings { .batchPause = daemonsBatchPause, .returnWait = std::chrono::milliseconds { 0 } }, watchWait, [this] { daemonsChanged(); })
+    , m_probe(m_duty.context(), m_settings.store, m_protocol.probe(m_settings.name), [this] {
+        for (auto* const link : { &m_routes, &m_leafs, &m_daemons })
+            link->reconnect();
+    })
     , m_registration(m_duty.context(), m_settings.store, m_protocol)
     , m_members(m_duty.context(), { .self = makeRecord(), .seeds = m_settings.seeds }, { [this] { membersChanged(); }, [this](model::endpoint const& place) { askPeer(place); } })
     , m_tickTimer(m_duty.context())
     , m_random(kernel::makeRandom())
 {
-    m_routes.failed = [this] {
-        m_leafs.reconnect();
-        m_daemons.reconnect();
-    };
 }
 
 errors::error_or<std::shared_ptr<fleet_service>> fleet_service::create(fleet_settings settings, zinnialedge::fleet::store_protocol protocol, traffic::traffic_service& traffic)
@@ -123,6 +121,7 @@
         m_routes.start();
         m_leafs.start();
         m_daemons.start();
+        m_probe.start();
         m_registration.put(m_settings.name, boost::json::parse(membership::formatDaemonRecord(makeRecord())));
         m_members.step(membership::membership_timer_due {});
         tick();
@@ -387,7 +386,7 @@
             { "configuration_version", m_table ? m_table->version() : 0 },
             { "leafs", m_leafList.size() },
             { "store_reached", m_routes.mirror().isConnected() && m_leafs.mirror().isConnected() },
-            { "store_calls", m_routes.counters().calls + m_leafs.counters().calls + m_daemons.counters().calls + m_registration.calls() },
+            { "store_calls", m_routes.counters().calls + m_leafs.counters().calls + m_daemons.counters().calls + m_registration.calls() + m_probe.calls() },
             { "members", std::move(members) },
         };
         receiver(boost::json::serialize(state));
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -6,6 +6,7 @@
 #include "Services/fleet/member_link.h"
 #include "Services/fleet/registration_link.h"
 #include "Services/fleet/store_link.h"
+#include "Services/fleet/store_probe.h"
 #include "Services/traffic/traffic_service.h"
 #include <atomic>
 
@@ -77,6 +78,7 @@
     store_link m_routes;
     store_link m_leafs;
     store_link m_daemons;
+    store_probe m_probe;
     registration_link m_registration;
     member_link m_members;
     std::unique_ptr<wire::http_server> m_directoryServer;
--- a/Services/fleet/store_link.cpp
+++ b/Services/fleet/store_link.cpp
@@ -94,8 +94,6 @@
     m_mirror.handleFailure(std::chrono::steady_clock::now());
     // A connection on which an answer was lost gives no further ones.
     m_client = std::make_unique<wire::http_client>(m_context, m_store);
-    if (failed)
-        failed();
 }
 
 void store_link::reconnect()
--- a/Services/fleet/store_link.h
+++ b/Services/fleet/store_link.h
@@ -22,8 +22,6 @@
     void start() { advance(); }
     /// Makes the present call again over a new connection: the store may have forgotten the old one.
     void reconnect();
-    /// Called when a call fails.
-    std::function<void()> failed;
     /// Takes over what another daemon has read. True when something changed.
     bool adopt(std::vector<zinnialedge::fleet::store_object> const&, std::uint64_t asOf);
 
--- /dev/null
+++ b/Services/fleet/store_probe.cpp
@@ -0,0 +1,39 @@
+#include "Services/fleet/store_probe.h"
+
+#include "Kernel/event_log.h"
+
+namespace zinnialedge::services::fleet {
+
+/// A loss must be found and made good within the platform's stable window of 4 s.
+static constexpr std::chrono::milliseconds probeInterval { 2000 };
+/// A slow store takes some hundred milliseconds.
+static constexpr std::chrono::milliseconds probeTimeout { 1000 };
+
+store_probe::store_probe(boost::asio::io_context& context, model::endpoint store, wire::http_request request, std::function<void()> lost)
+    : m_context(context)
+    , m_store(std::move(store))
+    , m_request(std::move(request))
+    , m_lost(std::move(lost))
+    , m_client(std::make_unique<wire::http_client>(context, m_store))
+    , m_timer(context)
+{
+}
+
+void store_probe::probe()
+{
+    ++m_calls;
+    m_client->connectAndSend(m_request, probeTimeout, [this](wire::http_result const& result) {
+        if (!result) {
+            kernel::logEvent(kernel::log_level::warn, "store_probe_failed", { { "reason", result.error().reason } });
+            m_client = std::make_unique<wire::http_client>(m_context, m_store);
+            m_lost();
+        }
+        m_timer.expires_after(probeInterval);
+        m_timer.async_wait([this](boost::system::error_code failure) {
+            if (!failure)
+                probe();
+        });
+    });
+}
+
+}
--- /dev/null
+++ b/Services/fleet/store_probe.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Libraries/zinnialedge/fleet/store_protocol.h"
+#include "Libraries/zinnialedge/wire/http_client.h"
+#include <boost/asio/steady_timer.hpp>
+
+namespace zinnialedge::services::fleet {
+
+/// Finds a store that has stopped answering: its connections stay open, and a watch that waits for long tells nothing.
+class store_probe {
+public:
+    /// `lost` is called when a probe gets no answer.
+    store_probe(boost::asio::io_context&, model::endpoint store, wire::http_request, std::function<void()> lost);
+
+    void start() { probe(); }
+    std::uint64_t calls() const { return m_calls; }
+
+private:
+    void probe();
+
+    boost::asio::io_context& m_context;
+    model::endpoint m_store;
+    wire::http_request m_request;
+    std::function<void()> m_lost;
+    std::unique_ptr<wire::http_client> m_client;
+    boost::asio::steady_timer m_timer;
+    std::uint64_t m_calls { 0 };
+};
+
+}
--- a/Tests/Unit/request_engine_test.cpp
+++ b/Tests/Unit/request_engine_test.cpp
@@ -252,3 +252,41 @@
     fleet.pass(400ms);
     LONGS_EQUAL(2, fleet.cancelled().size());
 }
+
+TEST(RequestEngine, AnIdleLeafOfAnotherDataCentreIsNotTriedBecauseItIsIdle)
+{
+    // Many daemons share a small load, so that each calls a leaf about once a second; bytes between data centres are dear.
+    engine_harness fleet;
+    fleet.declare(1, { engine_harness::gatherRoute(1, 1) });
+    fleet.registerLeafs(shardNames(1), 2);
+    int far = 0;
+    for (int count = 0; count < 100; ++count) {
+        (void)fleet.arrive("/gather/1");
+        auto const call = fleet.openCalls().front();
+        far += call.leafId == "shard0/1" ? 1 : 0;
+        // One in four is slower than the rest.
+        fleet.pass(count % 4 == 0 ? 18ms : 11ms);
+        fleet.succeed(call.number);
+        fleet.pass(1000ms);
+    }
+    CHECK(far <= 2);
+}
+
+TEST(RequestEngine, ASlowLeafIsTriedAgainAfterAWhile)
+{
+    engine_harness fleet;
+    fleet.declare(1, { engine_harness::gatherRoute(1, 1) });
+    fleet.registerLeafs(shardNames(1), 2);
+    int near = 0;
+    for (int count = 0; count < 400; ++count) {
+        (void)fleet.arrive("/gather/1");
+        for (auto const& call : fleet.openCalls()) {
+            bool const isNear = call.leafId == "shard0/0";
+            near += isNear ? 1 : 0;
+            fleet.pass(isNear && count < 100 ? 90ms : 10ms);
+            fleet.succeed(call.number);
+        }
+        fleet.pass(40ms);
+    }
+    CHECK(near > 250);
+}
