Fleet: Send callers to a small group of daemons of each data centre

Cause: on a large fleet each daemon got two queries a second, so that its connections to leafs ran out between calls and it knew little of their queues; callers crossed data centres to reach it. The directory now names three daemons of the caller's data centre, chosen by rank over the living ones, or the whole group where two are not to be had; the connections to a leaf are shared by the group.

--- a/Libraries/zinnialedge/fleet/store_protocol.h
+++ b/Libraries/zinnialedge/fleet/store_protocol.h
@@ -34,7 +34,8 @@
     std::function<errors::error_or<forwarding::route_declarations>(store_object const&)> parseRoutes;
     std::function<errors::error_or<forwarding::leaf_registration>(store_object const&)> parseLeaf;
 
-    std::function<bool(wire::http_request const&)> isDirectoryAsked;
+    /// The caller's data centre, when the directory is asked.
+    std::function<std::optional<std::string>(wire::http_request const&)> parseDirectoryQuestion;
     std::function<bool(wire::http_request const&)> isReadinessAsked;
     std::function<std::string(std::vector<model::endpoint> const&, std::chrono::milliseconds validFor)> formatDirectory;
 };
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -23,14 +23,11 @@
 static constexpr std::chrono::milliseconds daemonsBatchPause { 1000 };
 /// Each watch that ends is a call to be paid; a store that has stopped answering is found by the probe.
 static constexpr std::chrono::milliseconds watchWait { 20'000 };
+/// Daemons outside the group get a few requests, so that several of them need as many connections to a leaf as one inside.
+static constexpr std::size_t idleDaemonsPerShare = 4;
 /// How often peers are asked while the store does not answer.
 static constexpr std::chrono::milliseconds tickInterval { 500 };
 static constexpr std::chrono::milliseconds peerTimeout { 1000 };
-/// The directory names at most so many daemons.
-static constexpr std::size_t directoryLimit = 64;
-/// Fewer daemons near the leafs do not carry the load of all when one of them is lost.
-static constexpr std::size_t leastNearDaemons = 2;
-static constexpr double nearShare = 0.5;
 static constexpr int statusOk = 200;
 static constexpr int statusNoContent = 204;
 static constexpr int statusUnavailable = 503;
@@ -90,8 +87,8 @@
         return wire::http_server::listen(m_duty.context(), place, {}, std::move(handler));
     };
     auto directory = serve(m_settings.directory, [this](wire::http_request const& request, wire::http_responder const& respond) {
-        if (m_protocol.isDirectoryAsked(request))
-            answerDirectory(respond);
+        if (auto const dataCentre = m_protocol.parseDirectoryQuestion(request))
+            answerDirectory(*dataCentre, respond);
         else
             respond({ errors::answerFor(errors::error_kind::unknown_route).httpStatus, "{}", {} });
     });
@@ -190,16 +187,25 @@
 }
 
 void fleet_service::membersChanged()
+{
+    auto const sharing = countSharing();
+    if (sharing == m_daemonCount)
+        return;
+    m_daemonCount = sharing;
+    tell(traffic::daemon_count_changed { m_daemonCount });
+}
+
+std::size_t fleet_service::countSharing() const
 {
     std::set<model::endpoint> living { m_settings.callers };
     for (auto const& [name, member] : m_members.engine().members().all()) {
         if (member.status != member_status::dead)
             living.insert(member.record.callers);
     }
-    if (living.size() == m_daemonCount)
-        return;
-    m_daemonCount = living.size();
-    tell(traffic::daemon_count_changed { m_daemonCount });
+    auto const group = zinnialedge::fleet::chooseGroup(servingDaemons()).size();
+    if (group == 0 || group > living.size())
+        return living.size();
+    return group + (living.size() - group) / idleDaemonsPerShare;
 }
 
 void fleet_service::serveWhenReady()
@@ -209,6 +215,7 @@
     m_isServing = true;
     logEvent(log_level::info, "ready", { { "version", m_table->version() }, { "leafs", m_leafList.size() } });
     m_members.step(membership::status_declared { member_status::serving });
+    membersChanged();
 }
 
 void fleet_service::tick()
@@ -224,56 +231,29 @@
 
 // The directory.
 
-bool fleet_service::isNearLeafs(std::string const& dataCentre) const
+std::vector<zinnialedge::fleet::directory_entry> fleet_service::servingDaemons() const
 {
-    std::set<std::string> shards;
-    for (auto const& each : m_table->routes())
-        shards.insert(each.gather.shards.begin(), each.gather.shards.end());
-    if (shards.empty())
-        return true;
-    std::set<std::string> near;
-    for (auto const& leaf : m_leafList) {
-        if (leaf.dataCentre == dataCentre && shards.contains(leaf.service))
-            near.insert(leaf.service);
-    }
-    return static_cast<double>(near.size()) >= nearShare * static_cast<double>(shards.size());
-}
-
-std::vector<model::endpoint> fleet_service::chooseAddresses() const
-{
-    std::set<model::endpoint> all;
-    std::set<model::endpoint> near;
-    std::map<std::string, bool> isNear;
-    auto const add = [&](membership::daemon_record const& record) {
-        all.insert(record.callers);
-        auto const [known, isNew] = isNear.try_emplace(record.dataCentre, false);
-        if (isNew)
-            known->second = m_table && isNearLeafs(record.dataCentre);
-        if (known->second)
-            near.insert(record.callers);
-    };
+    std::vector<zinnialedge::fleet::directory_entry> daemons;
     if (m_isServing && !m_isLeaving)
-        add(makeRecord());
+        daemons.push_back({ m_settings.name, m_settings.dataCentre, m_settings.callers });
     for (auto const& [name, member] : m_members.engine().members().all()) {
-        if (member.status == member_status::serving)
-            add(member.record);
+        // A daemon that was restarted is two members until the earlier one is found to be dead.
+        bool const isKnown = std::any_of(daemons.begin(), daemons.end(), [&](auto const& each) { return each.place == member.record.callers; });
+        if (member.status == member_status::serving && !isKnown)
+            daemons.push_back({ name.substr(0, name.rfind('.')), member.record.dataCentre, member.record.callers });
     }
-    auto const& chosen = near.size() >= leastNearDaemons ? near : all;
-    std::vector<model::endpoint> addresses { chosen.begin(), chosen.end() };
-    std::shuffle(addresses.begin(), addresses.end(), std::minstd_rand { static_cast<std::uint32_t>(m_random()) });
-    if (addresses.size() > directoryLimit)
-        addresses.resize(directoryLimit);
-    return addresses;
+    return daemons;
 }
 
-void fleet_service::answerDirectory(wire::http_responder const& respond)
+void fleet_service::answerDirectory(std::string const& dataCentre, wire::http_responder const& respond)
 {
     ++m_directoryAnswers;
-    auto const addresses = chooseAddresses();
+    auto addresses = zinnialedge::fleet::chooseDaemons(servingDaemons(), dataCentre);
     if (addresses.empty()) {
         respond({ statusUnavailable, "{}", {} });
         return;
     }
+    std::shuffle(addresses.begin(), addresses.end(), std::minstd_rand { static_cast<std::uint32_t>(m_random()) });
     respond({ statusOk, m_protocol.formatDirectory(addresses, m_settings.directoryValidity), {} });
 }
 
@@ -335,6 +315,7 @@
     }
     auto const objectsOf = [](snapshot_part const& part) {
         std::vector<zinnialedge::fleet::store_object> objects;
+        objects.reserve(part.objects.size());
         for (auto const& [name, object] : part.objects)
             objects.push_back(object);
         return objects;
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -2,6 +2,7 @@
 
 #include "Kernel/duty.h"
 #include "Kernel/registry.h"
+#include "Libraries/zinnialedge/fleet/directory_choice.h"
 #include "Libraries/zinnialedge/wire/http_server.h"
 #include "Services/fleet/member_link.h"
 #include "Services/fleet/registration_link.h"
@@ -55,14 +56,15 @@
     void leafsChanged();
     void daemonsChanged();
     void membersChanged();
+    /// By how many daemons the connections to a leaf are shared.
+    std::size_t countSharing() const;
     void tell(traffic::traffic_event);
     void serveWhenReady();
     void tick();
 
-    void answerDirectory(wire::http_responder const&);
-    std::vector<model::endpoint> chooseAddresses() const;
-    /// Data centres that have a leaf of most services that routes over shards name.
-    bool isNearLeafs(std::string const& dataCentre) const;
+    /// Those that callers may be sent to.
+    std::vector<zinnialedge::fleet::directory_entry> servingDaemons() const;
+    void answerDirectory(std::string const& dataCentre, wire::http_responder const&);
     void answerReadiness(wire::http_responder const&);
 
     // Between daemons.
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -57,7 +57,7 @@
 
     void handle(traffic_event&& event)
     {
-        std::visit([this](auto&& each) { perform(std::move(each)); }, std::move(event));
+        std::visit([this](auto& each) { perform(std::move(each)); }, event);
         armTimer();
     }
 
