Forwarding: Ask shards of other data centres through a daemon there

A daemon of the other data centre now calls the leafs there and sends the greatest of their records alone.

It makes first calls only; copies are made by the daemon that the caller asked, so that a shard is asked of no more leafs than the route allows even when the other daemon dies. Ways weighed: the other daemon copying as well (a third leaf after its death breaks the bound on attempts); whole queries sent to another daemon (crosses for the rest).

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -51,6 +51,7 @@
 {
     services::traffic::traffic_settings traffic;
     traffic.callers = m_settings.callers;
+    traffic.relays = m_settings.relays;
     traffic.engine.dataCentre = m_settings.dataCentre;
     traffic.engine.extraCalls = { m_settings.extraCallRatio, m_settings.extraCallWindow, m_settings.extraCallSlack };
     auto const serving = TRY(traffic_service::create(traffic, std::move(protocols.edge), kernel::makeRandom()));
@@ -63,6 +64,7 @@
         .readiness = m_settings.readiness,
         .directory = m_settings.directory,
         .peers = m_settings.peers,
+        .relays = m_settings.relays,
         .store = m_settings.store,
         .seeds = m_settings.seeds,
         .directoryValidity = directoryValidity,
--- a/Libraries/zinnialedge/configuration/edge_settings.cpp
+++ b/Libraries/zinnialedge/configuration/edge_settings.cpp
@@ -30,6 +30,7 @@
     settings.readiness = reader.place("readiness");
     settings.directory = reader.place("directory");
     settings.peers = reader.place("peers");
+    settings.relays = reader.place("relays");
     settings.operators = reader.place("operators");
     settings.store = reader.place("store");
     for (auto const& each : reader.texts("seeds")) {
--- a/Libraries/zinnialedge/configuration/edge_settings.h
+++ b/Libraries/zinnialedge/configuration/edge_settings.h
@@ -18,6 +18,8 @@
     model::endpoint directory;
     /// UDP and TCP between daemons; the port is the same on all daemons of a deployment.
     model::endpoint peers;
+    /// TCP between daemons for calls to leafs; its port, too, is the same on all.
+    model::endpoint relays;
     model::endpoint operators;
     model::endpoint store;
     /// Daemons that may be stale or down; their port is that of `peers`.
--- a/Libraries/zinnialedge/forwarding/active_request.cpp
+++ b/Libraries/zinnialedge/forwarding/active_request.cpp
@@ -14,11 +14,16 @@
 
 bool active_request::hasLeastShare() const
 {
+    // The daemon that asks knows what else it has.
+    if (isRelayed())
+        return true;
     return answered > 0 && static_cast<double>(answered) / static_cast<double>(parts.size()) + shareTolerance >= to->gather.leastShare;
 }
 
 bool active_request::canReachLeastShare() const
 {
+    if (isRelayed())
+        return true;
     auto const possible = parts.size() - missing;
     return possible > 0 && static_cast<double>(possible) / static_cast<double>(parts.size()) + shareTolerance >= to->gather.leastShare;
 }
--- a/Libraries/zinnialedge/forwarding/active_request.h
+++ b/Libraries/zinnialedge/forwarding/active_request.h
@@ -20,6 +20,14 @@
     std::optional<leaf_reply> reply;
     /// The leaf's own error answer, passed on when no other leaf does better.
     std::optional<leaf_reply> errorReply;
+    /// The call to another daemon that covers it, or zero.
+    call_number relayCall { 0 };
+    /// Another daemon has asked a leaf of its data centre; that is one of the attempts.
+    std::optional<std::string> relayedTo;
+    /// Set when it came with another daemon's answer, whose body holds its records.
+    std::string relayedSeal;
+    /// Its place in the route's list.
+    std::size_t shard { 0 };
     /// No more leafs will be tried.
     bool isMissing { false };
     bool isWaiting { false };
@@ -28,7 +36,9 @@
     std::size_t unaccountedCalls { 0 };
 
     bool mayHaveRun() const { return unaccountedCalls > 0; }
-    bool isSettled() const { return isMissing || reply.has_value(); }
+    bool isAnswered() const { return reply.has_value() || !relayedSeal.empty(); }
+    bool isSettled() const { return isMissing || isAnswered(); }
+    std::size_t attemptsMade() const { return asked.size() + (relayedTo ? 1 : 0); }
 };
 
 /// One request in flight.
@@ -43,6 +53,8 @@
     kernel::time_point endAt;
     std::optional<kernel::time_point> callerDeadline;
     std::vector<request_part> parts;
+    /// Answers of other daemons: the greatest records of their parts.
+    std::vector<std::string> relayedBodies;
     std::size_t answered { 0 };
     std::size_t missing { 0 };
     std::size_t copies { 0 };
@@ -51,6 +63,7 @@
     /// The objective has passed; the least share is enough from now on.
     bool isLate { false };
 
+    bool isRelayed() const { return request->relayed.has_value(); }
     std::size_t settled() const { return answered + missing; }
     bool mayHaveRun() const;
     bool hasLeastShare() const;
--- a/Libraries/zinnialedge/forwarding/extra_call_budget.cpp
+++ b/Libraries/zinnialedge/forwarding/extra_call_budget.cpp
@@ -20,12 +20,12 @@
     ++m_total.requests;
 }
 
-bool extra_call_budget::take(kernel::time_point now, std::size_t daemonCount)
+bool extra_call_budget::take(kernel::time_point now, std::size_t slackHolders)
 {
     advance(now);
     // A predecessor of this process may have spent its part just before it ended.
     auto const age = std::chrono::duration<double> { now - m_startedAt } / std::chrono::duration<double> { m_limits.window };
-    auto const slack = spentSlack * m_limits.slack * std::min(1.0, age) / static_cast<double>(std::max<std::size_t>(daemonCount, 1));
+    auto const slack = slackHolders == 0 ? 0.0 : spentSlack * m_limits.slack * std::min(1.0, age) / static_cast<double>(slackHolders);
     if (m_total.extraCalls + 1 > m_limits.ratio * m_total.requests + slack)
         return false;
     ++m_slots[static_cast<std::size_t>(m_lastSlot) % m_slots.size()].extraCalls;
--- a/Libraries/zinnialedge/forwarding/extra_call_budget.h
+++ b/Libraries/zinnialedge/forwarding/extra_call_budget.h
@@ -23,8 +23,9 @@
     extra_call_budget(extra_call_limits, kernel::time_point startedAt);
 
     void noteRequest(kernel::time_point now);
-    /// Counts an extra call, unless the budget has no room for it. `daemonCount` daemons share the slack.
-    [[nodiscard]] bool take(kernel::time_point now, std::size_t daemonCount);
+    /// Counts an extra call, unless the budget has no room for it. `slackHolders` daemons share
+    /// the slack; with zero this one has none of it.
+    [[nodiscard]] bool take(kernel::time_point now, std::size_t slackHolders);
 
 private:
     struct slot {
--- a/Libraries/zinnialedge/forwarding/leaf_roster.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.cpp
@@ -115,15 +115,21 @@
     });
 }
 
-double leaf_roster::coverageOf(std::string const& dataCentre, std::span<std::string const> services) const
+bool leaf_roster::hasSoundLeafIn(std::string const& service, std::string const& dataCentre, kernel::duration patience, time_point now) const
 {
-    if (services.empty())
-        return 0;
-    auto const covered = std::count_if(services.begin(), services.end(), [&](auto const& service) {
-        auto const leafs = m_byService.find(service);
-        return leafs != m_byService.end() && std::any_of(leafs->second.begin(), leafs->second.end(), [&](auto handle) { return at(handle).isTakingNewCalls() && at(handle).registration().dataCentre == dataCentre; });
+    auto const leafs = m_byService.find(service);
+    return leafs != m_byService.end() && std::any_of(leafs->second.begin(), leafs->second.end(), [&](auto handle) {
+        auto const& record = at(handle);
+        return record.registration().dataCentre == dataCentre && record.isTakingNewCalls() && record.hasConnectionLeft() && !record.isSuspect(now, patience);
     });
-    return static_cast<double>(covered) / static_cast<double>(services.size());
+}
+
+std::vector<leaf_handle> leaf_roster::leafsIn(std::string const& service, std::string const& dataCentre) const
+{
+    std::vector<leaf_handle> found;
+    if (auto const leafs = m_byService.find(service); leafs != m_byService.end())
+        std::copy_if(leafs->second.begin(), leafs->second.end(), std::back_inserter(found), [&](auto handle) { return at(handle).registration().dataCentre == dataCentre; });
+    return found;
 }
 
 }
--- a/Libraries/zinnialedge/forwarding/leaf_roster.h
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.h
@@ -37,10 +37,12 @@
     /// The leaf of the service that is expected to answer first, apart from those excluded. Nothing when none has a
     /// connection left. Leafs of the own data centre are preferred.
     std::optional<leaf_pick> pick(std::string const& service, std::span<leaf_handle const> excluded, kernel::duration patience, kernel::time_point now) const;
+    /// Whether a leaf of the service in that data centre takes calls and is sound.
+    bool hasSoundLeafIn(std::string const& service, std::string const& dataCentre, kernel::duration patience, kernel::time_point now) const;
+    std::vector<leaf_handle> leafsIn(std::string const& service, std::string const& dataCentre) const;
     /// Whether any leaf takes calls of the service, connections or not, apart from those excluded.
     bool hasLeaf(std::string const& service, std::span<leaf_handle const> excluded) const;
-    /// Share of the services that have a leaf in that data centre.
-    double coverageOf(std::string const& dataCentre, std::span<std::string const> services) const;
+    std::string const& ownDataCentre() const { return m_ownDataCentre; }
 
 private:
     std::uint32_t connectionLimitOf(std::string const& service) const;
--- a/Libraries/zinnialedge/forwarding/messages.h
+++ b/Libraries/zinnialedge/forwarding/messages.h
@@ -23,6 +23,18 @@
     auto operator<=>(header const&) const = default;
 };
 
+/// The part of a gather that another daemon asks for.
+struct relayed_request {
+    /// The configuration that it arrived under.
+    std::uint64_t version { 0 };
+    /// Of the shards in the route's list.
+    std::vector<std::size_t> places;
+    /// What has come by then is the answer.
+    std::chrono::milliseconds answerWithin { 0 };
+
+    bool operator==(relayed_request const&) const = default;
+};
+
 /// A request as it came from a caller. Method, target, headers and body are passed on as they are.
 struct caller_request {
     std::string method;
@@ -34,6 +46,8 @@
     std::optional<std::chrono::milliseconds> patience;
     std::vector<header> headers;
     std::string body;
+    /// Set when another daemon asks.
+    std::optional<relayed_request> relayed;
 };
 
 /// What a leaf says of its load in an answer.
@@ -60,6 +74,9 @@
     /// Its body has a content encoding, which no caller asked for.
     bool isEncoded { false };
     std::optional<leaf_load> load;
+    /// Of another daemon's answer: the shards in it, and the seals of their leafs in the same order.
+    std::vector<std::size_t> relayedPlaces;
+    std::vector<std::string> relayedSeals;
 
     bool isSuccess() const { return status >= 200 && status < 300 && !seal.empty() && !isEncoded; }
 };
@@ -88,6 +105,8 @@
     kernel::time_point givenUpAt;
     bool isRepeatable { false };
     std::shared_ptr<caller_request const> request;
+    /// Set when it goes to another daemon.
+    std::optional<relayed_request> relayed;
 };
 
 /// The answer to a caller: a leaf's own, a merged one, or a refusal.
@@ -99,6 +118,9 @@
     /// Set in merged answers.
     bool isMerged { false };
     std::vector<std::string> partSeals;
+    /// The places of these parts in the route's list.
+    std::vector<std::size_t> partPlaces;
+    std::string attemptId;
     std::size_t missingParts { 0 };
     /// Set when the caller gets no leaf's answer.
     std::optional<errors::error> refused;
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -51,7 +51,7 @@
     ++m_counters.calls;
     auto const givenUpAt = request.endAt + callGrace;
     m_timers.push({ givenUpAt, timer_kind::call_given_up, number });
-    m_hooks.send({ number, handle, record.registration().id, record.registration().place, request.callerDeadline, givenUpAt, request.to->isRepeatable, request.request });
+    m_hooks.send({ number, handle, record.registration().id, record.registration().place, request.callerDeadline, givenUpAt, request.to->isRepeatable, request.request, std::nullopt });
 }
 
 void request_engine::wait(active_request& request, std::size_t place)
@@ -112,7 +112,7 @@
     std::optional<time_point> next;
     for (std::size_t place = 0; place < request.parts.size(); ++place) {
         auto& part = request.parts[place];
-        if (part.isSettled() || part.hasCopy || part.calls.size() != 1 || part.asked.size() >= request.to->attempts)
+        if (part.isSettled() || part.hasCopy || part.calls.size() != 1 || part.attemptsMade() >= request.to->attempts)
             continue;
         auto dueAt = part.calls.front().sentAt + delay;
         if (dueAt <= now) {
@@ -132,7 +132,7 @@
     auto const pick = m_leafs.pick(*part.service, part.asked, patienceOf(*request.to), now);
     if (!pick || pick->isSuspect)
         return false;
-    if (!historyOf(*part.service).budget.take(now, m_daemonCount)) {
+    if (!historyOf(*part.service).budget.take(now, m_share.slackHolders)) {
         ++m_counters.extraCallsDenied;
         return false;
     }
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -35,7 +35,7 @@
     if (m_routes && routes->version() <= m_routes->version())
         return;
     m_routes = std::move(routes);
-    m_leafs.setSharing(m_routes, m_daemonCount);
+    m_leafs.setSharing(m_routes, m_share.connectionHolders);
     dispatchAllWaiting(now);
 }
 
@@ -45,10 +45,10 @@
     dispatchAllWaiting(now);
 }
 
-void request_engine::setDaemonCount(std::size_t count)
+void request_engine::setFleetShare(fleet_share share)
 {
-    m_daemonCount = std::max<std::size_t>(count, 1);
-    m_leafs.setSharing(m_routes, m_daemonCount);
+    m_share = std::move(share);
+    m_leafs.setSharing(m_routes, m_share.connectionHolders);
 }
 
 request_engine::route_history& request_engine::historyOf(route const& to)
@@ -108,6 +108,10 @@
         refuse(token, request, makeRefusal(errors::error_kind::not_configured, "no_configuration", noConfigurationWait));
         return;
     }
+    if (request.relayed && request.relayed->version != m_routes->version()) {
+        refuse(token, request, makeRefusal(errors::error_kind::not_configured, "other_version", {}));
+        return;
+    }
     auto const* const to = m_routes->find(request.host, pathOf(request.target));
     if (!to) {
         refuse(token, request, makeRefusal(errors::error_kind::unknown_route, "no_route", {}));
@@ -130,8 +134,11 @@
         settleRefused(*admitted, errors::error_kind::no_live_target, "no_leaf", now);
         return;
     }
+    if (to->isGather() && !admitted->isRelayed())
+        sendRelays(*admitted, now);
     for (std::size_t place = 0; place < admitted->parts.size(); ++place) {
-        if (!admitted->parts[place].isMissing)
+        auto const& part = admitted->parts[place];
+        if (!part.isMissing && part.relayCall == 0)
             startPart(*admitted, place, now);
     }
     settleIfDecided(*admitted, now);
@@ -167,22 +174,39 @@
     }
     made.endAt = now + std::max(longest - endMargin, longest / 2);
     made.request = std::make_shared<caller_request const>(std::move(request));
-    if (to.isGather()) {
-        made.parts.resize(to.gather.shards.size());
-        for (std::size_t place = 0; place < made.parts.size(); ++place)
-            made.parts[place].service = &to.gather.shards[place];
-        m_timers.push({ made.objectiveAt, timer_kind::objective, token });
-        m_timers.push({ now + to.objective * lateObjectives, timer_kind::late, token });
-    } else {
+    makeParts(made, now);
+    m_timers.push({ made.endAt, timer_kind::end, token });
+    if (to.isRepeatable && to.attempts > 1 && !made.isRelayed())
+        m_timers.push({ now + copyDelayOf(to), timer_kind::copy, token });
+    return &made;
+}
+
+void request_engine::makeParts(active_request& made, time_point now)
+{
+    auto const& to = *made.to;
+    if (!to.isGather()) {
         made.parts.resize(1);
         made.parts[0].service = &chooseService(to);
+    } else if (made.isRelayed()) {
+        // The daemon that asks counts the requests, since it pays for the extra calls.
+        for (auto const place : made.request->relayed->places) {
+            if (place < to.gather.shards.size())
+                made.parts.push_back({ .service = &to.gather.shards[place], .shard = place });
+        }
+        made.objectiveAt = now + made.request->relayed->answerWithin;
+        m_timers.push({ made.objectiveAt, timer_kind::objective, made.token });
+        return;
+    } else {
+        made.parts.resize(to.gather.shards.size());
+        for (std::size_t place = 0; place < made.parts.size(); ++place) {
+            made.parts[place].service = &to.gather.shards[place];
+            made.parts[place].shard = place;
+        }
+        m_timers.push({ made.objectiveAt, timer_kind::objective, made.token });
+        m_timers.push({ now + to.objective * lateObjectives, timer_kind::late, made.token });
     }
     for (auto const& part : made.parts)
         historyOf(*part.service).budget.noteRequest(now);
-    m_timers.push({ made.endAt, timer_kind::end, token });
-    if (to.isRepeatable && to.attempts > 1)
-        m_timers.push({ now + copyDelayOf(to), timer_kind::copy, token });
-    return &made;
 }
 
 void request_engine::callerLeft(request_token token, time_point now)
@@ -192,7 +216,8 @@
         return;
     ++m_counters.callersLeft;
     request->hasCallerLeft = true;
-    m_timers.push({ now + abandonDelay, timer_kind::abandon, token });
+    // Another daemon has waited already.
+    m_timers.push({ request->isRelayed() ? now : now + abandonDelay, timer_kind::abandon, token });
 }
 
 void request_engine::abandon(active_request& request)
@@ -205,6 +230,8 @@
         for (auto const& part : request.parts) {
             for (auto const& call : part.calls)
                 m_hooks.cancel(call.number, call_failure::cancelled);
+            if (part.relayCall != 0)
+                m_hooks.cancel(part.relayCall, call_failure::cancelled);
         }
     }
     m_requests.erase(request.token);
@@ -223,10 +250,14 @@
         auto const due = m_timers.top();
         m_timers.pop();
         if (due.kind == timer_kind::call_given_up) {
-            if (m_calls.contains(due.subject))
+            if (m_calls.contains(due.subject) || m_relayCalls.contains(due.subject))
                 m_hooks.cancel(due.subject, call_failure::timed_out);
             continue;
         }
+        if (due.kind == timer_kind::relay_late) {
+            endLateRelay(due.subject, now);
+            continue;
+        }
         auto* const request = find(due.subject);
         if (!request || (request->hasCallerLeft && due.kind != timer_kind::abandon))
             continue;
@@ -249,6 +280,7 @@
             abandon(*request);
             break;
         case timer_kind::call_given_up:
+        case timer_kind::relay_late:
             break;
         }
     }
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -2,10 +2,12 @@
 
 #include "Libraries/zinnialedge/forwarding/active_request.h"
 #include "Libraries/zinnialedge/forwarding/extra_call_budget.h"
+#include "Libraries/zinnialedge/forwarding/fleet_share.h"
 #include "Libraries/zinnialedge/forwarding/leaf_roster.h"
 #include "Libraries/zinnialedge/limits/moving_quantile.h"
 #include <deque>
 #include <functional>
+#include <map>
 #include <queue>
 
 namespace zinnialedge::forwarding {
@@ -64,6 +66,8 @@
     std::uint64_t calls { 0 };
     std::uint64_t copies { 0 };
     std::uint64_t retries { 0 };
+    std::uint64_t relays { 0 };
+    std::uint64_t relaysReplaced { 0 };
     std::uint64_t extraCallsDenied { 0 };
     std::uint64_t lateReplies { 0 };
 };
@@ -76,7 +80,7 @@
 
     void setRoutes(route_table_pointer, kernel::time_point now);
     void setLeafs(std::vector<leaf_registration> const&, kernel::time_point now);
-    void setDaemonCount(std::size_t);
+    void setFleetShare(fleet_share);
 
     void arrive(request_token, caller_request, kernel::time_point now);
     void callerLeft(request_token, kernel::time_point now);
@@ -98,6 +102,7 @@
         end,
         abandon,
         call_given_up,
+        relay_late,
     };
 
     struct timer {
@@ -116,6 +121,20 @@
         kernel::time_point sentAt;
     };
 
+    /// A call to another daemon.
+    struct relay_owner {
+        request_token request { 0 };
+        std::vector<std::size_t> places;
+        relay to;
+        kernel::time_point sentAt;
+    };
+
+    struct relay_state {
+        kernel::time_point avoidedUntil;
+        kernel::time_point lastAnswerAt;
+        std::size_t inFlight { 0 };
+    };
+
     struct waiting_part {
         request_token request { 0 };
         std::size_t place { 0 };
@@ -136,6 +155,7 @@
     void refuse(request_token, caller_request const&, final_answer);
     final_answer makeRefusal(errors::error_kind, std::string reason, kernel::duration wait);
     std::string const& chooseService(route const&);
+    void makeParts(active_request&, kernel::time_point now);
     active_request* admit(request_token, caller_request, route const&, kernel::time_point now);
 
     // Calls.
@@ -150,6 +170,17 @@
     kernel::duration copyDelayOf(route const&);
     kernel::duration patienceOf(route const&);
 
+    // Calls through other daemons.
+    /// Asks daemons of other data centres for the shards that have no sound leaf in the own one.
+    void sendRelays(active_request&, kernel::time_point now);
+    std::optional<relay> chooseRelay(std::string const& dataCentre, kernel::time_point now);
+    void sendRelay(active_request&, relay const&, std::vector<std::size_t> places, kernel::time_point now);
+    void relayEnded(call_number, relay_owner const&, call_result, kernel::time_point now);
+    void acceptRelayed(active_request&, relay_owner const&, leaf_reply, kernel::time_point now);
+    /// Calls leafs directly for the shards that another daemon did not answer.
+    void replaceRelay(active_request&, relay_owner const&, bool hasReachedLeafs, kernel::time_point now);
+    void endLateRelay(call_number, kernel::time_point now);
+
     // Replies.
     void noteLeaf(call_owner const&, call_result const&, kernel::time_point now);
     void noteEvent(active_request const&, call_owner const&, std::string_view event, kernel::time_point now);
@@ -179,9 +210,11 @@
     kernel::time_point m_startedAt;
     leaf_roster m_leafs;
     route_table_pointer m_routes;
-    std::size_t m_daemonCount { 1 };
+    fleet_share m_share;
+    std::map<relay, relay_state> m_relays;
     std::unordered_map<request_token, active_request> m_requests;
     std::unordered_map<call_number, call_owner> m_calls;
+    std::unordered_map<call_number, relay_owner> m_relayCalls;
     std::unordered_map<std::string, route_history> m_routeHistories;
     std::unordered_map<std::string, service_history> m_serviceHistories;
     std::priority_queue<timer, std::vector<timer>, std::greater<>> m_timers;
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -55,6 +55,12 @@
 
 void request_engine::callEnded(call_number number, call_result result, time_point now)
 {
+    if (auto const relayed = m_relayCalls.find(number); relayed != m_relayCalls.end()) {
+        auto const owner = std::move(relayed->second);
+        m_relayCalls.erase(relayed);
+        relayEnded(number, owner, std::move(result), now);
+        return;
+    }
     auto const found = m_calls.find(number);
     if (found == m_calls.end())
         return;
@@ -122,7 +128,7 @@
 bool request_engine::mayRetry(active_request const& request, std::size_t place, time_point now) const
 {
     auto const& part = request.parts[place];
-    if (request.hasCallerLeft || part.asked.size() >= request.to->attempts || now + leastRetryTime >= request.endAt)
+    if (request.hasCallerLeft || request.isRelayed() || part.attemptsMade() >= request.to->attempts || now + leastRetryTime >= request.endAt)
         return false;
     return request.to->isRepeatable || !part.mayHaveRun();
 }
@@ -134,7 +140,7 @@
         return;
     bool const isPossible = mayRetry(request, place, now) && m_leafs.hasLeaf(*part.service, part.asked);
     // A call that reached no leaf costs the service nothing, and neither does the one in its place.
-    bool const isPaid = isPossible && (!hasReachedLeaf || historyOf(*part.service).budget.take(now, m_daemonCount));
+    bool const isPaid = isPossible && (!hasReachedLeaf || historyOf(*part.service).budget.take(now, m_share.slackHolders));
     if (!isPaid) {
         m_counters.extraCallsDenied += isPossible ? 1 : 0;
         miss(request, place, now);
@@ -178,14 +184,19 @@
     answer.status = 200;
     answer.isMerged = true;
     answer.reason = std::move(reason);
+    answer.attemptId = request.request->attemptId;
     std::vector<std::string const*> bodies;
     for (auto const& part : request.parts) {
-        if (!part.reply)
+        if (!part.isAnswered())
             continue;
-        answer.partSeals.push_back(part.reply->seal);
-        bodies.push_back(&part.reply->body);
+        answer.partSeals.push_back(part.reply ? part.reply->seal : part.relayedSeal);
+        answer.partPlaces.push_back(part.shard);
+        if (part.reply)
+            bodies.push_back(&part.reply->body);
     }
-    answer.missingParts = request.parts.size() - bodies.size();
+    for (auto const& body : request.relayedBodies)
+        bodies.push_back(&body);
+    answer.missingParts = request.parts.size() - answer.partSeals.size();
     answer.body = mergeGreatest(bodies, request.to->gather.recordLimit);
     m_counters.partialAnswers += answer.missingParts > 0 ? 1 : 0;
     settle(request, std::move(answer), now);
@@ -247,6 +258,8 @@
         for (auto const& part : request.parts) {
             for (auto const& call : part.calls)
                 m_timers.push({ now + lostCallGrace, timer_kind::call_given_up, call.number });
+            if (part.relayCall != 0)
+                m_timers.push({ now + lostCallGrace, timer_kind::call_given_up, part.relayCall });
         }
     }
     auto const token = request.token;
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -188,24 +188,37 @@
 
 void fleet_service::membersChanged()
 {
-    auto const sharing = countSharing();
-    if (sharing == m_daemonCount)
+    auto share = makeShare();
+    if (share == m_share)
         return;
-    m_daemonCount = sharing;
-    tell(traffic::daemon_count_changed { m_daemonCount });
+    m_share = share;
+    tell(traffic::fleet_share_changed { std::move(share) });
 }
 
-std::size_t fleet_service::countSharing() const
+forwarding::fleet_share fleet_service::makeShare()
 {
     std::set<model::endpoint> living { m_settings.callers };
     for (auto const& [name, member] : m_members.engine().members().all()) {
         if (member.status != member_status::dead)
             living.insert(member.record.callers);
     }
-    auto const group = zinnialedge::fleet::chooseGroup(servingDaemons()).size();
-    if (group == 0 || group > living.size())
-        return living.size();
-    return group + (living.size() - group) / idleDaemonsPerShare;
+    m_livingCount = living.size();
+    auto const group = zinnialedge::fleet::chooseGroup(servingDaemons());
+    forwarding::fleet_share share;
+    bool const isInGroup = std::any_of(group.begin(), group.end(), [this](auto const& each) { return each.place == m_settings.callers; });
+    if (group.empty() || group.size() > living.size()) {
+        share.connectionHolders = living.size();
+        share.slackHolders = living.size();
+        return share;
+    }
+    share.connectionHolders = group.size() + (living.size() - group.size()) / idleDaemonsPerShare;
+    // A member that is not known to all yet must not make the parts exceed the whole.
+    share.slackHolders = isInGroup ? std::max(group.size(), std::min(living.size(), group.size() + 1)) : 0;
+    for (auto const& each : group) {
+        if (each.dataCentre != m_settings.dataCentre)
+            share.relays.push_back({ each.dataCentre, { each.place.address, m_settings.relays.port } });
+    }
+    return share;
 }
 
 void fleet_service::serveWhenReady()
@@ -385,7 +398,7 @@
         for (auto const& [kind, link] : { std::pair { object_kind::routes, &m_routes }, std::pair { object_kind::leafs, &m_leafs }, std::pair { object_kind::daemons, &m_daemons } })
             text << "zinnialedge_store_call_failures_total{kind=\"" << nameOf(kind) << "\"} " << link->counters().failures << "\n";
         text << "# TYPE zinnialedge_store_reached gauge\nzinnialedge_store_reached " << (m_leafs.mirror().isConnected() ? 1 : 0) << "\n";
-        text << "# TYPE zinnialedge_members_living gauge\nzinnialedge_members_living " << m_daemonCount << "\n";
+        text << "# TYPE zinnialedge_members_living gauge\nzinnialedge_members_living " << m_livingCount << "\n";
         text << "# TYPE zinnialedge_directory_answers_total counter\nzinnialedge_directory_answers_total " << m_directoryAnswers << "\n";
         text << "# TYPE zinnialedge_malformed_objects_total counter\nzinnialedge_malformed_objects_total " << m_malformedObjects << "\n";
         receiver(text.str());
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -23,6 +23,8 @@
     model::endpoint directory;
     /// UDP and TCP between daemons.
     model::endpoint peers;
+    /// TCP between daemons for calls to leafs; the port is the same on all.
+    model::endpoint relays;
     model::endpoint store;
     /// Places of daemons that may be stale or down.
     std::vector<model::endpoint> seeds;
@@ -56,8 +58,7 @@
     void leafsChanged();
     void daemonsChanged();
     void membersChanged();
-    /// By how many daemons the connections to a leaf are shared.
-    std::size_t countSharing() const;
+    forwarding::fleet_share makeShare();
     void tell(traffic::traffic_event);
     void serveWhenReady();
     void tick();
@@ -90,7 +91,8 @@
     kernel::random_hook m_random;
     std::vector<forwarding::leaf_registration> m_leafList;
     forwarding::route_table_pointer m_table;
-    std::size_t m_daemonCount { 0 };
+    forwarding::fleet_share m_share { .connectionHolders = 0 };
+    std::size_t m_livingCount { 1 };
     std::uint64_t m_malformedObjects { 0 };
     std::uint64_t m_directoryAnswers { 0 };
     bool m_isServing { false };
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -1,6 +1,7 @@
 #include "Services/traffic/traffic_service.h"
 
 #include "Kernel/event_log.h"
+#include "Libraries/zinnialedge/forwarding/relay_protocol.h"
 #include "Libraries/zinnialedge/wire/tcp_listener.h"
 #include "Services/callers/latency_metrics.h"
 #include "Services/traffic/caller_connection.h"
@@ -9,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <map>
 #include <sstream>
 
 namespace zinnialedge::services::traffic {
@@ -23,6 +25,8 @@
 /// How often connections are looked at for their time limits.
 static constexpr std::chrono::milliseconds sweepInterval { 200 };
 static constexpr std::chrono::milliseconds acceptPause { 50 };
+/// Longer than the keep-alive that the relay protocol names.
+static constexpr std::chrono::milliseconds relayIdleTimeout { 60'000 };
 
 class traffic_service::implementation {
 public:
@@ -31,10 +35,13 @@
         , m_settings(std::move(settings))
         , m_protocol(std::move(protocol))
         , m_inFlight(inFlight)
+        , m_relayProtocol(forwarding::makeRelayProtocol())
         , m_acceptor(context)
+        , m_relayAcceptor(context)
         , m_timer(context)
         , m_sweepTimer(context)
         , m_pools(context, m_protocol, [this](forwarding::call_number number, forwarding::call_result result) { endCall(number, std::move(result)); })
+        , m_relayPools(context, m_relayProtocol, [this](forwarding::call_number number, forwarding::call_result result) { endCall(number, std::move(result)); })
         , m_log(kernel::makeSteadyClock())
         , m_engine(m_settings.engine, makeHooks(), std::move(random), now())
     {
@@ -44,7 +51,10 @@
     {
         if (auto opened = wire::listenAt(m_acceptor, m_settings.callers); !opened)
             return opened;
-        accept();
+        if (auto opened = wire::listenAt(m_relayAcceptor, m_settings.relays); !opened)
+            return opened;
+        accept(m_acceptor, m_protocol);
+        accept(m_relayAcceptor, m_relayProtocol);
         sweep();
         return {};
     }
@@ -95,6 +105,8 @@
         counter("leaf_call_copies_total", counters.copies);
         counter("leaf_call_retries_total", counters.retries);
         counter("leaf_calls_denied_by_budget_total", counters.extraCallsDenied);
+        counter("relayed_calls_total", counters.relays);
+        counter("relayed_parts_replaced_total", counters.relaysReplaced);
         counter("late_replies_total", counters.lateReplies);
         counter("leaf_connections_opened_total", m_pools.counters().opened);
         counter("leaf_connections_reused_total", m_pools.counters().reused);
@@ -116,7 +128,10 @@
         hooks.send = [this](forwarding::leaf_call const& call) { sendCall(call); };
         hooks.cancel = [this](forwarding::call_number number, forwarding::call_failure failure) {
             // Its end reaches the engine in a turn of its own.
-            asio::post(m_context, [this, number, failure] { m_pools.cancel(number, failure); });
+            asio::post(m_context, [this, number, failure] {
+                m_pools.cancel(number, failure);
+                m_relayPools.cancel(number, failure);
+            });
         };
         hooks.answer = [this](request_token token, forwarding::final_answer const& answer) { giveAnswer(token, answer); };
         hooks.report = [this](forwarding::request_report const& report) {
@@ -127,24 +142,32 @@
         return hooks;
     }
 
-    void accept()
+    void accept(tcp::acceptor& acceptor, forwarding::edge_protocol const& protocol)
     {
-        m_acceptor.async_accept([this](boost::system::error_code failure, tcp::socket accepted) {
+        acceptor.async_accept([this, &acceptor, &protocol](boost::system::error_code failure, tcp::socket accepted) {
             if (failure == asio::error::operation_aborted)
                 return;
             if (failure) {
                 // Out of descriptors: those that are open end in time.
                 logEvent(log_level::warn, "accept_failed", { { "reason", failure.message() } });
-                m_acceptTimer.expires_after(acceptPause);
-                m_acceptTimer.async_wait([this](boost::system::error_code) { accept(); });
+                auto const pause = std::make_shared<asio::steady_timer>(m_context, acceptPause);
+                pause->async_wait([this, pause, &acceptor, &protocol](boost::system::error_code) { accept(acceptor, protocol); });
                 return;
             }
-            admit(std::move(accepted));
-            accept();
+            admit(std::move(accepted), protocol);
+            accept(acceptor, protocol);
         });
     }
 
-    void admit(tcp::socket accepted)
+    /// Other daemons may send what a caller may, and their own headers beside it.
+    static forwarding::caller_limits relayLimits(forwarding::caller_limits limits)
+    {
+        limits.headerBytes *= 2;
+        limits.idleTimeout = relayIdleTimeout;
+        return limits;
+    }
+
+    void admit(tcp::socket accepted, forwarding::edge_protocol const& protocol)
     {
         if (m_callers.size() >= m_settings.callerConnections) {
             logEvent(log_level::warn, "caller_connection_refused", { { "open", m_callers.size() } });
@@ -154,8 +177,11 @@
         accepted.set_option(tcp::no_delay(true), ignored);
         accepted.non_blocking(true, ignored);
         caller_connection_hooks hooks;
-        hooks.protocol = &m_protocol;
-        hooks.limits = [this] { return m_engine.routes() ? m_engine.routes()->limits() : forwarding::caller_limits {}; };
+        hooks.protocol = &protocol;
+        hooks.limits = [this, isRelay = &protocol == &m_relayProtocol] {
+            auto const limits = m_engine.routes() ? m_engine.routes()->limits() : forwarding::caller_limits {};
+            return isRelay ? relayLimits(limits) : limits;
+        };
         hooks.arrived = [this](std::shared_ptr<caller_connection> const& origin, forwarding::caller_request request) { takeRequest(origin, std::move(request)); };
         hooks.left = [this](request_token token) {
             m_origins.erase(token);
@@ -204,13 +230,22 @@
         std::optional<std::chrono::milliseconds> left;
         if (call.deadline)
             left = std::max(std::chrono::duration_cast<std::chrono::milliseconds>(*call.deadline - at), std::chrono::milliseconds { 1 });
-        m_protocol.writeCallHeaders(call, left, bytes);
+        auto const& protocol = call.relayed ? m_relayProtocol : m_protocol;
+        protocol.writeCallHeaders(call, left, bytes);
         bool const hasBody = !call.request->body.empty() || call.request->method == "POST" || call.request->method == "PUT" || call.request->method == "PATCH";
         if (hasBody)
             bytes += "Content-Length: " + std::to_string(call.request->body.size()) + "\r\n";
         bytes += "\r\n";
         bytes += call.request->body;
-        m_pools.send(call.leaf, call.place, std::move(message), at);
+        if (call.relayed)
+            m_relayPools.send(relayKey(call.place), call.place, std::move(message), at);
+        else
+            m_pools.send(call.leaf, call.place, std::move(message), at);
+    }
+
+    std::uint32_t relayKey(model::endpoint const& place)
+    {
+        return m_relayKeys.try_emplace(place, static_cast<std::uint32_t>(m_relayKeys.size())).first->second;
     }
 
     void endCall(forwarding::call_number number, forwarding::call_result result)
@@ -243,6 +278,7 @@
                 return;
             auto const at = now();
             m_pools.sweep(at);
+            m_relayPools.sweep(at);
             std::vector<std::shared_ptr<caller_connection>> open;
             open.reserve(m_callers.size());
             for (auto const& [pointer, each] : m_callers)
@@ -263,23 +299,31 @@
     }
 
     void perform(leafs_changed&& changed) { m_engine.setLeafs(changed.leafs, now()); }
-    void perform(daemon_count_changed&& changed) { m_engine.setDaemonCount(changed.count); }
+    void perform(fleet_share_changed&& changed)
+    {
+        logEvent(log_level::info, "fleet_share_changed", { { "connection_holders", changed.share.connectionHolders }, { "slack_holders", changed.share.slackHolders }, { "relays", changed.share.relays.size() } });
+        m_engine.setFleetShare(std::move(changed.share));
+    }
     void perform(leaving_begun&&) { m_isLeaving = true; }
 
     asio::io_context& m_context;
     traffic_settings m_settings;
     forwarding::edge_protocol m_protocol;
     std::atomic<std::size_t>& m_inFlight;
+    /// Between daemons.
+    forwarding::edge_protocol m_relayProtocol;
     tcp::acceptor m_acceptor;
+    tcp::acceptor m_relayAcceptor;
     asio::steady_timer m_timer;
     asio::steady_timer m_sweepTimer;
-    asio::steady_timer m_acceptTimer { m_context };
     std::unordered_map<caller_connection*, std::shared_ptr<caller_connection>> m_callers;
     std::unordered_map<request_token, std::shared_ptr<caller_connection>> m_origins;
     std::optional<kernel::time_point> m_armedFor;
     request_token m_lastToken { 0 };
     bool m_isLeaving { false };
     leaf_pools m_pools;
+    leaf_pools m_relayPools;
+    std::map<model::endpoint, std::uint32_t> m_relayKeys;
     request_log m_log;
     callers::latency_metrics m_latencies;
     forwarding::request_engine m_engine;
--- a/Services/traffic/traffic_service.h
+++ b/Services/traffic/traffic_service.h
@@ -12,6 +12,8 @@
 
 struct traffic_settings {
     model::endpoint callers;
+    /// Where other daemons ask for leafs of this data centre.
+    model::endpoint relays;
     std::size_t callerConnections { 3000 };
     forwarding::engine_settings engine;
 };
@@ -22,14 +24,14 @@
     std::vector<forwarding::leaf_registration> leafs;
 };
 
-struct daemon_count_changed {
-    std::size_t count { 1 };
+struct fleet_share_changed {
+    forwarding::fleet_share share;
 };
 
 /// Answers ask callers to close their connections from now on.
 struct leaving_begun { };
 
-using traffic_event = std::variant<forwarding::route_table_pointer, leafs_changed, daemon_count_changed, leaving_begun>;
+using traffic_event = std::variant<forwarding::route_table_pointer, leafs_changed, fleet_share_changed, leaving_begun>;
 
 /// Takes requests of callers and calls leafs, all on one event loop: a leaf's reply costs one wake and crosses no thread.
 class traffic_service final : public kernel::service {
--- a/Tests/Faults/edge_fleet_test.cpp
+++ b/Tests/Faults/edge_fleet_test.cpp
@@ -153,6 +153,37 @@
         STRCMP_EQUAL("seal-desk1", fleet.post(0, "/single/a", "a" + std::to_string(count), "x").header("Zinnialedge-Server-Seal").c_str());
 }
 
+TEST(EdgeFleet, ShardsOfAnotherDataCentreComeThroughADaemonThere)
+{
+    edge_fleet fleet { 2 };
+    fleet.moveDaemon(1, "there");
+    raw_leaf near { answerWell };
+    raw_leaf far { [](std::string const& request) { return raw_reply { sealedReply(request, std::string(16, 'z')), false, false }; } };
+    for (std::size_t shard = 0; shard < 12; ++shard)
+        fleet.writeLeaf("leaf" + std::to_string(shard), "shard" + std::to_string(shard), shard < 6 ? near.place() : far.place(), "ready", shard < 6 ? "here" : "there");
+    fleet.declare(1, 12, false);
+    fleet.start(0);
+    fleet.start(1);
+    CHECK(fleet.waitUntilReady());
+    CHECK(fleet.daemon(0).process->waitForLine("relays=1").has_value());
+    auto const whole = fleet.get(0, "/gather/a?b=c", "a1");
+    LONGS_EQUAL(200, whole.status);
+    STRCMP_EQUAL("0", whole.header("Zinnialedge-Missing-Parts").c_str());
+    STRCMP_EQUAL(std::string(80, 'z').c_str(), whole.body.c_str());
+    // A leaf sees the caller's request and nothing of how it came.
+    auto const request = far.requests().front();
+    CHECK(request.starts_with("GET /gather/a?b=c HTTP/1.1\r\n"));
+    STRCMP_EQUAL("a1", rawHeader(request, "Zinnialedge-Attempt-Id").c_str());
+    CHECK(!rawHeader(request, "Zinnialedge-Deadline-Ms").empty());
+    CHECK(request.find("X-Relay") == std::string::npos);
+    LONGS_EQUAL(6, far.requests().size());
+    // Without the other daemon the shards are called from here.
+    fleet.daemon(1).process.reset();
+    auto const direct = fleet.get(0, "/gather/a", "a2");
+    LONGS_EQUAL(200, direct.status);
+    STRCMP_EQUAL("0", direct.header("Zinnialedge-Missing-Parts").c_str());
+}
+
 TEST(EdgeFleet, WrongSettingsNameEveryWrongField)
 {
     tests::child_process process { "zinnialedge-edge", { "--settings", "/dev/null" } };
--- a/Tests/Support/edge_bench.cpp
+++ b/Tests/Support/edge_bench.cpp
@@ -16,6 +16,7 @@
 {
     services::traffic::traffic_settings settings;
     settings.callers = { "127.0.0.1", 0 };
+    settings.relays = { "127.0.0.1", 0 };
     settings.engine.dataCentre = "here";
     auto made = services::traffic::traffic_service::create(settings, platform::makeEdgeProtocol(), kernel::makeSeededRandom(3));
     VERIFY(made.has_value());
--- a/Tests/Support/edge_fleet.cpp
+++ b/Tests/Support/edge_fleet.cpp
@@ -17,6 +17,7 @@
 static constexpr std::uint16_t directoryPort = 18100;
 static constexpr std::uint16_t operatorsPort = 19464;
 static constexpr std::uint16_t peersPort = 17380;
+static constexpr std::uint16_t relaysPort = 17381;
 
 static std::string nextAddress()
 {
@@ -41,26 +42,37 @@
         made->settingsFile = (m_folder / ("daemon" + std::to_string(index) + ".json")).string();
         m_daemons.push_back(std::move(made));
     }
-    for (std::size_t index = 0; index < daemons; ++index) {
-        json::array seeds;
-        for (auto const& other : m_daemons)
-            seeds.emplace_back(other->callers.address + ":1");
-        auto const& each = *m_daemons[index];
-        std::ofstream { each.settingsFile } << json::serialize(json::object {
-            { "name", "daemon" + std::to_string(index) },
-            { "region", "region" },
-            { "data_centre", "here" },
-            { "callers", toString(each.callers) },
-            { "readiness", toString(each.readiness) },
-            { "directory", toString(each.directory) },
-            { "peers", each.callers.address + ":" + std::to_string(peersPort) },
-            { "operators", toString(each.operators) },
-            { "store", toString(m_store.place()) },
-            { "seeds", std::move(seeds) },
-            { "extra_calls", { { "ratio", 0.2 }, { "window_s", 10 }, { "slack", 50 } } },
-            { "stop_time_s", 6 },
-        });
-    }
+    for (std::size_t index = 0; index < daemons; ++index)
+        writeSettings(index);
+}
+
+void edge_fleet::moveDaemon(std::size_t index, std::string const& dataCentre)
+{
+    daemon(index).dataCentre = dataCentre;
+    writeSettings(index);
+}
+
+void edge_fleet::writeSettings(std::size_t index)
+{
+    json::array seeds;
+    for (auto const& other : m_daemons)
+        seeds.emplace_back(other->callers.address + ":1");
+    auto const& each = *m_daemons[index];
+    std::ofstream { each.settingsFile } << json::serialize(json::object {
+        { "name", "daemon" + std::to_string(index) },
+        { "region", "region" },
+        { "data_centre", each.dataCentre },
+        { "callers", toString(each.callers) },
+        { "readiness", toString(each.readiness) },
+        { "directory", toString(each.directory) },
+        { "peers", each.callers.address + ":" + std::to_string(peersPort) },
+        { "relays", each.callers.address + ":" + std::to_string(relaysPort) },
+        { "operators", toString(each.operators) },
+        { "store", toString(m_store.place()) },
+        { "seeds", std::move(seeds) },
+        { "extra_calls", { { "ratio", 0.2 }, { "window_s", 10 }, { "slack", 50 } } },
+        { "stop_time_s", 6 },
+    });
 }
 
 edge_fleet::~edge_fleet()
@@ -86,9 +98,9 @@
     m_store.put("config", "main", { { "version", version }, { "routes", routes }, { "services", services }, { "limits", { { "max_header_bytes", 16384 }, { "max_body_bytes", 262144 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } });
 }
 
-void edge_fleet::writeLeaf(std::string const& id, std::string const& service, model::endpoint const& place, std::string const& state)
+void edge_fleet::writeLeaf(std::string const& id, std::string const& service, model::endpoint const& place, std::string const& state, std::string const& dataCentre)
 {
-    m_store.put("servers", id, { { "service", service }, { "address", toString(place) }, { "zone", "here" }, { "version", "v1" }, { "max_concurrency", 2 }, { "state", state }, { "warmup_left_ms", 0 }, { "sequence", 1 }, { "born", 1700000000000 } });
+    m_store.put("servers", id, { { "service", service }, { "address", toString(place) }, { "zone", dataCentre }, { "version", "v1" }, { "max_concurrency", 2 }, { "state", state }, { "warmup_left_ms", 0 }, { "sequence", 1 }, { "born", 1700000000000 } });
 }
 
 void edge_fleet::start(std::size_t index)
--- a/Tests/Support/edge_fleet.h
+++ b/Tests/Support/edge_fleet.h
@@ -14,6 +14,7 @@
     model::endpoint readiness;
     model::endpoint directory;
     model::endpoint operators;
+    std::string dataCentre { "here" };
     std::string settingsFile;
     std::unique_ptr<child_process> process;
 };
@@ -32,9 +33,11 @@
 
     /// Declares a single route "/single/" and a gather route "/gather/" over so many shards.
     void declare(std::uint64_t version, std::size_t shards, bool isSingleRepeatable, std::string const& desk = "desk");
-    void writeLeaf(std::string const& id, std::string const& service, model::endpoint const&, std::string const& state = "ready");
+    void writeLeaf(std::string const& id, std::string const& service, model::endpoint const&, std::string const& state = "ready", std::string const& dataCentre = "here");
     void removeLeaf(std::string const& id) { m_store.erase("servers", id); }
 
+    /// Before its start.
+    void moveDaemon(std::size_t index, std::string const& dataCentre);
     void start(std::size_t index);
     bool isReady(std::size_t index);
     bool waitUntilReady();
@@ -44,6 +47,8 @@
     raw_answer post(std::size_t index, std::string const& path, std::string const& attemptId, std::string const& body);
 
 private:
+    void writeSettings(std::size_t index);
+
     std::filesystem::path m_folder;
     fleet_store m_store;
     std::vector<std::unique_ptr<edge_process>> m_daemons;
--- a/Tests/Support/engine_harness.cpp
+++ b/Tests/Support/engine_harness.cpp
@@ -78,6 +78,16 @@
 }
 
 request_token engine_harness::arrive(std::string const& path, std::chrono::milliseconds patience)
+{
+    return take(path, patience, std::nullopt);
+}
+
+request_token engine_harness::arriveRelayed(std::string const& path, relayed_request relayed)
+{
+    return take(path, std::chrono::milliseconds { 1500 }, std::move(relayed));
+}
+
+request_token engine_harness::take(std::string const& path, std::chrono::milliseconds patience, std::optional<relayed_request> relayed)
 {
     caller_request request;
     request.method = "GET";
@@ -85,6 +95,7 @@
     request.host = "host";
     request.attemptId = "attempt-" + std::to_string(m_lastToken + 1);
     request.patience = patience;
+    request.relayed = std::move(relayed);
     engine.arrive(++m_lastToken, std::move(request), m_now);
     return m_lastToken;
 }
--- a/Tests/Support/engine_harness.h
+++ b/Tests/Support/engine_harness.h
@@ -22,6 +22,8 @@
     void registerLeafs(std::vector<std::string> const& services, std::size_t perService);
 
     forwarding::request_token arrive(std::string const& path, std::chrono::milliseconds patience = std::chrono::milliseconds { 1500 });
+    /// The same from another daemon, for a part of the shards.
+    forwarding::request_token arriveRelayed(std::string const& path, forwarding::relayed_request);
     /// Lets time pass and runs the timers that are due on the way.
     void pass(std::chrono::milliseconds);
     kernel::time_point now() const { return m_now; }
@@ -39,6 +41,7 @@
 
 private:
     forwarding::engine_hooks makeHooks();
+    forwarding::request_token take(std::string const& path, std::chrono::milliseconds patience, std::optional<forwarding::relayed_request>);
 
     kernel::time_point m_now { std::chrono::hours { 1 } };
     std::map<forwarding::call_number, forwarding::leaf_call> m_open;
