Tests: Wait until a paused process stands still; provoke an older configuration

Traced by naming the answers: 'answered', 'no_live_target', 'outcome_unknown': the daemon ran requests before it stood still, since SIGSTOP reaches the threads of a process one after the other on a busy machine. The test asked too early; no datagram or store reply was wrongly counted. pause() now waits for the stop.

An older version of an object that object_cache::offer took turned no test red.

--- a/Tests/Experiments/scenarios.cpp
+++ b/Tests/Experiments/scenarios.cpp
@@ -30,7 +30,7 @@
 
 static void freezeOneLeaf(cluster& running)
 {
-    running.leafsOf(portal).front().process->signal(SIGSTOP);
+    running.leafsOf(portal).front().process->pause();
 }
 
 static void killOneDaemon(cluster& running)
--- a/Tests/Faults/configuration_commands_test.cpp
+++ b/Tests/Faults/configuration_commands_test.cpp
@@ -1,7 +1,11 @@
 #include "Kernel/clock.h"
 #include "Libraries/zinnialedge/configuration/service_codec.h"
+#include "Libraries/zinnialedge/wire/peer_codec.h"
 #include "Tests/Support/cluster.h"
 #include <CppUTest/TestHarness.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 #include <fstream>
 #include <set>
@@ -83,6 +87,18 @@
         return version ? version->to_number<std::uint64_t>() : 0;
     }
 
+    /// What a daemon that was cut off for a while may send.
+    static void sendToPeer(model::endpoint const& peer, configuration::stored_object object)
+    {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket socket { context };
+        socket.connect({ boost::asio::ip::make_address(peer.address), peer.port });
+        boost::asio::write(socket, boost::asio::buffer(wire::encodePeerMessage({ 0, std::move(object) })));
+        // The message is read before the end of the connection.
+        boost::system::error_code ignored;
+        socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
     static std::uint64_t attemptsOn(running_leaf const& leaf)
     {
         return getJson(leaf.place, "/counts").at("runs").to_number<std::uint64_t>();
@@ -110,6 +126,27 @@
     LONGS_EQUAL(3, stored("b")->shardCount);
 }
 
+TEST(ConfigurationCommands, AnOlderObjectFromAnotherDaemonDoesNotRevertWhatWasAccepted)
+{
+    auto const& daemon = startDaemon("suva-1");
+    auto const versionWithHedge = [&](std::string const& hedge) {
+        STRCMP_EQUAL("accepted", resultOf(command(daemon, "suva", "service a { shards 2 hedge " + hedge + " }")).c_str());
+        auto const before = versionOn(daemon, "a");
+        CHECK(waitUntil([&] { return versionOn(daemon, "a") >= before && versionOn(daemon, "a") > 0; }, std::chrono::seconds { 3 }));
+        return callHttp(running->platform(), { "GET", "/objects/services/a", {}, {} })->body;
+    };
+    auto const older = versionWithHedge("7%");
+    auto const olderVersion = versionOn(daemon, "a");
+    std::ignore = versionWithHedge("9%");
+    CHECK(waitUntil([&] { return versionOn(daemon, "a") > olderVersion; }, std::chrono::seconds { 3 }));
+    auto const newerVersion = versionOn(daemon, "a");
+    sendToPeer(daemon.peers, { "services/a", olderVersion, older });
+    // The daemon reads its ring in order, so that a marker behind the older object shows that it was seen.
+    sendToPeer(daemon.peers, { "services/marker", 1, std::nullopt });
+    CHECK(waitUntil([&] { return versionOn(daemon, "marker") == 1; }, std::chrono::seconds { 3 }));
+    LONGS_EQUAL(newerVersion, versionOn(daemon, "a"));
+}
+
 TEST(ConfigurationCommands, NoPartnerChangesWhatIsTheOthers)
 {
     auto& daemon = startDaemon("suva-1");
--- a/Tests/Faults/membership_processes_test.cpp
+++ b/Tests/Faults/membership_processes_test.cpp
@@ -86,6 +86,13 @@
         running->startDaemon("suva-" + std::to_string(number), "suva", "suva-a", [port](json::object& settings) { settings["callers"].as_object()["port"] = port; });
     }
 
+    static std::string describe(model::answer_or_error const& answer)
+    {
+        if (answer)
+            return "answered";
+        return std::string { errors::answerFor(answer.error().kind).name } + ": " + answer.error().message;
+    }
+
     static constexpr auto outOfDirectory = 3s;
 };
 
@@ -95,7 +102,7 @@
     auto const isLeftOut = [&](std::size_t count) { return countIn(1) == count && countIn(2) == count; };
     daemon(4).process->signal(SIGKILL);
     CHECK(waitUntil([&] { return isLeftOut(3); }, outOfDirectory));
-    daemon(3).process->signal(SIGSTOP);
+    daemon(3).process->pause();
     CHECK(waitUntil([&] { return isLeftOut(2); }, outOfDirectory));
     daemon(3).process->signal(SIGCONT);
     CHECK(waitUntil([&] { return isLeftOut(3) && countIn(3) == 3; }));
@@ -106,7 +113,7 @@
     startDaemons(3);
     auto request = makeConfirm(ticketPrefix(daemon(3).callers, "lunch-portal") + "~1");
     request.deadline = 60s;
-    daemon(3).process->signal(SIGSTOP);
+    daemon(3).process->pause();
     auto const begin = std::chrono::steady_clock::now();
     auto const inFlight = query(daemon(1).callers, request);
     CHECK(std::chrono::steady_clock::now() - begin < 11s);
@@ -119,7 +126,7 @@
 TEST(MembershipProcesses, WithTheStoreOutADaemonStartsFromItsSeeds)
 {
     startDaemons(2);
-    running->platformProcess().signal(SIGSTOP);
+    running->platformProcess().pause();
     auto const seed = daemon(1).peers;
     running->startDaemon("suva-3", "suva", "suva-a", [&](json::object& settings) {
         settings["seeds"] = json::array { { { "address", seed.address }, { "port", seed.port } } };
@@ -196,8 +203,8 @@
     auto const& alone = daemon(1);
     auto const asked = makeConfirm(ticketPrefix(alone.callers, "lunch-portal") + "~1");
     CHECK(query(alone.callers, asked).has_value());
-    running->platformProcess().signal(SIGSTOP);
-    daemon(2).process->signal(SIGSTOP);
+    running->platformProcess().pause();
+    daemon(2).process->pause();
     CHECK(alone.process->waitForLine("event=cut_off").has_value());
     auto search = asked;
     search.requestKind = "search";
@@ -219,7 +226,7 @@
     auto const& sleeper = daemon(1);
     auto const prefix = ticketPrefix(sleeper.callers, "lunch-portal");
     for (auto* process : { &running->platformProcess(), daemon(2).process.get(), sleeper.process.get() })
-        process->signal(SIGSTOP);
+        process->pause();
     static constexpr int waiting = 20;
     std::vector<model::answer_or_error> answers(waiting, errors::fail(errors::error_kind::internal, "not asked"));
     std::vector<std::thread> callers;
@@ -232,7 +239,7 @@
     for (auto& caller : callers)
         caller.join();
     for (auto const& answer : answers)
-        CHECK(!answer.has_value() && answer.error().kind == errors::error_kind::cut_off);
+        STRCMP_EQUAL("cut_off: this daemon hears neither the store nor its peers", describe(answer).c_str());
     daemon(2).process->signal(SIGCONT);
     running->platformProcess().signal(SIGCONT);
 }
--- a/Tests/Faults/query_faults_test.cpp
+++ b/Tests/Faults/query_faults_test.cpp
@@ -166,7 +166,7 @@
 {
     startSecondDaemon();
     auto const request = makeConfirmation("suva-2");
-    running->daemon("suva-2").process->signal(SIGSTOP);
+    running->daemon("suva-2").process->pause();
     auto const start = std::chrono::steady_clock::now();
     checkKind(error_kind::outcome_unknown, confirm("suva-1", request));
     CHECK(std::chrono::steady_clock::now() - start < ownDeadline + busyMachine);
@@ -206,7 +206,7 @@
     auto confirming = startAsking("suva-1", lost);
     CHECK(waitUntil([&] { return runsOf(lost.ticket) == 1; }));
     auto const& frozen = findHolder(lost.ticket);
-    frozen.process->signal(SIGSTOP);
+    frozen.process->pause();
     checkKind(error_kind::outcome_unknown, confirming.get());
     for (auto const& leaf : leafs()) {
         if (&leaf != &frozen)
--- a/Tests/Support/child_process.cpp
+++ b/Tests/Support/child_process.cpp
@@ -92,6 +92,14 @@
     return m_lines;
 }
 
+void child_process::pause() const
+{
+    signal(SIGSTOP);
+    siginfo_t info {};
+    auto const waited = ::waitid(P_PID, static_cast<id_t>(m_id), &info, WSTOPPED);
+    VERIFY(waited == 0);
+}
+
 void child_process::signal(int number) const
 {
     if (!m_exitCode)
--- a/Tests/Support/child_process.h
+++ b/Tests/Support/child_process.h
@@ -26,6 +26,8 @@
     /// Every line of its output so far.
     std::vector<std::string> lines();
     void signal(int number) const;
+    /// Sends SIGSTOP and waits until every thread has stopped: a busy machine may run some of them for a while.
+    void pause() const;
     /// The exit code, or minus the signal; nothing when it still runs after the timeout.
     std::optional<int> waitForExit(std::chrono::milliseconds timeout = defaultTimeout);
     int id() const { return m_id; }
