--- a/Tests/Faults/configuration_commands_test.cpp
+++ b/Tests/Faults/configuration_commands_test.cpp
@@ -1,11 +1,7 @@
 #include "Kernel/clock.h"
 #include "Libraries/zinnialedge/configuration/service_codec.h"
-#include "Libraries/zinnialedge/wire/peer_codec.h"
 #include "Tests/Support/cluster.h"
 #include <CppUTest/TestHarness.h>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 #include <fstream>
 #include <set>
@@ -87,18 +83,6 @@
         return version ? version->to_number<std::uint64_t>() : 0;
     }
 
-    /// What a daemon that was cut off for a while may send.
-    static void sendToPeer(model::endpoint const& peer, configuration::stored_object object)
-    {
-        boost::asio::io_context context;
-        boost::asio::ip::tcp::socket socket { context };
-        socket.connect({ boost::asio::ip::make_address(peer.address), peer.port });
-        boost::asio::write(socket, boost::asio::buffer(wire::encodePeerMessage({ 0, std::move(object) })));
-        // The message is read before the end of the connection.
-        boost::system::error_code ignored;
-        socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    }
-
     static std::uint64_t attemptsOn(running_leaf const& leaf)
     {
         return getJson(leaf.place, "/counts").at("runs").to_number<std::uint64_t>();
--- a/Tests/Support/cluster.cpp
+++ b/Tests/Support/cluster.cpp
@@ -3,6 +3,10 @@
 #include "Kernel/verify.h"
 #include "Libraries/zinnialedge/configuration/service_codec.h"
 #include "Libraries/zinnialedge/wire/caller_codec.h"
+#include "Libraries/zinnialedge/wire/peer_codec.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 #include <fstream>
 #include <iostream>
@@ -201,6 +205,17 @@
     return std::string { directory.at("ticket_prefix").as_string() };
 }
 
+void sendToPeer(model::endpoint const& peer, configuration::stored_object object)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket { context };
+    socket.connect({ boost::asio::ip::make_address(peer.address), peer.port });
+    boost::asio::write(socket, boost::asio::buffer(wire::encodePeerMessage({ 0, std::move(object) })));
+    // The message is read before the end of the connection.
+    boost::system::error_code ignored;
+    socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 static service_plan makePortalPlan(std::string const& name, std::string const& partner)
 {
     service_plan plan;
--- a/Tests/Support/cluster.h
+++ b/Tests/Support/cluster.h
@@ -4,6 +4,7 @@
 #include "Libraries/zinnialedge/model/query.h"
 #include "Libraries/zinnialedge/model/service_declaration.h"
 #include "StandIns/target/leaf_settings.h"
+#include "Libraries/zinnialedge/configuration/object_cache.h"
 #include "Tests/Support/child_process.h"
 #include "Tests/Support/http_call.h"
 #include <filesystem>
@@ -85,4 +86,7 @@
 /// A service of few shards, with a process for each leaf.
 service_plan smallPlan(std::string const& name, std::string const& partner, std::uint32_t shards);
 
+/// Sends an object as another daemon does that was cut off for a while.
+void sendToPeer(model::endpoint const& peer, configuration::stored_object);
+
 }
