Logs, zlctl: Name the missing shards, and tell one request's story

A partial or failed request names up to five missing shards in its line. 'zlctl explain ID LOG...' prints the lines of several daemons' logs on one request in order of time.

--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -92,7 +92,7 @@
     ++m_counters.refusals;
     static std::string const noRoute;
     if (m_hooks.report)
-        m_hooks.report({ request.attemptId, noRoute, m_routes ? m_routes->version() : 0, answer.status, 0, 0, 0, 0, {}, {}, answer.reason, false });
+        m_hooks.report({ request.attemptId, noRoute, m_routes ? m_routes->version() : 0, answer.status, 0, 0, 0, 0, {}, {}, answer.reason, false, {} });
     m_hooks.answer(token, std::move(answer));
 }
 
@@ -220,11 +220,10 @@
     m_timers.push({ request->isRelayed() ? now : now + abandonDelay, timer_kind::abandon, token });
 }
 
-void request_engine::abandon(active_request& request)
+void request_engine::abandon(active_request& request, time_point now)
 {
     static std::string const reason = "caller_left";
-    if (m_hooks.report)
-        m_hooks.report({ request.request->attemptId, request.to->name, request.table->version(), 0, request.parts.size(), request.missing, request.copies, request.retries, {}, request.to->objective, reason, true });
+    report(request, 0, reason, now);
     // A request that may run only once goes on: its leaf has begun, and cancelling it would leave the outcome open.
     if (request.to->isRepeatable) {
         for (auto const& part : request.parts) {
@@ -277,7 +276,7 @@
             settleAtEnd(*request, now);
             break;
         case timer_kind::abandon:
-            abandon(*request);
+            abandon(*request, now);
             break;
         case timer_kind::call_given_up:
         case timer_kind::relay_late:
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -35,6 +35,8 @@
     std::chrono::milliseconds objective { 0 };
     std::string const& reason;
     bool hasCallerLeft { false };
+    /// The services of the first missing shards, separated by commas.
+    std::string missingShards;
 };
 
 /// Why a call was sent beyond the first of its shard.
@@ -198,7 +200,8 @@
     void settleAtEnd(active_request&, kernel::time_point now);
     void settleRefused(active_request&, errors::error_kind, std::string reason, kernel::time_point now);
     void settle(active_request&, final_answer, kernel::time_point now);
-    void abandon(active_request&);
+    void report(active_request const&, int status, std::string const& reason, kernel::time_point now);
+    void abandon(active_request&, kernel::time_point now);
 
     route_history& historyOf(route const&);
     service_history& historyOf(std::string const& service);
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -198,7 +198,7 @@
         bodies.push_back(&body);
     answer.missingParts = request.parts.size() - answer.partSeals.size();
     answer.body = mergeGreatest(bodies, request.to->gather.recordLimit);
-    m_counters.partialAnswers += answer.missingParts > 0 ? 1 : 0;
+    m_counters.partialAnswers += answer.missingParts > 0 && !request.isRelayed() ? 1 : 0;
     settle(request, std::move(answer), now);
 }
 
@@ -247,11 +247,28 @@
     settle(request, std::move(answer), now);
 }
 
+/// Names of missing shards in a log line; more are counted only.
+static constexpr std::size_t namedShards = 5;
+
+void request_engine::report(active_request const& request, int status, std::string const& reason, time_point now)
+{
+    // The daemon that asked reports the whole request.
+    if (!m_hooks.report || request.isRelayed())
+        return;
+    std::string missing;
+    std::size_t named = 0;
+    for (auto const& part : request.parts) {
+        if (part.isAnswered() || named++ >= namedShards)
+            continue;
+        missing += (missing.empty() ? "" : ",") + *part.service;
+    }
+    m_hooks.report({ request.request->attemptId, request.to->name, request.table->version(), status, request.parts.size(), request.parts.size() - request.answered, request.copies, request.retries, now - request.arrivedAt, request.to->objective, reason, request.hasCallerLeft, std::move(missing) });
+}
+
 void request_engine::settle(active_request& request, final_answer answer, time_point now)
 {
     m_counters.answers += answer.refused ? 0 : 1;
-    if (m_hooks.report)
-        m_hooks.report({ request.request->attemptId, request.to->name, request.table->version(), answer.status, request.parts.size(), request.parts.size() - request.answered, request.copies, request.retries, now - request.arrivedAt, request.to->objective, answer.reason, request.hasCallerLeft });
+    report(request, answer.status, answer.reason, now);
     // A call that lost may end by itself: to cut it costs its leaf a new connection, which is more than the rest of its
     // work, unless the leaf is slow.
     if (request.to->isRepeatable) {
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -50,7 +50,7 @@
     logEvent(log_level::info, report.hasCallerLeft ? "caller_left" : "request_ended",
         { { "id", report.attemptId }, { "route", report.route }, { "version", report.version }, { "status", report.status }, { "reason", report.reason },
             { "parts", report.parts }, { "missing", report.missing }, { "copies", report.copies }, { "retries", report.retries },
-            { "elapsed_ms", millisecondsOf(report.elapsed) }, { "objective_ms", report.objective.count() } });
+            { "missing_shards", report.missingShards }, { "elapsed_ms", millisecondsOf(report.elapsed) }, { "objective_ms", report.objective.count() } });
 }
 
 void request_log::noteLeafEvent(std::string const& attemptId, std::string const& leafId, std::string_view event, kernel::duration age)
--- /dev/null
+++ b/Utilities/zlctl/explain.cpp
@@ -0,0 +1,33 @@
+#include "Utilities/zlctl/explain.h"
+
+#include <algorithm>
+
+namespace zinnialedge::utilities::control {
+
+static std::string valueOf(std::string const& line, std::string const& key)
+{
+    auto start = line.starts_with(key + "=") ? 0 : line.find(" " + key + "=");
+    if (start == std::string::npos)
+        return {};
+    start = line.find('=', start) + 1;
+    return line.substr(start, line.find(' ', start) - start);
+}
+
+std::vector<std::string> linesOf(std::istream& log, std::string const& requestId)
+{
+    std::vector<std::string> found;
+    for (std::string line; std::getline(log, line);) {
+        if (valueOf(line, "id") == requestId)
+            found.push_back(line);
+    }
+    return found;
+}
+
+std::vector<std::string> inOrderOfTime(std::vector<std::string> lines)
+{
+    // The times are written in full and in UTC, so that their text sorts as they do.
+    std::stable_sort(lines.begin(), lines.end(), [](auto const& left, auto const& right) { return valueOf(left, "time") < valueOf(right, "time"); });
+    return lines;
+}
+
+}
--- a/Utilities/zlctl/main.cpp
+++ b/Utilities/zlctl/main.cpp
@@ -1,6 +1,7 @@
 #include "Libraries/zinnialedge/wire/caller_codec.h"
 #include "Utilities/zlctl/daemon_client.h"
 #include "Utilities/zlctl/exit_code.h"
+#include "Utilities/zlctl/explain.h"
 #include "Utilities/zlctl/output.h"
 #include <boost/algorithm/string/join.hpp>
 #include <boost/json.hpp>
@@ -23,6 +24,7 @@
                                      "  apply FILE | diff FILE | show services|daemons|targets of SERVICE [where state = STATE]\n"
                                      "  drain target NAME of SERVICE | undrain target NAME of SERVICE\n"
                                      "  query SERVICE REQUEST [KEY] | state\n"
+                                     "  explain ID LOG... : the lines of the logs that tell of one request, in order of time; needs no daemon\n"
                                      "FILE may be - for the standard input. Exit codes: 0 done, 1 refused, 2 wrong input, 3 can't reach the daemon,\n"
                                      "4 conflict, 5 diff found differences, 6 the outcome is not known";
 
@@ -139,12 +141,31 @@
     return failInput("there is no command " + command + "; usage: zlctl " + usage);
 }
 
+static exit_code explain(std::vector<std::string> const& words)
+{
+    if (words.size() < 3)
+        return failInput("expected explain ID LOG...");
+    std::vector<std::string> lines;
+    for (std::size_t index = 2; index < words.size(); ++index) {
+        std::ifstream log { words[index] };
+        if (!log)
+            return failInput("can't read the log " + words[index]);
+        for (auto& line : linesOf(log, words[1]))
+            lines.push_back(std::move(line));
+    }
+    for (auto const& line : inOrderOfTime(std::move(lines)))
+        std::cout << line << "\n";
+    return exit_code::done;
+}
+
 int main(int argumentCount, char** arguments)
 {
     gflags::SetVersionString(ZINNIALEDGE_VERSION);
     gflags::SetUsageMessage(usage);
     gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
     std::vector<std::string> const words { arguments + 1, arguments + argumentCount };
+    if (!words.empty() && words.front() == "explain")
+        return static_cast<int>(explain(words));
     auto const place = model::parseEndpoint(FLAGS_daemon);
     if (!place || words.empty())
         return static_cast<int>(failInput(std::string { "usage: zlctl " } + usage));
