--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -14,6 +14,8 @@
 static constexpr double latestCopyShare = 0.4;
 /// How many parts may wait for a connection to one service.
 static constexpr std::size_t waitingLimit = 64;
+/// Weight of one extra call in the share that is denied.
+static constexpr double deniedWeight = 0.03;
 /// A call is given up this long after its caller, so that a reply that is on its way still frees its connection.
 static constexpr std::chrono::milliseconds callGrace { 300 };
 
@@ -24,6 +26,14 @@
     return std::chrono::duration_cast<kernel::duration>(std::clamp(usual, objective * earliestCopyShare, objective * latestCopyShare));
 }
 
+bool request_engine::takeExtraCall(std::string const& service, time_point now)
+{
+    bool const isTaken = historyOf(service).budget.take(now, m_share.slackHolders);
+    m_counters.extraCallsDenied += isTaken ? 0 : 1;
+    m_deniedShare += deniedWeight * ((isTaken ? 0 : 1) - m_deniedShare);
+    return isTaken;
+}
+
 kernel::duration request_engine::patienceOf(route const& to)
 {
     return copyDelayOf(to);
@@ -132,10 +142,8 @@
     auto const pick = m_leafs.pick(*part.service, part.asked, patienceOf(*request.to), now);
     if (!pick || pick->isSuspect)
         return false;
-    if (!historyOf(*part.service).budget.take(now, m_share.slackHolders)) {
-        ++m_counters.extraCallsDenied;
+    if (!takeExtraCall(*part.service, now))
         return false;
-    }
     part.hasCopy = true;
     ++m_counters.copies;
     ++request.copies;
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -169,6 +169,8 @@
     /// Sends a copy of each call that takes longer than usual.
     void sendCopies(active_request&, kernel::time_point now);
     bool sendCopy(active_request&, std::size_t place, kernel::time_point now);
+    /// Takes an extra call from the service's budget; false when it has none.
+    [[nodiscard]] bool takeExtraCall(std::string const& service, kernel::time_point now);
     kernel::duration copyDelayOf(route const&);
     kernel::duration patienceOf(route const&);
 
@@ -176,6 +178,8 @@
     /// Asks daemons of other data centres for the shards that have no sound leaf in the own one.
     void sendRelays(active_request&, kernel::time_point now);
     std::optional<relay> chooseRelay(std::string const& dataCentre, kernel::time_point now);
+    /// How long the other daemon may take.
+    std::chrono::milliseconds relayTime(active_request const&, kernel::time_point now);
     void sendRelay(active_request&, relay const&, std::vector<std::size_t> places, kernel::time_point now);
     void relayEnded(call_number, relay_owner const&, call_result, kernel::time_point now);
     void acceptRelayed(active_request&, relay_owner const&, leaf_reply, kernel::time_point now);
@@ -222,6 +226,8 @@
     std::unordered_map<std::string, service_history> m_serviceHistories;
     std::priority_queue<timer, std::vector<timer>, std::greater<>> m_timers;
     call_number m_lastCall { 0 };
+    /// Of late, of the extra calls that were wanted.
+    double m_deniedShare { 0 };
     engine_counters m_counters;
 };
 
--- a/Libraries/zinnialedge/forwarding/request_relays.cpp
+++ b/Libraries/zinnialedge/forwarding/request_relays.cpp
@@ -13,6 +13,8 @@
 
 /// The way to another data centre and back, and the other daemon's work.
 static constexpr std::chrono::milliseconds relayMargin { 5 };
+/// Share of the copies that the budget denies above which copies can't be counted on.
+static constexpr double scarceShare = 0.6;
 /// A daemon that failed is not asked for this long; membership finds its death in about this time.
 static constexpr std::chrono::milliseconds relayPause { 1000 };
 
@@ -61,10 +63,20 @@
     }
 }
 
+std::chrono::milliseconds request_engine::relayTime(active_request const& request, time_point now)
+{
+    auto const usual = std::chrono::duration_cast<std::chrono::milliseconds>(copyDelayOf(*request.to)) + std::chrono::milliseconds { 1 };
+    // What the other daemon leaves out must be copied. Without a budget for copies it is better to wait for its slow leafs.
+    if (m_deniedShare < scarceShare)
+        return usual;
+    auto const longest = std::chrono::duration_cast<std::chrono::milliseconds>(request.objectiveAt - now) - relayMargin - relayMargin;
+    return std::max(usual, longest);
+}
+
 void request_engine::sendRelay(active_request& request, relay const& to, std::vector<std::size_t> places, time_point now)
 {
     auto const number = ++m_lastCall;
-    auto const answerWithin = std::chrono::duration_cast<std::chrono::milliseconds>(copyDelayOf(*request.to)) + std::chrono::milliseconds { 1 };
+    auto const answerWithin = relayTime(request, now);
     for (auto const place : places) {
         request.parts[place].relayCall = number;
         request.parts[place].relayedTo = to.dataCentre;
@@ -152,8 +164,7 @@
         // Its leaf there is slow or has failed; the copy goes elsewhere.
         auto const excluded = m_leafs.leafsIn(*part.service, *part.relayedTo);
         auto const pick = part.attemptsMade() < request.to->attempts ? m_leafs.pick(*part.service, excluded, patienceOf(*request.to), now) : std::nullopt;
-        if (!pick || !historyOf(*part.service).budget.take(now, m_share.slackHolders)) {
-            m_counters.extraCallsDenied += pick ? 1 : 0;
+        if (!pick || !takeExtraCall(*part.service, now)) {
             part.isMissing = true;
             ++request.missing;
             continue;
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -140,9 +140,8 @@
         return;
     bool const isPossible = mayRetry(request, place, now) && m_leafs.hasLeaf(*part.service, part.asked);
     // A call that reached no leaf costs the service nothing, and neither does the one in its place.
-    bool const isPaid = isPossible && (!hasReachedLeaf || historyOf(*part.service).budget.take(now, m_share.slackHolders));
+    bool const isPaid = isPossible && (!hasReachedLeaf || takeExtraCall(*part.service, now));
     if (!isPaid) {
-        m_counters.extraCallsDenied += isPossible ? 1 : 0;
         miss(request, place, now);
         return;
     }
--- a/Tests/Unit/relay_test.cpp
+++ b/Tests/Unit/relay_test.cpp
@@ -196,3 +196,23 @@
     LONGS_EQUAL(503, fleet.answerOf(token)->status);
     LONGS_EQUAL(0, fleet.openCalls().size());
 }
+
+TEST(Relay, WithoutABudgetForCopiesTheOtherDaemonIsGivenMoreTime)
+{
+    // The leafs of many shards turn slow, and copies of them use up the budget.
+    divided_fleet fleet;
+    (void)fleet.arrive("/gather/1");
+    auto const usual = fleet.relayCalls().front().relayed->answerWithin;
+    for (int count = 0; count < 60; ++count) {
+        (void)fleet.arrive("/gather/2");
+        fleet.pass(20ms);
+        for (auto const& call : fleet.relayCalls())
+            fleet.answerRelay(call, {});
+        fleet.succeedDirectCalls();
+    }
+    CHECK(fleet.engine.counters().extraCallsDenied > 0);
+    (void)fleet.arrive("/gather/3");
+    auto const scarce = fleet.relayCalls().back().relayed->answerWithin;
+    CHECK(scarce > 2 * usual);
+    CHECK(scarce < 100ms);
+}
