--- a/Libraries/zinnialedge/fleet/object_mirror.cpp
+++ b/Libraries/zinnialedge/fleet/object_mirror.cpp
@@ -116,7 +116,8 @@
         m_outageBegan = now;
     auto const doublings = std::min(m_failuresInARow, 4U);
     ++m_failuresInARow;
-    auto const pause = std::min(m_settings.firstRetry * (1U << doublings), m_settings.longestRetry);
+    auto const longest = m_hasListed ? m_settings.longestRetry : m_settings.longestStartRetry;
+    auto const pause = std::min(m_settings.firstRetry * (1U << doublings), longest);
     // Half of the pause is random, so that daemons that lost the store together do not come back together.
     m_nextAt = now + pause / 2 + std::chrono::milliseconds { m_random() % static_cast<std::uint64_t>(pause.count() / 2 + 1) };
 }
--- a/Libraries/zinnialedge/fleet/object_mirror.h
+++ b/Libraries/zinnialedge/fleet/object_mirror.h
@@ -13,6 +13,8 @@
     std::chrono::milliseconds batchPause { 100 };
     std::chrono::milliseconds firstRetry { 100 };
     std::chrono::milliseconds longestRetry { 1500 };
+    /// As long as nothing was ever listed, and nothing can be served.
+    std::chrono::milliseconds longestStartRetry { 300 };
     /// A shorter outage lets no registration lapse.
     std::chrono::milliseconds shortOutage { 1500 };
     /// Registrations that lapsed during an outage are back within this time after it.
--- a/Services/fleet/store_link.cpp
+++ b/Services/fleet/store_link.cpp
@@ -16,6 +16,8 @@
 static constexpr std::chrono::milliseconds probeWait { 200 };
 /// A list is answered in milliseconds, or in hundreds of them while the store is slow.
 static constexpr std::chrono::milliseconds listTimeout { 2000 };
+/// A daemon that knows nothing yet serves nobody; it asks again sooner.
+static constexpr std::chrono::milliseconds firstListTimeout { 800 };
 
 std::string_view nameOf(object_kind kind)
 {
@@ -76,7 +78,7 @@
     ++m_counters.calls;
     auto const wait = m_mirror.isConnected() ? m_watchWait : std::min(m_watchWait, probeWait);
     auto const message = request.isList ? m_protocol.list(m_kind, request.after) : m_protocol.watch(m_kind, request.revision, wait);
-    auto const timeout = request.isList ? listTimeout : wait + watchSlack;
+    auto const timeout = !request.isList ? wait + watchSlack : m_mirror.hasListed() ? listTimeout : firstListTimeout;
     m_client->connectAndSend(message, timeout, [this, request](wire::http_result const& result) {
         m_isCalling = false;
         handle(request, result);
