Tests: Add a fault soak of real daemons

Daemons run as processes on loopback behind a store, leafs and proxies that the soak faults: kills, pauses, planned stops, a silent and a busy store, dropped history, new versions, spoilt and lost answers, links that are delayed, cut one way, silenced or reset. It checks what callers and leafs see.

--- /dev/null
+++ b/Tests/Soak/main.cpp
@@ -0,0 +1,326 @@
+#include "Kernel/clock.h"
+#include "Kernel/event_log.h"
+#include "Tests/Soak/loopback_proxy.h"
+#include "Tests/Soak/soak_checker.h"
+#include "Tests/Support/edge_fleet.h"
+#include "Tests/Support/http_call.h"
+#include <boost/asio/executor_work_guard.hpp>
+#include <array>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_uint64(seed, 1, "the seed of all faults");
+DEFINE_uint64(seconds, 15, "how long faults are injected");
+DEFINE_uint64(daemons, 4, "how many daemons run");
+DEFINE_uint64(shards, 6, "how many shards the route has; each has two leafs");
+DEFINE_string(logs, "", "a folder for the daemons' logs when something is found");
+
+using namespace zinnialedge;
+using namespace zinnialedge::tests;
+using namespace zinnialedge::tests::soak;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// After this long without faults everything must be served again.
+constexpr auto healTime = 8s;
+constexpr auto probeTime = 3s;
+/// Of the requests after the faults; a connection to a daemon that has just gone may still fail.
+constexpr double leastServedShare = 0.97;
+constexpr std::size_t callerCount = 6;
+constexpr std::size_t mostDaemons = 64;
+
+/// One leaf behind its proxy.
+struct soak_leaf {
+    soak_leaf(boost::asio::io_context& context, std::string leafId, std::string leafService, soak_checker& checker, std::uint64_t seed)
+        : id(std::move(leafId))
+        , service(std::move(leafService))
+        , random(kernel::makeSeededRandom(seed))
+        , leaf([this, &checker](std::string const& request) { return answer(request, checker); })
+        , proxy(context, leaf.place())
+    {
+    }
+
+    raw_reply answer(std::string const& request, soak_checker& checker)
+    {
+        auto const attempt = rawHeader(request, "Zinnialedge-Attempt-Id");
+        if (rawHeader(request, "Zinnialedge-Target-Instance") != id)
+            return { "HTTP/1.1 421 Misdirected Request\r\nZinnialedge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false, false };
+        bool const isFaulty = random() % 1000 < faultsPerThousand;
+        auto const fault = isFaulty ? random() % 4 : 99;
+        if (fault == 0)
+            return { "HTTP/1.1 503 Service Unavailable\r\nZinnialedge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false, false };
+        checker.noteRun(attempt);
+        auto const body = service == "desk" ? bodyOf(attempt) : recordsOf(service);
+        auto bytes = "HTTP/1.1 200 OK\r\nZinnialedge-Server-Seal: " + sealOf(service, attempt) + "\r\nZinnialedge-Attempt-Id: " + attempt + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        if (fault == 1)
+            return { {}, false, true };
+        if (fault == 2)
+            return { bytes.substr(0, bytes.size() - 3), true, false };
+        return { fault == 3 ? bytes + bytes : bytes, false, false };
+    }
+
+    std::string id;
+    std::string service;
+    kernel::random_hook random;
+    std::atomic<unsigned> faultsPerThousand { 0 };
+    raw_leaf leaf;
+    loopback_proxy proxy;
+};
+
+class soak_run {
+public:
+    soak_run()
+        : m_random(kernel::makeSeededRandom(FLAGS_seed))
+        , m_fleet(FLAGS_daemons)
+    {
+        m_proxies = std::thread { [this] { m_context.run(); } };
+        addLeafs();
+        declare();
+        for (std::size_t index = 0; index < FLAGS_daemons; ++index) {
+            m_fleet.moveDaemon(index, index % 2 == 0 ? "here" : "there");
+            m_fleet.start(index);
+        }
+    }
+
+    ~soak_run()
+    {
+        endStops();
+        m_isOver = true;
+        for (auto& each : m_callers)
+            each.join();
+        m_context.stop();
+        m_proxies.join();
+    }
+
+    int run()
+    {
+        if (!m_fleet.waitUntilReady()) {
+            std::cerr << "soak: the daemons are not ready\n";
+            return 1;
+        }
+        for (std::size_t number = 0; number < callerCount; ++number)
+            m_callers.emplace_back([this, number] { callLoop(number); });
+        auto const end = std::chrono::steady_clock::now() + std::chrono::seconds { FLAGS_seconds };
+        while (std::chrono::steady_clock::now() < end) {
+            injectFault();
+            std::this_thread::sleep_for(std::chrono::milliseconds { 20 + m_random() % 150 });
+        }
+        heal();
+        std::this_thread::sleep_for(healTime);
+        m_checker.restartCounts();
+        std::this_thread::sleep_for(probeTime);
+        m_isOver = true;
+        for (auto& each : m_callers)
+            each.join();
+        m_callers.clear();
+        m_checker.finish();
+        return report();
+    }
+
+private:
+    void addLeafs()
+    {
+        auto const add = [this](std::string const& id, std::string const& service, std::string const& dataCentre) {
+            m_leafs.push_back(std::make_unique<soak_leaf>(m_context, id, service, m_checker, m_random()));
+            m_dataCentres[id] = dataCentre;
+            m_fleet.writeLeaf(id, service, m_leafs.back()->proxy.place(), "ready", dataCentre);
+        };
+        for (std::size_t shard = 0; shard < FLAGS_shards + 2; ++shard) {
+            auto const service = "shard" + std::to_string(shard);
+            add(service + ".0", service, shard % 2 == 0 ? "here" : "there");
+            add(service + ".1", service, shard % 2 == 0 ? "there" : "here");
+        }
+        add("desk.0", "desk", "here");
+        add("desk.1", "desk", "there");
+    }
+
+    void declare()
+    {
+        auto const shards = FLAGS_shards + m_version % 3;
+        m_checker.noteDeclared(shards);
+        m_fleet.declare(++m_version, shards, false);
+    }
+
+    void note(std::string const& what) { m_story.push_back(std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_begunAt).count()) + " ms " + what); }
+
+    void injectFault()
+    {
+        auto const index = m_random() % FLAGS_daemons;
+        auto& daemon = m_fleet.daemon(index);
+        // The service whose requests may run once has two leafs of many; it gets a third of the faults.
+        auto& leaf = *m_leafs[m_random() % 3 == 0 ? m_leafs.size() - 1 - m_random() % 2 : m_random() % m_leafs.size()];
+        bool const isDaemonFault = m_random() % 3 == 0;
+        if (isDaemonFault && m_isStopping[index])
+            return;
+        auto const name = " daemon" + std::to_string(index);
+        switch (isDaemonFault ? m_random() % 3 : 3 + m_random() % 9) {
+        case 0:
+            note("SIGKILL" + name);
+            daemon.process.reset();
+            m_fleet.start(index);
+            return;
+        case 1:
+            stopAsPlanned(index);
+            return;
+        case 2:
+            note("pause" + name);
+            daemon.process->pause();
+            std::this_thread::sleep_for(std::chrono::milliseconds { 200 + m_random() % 1500 });
+            daemon.process->signal(SIGCONT);
+            return;
+        case 3:
+            note("store silent");
+            m_fleet.store().setTrouble(fleet_store::trouble::silent);
+            return;
+        case 4:
+            note("store busy");
+            m_fleet.store().setTrouble(fleet_store::trouble::busy);
+            return;
+        case 5:
+        case 6:
+            note("store sound, history dropped");
+            m_fleet.store().setTrouble(fleet_store::trouble::none);
+            m_fleet.store().dropHistory();
+            return;
+        case 7:
+            note("new version");
+            declare();
+            return;
+        case 8:
+            note("leaf faults " + leaf.id);
+            leaf.faultsPerThousand = 200;
+            return;
+        case 9: {
+            auto const state = static_cast<link_state>(m_random() % 4);
+            note("link state " + std::to_string(static_cast<int>(state)) + " of " + leaf.id);
+            leaf.proxy.setState(state);
+            return;
+        }
+        case 10:
+            note("reset links of " + leaf.id);
+            leaf.proxy.resetAll();
+            return;
+        default:
+            note("leaf sound " + leaf.id);
+            leaf.faultsPerThousand = 0;
+            leaf.proxy.setState(link_state::sound);
+            return;
+        }
+    }
+
+    /// Other faults go on meanwhile.
+    void stopAsPlanned(std::size_t index)
+    {
+        note("SIGTERM daemon" + std::to_string(index));
+        m_isStopping[index] = true;
+        m_stops.emplace_back([this, index] {
+            auto& daemon = m_fleet.daemon(index);
+            daemon.process->signal(SIGTERM);
+            auto const code = daemon.process->waitForExit(6s);
+            if (code != 0) {
+                std::lock_guard const lock(m_plannedMutex);
+                m_planned.push_back("LOST: a planned stop ended with " + (code ? std::to_string(*code) : std::string { "nothing within 6 s" }));
+            }
+            m_fleet.start(index);
+            m_isStopping[index] = false;
+        });
+    }
+
+    void endStops()
+    {
+        for (auto& each : m_stops)
+            each.join();
+        m_stops.clear();
+    }
+
+    void heal()
+    {
+        endStops();
+        note("healed");
+        m_fleet.store().setTrouble(fleet_store::trouble::none);
+        for (auto const& leaf : m_leafs) {
+            leaf->faultsPerThousand = 0;
+            leaf->proxy.setState(link_state::sound);
+        }
+        declare();
+    }
+
+    void callLoop(std::size_t number)
+    {
+        auto const random = kernel::makeSeededRandom(FLAGS_seed * 100 + number);
+        for (std::size_t count = 0; !m_isOver; ++count) {
+            auto const index = random() % FLAGS_daemons;
+            auto const suffix = std::to_string(number) + "-" + std::to_string(count);
+            if (count % 2 == 0)
+                m_checker.checkSingle("once" + suffix, m_fleet.post(index, "/single/a", "once" + suffix, "order"));
+            else
+                m_checker.checkGather("all" + suffix, m_fleet.get(index, "/gather/a", "all" + suffix));
+            std::this_thread::sleep_for(5ms);
+        }
+    }
+
+    int report()
+    {
+        auto findings = m_checker.findings();
+        findings.insert(findings.end(), m_planned.begin(), m_planned.end());
+        auto const share = static_cast<double>(m_checker.served()) / static_cast<double>(std::max<std::size_t>(m_checker.asked(), 1));
+        if (share < leastServedShare)
+            findings.push_back("RECOVER: " + std::to_string(m_checker.served()) + " of " + std::to_string(m_checker.asked()) + " served after the faults");
+        std::cout << "soak: seed " << FLAGS_seed << ", " << m_story.size() << " faults, " << m_checker.served() << " of " << m_checker.asked() << " served after them, " << findings.size() << " findings\n";
+        if (findings.empty())
+            return 0;
+        for (auto const& each : findings)
+            std::cout << "  " << each << "\n";
+        for (auto const& each : m_story)
+            std::cout << "    " << each << "\n";
+        writeLogs();
+        return 1;
+    }
+
+    void writeLogs()
+    {
+        if (FLAGS_logs.empty())
+            return;
+        std::filesystem::create_directories(FLAGS_logs);
+        for (std::size_t index = 0; index < FLAGS_daemons; ++index) {
+            std::ofstream file { std::filesystem::path { FLAGS_logs } / ("daemon" + std::to_string(index) + ".txt") };
+            for (auto const& line : m_fleet.daemon(index).process->lines())
+                file << line << "\n";
+        }
+    }
+
+    kernel::random_hook m_random;
+    boost::asio::io_context m_context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work { m_context.get_executor() };
+    soak_checker m_checker;
+    std::vector<std::unique_ptr<soak_leaf>> m_leafs;
+    std::map<std::string, std::string> m_dataCentres;
+    edge_fleet m_fleet;
+    std::thread m_proxies;
+    std::vector<std::thread> m_callers;
+    std::atomic<bool> m_isOver { false };
+    std::uint64_t m_version { 0 };
+    std::vector<std::thread> m_stops;
+    std::array<std::atomic<bool>, mostDaemons> m_isStopping {};
+    std::mutex m_plannedMutex;
+    std::vector<std::string> m_planned;
+    std::vector<std::string> m_story;
+    std::chrono::steady_clock::time_point m_begunAt { std::chrono::steady_clock::now() };
+};
+
+}
+
+int main(int argumentCount, char** arguments)
+{
+    gflags::SetUsageMessage("runs real daemons on loopback under random faults and checks what callers and leafs see");
+    gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
+    std::signal(SIGPIPE, SIG_IGN);
+    kernel::openLog("soak", "error");
+    if (FLAGS_daemons == 0 || FLAGS_daemons > mostDaemons) {
+        std::cerr << "soak: --daemons: expected 1 to " << mostDaemons << "\n";
+        return 2;
+    }
+    return soak_run {}.run();
+}
