Daemons: Handle a stop that comes during the start; one copy of what both mains do

The soak waits for the line 'started' before it stops a daemon: before main runs no handler can be there, and no request. Reading settings files and making incarnations stood in both daemons.

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -27,16 +27,9 @@
 static constexpr std::chrono::milliseconds stopMargin { 600 };
 static constexpr std::chrono::milliseconds serviceAnswerTimeout { 200 };
 
-/// Later processes of one VM get higher numbers, unless its clock jumped.
-static std::uint64_t makeIncarnation()
-{
-    auto const sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
-}
-
 edge_daemon::edge_daemon(configuration::edge_settings settings)
     : m_settings(std::move(settings))
-    , m_incarnation(makeIncarnation())
+    , m_incarnation(kernel::makeIncarnation())
 {
 }
 
--- a/Daemons/zinnialedge-edge/main.cpp
+++ b/Daemons/zinnialedge-edge/main.cpp
@@ -1,15 +1,14 @@
 #include "Daemons/zinnialedge-edge/edge_daemon.h"
 #include "Kernel/event_log.h"
+#include "Libraries/zinnialedge/configuration/settings_file.h"
 #include "platform/edge_codec.h"
 #include "platform/store_codec.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
-#include <sstream>
 
 DEFINE_string(settings, "", "the JSON settings file");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
@@ -19,29 +18,16 @@
 static constexpr int exitFailed = 1;
 static constexpr int exitWrongSettings = 2;
 
-static std::optional<configuration::edge_settings> readSettings()
-{
-    std::ifstream file { FLAGS_settings };
-    if (!file) {
-        std::cerr << "settings: can't read the file '" << FLAGS_settings << "'; give one with --settings FILE\n";
-        return std::nullopt;
-    }
-    std::stringstream text;
-    text << file.rdbuf();
-    auto parsed = configuration::parseEdgeSettings(text.str());
-    if (parsed)
-        return std::move(*parsed);
-    for (auto const& problem : parsed.error())
-        std::cerr << FLAGS_settings << ": " << problem << "\n";
-    return std::nullopt;
-}
-
 int main(int argumentCount, char** arguments)
 {
     gflags::SetVersionString(ZINNIALEDGE_VERSION);
     gflags::SetUsageMessage("--settings FILE [--check_settings]");
     gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
-    auto const settings = readSettings();
+    // First of all, so that a stop that comes during the start is a planned one.
+    boost::asio::io_context signals;
+    boost::asio::signal_set stop { signals, SIGTERM, SIGINT };
+    stop.async_wait([&signals](boost::system::error_code, int) { signals.stop(); });
+    auto const settings = configuration::readSettingsFile(FLAGS_settings, configuration::parseEdgeSettings);
     if (!settings)
         return exitWrongSettings;
     if (FLAGS_check_settings) {
@@ -55,15 +41,12 @@
         kernel::logEvent(kernel::log_level::error, "start_failed", { { "reason", made.error().message } });
         return exitFailed;
     }
-    boost::asio::io_context signals;
-    boost::asio::signal_set stop { signals, SIGTERM, SIGINT };
-    stop.async_wait([&signals](boost::system::error_code, int) { signals.stop(); });
     boost::asio::signal_set reload { signals, SIGHUP };
     std::function<void()> const waitForReload = [&] {
         reload.async_wait([&](boost::system::error_code failure, int) {
             if (failure)
                 return;
-            bool const isRight = readSettings().has_value();
+            bool const isRight = configuration::readSettingsFile(FLAGS_settings, configuration::parseEdgeSettings).has_value();
             kernel::logEvent(kernel::log_level::info, "settings_reload_asked", { { "file", FLAGS_settings }, { "right", isRight ? "yes" : "no" } });
             waitForReload();
         });
--- a/Daemons/zinnialedged/daemon.cpp
+++ b/Daemons/zinnialedged/daemon.cpp
@@ -29,13 +29,6 @@
 static constexpr std::chrono::seconds longestLeaving { 70 };
 static constexpr std::chrono::seconds serviceAnswerTimeout { 1 };
 
-/// Later processes get higher numbers, also on another VM of the same name.
-static std::uint64_t makeIncarnation()
-{
-    auto const sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
-}
-
 errors::error_or<std::unique_ptr<daemon>> daemon::create(configuration::daemon_settings const& settings)
 {
     std::unique_ptr<daemon> made { new daemon(settings) };
@@ -45,7 +38,7 @@
 
 daemon::daemon(configuration::daemon_settings settings)
     : m_settings(std::move(settings))
-    , m_incarnation(makeIncarnation())
+    , m_incarnation(kernel::makeIncarnation())
 {
 }
 
--- a/Daemons/zinnialedged/main.cpp
+++ b/Daemons/zinnialedged/main.cpp
@@ -1,12 +1,11 @@
 #include "Daemons/zinnialedged/daemon.h"
 #include "Kernel/event_log.h"
+#include "Libraries/zinnialedge/configuration/settings_file.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
-#include <sstream>
 
 DEFINE_string(settings, "", "the JSON settings file");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
@@ -16,29 +15,12 @@
 static constexpr int exitFailed = 1;
 static constexpr int exitWrongSettings = 2;
 
-static std::optional<configuration::daemon_settings> readSettings()
-{
-    std::ifstream file { FLAGS_settings };
-    if (!file) {
-        std::cerr << "settings: can't read the file '" << FLAGS_settings << "'; give one with --settings FILE\n";
-        return std::nullopt;
-    }
-    std::stringstream text;
-    text << file.rdbuf();
-    auto parsed = configuration::parseDaemonSettings(text.str());
-    if (parsed)
-        return std::move(*parsed);
-    for (auto const& problem : parsed.error())
-        std::cerr << FLAGS_settings << ": " << problem << "\n";
-    return std::nullopt;
-}
-
 int main(int argumentCount, char** arguments)
 {
     gflags::SetVersionString(ZINNIALEDGE_VERSION);
     gflags::SetUsageMessage("--settings FILE [--check_settings]");
     gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
-    auto const settings = readSettings();
+    auto const settings = configuration::readSettingsFile(FLAGS_settings, configuration::parseDaemonSettings);
     if (!settings)
         return exitWrongSettings;
     if (FLAGS_check_settings) {
--- a/Kernel/clock.cpp
+++ b/Kernel/clock.cpp
@@ -9,6 +9,12 @@
     return [] { return std::chrono::steady_clock::now(); };
 }
 
+std::uint64_t makeIncarnation()
+{
+    auto const sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+}
+
 random_hook makeSeededRandom(std::uint64_t seed)
 {
     return [generator = std::mt19937_64 { seed }]() mutable { return generator(); };
--- a/Kernel/clock.h
+++ b/Kernel/clock.h
@@ -16,6 +16,9 @@
 
 clock_hook makeSteadyClock();
 random_hook makeSeededRandom(std::uint64_t seed);
+/// A number for this process: later ones get higher numbers, also on another VM of the same name, unless the time of day
+/// has jumped back.
+std::uint64_t makeIncarnation();
 /// Seeded from the operating system.
 random_hook makeRandom();
 
--- a/Libraries/zinnialedge/forwarding/relay_protocol.cpp
+++ b/Libraries/zinnialedge/forwarding/relay_protocol.cpp
@@ -1,6 +1,5 @@
 #include "Libraries/zinnialedge/forwarding/relay_protocol.h"
 
-#include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
@@ -33,7 +32,7 @@
 {
     std::vector<std::string> items;
     if (!text.empty())
-        boost::algorithm::split(items, text, boost::algorithm::is_any_of(","));
+        boost::algorithm::split(items, text, [](char letter) { return letter == ','; });
     return items;
 }
 
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -34,14 +34,9 @@
     return isTaken;
 }
 
-kernel::duration request_engine::patienceOf(route const& to)
-{
-    return copyDelayOf(to);
-}
-
 void request_engine::startPart(active_request& request, std::size_t place, time_point now)
 {
-    auto const pick = m_leafs.pick(*request.parts[place].service, request.parts[place].asked, patienceOf(*request.to), now);
+    auto const pick = m_leafs.pick(*request.parts[place].service, request.parts[place].asked, copyDelayOf(*request.to), now);
     if (pick)
         send(request, place, pick->leaf, now);
     else
@@ -89,7 +84,7 @@
             continue;
         }
         auto& part = request->parts[next.place];
-        auto const pick = m_leafs.pick(service, part.asked, patienceOf(*request->to), now);
+        auto const pick = m_leafs.pick(service, part.asked, copyDelayOf(*request->to), now);
         if (!pick && m_leafs.hasLeaf(service, part.asked))
             return;
         waiting.pop_front();
@@ -139,7 +134,7 @@
 bool request_engine::sendCopy(active_request& request, std::size_t place, time_point now)
 {
     auto& part = request.parts[place];
-    auto const pick = m_leafs.pick(*part.service, part.asked, patienceOf(*request.to), now);
+    auto const pick = m_leafs.pick(*part.service, part.asked, copyDelayOf(*request.to), now);
     if (!pick || pick->isSuspect)
         return false;
     if (!takeExtraCall(*part.service, now))
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -171,8 +171,8 @@
     bool sendCopy(active_request&, std::size_t place, kernel::time_point now);
     /// Takes an extra call from the service's budget; false when it has none.
     [[nodiscard]] bool takeExtraCall(std::string const& service, kernel::time_point now);
+    /// After this time a call gets a copy, and a leaf that has been silent for so long is suspect.
     kernel::duration copyDelayOf(route const&);
-    kernel::duration patienceOf(route const&);
 
     // Calls through other daemons.
     /// Asks daemons of other data centres for the shards that have no sound leaf in the own one.
--- a/Libraries/zinnialedge/forwarding/request_relays.cpp
+++ b/Libraries/zinnialedge/forwarding/request_relays.cpp
@@ -40,7 +40,7 @@
 {
     if (m_share.relays.empty() || !request.to->isRepeatable)
         return;
-    auto const patience = patienceOf(*request.to);
+    auto const patience = copyDelayOf(*request.to);
     std::vector<std::size_t> far;
     for (std::size_t place = 0; place < request.parts.size(); ++place) {
         auto const& part = request.parts[place];
@@ -121,7 +121,6 @@
 
 void request_engine::acceptRelayed(active_request& request, relay_owner const& owner, leaf_reply reply, time_point now)
 {
-    bool isUsed = false;
     for (std::size_t index = 0; index < reply.relayedPlaces.size(); ++index) {
         auto const place = reply.relayedPlaces[index];
         bool const isAsked = std::find(owner.places.begin(), owner.places.end(), place) != owner.places.end();
@@ -140,9 +139,8 @@
         // What a leaf has said directly meanwhile is in that body, too.
         part.reply.reset();
         part.relayedSeal = std::move(reply.relayedSeals[index]);
-        isUsed = true;
     }
-    if (isUsed)
+    if (!reply.relayedPlaces.empty())
         request.relayedBodies.push_back(std::move(reply.body));
     replaceRelay(request, owner, true, now);
 }
@@ -163,7 +161,7 @@
         }
         // Its leaf there is slow or has failed; the copy goes elsewhere.
         auto const excluded = m_leafs.leafsIn(*part.service, *part.relayedTo);
-        auto const pick = part.attemptsMade() < request.to->attempts ? m_leafs.pick(*part.service, excluded, patienceOf(*request.to), now) : std::nullopt;
+        auto const pick = part.attemptsMade() < request.to->attempts ? m_leafs.pick(*part.service, excluded, copyDelayOf(*request.to), now) : std::nullopt;
         if (!pick || !takeExtraCall(*part.service, now)) {
             part.isMissing = true;
             ++request.missing;
--- a/Services/fleet/store_link.cpp
+++ b/Services/fleet/store_link.cpp
@@ -78,7 +78,8 @@
     ++m_counters.calls;
     auto const wait = m_mirror.isConnected() ? m_watchWait : std::min(m_watchWait, probeWait);
     auto const message = request.isList ? m_protocol.list(m_kind, request.after) : m_protocol.watch(m_kind, request.revision, wait);
-    auto const timeout = !request.isList ? wait + watchSlack : m_mirror.hasListed() ? listTimeout : firstListTimeout;
+    auto const timeout = !request.isList ? wait + watchSlack : m_mirror.hasListed() ? listTimeout
+                                                                                    : firstListTimeout;
     m_client->connectAndSend(message, timeout, [this, request](wire::http_result const& result) {
         m_isCalling = false;
         handle(request, result);
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -4,8 +4,8 @@
 #include "Tests/Soak/soak_checker.h"
 #include "Tests/Support/edge_fleet.h"
 #include "Tests/Support/http_call.h"
-#include <boost/asio/executor_work_guard.hpp>
 #include <array>
+#include <boost/asio/executor_work_guard.hpp>
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -217,6 +217,8 @@
         m_isStopping[index] = true;
         m_stops.emplace_back([this, index] {
             auto& daemon = m_fleet.daemon(index);
+            // Before its main function runs, a process has no handler for signals and no request to lose.
+            std::ignore = daemon.process->waitForLine("event=started");
             daemon.process->signal(SIGTERM);
             auto const code = daemon.process->waitForExit(6s);
             if (code != 0) {
--- a/Tests/Soak/soak_checker.cpp
+++ b/Tests/Soak/soak_checker.cpp
@@ -1,7 +1,6 @@
 #include "Tests/Soak/soak_checker.h"
 
 #include "Libraries/zinnialedge/forwarding/record_merge.h"
-#include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
 
@@ -72,7 +71,7 @@
     ++m_served;
     std::vector<std::string> seals;
     auto const list = answer.header("Zinnialedge-Part-Stamps");
-    boost::algorithm::split(seals, list, boost::algorithm::is_any_of(","));
+    boost::algorithm::split(seals, list, [](char letter) { return letter == ','; });
     std::set<std::string> services;
     std::vector<std::string> bodies;
     for (auto& seal : seals) {
--- a/Tests/Support/cluster.h
+++ b/Tests/Support/cluster.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "Libraries/zinnialedge/configuration/object_cache.h"
 #include "Libraries/zinnialedge/membership/daemon_record.h"
 #include "Libraries/zinnialedge/model/query.h"
 #include "Libraries/zinnialedge/model/service_declaration.h"
 #include "StandIns/target/leaf_settings.h"
-#include "Libraries/zinnialedge/configuration/object_cache.h"
 #include "Tests/Support/child_process.h"
 #include "Tests/Support/http_call.h"
 #include <filesystem>
