--- /dev/null
+++ b/Tests/Golden/edge_sessions_test.cpp
@@ -0,0 +1,98 @@
+#include "Tests/Support/edge_bench.h"
+#include "Tests/Support/engine_harness.h"
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+// A calm request of each kind on the platform's interface: what the caller sends, what each leaf gets, and what the caller
+// gets. UPDATE_GOLDEN=1 writes the files in edge/ anew, as for the sessions beside it.
+
+using namespace zinnialedge;
+using tests::edge_bench;
+using tests::engine_harness;
+using tests::raw_leaf;
+using tests::raw_reply;
+using tests::registrationOf;
+using tests::sealedReply;
+
+namespace {
+
+/// Two shards and a service, each with one leaf.
+struct calm_fleet {
+    calm_fleet()
+    {
+        bench.declare(1, { engine_harness::gatherRoute(2, 1), engine_harness::singleRoute(false) });
+        bench.registerLeafs({ registrationOf("leaf-a", "shard0", first), registrationOf("leaf-b", "shard1", second), registrationOf("leaf-c", "desk", desk) });
+    }
+
+    raw_leaf first { [](std::string const& request) { return raw_reply { sealedReply(request, "record of shard a"), false, false }; } };
+    raw_leaf second { [](std::string const& request) { return raw_reply { sealedReply(request, "record of shard b"), false, false }; } };
+    raw_leaf desk { [](std::string const& request) { return raw_reply { sealedReply(request, "the order is on its way", "Content-Type: text/plain\r\n"), false, false }; } };
+    edge_bench bench;
+};
+
+/// What a leaf is told of the time left depends on the clock.
+std::string withoutTime(std::string text)
+{
+    static std::string const name = "Zinnialedge-Deadline-Ms: ";
+    auto const start = text.find(name);
+    if (start != std::string::npos)
+        text.replace(start + name.size(), text.find("\r\n", start) - start - name.size(), "(what is left)");
+    return text;
+}
+
+std::string printable(std::string const& text)
+{
+    std::string lines;
+    for (auto const letter : text) {
+        if (letter != '\r')
+            lines += letter;
+    }
+    return lines;
+}
+
+void compare(std::string const& name, std::string const& transcript)
+{
+    auto const path = std::filesystem::path { TESTS_FOLDER "/Golden/edge" } / name;
+    if (std::getenv("UPDATE_GOLDEN"))
+        std::ofstream { path } << transcript;
+    std::stringstream expected;
+    expected << std::ifstream { path }.rdbuf();
+    STRCMP_EQUAL_TEXT(expected.str().c_str(), transcript.c_str(), name.c_str());
+}
+
+std::string play(calm_fleet& fleet, std::string const& request)
+{
+    auto const answer = fleet.bench.send(request);
+    std::string transcript = "caller sends\n" + printable(request);
+    for (auto* const leaf : { &fleet.first, &fleet.second, &fleet.desk }) {
+        for (auto const& each : leaf->requests())
+            transcript += "\nleaf gets\n" + printable(withoutTime(each));
+    }
+    return transcript + "\ncaller gets\n" + printable(answer.head + answer.body) + "\n";
+}
+
+}
+
+TEST_GROUP(EdgeSessions) {};
+
+TEST(EdgeSessions, ACalmGather)
+{
+    calm_fleet fleet;
+    compare("gather.txt", play(fleet, "GET /gather/menu?q=soup HTTP/1.1\r\nHost: host\r\nZinnialedge-Attempt-Id: 9c41d07be2a35f68\r\nZinnialedge-Deadline-Ms: 1500\r\n\r\n"));
+}
+
+TEST(EdgeSessions, ACalmRequestThatMayRunOnce)
+{
+    calm_fleet fleet;
+    compare("single.txt", play(fleet, "POST /single/order HTTP/1.1\r\nHost: host\r\nZinnialedge-Attempt-Id: 9c41d07be2a35f68\r\nZinnialedge-Deadline-Ms: 6000\r\nContent-Length: 8\r\n\r\ntwo vans"));
+}
+
+TEST(EdgeSessions, AnUnknownRoute)
+{
+    calm_fleet fleet;
+    compare("unknown-route.txt", play(fleet, "GET /none/order HTTP/1.1\r\nHost: host\r\nZinnialedge-Attempt-Id: 9c41d07be2a35f68\r\n\r\n"));
+}
