Forwarding, traffic: Remove what nothing reads; write a header line in one place

leaf_roster::replace gathered the leafs that take no more calls for nobody, and two members of caller_connection were never used.

--- a/Libraries/zinnialedge/forwarding/edge_protocol.cpp
+++ b/Libraries/zinnialedge/forwarding/edge_protocol.cpp
@@ -16,4 +16,12 @@
     return std::any_of(connectionHeaders.begin(), connectionHeaders.end(), [&](auto each) { return boost::beast::iequals(each, name); });
 }
 
+void appendHeader(std::string& lines, std::string_view name, std::string_view value)
+{
+    lines += name;
+    lines += ": ";
+    lines += value;
+    lines += "\r\n";
+}
+
 }
--- a/Libraries/zinnialedge/forwarding/edge_protocol.h
+++ b/Libraries/zinnialedge/forwarding/edge_protocol.h
@@ -19,5 +19,7 @@
 
 /// True for headers that concern one connection only.
 bool isConnectionHeader(std::string_view name);
+/// Appends the line of one header.
+void appendHeader(std::string& lines, std::string_view name, std::string_view value);
 
 }
--- a/Libraries/zinnialedge/forwarding/leaf_roster.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.cpp
@@ -36,9 +36,8 @@
         record.setConnectionLimit(connectionLimitOf(record.registration().service));
 }
 
-std::vector<leaf_handle> leaf_roster::replace(std::vector<leaf_registration> const& registrations, time_point now)
+void leaf_roster::replace(std::vector<leaf_registration> const& registrations, time_point now)
 {
-    std::vector<leaf_handle> ended;
     std::unordered_map<std::string, leaf_handle> kept;
     m_byService.clear();
     for (auto const& each : registrations) {
@@ -48,10 +47,7 @@
         leaf_handle handle = 0;
         if (isSameIncarnation) {
             handle = known->second;
-            bool const wasTaking = at(handle).isTakingNewCalls();
             at(handle).renew(each, now);
-            if (wasTaking && !at(handle).isTakingNewCalls())
-                ended.push_back(handle);
         } else {
             handle = ++m_lastHandle;
             m_leafs.emplace(handle, leaf_record { each, connectionLimitOf(each.service), now });
@@ -64,7 +60,6 @@
         if (found != kept.end() && found->second == handle)
             continue;
         at(handle).noteGone();
-        ended.push_back(handle);
     }
     m_byId = std::move(kept);
     // A leaf that is gone is kept while its calls run.
@@ -72,7 +67,6 @@
     for (auto const& [id, handle] : m_byId)
         listed.insert(handle);
     std::erase_if(m_leafs, [&](auto const& entry) { return !listed.contains(entry.first) && entry.second.inFlight() == 0; });
-    return ended;
 }
 
 void leaf_roster::noteUsual(kernel::duration callTime)
--- a/Libraries/zinnialedge/forwarding/leaf_roster.h
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.h
@@ -22,8 +22,8 @@
 public:
     leaf_roster(std::string ownDataCentre, kernel::random_hook);
 
-    /// Takes over the whole list. Returns the leafs that take no more calls since then.
-    std::vector<leaf_handle> replace(std::vector<leaf_registration> const&, kernel::time_point now);
+    /// Takes over the whole list.
+    void replace(std::vector<leaf_registration> const&, kernel::time_point now);
     /// What a leaf accepts is shared by that many daemons.
     void setSharing(route_table_pointer, std::size_t daemonCount);
 
--- a/Libraries/zinnialedge/forwarding/relay_protocol.cpp
+++ b/Libraries/zinnialedge/forwarding/relay_protocol.cpp
@@ -52,14 +52,6 @@
     return text;
 }
 
-static void appendLine(std::string& lines, std::string_view name, std::string_view value)
-{
-    lines += name;
-    lines += ": ";
-    lines += value;
-    lines += "\r\n";
-}
-
 static bool takeRequestHeader(std::string_view name, std::string_view value, caller_request& request)
 {
     if (!name.starts_with("X-Relay-"))
@@ -81,12 +73,12 @@
 
 static void writeCallHeaders(leaf_call const& call, std::optional<std::chrono::milliseconds> left, std::string& lines)
 {
-    appendLine(lines, attemptName, call.request->attemptId);
+    appendHeader(lines, attemptName, call.request->attemptId);
     if (left)
-        appendLine(lines, patienceName, std::to_string(left->count()));
-    appendLine(lines, answerWithinName, std::to_string(call.relayed->answerWithin.count()));
-    appendLine(lines, versionName, std::to_string(call.relayed->version));
-    appendLine(lines, shardsName, formatPlaces(call.relayed->places));
+        appendHeader(lines, patienceName, std::to_string(left->count()));
+    appendHeader(lines, answerWithinName, std::to_string(call.relayed->answerWithin.count()));
+    appendHeader(lines, versionName, std::to_string(call.relayed->version));
+    appendHeader(lines, shardsName, formatPlaces(call.relayed->places));
 }
 
 static bool takeReplyHeader(std::string_view name, std::string_view value, leaf_reply& reply)
@@ -102,15 +94,15 @@
 
 static void writeAnswerHeaders(final_answer const& answer, std::string& lines)
 {
-    appendLine(lines, attemptName, answer.attemptId);
-    appendLine(lines, "Keep-Alive", keepAlive);
+    appendHeader(lines, attemptName, answer.attemptId);
+    appendHeader(lines, "Keep-Alive", keepAlive);
     if (!answer.isMerged)
         return;
     std::string seals;
     for (auto const& seal : answer.partSeals)
         seals += (seals.empty() ? "" : ",") + seal;
-    appendLine(lines, shardsName, formatPlaces(answer.partPlaces));
-    appendLine(lines, sealsName, seals);
+    appendHeader(lines, shardsName, formatPlaces(answer.partPlaces));
+    appendHeader(lines, sealsName, seals);
 }
 
 edge_protocol makeRelayProtocol()
--- a/Services/traffic/caller_connection.h
+++ b/Services/traffic/caller_connection.h
@@ -41,7 +41,6 @@
     void answer(forwarding::final_answer const&);
     /// Ends it when the caller takes longer than its limits allow.
     void checkTime(kernel::time_point now);
-    bool isWaitingForAnswer() const { return m_token.has_value(); }
 
 private:
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -70,7 +69,6 @@
     std::optional<forwarding::request_token> m_token;
     phase m_phase { phase::idle };
     kernel::time_point m_phaseSince;
-    std::size_t m_readLimit { 0 };
     bool m_isKeptAlive { true };
     bool m_isHead { false };
     bool m_isReading { false };
