--- /dev/null
+++ b/Tests/Benchmarks/edge_cost.cpp
@@ -0,0 +1,83 @@
+#include "Tests/Benchmarks/edge_cost.h"
+
+#include "Tests/Benchmarks/line_fit.h"
+#include "Tests/Benchmarks/process_usage.h"
+#include "Tests/Support/edge_fleet.h"
+#include <cstdio>
+#include <gflags/gflags.h>
+#include <thread>
+
+DECLARE_uint32(seconds);
+DEFINE_string(edge_rates, "50,100,200", "gathered requests a second to run on the platform's interface, each over 20 shards");
+
+namespace zinnialedge::benchmarks {
+
+using namespace tests;
+
+static constexpr std::size_t shardCount = 20;
+static constexpr std::size_t leafsPerShard = 2;
+/// About the size of a leaf's answer to the long lookups.
+static constexpr std::size_t partBytes = 1000;
+static constexpr std::chrono::seconds warmUp { 2 };
+static constexpr double microsecondsPerMillisecond = 1000;
+
+static std::vector<double> parseRates(std::string const& text)
+{
+    std::vector<double> rates;
+    for (std::size_t at = 0; at < text.size();) {
+        std::size_t length = 0;
+        rates.push_back(std::stod(text.substr(at), &length));
+        at += length + 1;
+    }
+    return rates;
+}
+
+/// Sends requests at that rate, one after the other, for the given time. Returns how many were answered with a success.
+static std::size_t runRequests(edge_fleet& fleet, double perSecond, std::chrono::seconds span)
+{
+    static std::uint64_t attempt = 0;
+    auto const begun = std::chrono::steady_clock::now();
+    std::size_t served = 0;
+    for (std::size_t index = 0;; ++index) {
+        auto const due = begun + std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double> { static_cast<double>(index) / perSecond });
+        if (due >= begun + span)
+            return served;
+        std::this_thread::sleep_until(due);
+        served += fleet.get(0, "/gather/1", "a" + std::to_string(++attempt)).status == 200 ? 1 : 0;
+    }
+}
+
+void measureEdge()
+{
+    edge_fleet fleet { 1 };
+    std::vector<std::unique_ptr<raw_leaf>> leafs;
+    fleet.declare(1, shardCount, true);
+    for (std::size_t shard = 0; shard < shardCount; ++shard) {
+        for (std::size_t index = 0; index < leafsPerShard; ++index) {
+            leafs.push_back(std::make_unique<raw_leaf>([](std::string const& request) { return raw_reply { sealedReply(request, std::string(partBytes, 'r')) }; }));
+            auto const service = "shard" + std::to_string(shard);
+            fleet.writeLeaf(service + "-" + std::to_string(index), service, leafs.back()->place());
+        }
+    }
+    fleet.start(0);
+    if (!fleet.waitUntilReady()) {
+        std::printf("the daemon does not get ready\n");
+        return;
+    }
+    std::vector<point> points;
+    for (auto const rate : parseRates(FLAGS_edge_rates)) {
+        runRequests(fleet, rate, warmUp);
+        auto const before = readUsage(fleet.daemon(0).process->id());
+        auto const served = runRequests(fleet, rate, std::chrono::seconds { FLAGS_seconds });
+        auto const after = readUsage(fleet.daemon(0).process->id());
+        auto const calls = static_cast<double>(served * shardCount);
+        auto const cpu = static_cast<double>((after.cpu - before.cpu).count());
+        std::printf("%.0f gathered requests/s, %.0f leaf calls/s: %.1f us of processor for each leaf call, %.2f context switches, %lu KB resident\n", rate, calls / FLAGS_seconds,
+            cpu * microsecondsPerMillisecond / calls, static_cast<double>(after.contextSwitches - before.contextSwitches) / calls, static_cast<unsigned long>(after.residentKilobytes));
+        std::fflush(stdout);
+        points.push_back({ calls / FLAGS_seconds, cpu / FLAGS_seconds });
+    }
+    printSlope("processor time of a daemon on the platform's interface by leaf calls a second", "ms/s", "leaf call", points);
+}
+
+}
--- a/Tests/Benchmarks/main.cpp
+++ b/Tests/Benchmarks/main.cpp
@@ -2,6 +2,7 @@
 
 #include "Tests/Benchmarks/call_cost.h"
 #include "Tests/Benchmarks/control_cost.h"
+#include "Tests/Benchmarks/edge_cost.h"
 #include "Tests/Benchmarks/membership_cost.h"
 #include "Tests/Benchmarks/table_cost.h"
 #include <cstdio>
@@ -14,11 +15,12 @@
 
 int main(int argumentCount, char** arguments)
 {
-    gflags::SetUsageMessage("[calls] [membership] [tables] [control]");
+    gflags::SetUsageMessage("[calls] [edge] [membership] [tables] [control]");
     gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
     std::map<std::string, std::function<void()>> const sections {
         { "calls", measureCalls },
         { "control", measureControl },
+        { "edge", measureEdge },
         { "tables", measureTables },
         { "membership", measureMembership },
     };
