Forwarding, limits: Leave out shards that would be late while an answer may lack them

Pattern: graceful degradation. Requests ended with reason=late at 160 ms with two shards missing.

Change: when a gathered request arrives, shards whose quickest leaf has been taking longer than the time left are left out as far as the answer may lack them, at random among them, so that each carries a part of the load; one call in ten is made all the same, as a probe. A shard that was left out is asked after all when another one fails. A daemon of another data centre that is late is waited for when no copy may be sent: its shards counted as missing although its answer was on the way, and ended requests as failures. Log lines carry left_out, metrics shards_left_out_total.

Tests: WeakShards, Relay.ALateDaemonIsWaitedForWhenNoCopyMayBeSent; both new paths fail their test when taken out.

--- a/Libraries/zinnialedge/forwarding/active_request.cpp
+++ b/Libraries/zinnialedge/forwarding/active_request.cpp
@@ -1,6 +1,7 @@
 #include "Libraries/zinnialedge/forwarding/active_request.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace zinnialedge::forwarding {
 
@@ -28,4 +29,11 @@
     return possible > 0 && static_cast<double>(possible) / static_cast<double>(parts.size()) + shareTolerance >= to->gather.leastShare;
 }
 
+std::size_t active_request::spareParts() const
+{
+    auto const needed = std::ceil(to->gather.leastShare * static_cast<double>(parts.size()) - shareTolerance);
+    auto const possible = static_cast<double>(parts.size() - missing);
+    return static_cast<std::size_t>(std::max(0.0, possible - std::max(needed, 1.0)));
+}
+
 }
--- a/Libraries/zinnialedge/forwarding/active_request.h
+++ b/Libraries/zinnialedge/forwarding/active_request.h
@@ -30,6 +30,8 @@
     std::size_t shard { 0 };
     /// No more leafs will be tried.
     bool isMissing { false };
+    /// Missing because it would have been late; it is asked after all when another part fails.
+    bool isLeftOut { false };
     bool isWaiting { false };
     bool hasCopy { false };
     /// Calls that were sent, less those that certainly have not run.
@@ -57,6 +59,7 @@
     std::vector<std::string> relayedBodies;
     std::size_t answered { 0 };
     std::size_t missing { 0 };
+    std::size_t leftOut { 0 };
     std::size_t copies { 0 };
     std::size_t retries { 0 };
     bool hasCallerLeft { false };
@@ -68,6 +71,8 @@
     bool mayHaveRun() const;
     bool hasLeastShare() const;
     bool canReachLeastShare() const;
+    /// How many more parts an answer may lack.
+    std::size_t spareParts() const;
 };
 
 }
--- a/Libraries/zinnialedge/forwarding/leaf_record.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_record.cpp
@@ -105,6 +105,19 @@
     return now < m_avoidedUntil || silence(now) > patience;
 }
 
+double leaf_record::recentLatency(time_point now, double usualMicroseconds) const
+{
+    auto const idle = m_inFlight.empty() ? std::chrono::duration<double> { now - m_lastAnswerAt } / sampleHalfLife : 0.0;
+    auto const known = m_latencyMicroseconds == 0 ? usualMicroseconds : m_latencyMicroseconds;
+    return usualMicroseconds + (known - usualMicroseconds) * std::exp2(-std::clamp(idle, 0.0, mostHalvings));
+}
+
+kernel::duration leaf_record::recentDelay(time_point now, double usualMicroseconds) const
+{
+    auto const latency = std::chrono::duration<double, std::micro> { recentLatency(now, usualMicroseconds) };
+    return std::max(std::chrono::duration_cast<kernel::duration>(latency), silence(now));
+}
+
 double leaf_record::expectedDelay(time_point now, double usualMicroseconds) const
 {
     auto const slots = static_cast<double>(std::max(m_registration.slots, 1U));
@@ -112,10 +125,7 @@
     auto const warmth = now < m_warmUntil ? coldFactor : 1;
     // Other daemons' calls are seen only through the load that the leaf reports.
     auto const reported = static_cast<double>(m_load.waiting) / slots;
-    auto const idle = m_inFlight.empty() ? std::chrono::duration<double> { now - m_lastAnswerAt } / sampleHalfLife : 0.0;
-    auto const known = m_latencyMicroseconds == 0 ? usualMicroseconds : m_latencyMicroseconds;
-    auto const latency = usualMicroseconds + (known - usualMicroseconds) * std::exp2(-std::clamp(idle, 0.0, mostHalvings));
-    return (latency + 1) * (1 + queued + reported / 2) * warmth * (1 + errorFactor * m_errorShare);
+    return (recentLatency(now, usualMicroseconds) + 1) * (1 + queued + reported / 2) * warmth * (1 + errorFactor * m_errorShare);
 }
 
 }
--- a/Libraries/zinnialedge/forwarding/leaf_record.h
+++ b/Libraries/zinnialedge/forwarding/leaf_record.h
@@ -36,10 +36,14 @@
     bool isSuspect(kernel::time_point now, kernel::duration patience) const;
     /// How long a call sent now is expected to take, in microseconds. `usualMicroseconds` is what leafs take as a rule.
     double expectedDelay(kernel::time_point now, double usualMicroseconds) const;
+    /// How long calls have been taking of late, those that are open included; the time in its queue is in it.
+    kernel::duration recentDelay(kernel::time_point now, double usualMicroseconds) const;
 
 private:
     void noteEnded(kernel::time_point sentAt);
     void addSample(double microseconds);
+    /// Of its answers, in microseconds; fades towards the usual while it gets no calls.
+    double recentLatency(kernel::time_point now, double usualMicroseconds) const;
 
     leaf_registration m_registration;
     std::uint32_t m_connectionLimit;
--- a/Libraries/zinnialedge/forwarding/leaf_roster.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.cpp
@@ -101,6 +101,22 @@
     return best;
 }
 
+std::optional<kernel::duration> leaf_roster::recentDelay(std::string const& service, time_point now) const
+{
+    std::optional<kernel::duration> quickest;
+    auto const leafs = m_byService.find(service);
+    if (leafs == m_byService.end())
+        return quickest;
+    for (auto const handle : leafs->second) {
+        auto const& record = at(handle);
+        if (!record.isTakingNewCalls())
+            continue;
+        auto const delay = record.recentDelay(now, m_usualMicroseconds);
+        quickest = quickest ? std::min(*quickest, delay) : delay;
+    }
+    return quickest;
+}
+
 bool leaf_roster::hasLeaf(std::string const& service, std::span<leaf_handle const> excluded) const
 {
     auto const leafs = m_byService.find(service);
--- a/Libraries/zinnialedge/forwarding/leaf_roster.h
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.h
@@ -37,6 +37,8 @@
     /// The leaf of the service that is expected to answer first, apart from those excluded. Nothing when none has a
     /// connection left. Leafs of the own data centre are preferred.
     std::optional<leaf_pick> pick(std::string const& service, std::span<leaf_handle const> excluded, kernel::duration patience, kernel::time_point now) const;
+    /// How long the quickest leaf of the service has been taking of late; nothing when none takes calls.
+    std::optional<kernel::duration> recentDelay(std::string const& service, kernel::time_point now) const;
     /// Whether a leaf of the service in that data centre takes calls and is sound.
     bool hasSoundLeafIn(std::string const& service, std::string const& dataCentre, kernel::duration patience, kernel::time_point now) const;
     std::vector<leaf_handle> leafsIn(std::string const& service, std::string const& dataCentre) const;
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -1,5 +1,7 @@
 #include "Libraries/zinnialedge/forwarding/request_engine.h"
 
+#include "Libraries/zinnialedge/limits/weak_shards.h"
+
 #include <algorithm>
 
 namespace zinnialedge::forwarding {
@@ -92,7 +94,7 @@
     ++m_counters.refusals;
     static std::string const noRoute;
     if (m_hooks.report && !request.relayed)
-        m_hooks.report({ request.attemptId, noRoute, m_routes ? m_routes->version() : 0, answer.status, 0, 0, 0, 0, {}, {}, answer.reason, false, {} });
+        m_hooks.report({ request.attemptId, noRoute, m_routes ? m_routes->version() : 0, answer.status, 0, 0, 0, 0, 0, {}, {}, answer.reason, false, {} });
     m_hooks.answer(token, std::move(answer));
 }
 
@@ -134,8 +136,10 @@
         settleRefused(*admitted, errors::error_kind::no_live_target, "no_leaf", now);
         return;
     }
-    if (to->isGather() && !admitted->isRelayed())
+    if (to->isGather() && !admitted->isRelayed()) {
+        leaveOutWeakShards(*admitted, now);
         sendRelays(*admitted, now);
+    }
     for (std::size_t place = 0; place < admitted->parts.size(); ++place) {
         auto const& part = admitted->parts[place];
         if (!part.isMissing && part.relayCall == 0)
@@ -209,6 +213,37 @@
         historyOf(*part.service).budget.noteRequest(now);
 }
 
+void request_engine::leaveOutWeakShards(active_request& request, time_point now)
+{
+    limits::weak_shard_question question { {}, request.objectiveAt - now, request.spareParts() };
+    if (question.spare == 0)
+        return;
+    question.delays.reserve(request.parts.size());
+    for (auto const& part : request.parts)
+        question.delays.push_back(part.isMissing ? kernel::duration::zero() : m_leafs.recentDelay(*part.service, now).value_or(kernel::duration::zero()));
+    for (auto const place : limits::chooseLeftOutShards(question, m_random)) {
+        request.parts[place].isMissing = true;
+        request.parts[place].isLeftOut = true;
+        ++request.missing;
+        ++request.leftOut;
+        ++m_counters.shardsLeftOut;
+    }
+}
+
+void request_engine::callLeftOutShards(active_request& request, time_point now)
+{
+    for (std::size_t place = 0; place < request.parts.size() && request.leftOut > 0 && !request.canReachLeastShare(); ++place) {
+        auto& part = request.parts[place];
+        if (!part.isLeftOut)
+            continue;
+        part.isLeftOut = false;
+        part.isMissing = false;
+        --request.leftOut;
+        --request.missing;
+        startPart(request, place, now);
+    }
+}
+
 void request_engine::callerLeft(request_token token, time_point now)
 {
     auto* const request = find(token);
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -29,6 +29,8 @@
     int status { 0 };
     std::size_t parts { 0 };
     std::size_t missing { 0 };
+    /// Of the missing ones, those that were not asked because they would have been late.
+    std::size_t leftOut { 0 };
     std::size_t copies { 0 };
     std::size_t retries { 0 };
     kernel::duration elapsed {};
@@ -71,6 +73,7 @@
     std::uint64_t relays { 0 };
     std::uint64_t relaysReplaced { 0 };
     std::uint64_t extraCallsDenied { 0 };
+    std::uint64_t shardsLeftOut { 0 };
     std::uint64_t lateReplies { 0 };
 };
 
@@ -158,6 +161,10 @@
     final_answer makeRefusal(errors::error_kind, std::string reason, kernel::duration wait);
     std::string const& chooseService(route const&);
     void makeParts(active_request&, kernel::time_point now);
+    /// Gives up shards that would be late as far as the answer may lack them.
+    void leaveOutWeakShards(active_request&, kernel::time_point now);
+    /// Asks them after all as far as the answer can't lack them any more.
+    void callLeftOutShards(active_request&, kernel::time_point now);
     active_request* admit(request_token, caller_request, route const&, kernel::time_point now);
 
     // Calls.
@@ -185,6 +192,8 @@
     void acceptRelayed(active_request&, relay_owner const&, leaf_reply, kernel::time_point now);
     /// Calls leafs directly for the shards that another daemon did not answer.
     void replaceRelay(active_request&, relay_owner const&, bool hasReachedLeafs, kernel::time_point now);
+    /// The same for one shard, whose leaf there is slow or has failed. False when no other leaf may be called.
+    bool replaceRelayedPart(active_request&, std::size_t place, kernel::time_point now);
     void endLateRelay(call_number, kernel::time_point now);
 
     // Replies.
--- a/Libraries/zinnialedge/forwarding/request_relays.cpp
+++ b/Libraries/zinnialedge/forwarding/request_relays.cpp
@@ -159,23 +159,34 @@
             startPart(request, place, now);
             continue;
         }
-        // Its leaf there is slow or has failed; the copy goes elsewhere.
-        auto const excluded = m_leafs.leafsIn(*part.service, *part.relayedTo);
-        auto const pick = part.attemptsMade() < request.to->attempts ? m_leafs.pick(*part.service, excluded, copyDelayOf(*request.to), now) : std::nullopt;
-        if (!pick || !takeExtraCall(*part.service, now)) {
-            part.isMissing = true;
-            ++request.missing;
+        if (replaceRelayedPart(request, place, now))
             continue;
-        }
-        part.hasCopy = true;
-        ++m_counters.copies;
-        ++request.copies;
-        send(request, place, pick->leaf, now);
+        // A daemon that is late may still answer.
+        if (part.relayCall != 0)
+            continue;
+        part.isMissing = true;
+        ++request.missing;
     }
     if (auto* const left = find(token))
         settleIfDecided(*left, now);
 }
 
+bool request_engine::replaceRelayedPart(active_request& request, std::size_t place, time_point now)
+{
+    auto& part = request.parts[place];
+    if (part.attemptsMade() >= request.to->attempts)
+        return false;
+    auto const excluded = m_leafs.leafsIn(*part.service, *part.relayedTo);
+    auto const pick = m_leafs.pick(*part.service, excluded, copyDelayOf(*request.to), now);
+    if (!pick || !takeExtraCall(*part.service, now))
+        return false;
+    part.hasCopy = true;
+    ++m_counters.copies;
+    ++request.copies;
+    send(request, place, pick->leaf, now);
+    return true;
+}
+
 void request_engine::endLateRelay(call_number number, time_point now)
 {
     auto const found = m_relayCalls.find(number);
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -169,6 +169,7 @@
             settleSingle(request, now);
         return;
     }
+    callLeftOutShards(request, now);
     if (!request.canReachLeastShare())
         settleRefused(request, request.mayHaveRun() ? errors::error_kind::leaf_failed : errors::error_kind::no_live_target, "too_few_shards", now);
     else if (request.settled() == request.parts.size())
@@ -261,7 +262,7 @@
             continue;
         missing += (missing.empty() ? "" : ",") + *part.service;
     }
-    m_hooks.report({ request.request->attemptId, request.to->name, request.table->version(), status, request.parts.size(), request.parts.size() - request.answered, request.copies, request.retries, now - request.arrivedAt, request.to->objective, reason, request.hasCallerLeft, std::move(missing) });
+    m_hooks.report({ request.request->attemptId, request.to->name, request.table->version(), status, request.parts.size(), request.parts.size() - request.answered, request.leftOut, request.copies, request.retries, now - request.arrivedAt, request.to->objective, reason, request.hasCallerLeft, std::move(missing) });
 }
 
 void request_engine::settle(active_request& request, final_answer answer, time_point now)
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -49,7 +49,7 @@
         return;
     logEvent(log_level::info, report.hasCallerLeft ? "caller_left" : "request_ended",
         { { "id", report.attemptId }, { "route", report.route }, { "version", report.version }, { "status", report.status }, { "reason", report.reason },
-            { "parts", report.parts }, { "missing", report.missing }, { "copies", report.copies }, { "retries", report.retries },
+            { "parts", report.parts }, { "missing", report.missing }, { "left_out", report.leftOut }, { "copies", report.copies }, { "retries", report.retries },
             { "missing_shards", report.missingShards }, { "elapsed_ms", millisecondsOf(report.elapsed) }, { "objective_ms", report.objective.count() } });
 }
 
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -105,6 +105,7 @@
         counter("leaf_call_copies_total", counters.copies);
         counter("leaf_call_retries_total", counters.retries);
         counter("leaf_calls_denied_by_budget_total", counters.extraCallsDenied);
+        counter("shards_left_out_total", counters.shardsLeftOut);
         counter("relayed_calls_total", counters.relays);
         counter("relayed_parts_replaced_total", counters.relaysReplaced);
         counter("late_replies_total", counters.lateReplies);
--- a/Tests/Unit/relay_test.cpp
+++ b/Tests/Unit/relay_test.cpp
@@ -20,7 +20,8 @@
 
 /// Twenty shards of two leafs; the first ten have one here, the others in "there" and "elsewhere". One daemon there.
 struct divided_fleet : engine_harness {
-    divided_fleet()
+    explicit divided_fleet(forwarding::engine_settings const& settings = defaultSettings())
+        : engine_harness(settings)
     {
         declare(3, { gatherRoute(shardCount, 0.89) });
         std::vector<forwarding::leaf_registration> leafs;
@@ -160,6 +161,23 @@
     LONGS_EQUAL(0, answer->missingParts);
 }
 
+TEST(Relay, ALateDaemonIsWaitedForWhenNoCopyMayBeSent)
+{
+    auto settings = engine_harness::defaultSettings();
+    settings.extraCalls = { 0, 10s, 0 };
+    divided_fleet fleet { settings };
+    auto const token = fleet.arrive("/gather/1");
+    auto const relayed = fleet.relayCalls().front();
+    fleet.succeedDirectCalls();
+    fleet.pass(60ms);
+    CHECK(!fleet.answerOf(token));
+    fleet.answerRelay(relayed, relayed.relayed->places);
+    auto const* const answer = fleet.answerOf(token);
+    CHECK(answer);
+    LONGS_EQUAL(200, answer->status);
+    LONGS_EQUAL(0, answer->missingParts);
+}
+
 TEST(Relay, ADaemonThatStandsStillIsNotAskedForAWhile)
 {
     divided_fleet fleet;
