Fleet, settings: A budget of store calls, settings that change, registrations of lost daemons

Store calls were counted and not bounded; SIGHUP only checked the settings file, and a change without a signal was not seen; the registration of a daemon that was lost for good stayed in the store for ever.

Change: every call to the store is paid from the daemon's part of the declared rates (store_rates, a new field that the template fills); /state and the metrics show what was paid and put off. The settings file is read every 2 s and on SIGHUP; seeds, budgets, stop time and log level are in force at once, the other fields are named as waiting for the next start, wrong ones are named and nothing changes.

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -59,6 +59,7 @@
         .peers = m_settings.peers,
         .relays = m_settings.relays,
         .store = m_settings.store,
+        .storeRates = m_settings.storeRates,
         .seeds = m_settings.seeds,
         .directoryValidity = directoryValidity,
     };
@@ -78,6 +79,32 @@
     logEvent(log_level::info, "started", { { "callers", toString(m_settings.callers) }, { "data_centre", m_settings.dataCentre }, { "incarnation", m_incarnation }, { "version", ZINNIALEDGE_VERSION } });
 }
 
+static std::string join(std::vector<std::string> const& names)
+{
+    std::string text;
+    for (auto const& name : names)
+        text += (text.empty() ? "" : ",") + name;
+    return text;
+}
+
+void edge_daemon::applySettings(configuration::edge_settings const& settings)
+{
+    auto const change = configuration::compareSettings(m_settings, settings);
+    logEvent(log_level::info, "settings_changed", { { "in_force", join(change.inForce) }, { "at_next_start", join(change.atNextStart) } });
+    m_settings.seeds = settings.seeds;
+    m_settings.extraCallRatio = settings.extraCallRatio;
+    m_settings.extraCallWindow = settings.extraCallWindow;
+    m_settings.extraCallSlack = settings.extraCallSlack;
+    m_settings.storeRates = settings.storeRates;
+    m_settings.stopTime = settings.stopTime;
+    m_settings.logLevel = settings.logLevel;
+    if (!kernel::setLogLevel(settings.logLevel))
+        logEvent(log_level::warn, "log_level_unknown", { { "level", settings.logLevel } });
+    services::fleet::fleet_limits const limits { settings.seeds, { settings.extraCallRatio, settings.extraCallWindow, settings.extraCallSlack }, settings.storeRates };
+    if (!m_registry.find<fleet_service>(fleet_service::serviceName).setLimits(limits))
+        logEvent(log_level::error, "settings_not_taken", { { "service", fleet_service::serviceName } });
+}
+
 void edge_daemon::leave(std::function<bool()> const& isHurried)
 {
     auto& fleet = m_registry.find<fleet_service>(fleet_service::serviceName);
--- a/Daemons/zinnialedge-edge/edge_daemon.h
+++ b/Daemons/zinnialedge-edge/edge_daemon.h
@@ -22,6 +22,8 @@
     static errors::error_or<std::unique_ptr<edge_daemon>> create(configuration::edge_settings const&, edge_protocols);
 
     void start();
+    /// Takes over what of new settings a running daemon can, and logs what waits for the next start.
+    void applySettings(configuration::edge_settings const&);
     /// The planned stop: leaves directory and readiness, serves on while callers may still hold its address, and ends when
     /// nothing is in flight, or when `isHurried` says so.
     void leave(std::function<bool()> const& isHurried);
--- a/Daemons/zinnialedge-edge/main.cpp
+++ b/Daemons/zinnialedge-edge/main.cpp
@@ -1,10 +1,12 @@
 #include "Daemons/zinnialedge-edge/edge_daemon.h"
 #include "Kernel/event_log.h"
 #include "Libraries/zinnialedge/configuration/settings_file.h"
+#include "Libraries/zinnialedge/configuration/settings_watch.h"
 #include "platform/edge_codec.h"
 #include "platform/store_codec.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <gflags/gflags.h>
@@ -18,6 +20,24 @@
 static constexpr int exitFailed = 1;
 static constexpr int exitWrongSettings = 2;
 
+/// The settings file may change without a signal.
+static constexpr std::chrono::seconds settingsInterval { 2 };
+
+/// Takes over changed settings; wrong ones are named, and the present ones stay in force.
+static void takeNewSettings(configuration::settings_watch& watch, daemons::edge_daemon& daemon)
+{
+    auto const text = watch.readIfChanged();
+    if (!text)
+        return;
+    auto const settings = configuration::parseEdgeSettings(*text);
+    if (settings) {
+        daemon.applySettings(*settings);
+        return;
+    }
+    for (auto const& problem : settings.error())
+        kernel::logEvent(kernel::log_level::error, "settings_wrong", { { "file", FLAGS_settings }, { "problem", problem } });
+}
+
 int main(int argumentCount, char** arguments)
 {
     gflags::SetVersionString(ZINNIALEDGE_VERSION);
@@ -27,6 +47,8 @@
     boost::asio::io_context signals;
     boost::asio::signal_set stop { signals, SIGTERM, SIGINT };
     stop.async_wait([&signals](boost::system::error_code, int) { signals.stop(); });
+    // Before the first reading, so that no change in between is missed.
+    configuration::settings_watch watch { FLAGS_settings };
     auto const settings = configuration::readSettingsFile(FLAGS_settings, configuration::parseEdgeSettings);
     if (!settings)
         return exitWrongSettings;
@@ -46,12 +68,23 @@
         reload.async_wait([&](boost::system::error_code failure, int) {
             if (failure)
                 return;
-            bool const isRight = configuration::readSettingsFile(FLAGS_settings, configuration::parseEdgeSettings).has_value();
-            kernel::logEvent(kernel::log_level::info, "settings_reload_asked", { { "file", FLAGS_settings }, { "right", isRight ? "yes" : "no" } });
+            kernel::logEvent(kernel::log_level::info, "settings_reload_asked", { { "file", FLAGS_settings } });
+            takeNewSettings(watch, **made);
             waitForReload();
         });
     };
     waitForReload();
+    boost::asio::steady_timer settingsTimer { signals };
+    std::function<void()> const watchSettings = [&] {
+        settingsTimer.expires_after(settingsInterval);
+        settingsTimer.async_wait([&](boost::system::error_code failure) {
+            if (failure)
+                return;
+            takeNewSettings(watch, **made);
+            watchSettings();
+        });
+    };
+    watchSettings();
     (*made)->start();
     signals.run();
     bool isHurried = false;
--- a/Libraries/zinnialedge/configuration/call_budget.cpp
+++ b/Libraries/zinnialedge/configuration/call_budget.cpp
@@ -11,6 +11,12 @@
 {
 }
 
+void call_budget::setRate(kernel::time_point now, double callsPerSecond)
+{
+    (void)available(now);
+    m_callsPerSecond = callsPerSecond;
+}
+
 double call_budget::available(kernel::time_point now)
 {
     std::chrono::duration<double> const passed = now - m_filledAt;
--- a/Libraries/zinnialedge/configuration/call_budget.h
+++ b/Libraries/zinnialedge/configuration/call_budget.h
@@ -10,6 +10,9 @@
 public:
     call_budget(double callsPerSecond, double burst);
 
+    /// What was saved so far stays.
+    void setRate(kernel::time_point now, double callsPerSecond);
+
     /// Pays for a call; false when the budget would fall below what is kept for other calls.
     [[nodiscard]] bool take(kernel::time_point now, double kept = 0);
     /// When the next call can be paid for.
--- a/Libraries/zinnialedge/configuration/edge_settings.cpp
+++ b/Libraries/zinnialedge/configuration/edge_settings.cpp
@@ -6,6 +6,8 @@
 
 static constexpr double longestWindowSeconds = 3600;
 static constexpr double mostExtraCalls = 1e6;
+static constexpr double leastStoreRate = 1;
+static constexpr double mostStoreRate = 1e6;
 static constexpr double longestStopSeconds = 600;
 
 static void parseExtraCalls(json_reader& reader, edge_settings& settings)
@@ -15,6 +17,38 @@
     settings.extraCallSlack = reader.real("slack", 0, mostExtraCalls);
 }
 
+static void parseStoreRates(json_reader& reader, edge_settings& settings)
+{
+    settings.storeRates.readsPerSecond = reader.real("reads_per_s", leastStoreRate, mostStoreRate);
+    settings.storeRates.writesPerSecond = reader.real("writes_per_s", leastStoreRate, mostStoreRate);
+}
+
+edge_settings_change compareSettings(edge_settings const& before, edge_settings const& after)
+{
+    edge_settings_change change;
+    auto const compare = [&](std::vector<std::string>& names, char const* name, bool isSame) {
+        if (!isSame)
+            names.emplace_back(name);
+    };
+    compare(change.inForce, "seeds", before.seeds == after.seeds);
+    bool const isSameBudget = before.extraCallRatio == after.extraCallRatio && before.extraCallWindow == after.extraCallWindow && before.extraCallSlack == after.extraCallSlack;
+    compare(change.inForce, "extra_calls", isSameBudget);
+    compare(change.inForce, "store_rates", before.storeRates == after.storeRates);
+    compare(change.inForce, "stop_time_s", before.stopTime == after.stopTime);
+    compare(change.inForce, "log_level", before.logLevel == after.logLevel);
+    compare(change.atNextStart, "name", before.name == after.name);
+    compare(change.atNextStart, "region", before.region == after.region);
+    compare(change.atNextStart, "data_centre", before.dataCentre == after.dataCentre);
+    compare(change.atNextStart, "callers", before.callers == after.callers);
+    compare(change.atNextStart, "readiness", before.readiness == after.readiness);
+    compare(change.atNextStart, "directory", before.directory == after.directory);
+    compare(change.atNextStart, "peers", before.peers == after.peers);
+    compare(change.atNextStart, "relays", before.relays == after.relays);
+    compare(change.atNextStart, "operators", before.operators == after.operators);
+    compare(change.atNextStart, "store", before.store == after.store);
+    return change;
+}
+
 tl::expected<edge_settings, std::vector<std::string>> parseEdgeSettings(std::string_view text)
 {
     std::vector<std::string> problems;
@@ -41,6 +75,7 @@
             reader.report("seeds", "places like \"10.0.0.1:7380\"");
     }
     reader.object("extra_calls", true, [&](json_reader& item) { parseExtraCalls(item, settings); });
+    reader.object("store_rates", true, [&](json_reader& item) { parseStoreRates(item, settings); });
     settings.stopTime = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("stop_time_s", 1, longestStopSeconds) * 1000) };
     static std::vector<std::string_view> const levels { "trace", "debug", "info", "warn", "error" };
     settings.logLevel = std::string { levels[reader.choice("log_level", levels, 2)] };
--- a/Libraries/zinnialedge/configuration/edge_settings.h
+++ b/Libraries/zinnialedge/configuration/edge_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Libraries/zinnialedge/fleet/store_budget.h"
 #include "Libraries/zinnialedge/model/endpoint.h"
 #include <chrono>
 #include <string>
@@ -28,6 +29,7 @@
     std::chrono::seconds extraCallWindow { 10 };
     /// Extra calls in a window besides; of all daemons together.
     double extraCallSlack { 50 };
+    fleet::store_rates storeRates;
     /// The process is killed this long after it was asked to stop.
     std::chrono::milliseconds stopTime { 6000 };
     std::string logLevel { "info" };
@@ -35,6 +37,18 @@
     bool operator==(edge_settings const&) const = default;
 };
 
+/// Names of the fields that differ between two versions of the settings.
+struct edge_settings_change {
+    /// A running daemon takes them over.
+    std::vector<std::string> inForce;
+    /// They need new sockets or a new name, and wait for the next start.
+    std::vector<std::string> atNextStart;
+
+    bool operator==(edge_settings_change const&) const = default;
+};
+
+edge_settings_change compareSettings(edge_settings const& before, edge_settings const& after);
+
 /// Every problem of a settings text, one line each, when there are any.
 tl::expected<edge_settings, std::vector<std::string>> parseEdgeSettings(std::string_view text);
 
--- a/Libraries/zinnialedge/fleet/store_protocol.h
+++ b/Libraries/zinnialedge/fleet/store_protocol.h
@@ -28,7 +28,8 @@
     std::function<wire::http_request(std::string const& name)> probe;
     /// Writes an object of the own kind. Without a revision it is created.
     std::function<wire::http_request(std::string const& name, boost::json::value const& content, std::optional<std::uint64_t> revision)> write;
-    std::function<wire::http_request(std::string const& name)> remove;
+    /// Removes an object of the own kind; with a revision only while the object has it.
+    std::function<wire::http_request(std::string const& name, std::optional<std::uint64_t> revision)> remove;
     std::function<errors::error_or<store_object>(std::string_view body)> parseObject;
 
     std::function<errors::error_or<forwarding::route_declarations>(store_object const&)> parseRoutes;
--- a/Libraries/zinnialedge/forwarding/extra_call_budget.cpp
+++ b/Libraries/zinnialedge/forwarding/extra_call_budget.cpp
@@ -4,23 +4,45 @@
 
 namespace zinnialedge::forwarding {
 
+using kernel::time_point;
+
 /// Part of the slack that is spent; the rest covers daemons that join before the others hear of them.
 static constexpr double spentSlack = 0.8;
 
-extra_call_budget::extra_call_budget(extra_call_limits limits, kernel::time_point startedAt)
+extra_call_budget::extra_call_budget(extra_call_limits limits, time_point startedAt)
     : m_limits(limits)
     , m_startedAt(startedAt)
 {
 }
 
-void extra_call_budget::noteRequest(kernel::time_point now)
+std::int64_t extra_call_budget::slotAt(time_point now) const
+{
+    auto const slotWidth = std::chrono::duration_cast<kernel::duration>(m_limits.window) / slotCount;
+    return static_cast<std::int64_t>((now - m_startedAt) / slotWidth);
+}
+
+void extra_call_budget::setLimits(extra_call_limits limits, time_point now)
+{
+    advance(now);
+    bool const isOtherWindow = limits.window != m_limits.window;
+    m_limits = limits;
+    if (!isOtherWindow)
+        return;
+    // The slots have another width now. Without the earlier requests the budget is smaller for a while, never larger.
+    m_lastSlot = slotAt(now);
+    m_total.requests = 0;
+    m_slots = {};
+    m_slots[static_cast<std::size_t>(m_lastSlot) % m_slots.size()] = m_total;
+}
+
+void extra_call_budget::noteRequest(time_point now)
 {
     advance(now);
     ++m_slots[static_cast<std::size_t>(m_lastSlot) % m_slots.size()].requests;
     ++m_total.requests;
 }
 
-bool extra_call_budget::take(kernel::time_point now, std::size_t slackHolders)
+bool extra_call_budget::take(time_point now, std::size_t slackHolders)
 {
     advance(now);
     // A predecessor of this process may have spent its part just before it ended.
@@ -33,11 +55,10 @@
     return true;
 }
 
-void extra_call_budget::advance(kernel::time_point now)
+void extra_call_budget::advance(time_point now)
 {
     // One slot more than the window has, so that no window is wider than what is counted.
-    auto const slotWidth = std::chrono::duration_cast<kernel::duration>(m_limits.window) / slotCount;
-    auto const current = static_cast<std::int64_t>((now - m_startedAt) / slotWidth);
+    auto const current = slotAt(now);
     // After a long pause each slot is emptied once.
     m_lastSlot = std::max(m_lastSlot, current - static_cast<std::int64_t>(m_slots.size()));
     while (m_lastSlot < current) {
--- a/Libraries/zinnialedge/forwarding/extra_call_budget.h
+++ b/Libraries/zinnialedge/forwarding/extra_call_budget.h
@@ -22,6 +22,8 @@
 public:
     extra_call_budget(extra_call_limits, kernel::time_point startedAt);
 
+    /// Takes effect at once; what was counted stays, and is forgotten when the window has another width.
+    void setLimits(extra_call_limits, kernel::time_point now);
     void noteRequest(kernel::time_point now);
     /// Counts an extra call, unless the budget has no room for it. `slackHolders` daemons share
     /// the slack; with zero this one has none of it.
@@ -35,6 +37,7 @@
 
     static constexpr std::size_t slotCount = 20;
 
+    std::int64_t slotAt(kernel::time_point now) const;
     void advance(kernel::time_point now);
 
     extra_call_limits m_limits;
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -53,6 +53,13 @@
     m_leafs.setSharing(m_routes, m_share.connectionHolders);
 }
 
+void request_engine::setExtraCalls(extra_call_limits limits, time_point now)
+{
+    m_settings.extraCalls = limits;
+    for (auto& [service, history] : m_serviceHistories)
+        history.budget.setLimits(limits, now);
+}
+
 request_engine::route_history& request_engine::historyOf(route const& to)
 {
     auto const found = m_routeHistories.find(to.name);
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -86,6 +86,7 @@
     void setRoutes(route_table_pointer, kernel::time_point now);
     void setLeafs(std::vector<leaf_registration> const&, kernel::time_point now);
     void setFleetShare(fleet_share);
+    void setExtraCalls(extra_call_limits, kernel::time_point now);
 
     void arrive(request_token, caller_request, kernel::time_point now);
     void callerLeft(request_token, kernel::time_point now);
--- a/Libraries/zinnialedge/membership/membership_engine.h
+++ b/Libraries/zinnialedge/membership/membership_engine.h
@@ -80,6 +80,7 @@
 class membership_engine {
 public:
     membership_engine(membership_settings, kernel::random_hook);
+    void setSeeds(std::vector<model::endpoint> seeds) { m_settings.seeds = std::move(seeds); }
 
     membership_actions step(membership_event const&, kernel::time_point now);
     kernel::time_point nextTimer() const;
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -27,6 +27,8 @@
 static constexpr std::size_t idleDaemonsPerShare = 4;
 /// How often peers are asked while the store does not answer.
 static constexpr std::chrono::milliseconds tickInterval { 500 };
+/// How often registrations are compared with the daemons that live.
+static constexpr std::chrono::milliseconds lostDaemonInterval { 5000 };
 static constexpr std::chrono::milliseconds peerTimeout { 1000 };
 static constexpr int statusOk = 200;
 static constexpr int statusNoContent = 204;
@@ -38,14 +40,15 @@
     , m_duty(serviceName)
     , m_protocol(std::move(protocol))
     , m_traffic(traffic)
-    , m_routes(m_duty.context(), m_settings.store, object_kind::routes, m_protocol, mirror_settings { .batchPause = routesBatchPause, .returnWait = std::chrono::milliseconds { 0 } }, watchWait, [this] { routesChanged(); })
-    , m_leafs(m_duty.context(), m_settings.store, object_kind::leafs, m_protocol, mirror_settings { .batchPause = leafsBatchPause }, watchWait, [this] { leafsChanged(); })
-    , m_daemons(m_duty.context(), m_settings.store, object_kind::daemons, m_protocol, mirror_settings { .batchPause = daemonsBatchPause, .returnWait = std::chrono::milliseconds { 0 } }, watchWait, [this] { daemonsChanged(); })
-    , m_probe(m_duty.context(), m_settings.store, m_protocol.probe(m_settings.name), [this] {
+    , m_storeBudget(m_settings.storeRates)
+    , m_routes(m_duty.context(), m_settings.store, object_kind::routes, m_protocol, m_storeBudget, mirror_settings { .batchPause = routesBatchPause, .returnWait = std::chrono::milliseconds { 0 } }, watchWait, [this] { routesChanged(); })
+    , m_leafs(m_duty.context(), m_settings.store, object_kind::leafs, m_protocol, m_storeBudget, mirror_settings { .batchPause = leafsBatchPause }, watchWait, [this] { leafsChanged(); })
+    , m_daemons(m_duty.context(), m_settings.store, object_kind::daemons, m_protocol, m_storeBudget, mirror_settings { .batchPause = daemonsBatchPause, .returnWait = std::chrono::milliseconds { 0 } }, watchWait, [this] { daemonsChanged(); })
+    , m_probe(m_duty.context(), m_settings.store, m_protocol.probe(m_settings.name), m_storeBudget, [this] {
         for (auto* const link : { &m_routes, &m_leafs, &m_daemons })
             link->reconnect();
     })
-    , m_registration(m_duty.context(), m_settings.store, m_protocol)
+    , m_registration(m_duty.context(), m_settings.store, m_protocol, m_storeBudget)
     , m_members(m_duty.context(), { .self = makeRecord(), .seeds = m_settings.seeds }, { [this] { membersChanged(); }, [this](model::endpoint const& place) { askPeer(place); } })
     , m_tickTimer(m_duty.context())
     , m_random(kernel::makeRandom())
@@ -175,6 +178,7 @@
 
 void fleet_service::daemonsChanged()
 {
+    m_registeredMembers.clear();
     for (auto const& [name, object] : m_daemons.mirror().objects()) {
         auto const record = membership::parseDaemonRecord(boost::json::serialize(object.content));
         if (!record) {
@@ -182,8 +186,35 @@
             logEvent(log_level::warn, "daemon_entry_unusable", { { "object", name }, { "reason", record.error().message } });
             continue;
         }
+        m_registeredMembers[name] = record->name;
         m_members.step(membership::daemon_registered { *record });
     }
+    if (m_daemons.mirror().hasListed() && !m_daemons.mirror().objects().contains(m_settings.name))
+        m_registration.putAgain(m_daemons.mirror().asOf());
+}
+
+void fleet_service::removeLostDaemon()
+{
+    auto const now = std::chrono::steady_clock::now();
+    if (now - m_lostDaemonsSeenAt < lostDaemonInterval)
+        return;
+    m_lostDaemonsSeenAt = now;
+    auto const& members = m_members.engine().members();
+    std::vector<zinnialedge::fleet::registered_daemon> registered;
+    std::string firstLiving = m_settings.name;
+    for (auto const& [name, memberName] : m_registeredMembers) {
+        auto const object = m_daemons.mirror().objects().find(name);
+        if (name == m_settings.name || object == m_daemons.mirror().objects().end())
+            continue;
+        auto const* const member = members.find(memberName);
+        bool const isLiving = member && member->status != member_status::dead;
+        registered.push_back({ name, object->second.revision, isLiving });
+        if (isLiving)
+            firstLiving = std::min(firstLiving, name);
+    }
+    auto const lost = m_lostDaemons.update(registered, now);
+    if (lost && m_daemons.mirror().isConnected() && firstLiving == m_settings.name)
+        m_registration.removeLost(lost->name, lost->revision);
 }
 
 void fleet_service::membersChanged()
@@ -203,6 +234,7 @@
             living.insert(member.record.callers);
     }
     m_livingCount = living.size();
+    m_storeBudget.setDaemonCount(m_livingCount, std::chrono::steady_clock::now());
     auto const group = zinnialedge::fleet::chooseGroup(servingDaemons());
     forwarding::fleet_share share;
     bool const isInGroup = std::any_of(group.begin(), group.end(), [this](auto const& each) { return each.place == m_settings.callers; });
@@ -235,6 +267,7 @@
 {
     if (!m_routes.mirror().isConnected() || !m_leafs.mirror().isConnected())
         askPeers();
+    removeLostDaemon();
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([this](boost::system::error_code failure) {
         if (!failure)
@@ -345,6 +378,18 @@
     }
 }
 
+// Settings that change.
+
+bool fleet_service::setLimits(fleet_limits limits)
+{
+    return m_duty.post([this, limits = std::move(limits)] {
+        m_settings.seeds = limits.seeds;
+        m_members.setSeeds(limits.seeds);
+        m_storeBudget.setRates(limits.storeRates, std::chrono::steady_clock::now());
+        tell(traffic::extra_calls_changed { limits.extraCalls });
+    });
+}
+
 // Stopping.
 
 bool fleet_service::announceLeaving()
@@ -381,6 +426,9 @@
             { "leafs", m_leafList.size() },
             { "store_reached", m_routes.mirror().isConnected() && m_leafs.mirror().isConnected() },
             { "store_calls", m_routes.counters().calls + m_leafs.counters().calls + m_daemons.counters().calls + m_registration.calls() + m_probe.calls() },
+            { "store_reads_paid", m_storeBudget.reads().taken() },
+            { "store_writes_paid", m_storeBudget.writes().taken() },
+            { "store_calls_put_off", m_storeBudget.reads().refused() + m_storeBudget.writes().refused() },
             { "members", std::move(members) },
         };
         receiver(boost::json::serialize(state));
@@ -397,6 +445,7 @@
         text << "# TYPE zinnialedge_store_call_failures_total counter\n";
         for (auto const& [kind, link] : { std::pair { object_kind::routes, &m_routes }, std::pair { object_kind::leafs, &m_leafs }, std::pair { object_kind::daemons, &m_daemons } })
             text << "zinnialedge_store_call_failures_total{kind=\"" << nameOf(kind) << "\"} " << link->counters().failures << "\n";
+        text << "# TYPE zinnialedge_store_calls_put_off_total counter\nzinnialedge_store_calls_put_off_total " << m_storeBudget.reads().refused() + m_storeBudget.writes().refused() << "\n";
         text << "# TYPE zinnialedge_store_reached gauge\nzinnialedge_store_reached " << (m_leafs.mirror().isConnected() ? 1 : 0) << "\n";
         text << "# TYPE zinnialedge_members_living gauge\nzinnialedge_members_living " << m_livingCount << "\n";
         text << "# TYPE zinnialedge_directory_answers_total counter\nzinnialedge_directory_answers_total " << m_directoryAnswers << "\n";
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -3,6 +3,8 @@
 #include "Kernel/duty.h"
 #include "Kernel/registry.h"
 #include "Libraries/zinnialedge/fleet/directory_choice.h"
+#include "Libraries/zinnialedge/fleet/lost_daemons.h"
+#include "Libraries/zinnialedge/fleet/store_budget.h"
 #include "Libraries/zinnialedge/wire/http_server.h"
 #include "Services/fleet/member_link.h"
 #include "Services/fleet/registration_link.h"
@@ -26,12 +28,22 @@
     /// TCP between daemons for calls to leafs; the port is the same on all.
     model::endpoint relays;
     model::endpoint store;
+    zinnialedge::fleet::store_rates storeRates;
     /// Places of daemons that may be stale or down.
     std::vector<model::endpoint> seeds;
     /// How long callers may keep an answer of the directory.
     std::chrono::milliseconds directoryValidity { 1000 };
 };
 
+/// What may change while a daemon runs.
+struct fleet_limits {
+    std::vector<model::endpoint> seeds;
+    forwarding::extra_call_limits extraCalls;
+    zinnialedge::fleet::store_rates storeRates;
+
+    bool operator==(fleet_limits const&) const = default;
+};
+
 /// Knows the fleet: reads configuration and leafs from the store or from peers, takes part in membership, and tells
 /// callers which daemons to use.
 class fleet_service final : public kernel::service {
@@ -43,6 +55,7 @@
     void stop() override { m_duty.stop(); }
     bool requestState(kernel::state_receiver) override;
     bool requestMetrics(kernel::state_receiver) override;
+    [[nodiscard]] bool setLimits(fleet_limits);
     /// Leaves the directory and the readiness; requests are still taken.
     [[nodiscard]] bool announceLeaving();
     [[nodiscard]] bool announceStop(std::function<void()> done);
@@ -62,6 +75,8 @@
     void tell(traffic::traffic_event);
     void serveWhenReady();
     void tick();
+    /// Removes a registration whose daemon was lost for good. One daemon does it for all.
+    void removeLostDaemon();
 
     /// Those that callers may be sent to.
     std::vector<zinnialedge::fleet::directory_entry> servingDaemons() const;
@@ -78,6 +93,7 @@
     kernel::io_duty m_duty;
     zinnialedge::fleet::store_protocol m_protocol;
     traffic::traffic_service& m_traffic;
+    zinnialedge::fleet::store_budget m_storeBudget;
     store_link m_routes;
     store_link m_leafs;
     store_link m_daemons;
@@ -93,6 +109,10 @@
     forwarding::route_table_pointer m_table;
     forwarding::fleet_share m_share { .connectionHolders = 0 };
     std::size_t m_livingCount { 1 };
+    /// Names of members by the names of their objects in the store.
+    std::map<std::string, std::string> m_registeredMembers;
+    zinnialedge::fleet::lost_daemons m_lostDaemons;
+    kernel::time_point m_lostDaemonsSeenAt;
     std::uint64_t m_malformedObjects { 0 };
     std::uint64_t m_directoryAnswers { 0 };
     bool m_isServing { false };
--- a/Services/fleet/member_link.h
+++ b/Services/fleet/member_link.h
@@ -21,6 +21,7 @@
 
     errors::error_or<void> open(model::endpoint const&);
     void step(membership::membership_event const&);
+    void setSeeds(std::vector<model::endpoint> seeds) { m_engine.setSeeds(std::move(seeds)); }
     membership::membership_engine const& engine() const { return m_engine; }
 
 private:
--- a/Services/fleet/registration_link.h
+++ b/Services/fleet/registration_link.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Kernel/clock.h"
+#include "Libraries/zinnialedge/fleet/store_budget.h"
 #include "Libraries/zinnialedge/fleet/store_protocol.h"
 #include "Libraries/zinnialedge/wire/http_client.h"
 #include <boost/asio/steady_timer.hpp>
@@ -8,30 +9,39 @@
 
 namespace zinnialedge::services::fleet {
 
-/// Writes this daemon's registration at its start and removes it at a planned stop. Each write is conditional, so that one
-/// whose answer was lost can be repeated.
+/// Writes this daemon's registration at its start and removes it at a planned stop; removes those of daemons that are lost.
+/// Each write is conditional, so that one whose answer was lost can be repeated.
 class registration_link {
 public:
-    registration_link(boost::asio::io_context&, model::endpoint store, zinnialedge::fleet::store_protocol const&);
+    registration_link(boost::asio::io_context&, model::endpoint store, zinnialedge::fleet::store_protocol const&, zinnialedge::fleet::store_budget&);
 
     void put(std::string name, boost::json::value content);
     void remove();
+    /// The object is gone from the store as of that revision although this daemon lives: another one took it for lost.
+    void putAgain(std::uint64_t asOf);
+    /// Removes another daemon's object, unless it has changed since that revision.
+    void removeLost(std::string const& name, std::uint64_t revision);
     std::uint64_t calls() const { return m_calls; }
 
 private:
     void write();
     void handle(wire::http_result const&);
     void retryLater();
+    void writeAt(kernel::time_point);
 
     boost::asio::io_context& m_context;
     model::endpoint m_store;
     zinnialedge::fleet::store_protocol const& m_protocol;
+    zinnialedge::fleet::store_budget& m_budget;
     std::unique_ptr<wire::http_client> m_client;
+    std::unique_ptr<wire::http_client> m_removalClient;
     boost::asio::steady_timer m_timer;
     kernel::random_hook m_random;
     std::string m_name;
     boost::json::value m_content;
     std::optional<std::uint64_t> m_revision;
+    /// That the object got when it was written.
+    std::optional<std::uint64_t> m_writtenRevision;
     std::chrono::milliseconds m_pause;
     std::uint64_t m_calls { 0 };
     bool m_isWritten { false };
--- a/Services/fleet/store_link.cpp
+++ b/Services/fleet/store_link.cpp
@@ -32,10 +32,11 @@
     return "unknown";
 }
 
-store_link::store_link(boost::asio::io_context& context, model::endpoint store, object_kind kind, zinnialedge::fleet::store_protocol const& protocol, zinnialedge::fleet::mirror_settings settings, std::chrono::milliseconds watchWait, std::function<void()> changed)
+store_link::store_link(boost::asio::io_context& context, model::endpoint store, object_kind kind, zinnialedge::fleet::store_protocol const& protocol, zinnialedge::fleet::store_budget& budget, zinnialedge::fleet::mirror_settings settings, std::chrono::milliseconds watchWait, std::function<void()> changed)
     : m_context(context)
     , m_kind(kind)
     , m_protocol(protocol)
+    , m_budget(budget)
     , m_mirror(settings, kernel::makeRandom())
     , m_watchWait(watchWait)
     , m_changed(std::move(changed))
@@ -66,10 +67,13 @@
             sleepUntil(*end);
         return;
     }
-    if (auto const request = m_mirror.nextRequest(now))
+    auto const request = m_mirror.nextRequest(now);
+    if (!request)
+        sleepUntil(m_mirror.nextTime());
+    else if (m_budget.reads().take(now))
         send(*request);
     else
-        sleepUntil(m_mirror.nextTime());
+        sleepUntil(m_budget.reads().nextAt(now));
 }
 
 void store_link::send(mirror_request const& request)
--- a/Services/fleet/store_link.h
+++ b/Services/fleet/store_link.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Libraries/zinnialedge/fleet/object_mirror.h"
+#include "Libraries/zinnialedge/fleet/store_budget.h"
 #include "Libraries/zinnialedge/fleet/store_protocol.h"
 #include "Libraries/zinnialedge/wire/http_client.h"
 #include <boost/asio/steady_timer.hpp>
@@ -17,7 +18,7 @@
 /// Keeps the mirror of one kind of objects up to date over a connection of its own.
 class store_link {
 public:
-    store_link(boost::asio::io_context&, model::endpoint store, zinnialedge::fleet::object_kind, zinnialedge::fleet::store_protocol const&, zinnialedge::fleet::mirror_settings, std::chrono::milliseconds watchWait, std::function<void()> changed);
+    store_link(boost::asio::io_context&, model::endpoint store, zinnialedge::fleet::object_kind, zinnialedge::fleet::store_protocol const&, zinnialedge::fleet::store_budget&, zinnialedge::fleet::mirror_settings, std::chrono::milliseconds watchWait, std::function<void()> changed);
 
     void start() { advance(); }
     /// Makes the present call again over a new connection: the store may have forgotten the old one.
@@ -39,6 +40,7 @@
     boost::asio::io_context& m_context;
     zinnialedge::fleet::object_kind m_kind;
     zinnialedge::fleet::store_protocol const& m_protocol;
+    zinnialedge::fleet::store_budget& m_budget;
     zinnialedge::fleet::object_mirror m_mirror;
     std::chrono::milliseconds m_watchWait;
     std::function<void()> m_changed;
--- a/Services/fleet/store_probe.cpp
+++ b/Services/fleet/store_probe.cpp
@@ -9,10 +9,11 @@
 /// A slow store takes some hundred milliseconds.
 static constexpr std::chrono::milliseconds probeTimeout { 1000 };
 
-store_probe::store_probe(boost::asio::io_context& context, model::endpoint store, wire::http_request request, std::function<void()> lost)
+store_probe::store_probe(boost::asio::io_context& context, model::endpoint store, wire::http_request request, zinnialedge::fleet::store_budget& budget, std::function<void()> lost)
     : m_context(context)
     , m_store(std::move(store))
     , m_request(std::move(request))
+    , m_budget(budget)
     , m_lost(std::move(lost))
     , m_client(std::make_unique<wire::http_client>(context, m_store))
     , m_timer(context)
@@ -21,6 +22,11 @@
 
 void store_probe::probe()
 {
+    // Watches that the budget lets through find a silent store, too, if later.
+    if (!m_budget.reads().take(std::chrono::steady_clock::now())) {
+        probeLater();
+        return;
+    }
     ++m_calls;
     m_client->connectAndSend(m_request, probeTimeout, [this](wire::http_result const& result) {
         if (!result) {
@@ -28,11 +34,16 @@
             m_client = std::make_unique<wire::http_client>(m_context, m_store);
             m_lost();
         }
-        m_timer.expires_after(probeInterval);
-        m_timer.async_wait([this](boost::system::error_code failure) {
-            if (!failure)
-                probe();
-        });
+        probeLater();
+    });
+}
+
+void store_probe::probeLater()
+{
+    m_timer.expires_after(probeInterval);
+    m_timer.async_wait([this](boost::system::error_code failure) {
+        if (!failure)
+            probe();
     });
 }
 
--- a/Services/fleet/store_probe.h
+++ b/Services/fleet/store_probe.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Libraries/zinnialedge/fleet/store_budget.h"
 #include "Libraries/zinnialedge/fleet/store_protocol.h"
 #include "Libraries/zinnialedge/wire/http_client.h"
 #include <boost/asio/steady_timer.hpp>
@@ -10,17 +11,19 @@
 class store_probe {
 public:
     /// `lost` is called when a probe gets no answer.
-    store_probe(boost::asio::io_context&, model::endpoint store, wire::http_request, std::function<void()> lost);
+    store_probe(boost::asio::io_context&, model::endpoint store, wire::http_request, zinnialedge::fleet::store_budget&, std::function<void()> lost);
 
     void start() { probe(); }
     std::uint64_t calls() const { return m_calls; }
 
 private:
     void probe();
+    void probeLater();
 
     boost::asio::io_context& m_context;
     model::endpoint m_store;
     wire::http_request m_request;
+    zinnialedge::fleet::store_budget& m_budget;
     std::function<void()> m_lost;
     std::unique_ptr<wire::http_client> m_client;
     boost::asio::steady_timer m_timer;
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -305,6 +305,7 @@
         logEvent(log_level::info, "fleet_share_changed", { { "connection_holders", changed.share.connectionHolders }, { "slack_holders", changed.share.slackHolders }, { "relays", changed.share.relays.size() } });
         m_engine.setFleetShare(std::move(changed.share));
     }
+    void perform(extra_calls_changed&& changed) { m_engine.setExtraCalls(changed.limits, now()); }
     void perform(leaving_begun&&) { m_isLeaving = true; }
 
     asio::io_context& m_context;
--- a/Services/traffic/traffic_service.h
+++ b/Services/traffic/traffic_service.h
@@ -28,10 +28,14 @@
     forwarding::fleet_share share;
 };
 
+struct extra_calls_changed {
+    forwarding::extra_call_limits limits;
+};
+
 /// Answers ask callers to close their connections from now on.
 struct leaving_begun { };
 
-using traffic_event = std::variant<forwarding::route_table_pointer, leafs_changed, fleet_share_changed, leaving_begun>;
+using traffic_event = std::variant<forwarding::route_table_pointer, leafs_changed, fleet_share_changed, extra_calls_changed, leaving_begun>;
 
 /// Takes requests of callers and calls leafs, all on one event loop: a leaf's reply costs one wake and crosses no thread.
 class traffic_service final : public kernel::service {
--- a/Tests/Faults/edge_fleet_test.cpp
+++ b/Tests/Faults/edge_fleet_test.cpp
@@ -190,3 +190,47 @@
     CHECK(process.waitForExit().value_or(0) == 2);
     CHECK(!process.lines().empty());
 }
+
+TEST(EdgeFleet, ChangedSettingsAreInForceWithoutASignal)
+{
+    small_fleet fleet { 1 };
+    auto& process = *fleet.daemon(0).process;
+    fleet.changeSetting(0, "extra_calls", { { "ratio", 0.1 }, { "window_s", 10 }, { "slack", 20 } });
+    auto const line = process.waitForLine("event=settings_changed", 10s);
+    CHECK(line.has_value());
+    STRCMP_EQUAL("extra_calls", tests::fieldOf(*line, "in_force").c_str());
+    LONGS_EQUAL(200, fleet.get(0, "/gather/a", "a1").status);
+}
+
+TEST(EdgeFleet, AfterASignalChangedSettingsAreInForceAtOnce)
+{
+    small_fleet fleet { 1 };
+    auto& process = *fleet.daemon(0).process;
+    fleet.changeSetting(0, "stop_time_s", 4);
+    process.signal(SIGHUP);
+    CHECK(process.waitForLine("event=settings_changed in_force=stop_time_s", 1500ms).has_value());
+    auto const begun = std::chrono::steady_clock::now();
+    process.signal(SIGTERM);
+    CHECK(process.waitForExit() == 0);
+    CHECK(std::chrono::steady_clock::now() - begun < 4s);
+}
+
+TEST(EdgeFleet, WrongNewSettingsAreNamedAndThePresentOnesStayInForce)
+{
+    small_fleet fleet { 1 };
+    auto& process = *fleet.daemon(0).process;
+    fleet.changeSetting(0, "store_rates", { { "reads_per_s", "many" } });
+    process.signal(SIGHUP);
+    auto const line = process.waitForLine("event=settings_wrong", 3s);
+    CHECK(line.has_value());
+    CHECK(line->find("reads_per_s") != std::string::npos);
+    LONGS_EQUAL(200, fleet.get(0, "/gather/a", "a1").status);
+}
+
+TEST(EdgeFleet, ARegistrationThatAnotherDaemonRemovedIsWrittenAgain)
+{
+    small_fleet fleet { 1 };
+    CHECK(waitUntil([&] { return fleet.store().find("daemons", "daemon0").has_value(); }));
+    fleet.store().erase("daemons", "daemon0");
+    CHECK(waitUntil([&] { return fleet.store().find("daemons", "daemon0").has_value(); }));
+}
--- a/Tests/Support/edge_fleet.cpp
+++ b/Tests/Support/edge_fleet.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <boost/json.hpp>
 #include <fstream>
+#include <sstream>
 #include <stdlib.h>
 
 namespace zinnialedge::tests {
@@ -71,6 +72,7 @@
         { "store", toString(m_store.place()) },
         { "seeds", std::move(seeds) },
         { "extra_calls", { { "ratio", 0.2 }, { "window_s", 10 }, { "slack", 50 } } },
+        { "store_rates", { { "reads_per_s", 2000 }, { "writes_per_s", 400 } } },
         { "stop_time_s", 6 },
     });
 }
@@ -109,6 +111,17 @@
     each.process = std::make_unique<child_process>("zinnialedge-edge", std::vector<std::string> { "--settings", each.settingsFile });
 }
 
+void edge_fleet::changeSetting(std::size_t index, std::string const& field, json::value value)
+{
+    auto const& file = daemon(index).settingsFile;
+    std::ifstream before { file };
+    std::stringstream text;
+    text << before.rdbuf();
+    auto settings = json::parse(text.str()).as_object();
+    settings[field] = std::move(value);
+    std::ofstream { file } << json::serialize(settings);
+}
+
 bool edge_fleet::isReady(std::size_t index)
 {
     auto const result = callHttp(daemon(index).readiness, { "GET", "/zinnialedge/readiness", {}, {}, 0 }, std::chrono::seconds { 2 });
--- a/Tests/Support/edge_fleet.h
+++ b/Tests/Support/edge_fleet.h
@@ -3,6 +3,7 @@
 #include "Tests/Support/child_process.h"
 #include "Tests/Support/edge_bench.h"
 #include "Tests/Support/fleet_store.h"
+#include <boost/json/value.hpp>
 #include <filesystem>
 #include <map>
 
@@ -39,6 +40,8 @@
     /// Before its start.
     void moveDaemon(std::size_t index, std::string const& dataCentre);
     void start(std::size_t index);
+    /// Replaces a field of its settings file, with or without a process that runs.
+    void changeSetting(std::size_t index, std::string const& field, boost::json::value);
     bool isReady(std::size_t index);
     bool waitUntilReady();
     std::vector<std::string> addressesFrom(std::size_t index);
--- a/Tests/Unit/extra_call_budget_test.cpp
+++ b/Tests/Unit/extra_call_budget_test.cpp
@@ -49,3 +49,19 @@
     CHECK(!budget.take(start + 100ms, 1));
     CHECK(budget.take(start + 5s, 1));
 }
+
+TEST(ExtraCallBudget, NewLimitsDoNotForgetWhatWasSpent)
+{
+    kernel::time_point const start { 1h };
+    auto const now = start + 60s;
+    extra_call_budget budget { { 0, 10s, 10 }, start };
+    std::size_t spent = 0;
+    while (budget.take(now, 1))
+        ++spent;
+    LONGS_EQUAL(8, spent);
+    budget.setLimits({ 0, 20s, 10 }, now);
+    CHECK(!budget.take(now + 15s, 1));
+    CHECK(budget.take(now + 25s, 1));
+    budget.setLimits({ 0, 20s, 0 }, now + 25s);
+    CHECK(!budget.take(now + 60s, 1));
+}
