Forwarding, traffic: Take the measured way from the caller and back off the objective

Pattern: deadline propagation. The margin was 6 ms for everybody; callers are 3 ms away, a third of the requests come first on their connection, whose handshake the caller's clock counts as well, and the answer still has to be merged and written.

Change: the kernel's round trip time of the caller's connection (TCP_INFO), twice for the first request of a connection, is taken off the objective, and 5 ms besides for late timers and the daemon's other work. Without an estimate 6 ms as before.

--- a/Libraries/zinnialedge/forwarding/messages.h
+++ b/Libraries/zinnialedge/forwarding/messages.h
@@ -44,6 +44,8 @@
     std::string attemptId;
     /// How long the caller waits.
     std::optional<std::chrono::milliseconds> patience;
+    /// What the way here and the way back take of the caller's time, a new connection included; nothing when not known.
+    std::optional<kernel::duration> transit;
     std::vector<header> headers;
     std::string body;
     /// Set when another daemon asks.
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -8,8 +8,9 @@
 
 using kernel::time_point;
 
-/// Part of the objective that goes besides the return margin into the way back on a busy daemon.
-static constexpr double objectiveMarginShare = 0.06;
+/// Kept free besides the way from the caller and back: late timers and the daemon's other work before the answer is out.
+static constexpr std::chrono::milliseconds answerReserve { 5 };
+static constexpr double answerReserveShare = 0.06;
 /// The same for the end of the caller's patience and the route's timeout.
 static constexpr std::chrono::milliseconds endMargin { 12 };
 /// After this many objectives an answer with the least share is better than a later whole one.
@@ -176,14 +177,16 @@
     made.table = m_routes;
     made.to = &to;
     made.arrivedAt = now;
-    auto const margin = m_settings.returnMargin + std::chrono::duration_cast<std::chrono::milliseconds>(to.objective * objectiveMarginShare);
-    made.objectiveAt = now + std::max(to.objective - margin, to.objective / 2);
+    auto const transit = request.transit.value_or(m_settings.usualTransit);
+    auto const margin = transit + answerReserve + std::chrono::duration_cast<kernel::duration>(to.objective * answerReserveShare);
+    made.objectiveAt = now + std::max<kernel::duration>(to.objective - margin, to.objective / 2);
     auto longest = to.timeout;
     if (request.patience) {
         made.callerDeadline = now + *request.patience;
         longest = std::min(longest, *request.patience);
     }
-    made.endAt = now + std::max(longest - endMargin, longest / 2);
+    auto const endsBefore = std::max<kernel::duration>(endMargin, transit + answerReserve);
+    made.endAt = now + std::max<kernel::duration>(longest - endsBefore, longest / 2);
     made.request = std::make_shared<caller_request const>(std::move(request));
     makeParts(made, now);
     m_timers.push({ made.endAt, timer_kind::end, token });
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -17,8 +17,8 @@
     /// The most requests in flight at once.
     std::size_t capacity { 2000 };
     extra_call_limits extraCalls;
-    /// Time that an answer needs to reach its caller.
-    std::chrono::milliseconds returnMargin { 6 };
+    /// The way from a caller and back, when it is not known.
+    std::chrono::milliseconds usualTransit { 6 };
 };
 
 /// How one request went, for logs and metrics.
--- a/Services/traffic/caller_connection.cpp
+++ b/Services/traffic/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "Services/traffic/caller_connection.h"
 
+#include "Libraries/zinnialedge/wire/tcp_round_trip.h"
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -141,6 +142,9 @@
             request.headers.push_back({ std::string { name }, std::string { value } });
     }
     request.body = std::move(message.body());
+    // The caller's clock began before its connection was open.
+    if (auto const roundTrip = wire::roundTripOf(m_socket))
+        request.transit = m_hasAnswered ? *roundTrip : 2 * *roundTrip;
     if (request.host.empty()) {
         refuse(errors::error_kind::malformed_request);
         return;
@@ -170,6 +174,7 @@
     m_token.reset();
     if (m_isClosed)
         return;
+    m_hasAnswered = true;
     bool const isLast = !m_isKeptAlive || m_hooks.isLeaving();
     std::string bytes;
     std::string const described = given.refused ? describe(*given.refused) : std::string {};
--- a/Services/traffic/caller_connection.h
+++ b/Services/traffic/caller_connection.h
@@ -69,6 +69,8 @@
     std::optional<forwarding::request_token> m_token;
     phase m_phase { phase::idle };
     kernel::time_point m_phaseSince;
+    /// Not the first request of the connection.
+    bool m_hasAnswered { false };
     bool m_isKeptAlive { true };
     bool m_isHead { false };
     bool m_isReading { false };
--- a/Tests/Support/engine_harness.cpp
+++ b/Tests/Support/engine_harness.cpp
@@ -95,6 +95,7 @@
     request.host = "host";
     request.attemptId = "attempt-" + std::to_string(m_lastToken + 1);
     request.patience = patience;
+    request.transit = m_transit;
     request.relayed = std::move(relayed);
     engine.arrive(++m_lastToken, std::move(request), m_now);
     return m_lastToken;
--- a/Tests/Support/engine_harness.h
+++ b/Tests/Support/engine_harness.h
@@ -21,6 +21,8 @@
     /// `perService` leafs of each service, named SERVICE/0 and so on; the first is in the own data centre.
     void registerLeafs(std::vector<std::string> const& services, std::size_t perService);
 
+    /// Of the requests that arrive from now on.
+    void setTransit(std::optional<kernel::duration> transit) { m_transit = transit; }
     forwarding::request_token arrive(std::string const& path, std::chrono::milliseconds patience = std::chrono::milliseconds { 1500 });
     /// The same from another daemon, for a part of the shards.
     forwarding::request_token arriveRelayed(std::string const& path, forwarding::relayed_request);
@@ -43,6 +45,7 @@
     forwarding::engine_hooks makeHooks();
     forwarding::request_token take(std::string const& path, std::chrono::milliseconds patience, std::optional<forwarding::relayed_request>);
 
+    std::optional<kernel::duration> m_transit;
     kernel::time_point m_now { std::chrono::hours { 1 } };
     std::map<forwarding::call_number, forwarding::leaf_call> m_open;
     std::vector<forwarding::call_number> m_cancelled;
--- a/Tests/Unit/request_engine_test.cpp
+++ b/Tests/Unit/request_engine_test.cpp
@@ -73,6 +73,29 @@
     LONGS_EQUAL(1, answer->missingParts);
 }
 
+// Pattern: deadline propagation. Callers are far away or open new connections, and a shard is slow.
+TEST(RequestEngine, TheWayFromTheCallerAndBackIsTakenOffTheObjective)
+{
+    fleet_of_twenty fleet;
+    auto const answeredAfter = [&](std::chrono::milliseconds transit) {
+        fleet.setTransit(transit);
+        auto const token = fleet.arrive("/gather/1");
+        auto const begun = fleet.now();
+        fleet.succeedAllBut("shard3");
+        while (!fleet.answerOf(token))
+            fleet.pass(1ms);
+        auto const taken = fleet.now() - begun;
+        for (auto const& call : fleet.openCalls())
+            fleet.succeed(call.number);
+        fleet.pass(5s);
+        return taken;
+    };
+    auto const near = answeredAfter(2ms);
+    auto const far = answeredAfter(30ms);
+    CHECK(near > 85ms && near + 2ms < 100ms);
+    CHECK(far > 55ms && far + 30ms < 100ms);
+}
+
 TEST(RequestEngine, FewerThanTheLeastShareAreNoAnswer)
 {
     fleet_of_twenty fleet;
