Fleet: List registrations of daemons now and then instead of watching them

Cause: calls to the store were the second largest price of the grown sites.

Change: registrations are listed at the start and then about every 15 s, at the lower price of data that may be seconds old; changes of leafs are read each 0.8 s (0.5 s before), well within the time that a leaf drains. A link whose connection was found to be dead between two calls opens a new one at once.

--- a/Libraries/zinnialedge/fleet/object_mirror.cpp
+++ b/Libraries/zinnialedge/fleet/object_mirror.cpp
@@ -16,7 +16,7 @@
 {
     if (now < m_nextAt)
         return std::nullopt;
-    return mirror_request { m_isListing, m_listAfter, m_asOf };
+    return mirror_request { m_isListing, m_listAfter, m_asOf, m_settings.relistInterval && m_hasListed };
 }
 
 void object_mirror::noteAnswer(time_point now)
@@ -85,7 +85,13 @@
     m_isListing = false;
     m_hasListed = true;
     // Pages may show different revisions; a change that a later page shows already is harmless to see twice.
-    m_asOf = m_listAsOf;
+    m_asOf = std::max(m_asOf, m_listAsOf);
+    if (!m_settings.relistInterval)
+        return;
+    // Between half and one and a half of the interval, so that daemons that started together do not list together.
+    m_isListing = true;
+    auto const interval = static_cast<std::uint64_t>(m_settings.relistInterval->count());
+    m_nextAt = now + *m_settings.relistInterval / 2 + std::chrono::milliseconds { m_random() % (interval + 1) };
 }
 
 void object_mirror::handleChanges(change_page const& page, time_point now)
--- a/Libraries/zinnialedge/fleet/object_mirror.h
+++ b/Libraries/zinnialedge/fleet/object_mirror.h
@@ -19,6 +19,8 @@
     std::chrono::milliseconds shortOutage { 1500 };
     /// Registrations that lapsed during an outage are back within this time after it.
     std::chrono::milliseconds returnWait { 2300 };
+    /// For objects that are needed rarely: listed again after about this time, and never watched.
+    std::optional<std::chrono::milliseconds> relistInterval;
 };
 
 /// The next call to the store.
@@ -27,6 +29,8 @@
     bool isList { true };
     std::string after;
     std::uint64_t revision { 0 };
+    /// Older data will do, which the store gives at a lower price.
+    bool mayBeStale { false };
 
     bool operator==(mirror_request const&) const = default;
 };
--- a/Libraries/zinnialedge/fleet/store_protocol.h
+++ b/Libraries/zinnialedge/fleet/store_protocol.h
@@ -19,7 +19,8 @@
 
 /// How the platform's store, its objects and the directory are spoken to.
 struct store_protocol {
-    std::function<wire::http_request(object_kind, std::string const& after)> list;
+    /// `mayBeStale`: at a lower price, for data that may be seconds old.
+    std::function<wire::http_request(object_kind, std::string const& after, bool mayBeStale)> list;
     std::function<wire::http_request(object_kind, std::uint64_t revision, std::chrono::milliseconds wait)> watch;
     std::function<errors::error_or<object_page>(std::string_view body)> parsePage;
     std::function<errors::error_or<change_page>(std::string_view body)> parseChanges;
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -19,8 +19,9 @@
 
 /// Configurations come in quick succession at times, and each must be in force within seconds.
 static constexpr std::chrono::milliseconds routesBatchPause { 40 };
-static constexpr std::chrono::milliseconds leafsBatchPause { 500 };
-static constexpr std::chrono::milliseconds daemonsBatchPause { 1000 };
+static constexpr std::chrono::milliseconds leafsBatchPause { 800 };
+/// Daemons find each other by the list at their start and by membership from then on. Later lists heal what both missed.
+static constexpr std::chrono::milliseconds daemonsRelistInterval { 15'000 };
 /// Each watch that ends is a call to be paid; a store that has stopped answering is found by the probe.
 static constexpr std::chrono::milliseconds watchWait { 20'000 };
 /// Daemons outside the group get a few requests, so that several of them need as many connections to a leaf as one inside.
@@ -28,7 +29,7 @@
 /// How often peers are asked while the store does not answer.
 static constexpr std::chrono::milliseconds tickInterval { 500 };
 /// How often registrations are compared with the daemons that live.
-static constexpr std::chrono::milliseconds lostDaemonInterval { 5000 };
+static constexpr std::chrono::milliseconds registrationsInterval { 5000 };
 static constexpr std::chrono::milliseconds peerTimeout { 1000 };
 static constexpr int statusOk = 200;
 static constexpr int statusNoContent = 204;
@@ -43,7 +44,7 @@
     , m_storeBudget(m_settings.storeRates)
     , m_routes(m_duty.context(), m_settings.store, object_kind::routes, m_protocol, m_storeBudget, mirror_settings { .batchPause = routesBatchPause, .returnWait = std::chrono::milliseconds { 0 } }, watchWait, [this] { routesChanged(); })
     , m_leafs(m_duty.context(), m_settings.store, object_kind::leafs, m_protocol, m_storeBudget, mirror_settings { .batchPause = leafsBatchPause }, watchWait, [this] { leafsChanged(); })
-    , m_daemons(m_duty.context(), m_settings.store, object_kind::daemons, m_protocol, m_storeBudget, mirror_settings { .batchPause = daemonsBatchPause, .returnWait = std::chrono::milliseconds { 0 } }, watchWait, [this] { daemonsChanged(); })
+    , m_daemons(m_duty.context(), m_settings.store, object_kind::daemons, m_protocol, m_storeBudget, mirror_settings { .returnWait = std::chrono::milliseconds { 0 }, .relistInterval = daemonsRelistInterval }, watchWait, [this] { daemonsChanged(); })
     , m_probe(m_duty.context(), m_settings.store, m_protocol.probe(m_settings.name), m_storeBudget, [this] {
         for (auto* const link : { &m_routes, &m_leafs, &m_daemons })
             link->reconnect();
@@ -189,16 +190,16 @@
         m_registeredMembers[name] = record->name;
         m_members.step(membership::daemon_registered { *record });
     }
-    if (m_daemons.mirror().hasListed() && !m_daemons.mirror().objects().contains(m_settings.name))
-        m_registration.putAgain(m_daemons.mirror().asOf());
 }
 
-void fleet_service::removeLostDaemon()
+void fleet_service::tendRegistrations()
 {
     auto const now = std::chrono::steady_clock::now();
-    if (now - m_lostDaemonsSeenAt < lostDaemonInterval)
+    if (now - m_registrationsSeenAt < registrationsInterval)
         return;
-    m_lostDaemonsSeenAt = now;
+    m_registrationsSeenAt = now;
+    if (m_daemons.mirror().hasListed() && !m_daemons.mirror().objects().contains(m_settings.name))
+        m_registration.putAgain(m_daemons.mirror().asOf());
     auto const& members = m_members.engine().members();
     std::vector<zinnialedge::fleet::registered_daemon> registered;
     std::string firstLiving = m_settings.name;
@@ -267,7 +268,7 @@
 {
     if (!m_routes.mirror().isConnected() || !m_leafs.mirror().isConnected())
         askPeers();
-    removeLostDaemon();
+    tendRegistrations();
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([this](boost::system::error_code failure) {
         if (!failure)
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -75,8 +75,9 @@
     void tell(traffic::traffic_event);
     void serveWhenReady();
     void tick();
-    /// Removes a registration whose daemon was lost for good. One daemon does it for all.
-    void removeLostDaemon();
+    /// Writes the own registration again when it is gone, and removes one whose daemon was lost for good; one daemon does
+    /// that for all.
+    void tendRegistrations();
 
     /// Those that callers may be sent to.
     std::vector<zinnialedge::fleet::directory_entry> servingDaemons() const;
@@ -112,7 +113,7 @@
     /// Names of members by the names of their objects in the store.
     std::map<std::string, std::string> m_registeredMembers;
     zinnialedge::fleet::lost_daemons m_lostDaemons;
-    kernel::time_point m_lostDaemonsSeenAt;
+    kernel::time_point m_registrationsSeenAt;
     std::uint64_t m_malformedObjects { 0 };
     std::uint64_t m_directoryAnswers { 0 };
     bool m_isServing { false };
--- a/Services/fleet/store_link.cpp
+++ b/Services/fleet/store_link.cpp
@@ -81,7 +81,7 @@
     m_isCalling = true;
     ++m_counters.calls;
     auto const wait = m_mirror.isConnected() ? m_watchWait : std::min(m_watchWait, probeWait);
-    auto const message = request.isList ? m_protocol.list(m_kind, request.after) : m_protocol.watch(m_kind, request.revision, wait);
+    auto const message = request.isList ? m_protocol.list(m_kind, request.after, request.mayBeStale) : m_protocol.watch(m_kind, request.revision, wait);
     auto const timeout = !request.isList ? wait + watchSlack : m_mirror.hasListed() ? listTimeout
                                                                                     : firstListTimeout;
     m_client->connectAndSend(message, timeout, [this, request](wire::http_result const& result) {
@@ -105,9 +105,11 @@
 
 void store_link::reconnect()
 {
-    // The call that is open ends with a failure and is made again.
+    // The call that is open ends with a failure and is made again; without one the next call needs a new connection.
     if (m_isCalling)
         m_client->close();
+    else
+        m_client = std::make_unique<wire::http_client>(m_context, m_store);
 }
 
 void store_link::handle(mirror_request const& request, wire::http_result const& result)
--- a/Tests/Unit/object_mirror_test.cpp
+++ b/Tests/Unit/object_mirror_test.cpp
@@ -111,3 +111,17 @@
         mirror.handleFailure(now);
     CHECK(mirror.nextTime() > now + 500ms);
 }
+
+TEST(ObjectMirror, WhatIsNeededRarelyIsListedAgainAtALowerPriceAndNeverWatched)
+{
+    object_mirror rare { { .returnWait = 0ms, .relistInterval = 10s }, kernel::makeSeededRandom(5) };
+    CHECK(rare.nextRequest(now) == (mirror_request { true, "", 0, false }));
+    rare.handlePage(page({ object("a", 3), object("b", 4) }, 7), now);
+    LONGS_EQUAL(2, rare.objects().size());
+    CHECK(!rare.nextRequest(now + 4s));
+    CHECK(rare.nextRequest(now + 16s) == (mirror_request { true, "", 7, true }));
+    // Data that is older than what was read is no step back of the revision.
+    rare.handlePage(page({ object("b", 4) }, 6), now + 16s);
+    LONGS_EQUAL(1, rare.objects().size());
+    LONGS_EQUAL(7, rare.asOf());
+}
