Forwarding, limits: Admit requests over shards as far as their leafs carry them

Pattern: congestion collapse under a burst, and the order of return after it.

Change: each daemon has an adaptive limit of requests in flight over the shards of an index (lowered when requests are late or many of their shards do not answer, raised by successes at the limit). Beyond it requests wait, the more urgent first, while they can still start in time; the others are refused at once as not run. Retry-After is when the queue is through, and those who are refused one after the other get times one after the other, at the rate at which requests are served. While requests are refused, no copies are sent.

--- a/Libraries/zinnialedge/forwarding/active_request.cpp
+++ b/Libraries/zinnialedge/forwarding/active_request.cpp
@@ -29,6 +29,13 @@
     return possible > 0 && static_cast<double>(possible) / static_cast<double>(parts.size()) + shareTolerance >= to->gather.leastShare;
 }
 
+bool active_request::isCongested(kernel::time_point now) const
+{
+    // A few slow or failed leafs are no congestion.
+    static constexpr std::size_t toleratedPart = 4;
+    return now > objectiveAt || (parts.size() - answered - leftOut) * toleratedPart > parts.size();
+}
+
 std::size_t active_request::spareParts() const
 {
     auto const needed = std::ceil(to->gather.leastShare * static_cast<double>(parts.size()) - shareTolerance);
--- a/Libraries/zinnialedge/forwarding/active_request.h
+++ b/Libraries/zinnialedge/forwarding/active_request.h
@@ -43,6 +43,14 @@
     std::size_t attemptsMade() const { return asked.size() + (relayedTo ? 1 : 0); }
 };
 
+/// How far a request over shards is with the admission to its leafs.
+enum class admission_state {
+    /// Not subject to it.
+    free,
+    waiting,
+    entered,
+};
+
 /// One request in flight.
 struct active_request {
     request_token token { 0 };
@@ -51,6 +59,8 @@
     route_table_pointer table;
     route const* to { nullptr };
     kernel::time_point arrivedAt;
+    /// When its leafs were called first; later than its arrival when it had to wait.
+    kernel::time_point beganAt;
     kernel::time_point objectiveAt;
     kernel::time_point endAt;
     std::optional<kernel::time_point> callerDeadline;
@@ -62,6 +72,7 @@
     std::size_t leftOut { 0 };
     std::size_t copies { 0 };
     std::size_t retries { 0 };
+    admission_state admission { admission_state::free };
     bool hasCallerLeft { false };
     /// The objective has passed; the least share is enough from now on.
     bool isLate { false };
@@ -71,6 +82,8 @@
     bool mayHaveRun() const;
     bool hasLeastShare() const;
     bool canReachLeastShare() const;
+    /// Its leafs do not keep up: it is late, or many shards did not answer their first calls.
+    bool isCongested(kernel::time_point now) const;
     /// How many more parts an answer may lack.
     std::size_t spareParts() const;
 };
--- /dev/null
+++ b/Libraries/zinnialedge/forwarding/request_admission.cpp
@@ -0,0 +1,89 @@
+// Admission of requests over shards: under overload a few whole answers in time are worth more than many that are all late.
+
+#include "Libraries/zinnialedge/forwarding/request_engine.h"
+
+namespace zinnialedge::forwarding {
+
+using kernel::time_point;
+using verdict = limits::admission_queue::verdict;
+
+/// A request that can't begin before this part of its objective has passed would not be answered in time.
+static constexpr double latestStartShare = 0.4;
+
+request_engine::index_admission& request_engine::admissionOf(route const& to)
+{
+    // Routes over the same shards share their leafs.
+    auto const [found, isNew] = m_admissions.try_emplace(to.gather.shards.front());
+    if (isNew) {
+        found->second.number = m_admissions.size();
+        m_admissionsByNumber[found->second.number] = &found->second;
+    }
+    return found->second;
+}
+
+bool request_engine::enter(active_request& request, time_point now)
+{
+    auto& index = admissionOf(*request.to);
+    auto const latestStart = now + std::chrono::duration_cast<kernel::duration>((request.objectiveAt - now) * latestStartShare);
+    switch (index.queue.arrive(request.token, request.to->priority, latestStart, now)) {
+    case verdict::enter:
+        request.admission = admission_state::entered;
+        return true;
+    case verdict::wait:
+        request.admission = admission_state::waiting;
+        m_timers.push({ latestStart + std::chrono::milliseconds { 1 }, timer_kind::admit, index.number });
+        return false;
+    case verdict::refuse:
+        break;
+    }
+    settleOverloaded(request, now);
+    return false;
+}
+
+void request_engine::leaveAdmission(active_request& request, time_point now)
+{
+    auto const state = std::exchange(request.admission, admission_state::free);
+    if (state == admission_state::free)
+        return;
+    auto& index = admissionOf(*request.to);
+    if (state == admission_state::waiting) {
+        index.queue.remove(request.token);
+        return;
+    }
+    index.queue.leave(now - request.beganAt, request.isCongested(now), now);
+    // In a turn of its own: the request that ends is still in use here.
+    if (index.queue.isWaiting())
+        m_timers.push({ now, timer_kind::admit, index.number });
+}
+
+void request_engine::admitWaiting(std::uint64_t number, time_point now)
+{
+    auto& index = *m_admissionsByNumber.at(number);
+    while (auto const expired = index.queue.takeExpired(now)) {
+        auto* const request = find(*expired);
+        if (!request)
+            continue;
+        request->admission = admission_state::free;
+        settleOverloaded(*request, now);
+    }
+    while (auto const next = index.queue.next(now)) {
+        auto* const request = find(*next);
+        if (!request) {
+            index.queue.leave({}, false, now);
+            continue;
+        }
+        request->admission = admission_state::entered;
+        request->beganAt = now;
+        begin(*request, now);
+    }
+}
+
+void request_engine::settleOverloaded(active_request& request, time_point now)
+{
+    auto answer = makeRefusal(errors::error_kind::overloaded, "overloaded", {});
+    answer.refused->retryAfter = std::chrono::ceil<std::chrono::milliseconds>(admissionOf(*request.to).queue.retryAfter(now));
+    ++m_counters.refusals;
+    settle(request, std::move(answer), now);
+}
+
+}
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -114,6 +114,8 @@
     if (request.hasCallerLeft || now >= request.endAt)
         return;
     auto const delay = copyDelayOf(*request.to);
+    // Behind full queues a copy is one more call that waits, and makes other requests wait for longer.
+    bool const isOverloaded = request.to->isGather() && admissionOf(*request.to).queue.isOverloaded(now);
     std::optional<time_point> next;
     for (std::size_t place = 0; place < request.parts.size(); ++place) {
         auto& part = request.parts[place];
@@ -121,7 +123,7 @@
             continue;
         auto dueAt = part.calls.front().sentAt + delay;
         if (dueAt <= now) {
-            if (sendCopy(request, place, now))
+            if (!isOverloaded && sendCopy(request, place, now))
                 continue;
             dueAt = now + delay;
         }
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -144,16 +144,24 @@
         settleRefused(*admitted, errors::error_kind::no_live_target, "no_leaf", now);
         return;
     }
-    if (to->isGather() && !admitted->isRelayed()) {
-        leaveOutWeakShards(*admitted, now);
-        sendRelays(*admitted, now);
+    if (!to->isGather() || admitted->isRelayed() || enter(*admitted, now))
+        begin(*admitted, now);
+}
+
+void request_engine::begin(active_request& request, time_point now)
+{
+    if (request.to->isGather() && !request.isRelayed()) {
+        leaveOutWeakShards(request, now);
+        sendRelays(request, now);
     }
-    for (std::size_t place = 0; place < admitted->parts.size(); ++place) {
-        auto const& part = admitted->parts[place];
+    if (request.to->isRepeatable && request.to->attempts > 1 && !request.isRelayed())
+        m_timers.push({ now + copyDelayOf(*request.to), timer_kind::copy, request.token });
+    for (std::size_t place = 0; place < request.parts.size(); ++place) {
+        auto const& part = request.parts[place];
         if (!part.isMissing && part.relayCall == 0)
-            startPart(*admitted, place, now);
+            startPart(request, place, now);
     }
-    settleIfDecided(*admitted, now);
+    settleIfDecided(request, now);
 }
 
 std::string const& request_engine::chooseService(route const& to)
@@ -177,6 +185,7 @@
     made.table = m_routes;
     made.to = &to;
     made.arrivedAt = now;
+    made.beganAt = now;
     auto const transit = request.transit.value_or(m_settings.usualTransit);
     auto const margin = transit + answerReserve + std::chrono::duration_cast<kernel::duration>(to.objective * answerReserveShare);
     made.objectiveAt = now + std::max<kernel::duration>(to.objective - margin, to.objective / 2);
@@ -190,8 +199,6 @@
     made.request = std::make_shared<caller_request const>(std::move(request));
     makeParts(made, now);
     m_timers.push({ made.endAt, timer_kind::end, token });
-    if (to.isRepeatable && to.attempts > 1 && !made.isRelayed())
-        m_timers.push({ now + copyDelayOf(to), timer_kind::copy, token });
     return &made;
 }
 
@@ -261,6 +268,8 @@
         return;
     ++m_counters.callersLeft;
     request->hasCallerLeft = true;
+    if (request->admission == admission_state::waiting)
+        leaveAdmission(*request, now);
     // Another daemon has waited already.
     m_timers.push({ request->isRelayed() ? now : now + abandonDelay, timer_kind::abandon, token });
 }
@@ -269,6 +278,7 @@
 {
     static std::string const reason = "caller_left";
     report(request, 0, reason, now);
+    leaveAdmission(request, now);
     // A request that may run only once goes on: its leaf has begun, and cancelling it would leave the outcome open.
     if (request.to->isRepeatable) {
         for (auto const& part : request.parts) {
@@ -298,6 +308,10 @@
                 m_hooks.cancel(due.subject, call_failure::timed_out);
             continue;
         }
+        if (due.kind == timer_kind::admit) {
+            admitWaiting(due.subject, now);
+            continue;
+        }
         if (due.kind == timer_kind::relay_late) {
             endLateRelay(due.subject, now);
             continue;
@@ -325,6 +339,7 @@
             break;
         case timer_kind::call_given_up:
         case timer_kind::relay_late:
+        case timer_kind::admit:
             break;
         }
     }
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -4,6 +4,7 @@
 #include "Libraries/zinnialedge/forwarding/extra_call_budget.h"
 #include "Libraries/zinnialedge/forwarding/fleet_share.h"
 #include "Libraries/zinnialedge/forwarding/leaf_roster.h"
+#include "Libraries/zinnialedge/limits/admission_queue.h"
 #include "Libraries/zinnialedge/limits/moving_quantile.h"
 #include <deque>
 #include <functional>
@@ -109,12 +110,14 @@
         abandon,
         call_given_up,
         relay_late,
+        /// Requests wait for admission to an index.
+        admit,
     };
 
     struct timer {
         kernel::time_point at;
         timer_kind kind { timer_kind::end };
-        /// A request, or a call.
+        /// A request, a call, or an index.
         std::uint64_t subject { 0 };
 
         bool operator>(timer const& other) const { return at > other.at; }
@@ -157,6 +160,12 @@
         std::deque<waiting_part> waiting;
     };
 
+    /// The admission to the shards of one index, which is known by its first shard.
+    struct index_admission {
+        std::uint64_t number { 0 };
+        limits::admission_queue queue;
+    };
+
     // Arrival.
     void refuse(request_token, caller_request const&, final_answer);
     final_answer makeRefusal(errors::error_kind, std::string reason, kernel::duration wait);
@@ -166,6 +175,14 @@
     void leaveOutWeakShards(active_request&, kernel::time_point now);
     /// Asks them after all as far as the answer can't lack them any more.
     void callLeftOutShards(active_request&, kernel::time_point now);
+    /// Calls the leafs of a request.
+    void begin(active_request&, kernel::time_point now);
+    /// Lets a request over shards in, lets it wait, or refuses it while its leafs are overloaded. True when it may begin.
+    bool enter(active_request&, kernel::time_point now);
+    /// The request ends, or its caller has left.
+    void leaveAdmission(active_request&, kernel::time_point now);
+    void admitWaiting(std::uint64_t index, kernel::time_point now);
+    index_admission& admissionOf(route const&);
     active_request* admit(request_token, caller_request, route const&, kernel::time_point now);
 
     // Calls.
@@ -213,6 +230,8 @@
     void settleSingle(active_request&, kernel::time_point now);
     void settleAtEnd(active_request&, kernel::time_point now);
     void settleRefused(active_request&, errors::error_kind, std::string reason, kernel::time_point now);
+    /// Refuses a request of which nothing was sent, with the time at which there will be room.
+    void settleOverloaded(active_request&, kernel::time_point now);
     void settle(active_request&, final_answer, kernel::time_point now);
     void report(active_request const&, int status, std::string const& reason, kernel::time_point now);
     void abandon(active_request&, kernel::time_point now);
@@ -234,6 +253,8 @@
     std::unordered_map<call_number, relay_owner> m_relayCalls;
     std::unordered_map<std::string, route_history> m_routeHistories;
     std::unordered_map<std::string, service_history> m_serviceHistories;
+    std::unordered_map<std::string, index_admission> m_admissions;
+    std::unordered_map<std::uint64_t, index_admission*> m_admissionsByNumber;
     std::priority_queue<timer, std::vector<timer>, std::greater<>> m_timers;
     call_number m_lastCall { 0 };
     /// Of late, of the extra calls that were wanted.
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -268,6 +268,7 @@
 void request_engine::settle(active_request& request, final_answer answer, time_point now)
 {
     m_counters.answers += answer.refused ? 0 : 1;
+    leaveAdmission(request, now);
     report(request, answer.status, answer.reason, now);
     // A call that lost may end by itself: to cut it costs its leaf a new connection, which is more than the rest of its
     // work, unless the leaf is slow.
--- a/Libraries/zinnialedge/limits/concurrency_limit.cpp
+++ b/Libraries/zinnialedge/limits/concurrency_limit.cpp
@@ -4,12 +4,12 @@
 
 namespace zinnialedge::limits {
 
-static constexpr double minimumLimit = 1;
 static constexpr double decreaseFactor = 0.7;
 
-concurrency_limit::concurrency_limit(std::uint32_t initial, std::uint32_t maximum)
-    : m_value(std::max(minimumLimit, static_cast<double>(std::min(initial, maximum))))
-    , m_maximum(std::max(minimumLimit, static_cast<double>(maximum)))
+concurrency_limit::concurrency_limit(std::uint32_t initial, std::uint32_t maximum, std::uint32_t minimum)
+    : m_value(std::max(minimum, std::min(initial, maximum)))
+    , m_maximum(std::max(minimum, maximum))
+    , m_minimum(minimum)
 {
 }
 
@@ -22,12 +22,12 @@
 
 void concurrency_limit::noteShed()
 {
-    m_value = std::max(minimumLimit, m_value * decreaseFactor);
+    m_value = std::max(m_minimum, m_value * decreaseFactor);
 }
 
 void concurrency_limit::setMaximum(std::uint32_t maximum)
 {
-    m_maximum = std::max(minimumLimit, static_cast<double>(maximum));
+    m_maximum = std::max(m_minimum, static_cast<double>(maximum));
     m_value = std::min(m_value, m_maximum);
 }
 
--- a/Libraries/zinnialedge/limits/concurrency_limit.h
+++ b/Libraries/zinnialedge/limits/concurrency_limit.h
@@ -7,7 +7,7 @@
 /// How many calls one leaf may have in flight from here: grows slowly with success, falls at once on shedding.
 class concurrency_limit {
 public:
-    concurrency_limit(std::uint32_t initial, std::uint32_t maximum);
+    concurrency_limit(std::uint32_t initial, std::uint32_t maximum, std::uint32_t minimum = 1);
 
     void noteSuccess(bool wasAtLimit);
     void noteShed();
@@ -18,6 +18,7 @@
 private:
     double m_value;
     double m_maximum;
+    double m_minimum;
 };
 
 }
--- /dev/null
+++ b/Tests/Support/leaf_simulation.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Tests/Support/engine_harness.h"
+#include <deque>
+#include <map>
+#include <set>
+
+namespace zinnialedge::tests {
+
+struct simulated_leafs {
+    std::size_t shards { 20 };
+    std::size_t leafs { 2 };
+    std::size_t slots { 2 };
+    /// Calls that wait at a leaf; it refuses more.
+    std::size_t queue { 12 };
+    std::chrono::milliseconds work { 10 };
+};
+
+/// What became of the requests of a run.
+struct simulation_outcome {
+    std::size_t requests { 0 };
+    std::size_t inTime { 0 };
+    std::size_t refused { 0 };
+    /// Refused as not run although a leaf was called.
+    std::size_t refusedAfterCalls { 0 };
+    std::size_t refusedWithoutRetryAfter { 0 };
+    /// From the arrival.
+    kernel::duration longestRefusal {};
+    std::size_t urgentRequests { 0 };
+    std::size_t urgentServed { 0 };
+
+    double urgentShare() const { return static_cast<double>(urgentServed) / static_cast<double>(urgentRequests); }
+    double otherShare() const { return static_cast<double>(inTime - urgentServed) / static_cast<double>(requests - urgentRequests); }
+};
+
+/// Leafs with slots and queues behind one request engine, on virtual time in steps of a millisecond.
+class leaf_simulation {
+public:
+    explicit leaf_simulation(simulated_leafs);
+
+    /// Requests arrive at random at that mean rate, three of four of the urgent kind.
+    simulation_outcome run(double perSecond, std::chrono::seconds span);
+
+private:
+    struct leaf {
+        std::vector<std::pair<kernel::time_point, forwarding::call_number>> running;
+        std::deque<forwarding::call_number> waiting;
+    };
+
+    struct arrival {
+        kernel::time_point at;
+        bool isUrgent { false };
+    };
+
+    void arriveAtRandom(double perSecond);
+    void takeCalls();
+    void work();
+    void collect(simulation_outcome&);
+
+    simulated_leafs m_plan;
+    engine_harness m_harness;
+    kernel::random_hook m_random;
+    std::map<std::string, leaf> m_leafs;
+    std::set<forwarding::call_number> m_seenCalls;
+    std::set<std::string> m_calledAttempts;
+    std::map<forwarding::request_token, arrival> m_open;
+};
+
+}
