Forwarding, daemon, soak: Take only many missing shards for congestion; settings and kept connections in the soak

Now a request tells of congestion when more than a seventh of its shards had not answered by the objective or at its end.

SIGHUP is handled from the start of the process, like SIGTERM. The soak changes settings with and without a signal and wrongly, half of its callers keep their connections until these end, and it takes up to 250 daemons.

--- a/Daemons/zinnialedge-edge/main.cpp
+++ b/Daemons/zinnialedge-edge/main.cpp
@@ -43,10 +43,11 @@
     gflags::SetVersionString(ZINNIALEDGE_VERSION);
     gflags::SetUsageMessage("--settings FILE [--check_settings]");
     gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
-    // First of all, so that a stop that comes during the start is a planned one.
+    // First of all, so that a stop that comes during the start is a planned one, and a change of the settings ends nothing.
     boost::asio::io_context signals;
     boost::asio::signal_set stop { signals, SIGTERM, SIGINT };
     stop.async_wait([&signals](boost::system::error_code, int) { signals.stop(); });
+    boost::asio::signal_set reload { signals, SIGHUP };
     // Before the first reading, so that no change in between is missed.
     configuration::settings_watch watch { FLAGS_settings };
     auto const settings = configuration::readSettingsFile(FLAGS_settings, configuration::parseEdgeSettings);
@@ -63,7 +64,6 @@
         kernel::logEvent(kernel::log_level::error, "start_failed", { { "reason", made.error().message } });
         return exitFailed;
     }
-    boost::asio::signal_set reload { signals, SIGHUP };
     std::function<void()> const waitForReload = [&] {
         reload.async_wait([&](boost::system::error_code failure, int) {
             if (failure)
--- a/Libraries/zinnialedge/forwarding/active_request.cpp
+++ b/Libraries/zinnialedge/forwarding/active_request.cpp
@@ -29,11 +29,11 @@
     return possible > 0 && static_cast<double>(possible) / static_cast<double>(parts.size()) + shareTolerance >= to->gather.leastShare;
 }
 
-bool active_request::isCongested(kernel::time_point now) const
+bool active_request::lacksManyParts() const
 {
-    // A few slow or failed leafs are no congestion.
-    static constexpr std::size_t toleratedPart = 4;
-    return now > objectiveAt || (parts.size() - answered - leftOut) * toleratedPart > parts.size();
+    // Slow or failed leafs of a few shards are no congestion.
+    static constexpr std::size_t toleratedPart = 7;
+    return (parts.size() - answered - leftOut) * toleratedPart > parts.size();
 }
 
 std::size_t active_request::spareParts() const
--- a/Libraries/zinnialedge/forwarding/active_request.h
+++ b/Libraries/zinnialedge/forwarding/active_request.h
@@ -76,14 +76,16 @@
     bool hasCallerLeft { false };
     /// The objective has passed; the least share is enough from now on.
     bool isLate { false };
+    /// Many shards had not answered by the objective: their leafs do not keep up.
+    bool wasCongested { false };
 
     bool isRelayed() const { return request->relayed.has_value(); }
     std::size_t settled() const { return answered + missing; }
     bool mayHaveRun() const;
     bool hasLeastShare() const;
     bool canReachLeastShare() const;
-    /// Its leafs do not keep up: it is late, or many shards did not answer their first calls.
-    bool isCongested(kernel::time_point now) const;
+    /// Many of its shards have not answered.
+    bool lacksManyParts() const;
     /// How many more parts an answer may lack.
     std::size_t spareParts() const;
 };
--- a/Libraries/zinnialedge/forwarding/request_admission.cpp
+++ b/Libraries/zinnialedge/forwarding/request_admission.cpp
@@ -50,7 +50,7 @@
         index.queue.remove(request.token);
         return;
     }
-    index.queue.leave(now - request.beganAt, request.isCongested(now), now);
+    index.queue.leave(now - request.beganAt, request.wasCongested || request.lacksManyParts(), now);
     // In a turn of its own: the request that ends is still in use here.
     if (index.queue.isWaiting())
         m_timers.push({ now, timer_kind::admit, index.number });
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -324,6 +324,7 @@
             sendCopies(*request, now);
             break;
         case timer_kind::objective:
+            request->wasCongested = request->lacksManyParts();
             if (request->hasLeastShare())
                 settleMerged(*request, "objective", now);
             break;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -29,7 +29,7 @@
 /// Of the requests after the faults; a connection to a daemon that has just gone may still fail.
 constexpr double leastServedShare = 0.97;
 constexpr std::size_t callerCount = 6;
-constexpr std::size_t mostDaemons = 64;
+constexpr std::size_t mostDaemons = 250;
 
 /// One leaf behind its proxy.
 struct soak_leaf {
@@ -105,6 +105,7 @@
         auto const end = std::chrono::steady_clock::now() + std::chrono::seconds { FLAGS_seconds };
         while (std::chrono::steady_clock::now() < end) {
             injectFault();
+            changeSettings();
             std::this_thread::sleep_for(std::chrono::milliseconds { 20 + m_random() % 150 });
         }
         heal();
@@ -210,6 +211,29 @@
         }
     }
 
+    /// Settings change with and without a signal, and are wrong at times. Random numbers of its own keep the other faults of
+    /// a seed as they were.
+    void changeSettings()
+    {
+        if (m_settingsRandom() % 8 != 0)
+            return;
+        auto const index = m_settingsRandom() % FLAGS_daemons;
+        auto const choice = m_settingsRandom() % 3;
+        bool const isSignalled = m_settingsRandom() % 2 == 0;
+        // It may start at any moment, and a process that starts from wrong settings ends.
+        if (m_isStopping[index] || !m_fleet.isReady(index))
+            return;
+        note("settings " + std::to_string(choice) + " of daemon" + std::to_string(index));
+        m_fleet.changeSetting(index, "log_level", choice == 0 ? "none" : "info");
+        m_fleet.changeSetting(index, "stop_time_s", choice == 1 ? 5 : 6);
+        if (isSignalled)
+            m_fleet.daemon(index).process->signal(SIGHUP);
+        if (choice == 0) {
+            std::this_thread::sleep_for(50ms);
+            m_fleet.changeSetting(index, "log_level", "info");
+        }
+    }
+
     /// Other faults go on meanwhile.
     void stopAsPlanned(std::size_t index)
     {
@@ -252,13 +276,21 @@
     void callLoop(std::size_t number)
     {
         auto const random = kernel::makeSeededRandom(FLAGS_seed * 100 + number);
+        // Every other caller keeps its connections as long as they last.
+        bool const isKeeping = number % 2 == 0;
+        std::vector<std::unique_ptr<kept_connection>> kept;
+        for (std::size_t index = 0; index < FLAGS_daemons; ++index)
+            kept.push_back(std::make_unique<kept_connection>(m_fleet.daemon(index).callers));
+        auto const ask = [&](std::size_t index, std::string const& bytes) {
+            return isKeeping ? kept[index]->ask(bytes) : askOnce(m_fleet.daemon(index).callers, bytes);
+        };
         for (std::size_t count = 0; !m_isOver; ++count) {
             auto const index = random() % FLAGS_daemons;
             auto const suffix = std::to_string(number) + "-" + std::to_string(count);
             if (count % 2 == 0)
-                m_checker.checkSingle("once" + suffix, m_fleet.post(index, "/single/a", "once" + suffix, "order"));
+                m_checker.checkSingle("once" + suffix, ask(index, edge_fleet::postBytes("/single/a", "once" + suffix, "order")));
             else
-                m_checker.checkGather("all" + suffix, m_fleet.get(index, "/gather/a", "all" + suffix));
+                m_checker.checkGather("all" + suffix, ask(index, edge_fleet::getBytes("/gather/a", "all" + suffix)));
             std::this_thread::sleep_for(5ms);
         }
     }
@@ -296,6 +328,7 @@
     kernel::random_hook m_random;
     boost::asio::io_context m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work { m_context.get_executor() };
+    kernel::random_hook m_settingsRandom { kernel::makeSeededRandom(FLAGS_seed + 1000) };
     soak_checker m_checker;
     std::vector<std::unique_ptr<soak_leaf>> m_leafs;
     std::map<std::string, std::string> m_dataCentres;
--- a/Tests/Support/edge_bench.h
+++ b/Tests/Support/edge_bench.h
@@ -38,6 +38,23 @@
     std::shared_ptr<services::traffic::traffic_service> m_traffic;
 };
 
+/// A connection of a caller that is used for one request after the other, until it ends or the daemon asks to close it.
+class kept_connection {
+public:
+    explicit kept_connection(model::endpoint);
+
+    raw_answer ask(std::string const& bytes);
+
+private:
+    void read(raw_answer&);
+
+    model::endpoint m_place;
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::socket m_socket;
+    /// Beyond the last answer.
+    std::string m_received;
+};
+
 /// Sends a request over a connection of its own and reads the answer.
 raw_answer askOnce(model::endpoint const&, std::string const& bytes);
 forwarding::leaf_registration registrationOf(std::string const& id, std::string const& service, raw_leaf const&);
