Forwarding, benchmarks: One place for copies; refusals tell what decided them

The lines of requests carry retry_after_ms, in_flight and limit, so that a refusal under load can be explained from its line. Copies and replacements of late daemons share their last steps; rates are parsed in one place. No change of behaviour.

--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -139,12 +139,18 @@
     auto const pick = m_leafs.pick(*part.service, part.asked, copyDelayOf(*request.to), now);
     if (!pick || pick->isSuspect)
         return false;
+    return sendCopyTo(request, place, pick->leaf, now);
+}
+
+bool request_engine::sendCopyTo(active_request& request, std::size_t place, leaf_handle leaf, time_point now)
+{
+    auto& part = request.parts[place];
     if (!takeExtraCall(*part.service, now))
         return false;
     part.hasCopy = true;
     ++m_counters.copies;
     ++request.copies;
-    send(request, place, pick->leaf, now);
+    send(request, place, leaf, now);
     return true;
 }
 
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -102,7 +102,7 @@
     ++m_counters.refusals;
     static std::string const noRoute;
     if (m_hooks.report && !request.relayed)
-        m_hooks.report({ request.attemptId, noRoute, m_routes ? m_routes->version() : 0, answer.status, 0, 0, 0, 0, 0, {}, {}, answer.reason, false, {} });
+        m_hooks.report({ request.attemptId, noRoute, m_routes ? m_routes->version() : 0, answer.status, 0, 0, 0, 0, 0, {}, {}, answer.reason, false, {}, answer.refused->retryAfter });
     m_hooks.answer(token, std::move(answer));
 }
 
@@ -277,7 +277,7 @@
 void request_engine::abandon(active_request& request, time_point now)
 {
     static std::string const reason = "caller_left";
-    report(request, 0, reason, now);
+    report(request, 0, reason, std::nullopt, now);
     leaveAdmission(request, now);
     // A request that may run only once goes on: its leaf has begun, and cancelling it would leave the outcome open.
     if (request.to->isRepeatable) {
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -40,6 +40,11 @@
     bool hasCallerLeft { false };
     /// The services of the first missing shards, separated by commas.
     std::string missingShards;
+    /// What a refusal tells its caller.
+    std::optional<std::chrono::milliseconds> retryAfter;
+    /// Requests over the same shards, and how many may be in flight; zero for requests to single leafs.
+    std::size_t admittedInFlight { 0 };
+    std::uint32_t admissionLimit { 0 };
 };
 
 /// Why a call was sent beyond the first of its shard.
@@ -194,6 +199,8 @@
     /// Sends a copy of each call that takes longer than usual.
     void sendCopies(active_request&, kernel::time_point now);
     bool sendCopy(active_request&, std::size_t place, kernel::time_point now);
+    /// False when the budget has no room for it.
+    bool sendCopyTo(active_request&, std::size_t place, leaf_handle, kernel::time_point now);
     /// Takes an extra call from the service's budget; false when it has none.
     [[nodiscard]] bool takeExtraCall(std::string const& service, kernel::time_point now);
     /// After this time a call gets a copy, and a leaf that has been silent for so long is suspect.
@@ -233,7 +240,7 @@
     /// Refuses a request of which nothing was sent, with the time at which there will be room.
     void settleOverloaded(active_request&, kernel::time_point now);
     void settle(active_request&, final_answer, kernel::time_point now);
-    void report(active_request const&, int status, std::string const& reason, kernel::time_point now);
+    void report(active_request const&, int status, std::string const& reason, std::optional<std::chrono::milliseconds> retryAfter, kernel::time_point now);
     void abandon(active_request&, kernel::time_point now);
 
     route_history& historyOf(route const&);
--- a/Libraries/zinnialedge/forwarding/request_relays.cpp
+++ b/Libraries/zinnialedge/forwarding/request_relays.cpp
@@ -178,13 +178,7 @@
         return false;
     auto const excluded = m_leafs.leafsIn(*part.service, *part.relayedTo);
     auto const pick = m_leafs.pick(*part.service, excluded, copyDelayOf(*request.to), now);
-    if (!pick || !takeExtraCall(*part.service, now))
-        return false;
-    part.hasCopy = true;
-    ++m_counters.copies;
-    ++request.copies;
-    send(request, place, pick->leaf, now);
-    return true;
+    return pick && sendCopyTo(request, place, pick->leaf, now);
 }
 
 void request_engine::endLateRelay(call_number number, time_point now)
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -250,7 +250,7 @@
 /// Names of missing shards in a log line; more are counted only.
 static constexpr std::size_t namedShards = 5;
 
-void request_engine::report(active_request const& request, int status, std::string const& reason, time_point now)
+void request_engine::report(active_request const& request, int status, std::string const& reason, std::optional<std::chrono::milliseconds> retryAfter, time_point now)
 {
     // The daemon that asked reports the whole request.
     if (!m_hooks.report || request.isRelayed())
@@ -262,14 +262,15 @@
             continue;
         missing += (missing.empty() ? "" : ",") + *part.service;
     }
-    m_hooks.report({ request.request->attemptId, request.to->name, request.table->version(), status, request.parts.size(), request.parts.size() - request.answered, request.leftOut, request.copies, request.retries, now - request.arrivedAt, request.to->objective, reason, request.hasCallerLeft, std::move(missing) });
+    auto const* const admission = request.to->isGather() ? &admissionOf(*request.to).queue : nullptr;
+    m_hooks.report({ request.request->attemptId, request.to->name, request.table->version(), status, request.parts.size(), request.parts.size() - request.answered, request.leftOut, request.copies, request.retries, now - request.arrivedAt, request.to->objective, reason, request.hasCallerLeft, std::move(missing), retryAfter, admission ? admission->inFlight() : 0, admission ? admission->limit() : 0 });
 }
 
 void request_engine::settle(active_request& request, final_answer answer, time_point now)
 {
     m_counters.answers += answer.refused ? 0 : 1;
     leaveAdmission(request, now);
-    report(request, answer.status, answer.reason, now);
+    report(request, answer.status, answer.reason, answer.refused ? answer.refused->retryAfter : std::nullopt, now);
     // A call that lost may end by itself: to cut it costs its leaf a new connection, which is more than the rest of its
     // work, unless the leaf is slow.
     if (request.to->isRepeatable) {
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -50,7 +50,8 @@
     logEvent(log_level::info, report.hasCallerLeft ? "caller_left" : "request_ended",
         { { "id", report.attemptId }, { "route", report.route }, { "version", report.version }, { "status", report.status }, { "reason", report.reason },
             { "parts", report.parts }, { "missing", report.missing }, { "left_out", report.leftOut }, { "copies", report.copies }, { "retries", report.retries },
-            { "missing_shards", report.missingShards }, { "elapsed_ms", millisecondsOf(report.elapsed) }, { "objective_ms", report.objective.count() } });
+            { "missing_shards", report.missingShards }, { "elapsed_ms", millisecondsOf(report.elapsed) }, { "objective_ms", report.objective.count() },
+            { "retry_after_ms", report.retryAfter.value_or(std::chrono::milliseconds { 0 }).count() }, { "in_flight", report.admittedInFlight }, { "limit", report.admissionLimit } });
 }
 
 void request_log::noteLeafEvent(std::string const& attemptId, std::string const& leafId, std::string_view event, kernel::duration age)
--- a/Tests/Benchmarks/call_cost.cpp
+++ b/Tests/Benchmarks/call_cost.cpp
@@ -27,17 +27,6 @@
     return plan;
 }
 
-static std::vector<double> parseRates()
-{
-    std::vector<double> rates;
-    for (std::size_t at = 0; at < FLAGS_rates.size();) {
-        std::size_t length = 0;
-        rates.push_back(std::stod(FLAGS_rates.substr(at), &length));
-        at += length + 1;
-    }
-    return rates;
-}
-
 static std::uint64_t readLeafCalls(running_daemon const& daemon)
 {
     return getJson(daemon.operators, "/state").at("services").at("decisions").at("counters").at("leaf_calls").to_number<std::uint64_t>();
@@ -92,7 +81,7 @@
         return;
     }
     std::vector<point> points;
-    for (auto const rate : parseRates())
+    for (auto const rate : parseRates(FLAGS_rates))
         points.push_back(measureRate(cluster, daemon, rate));
     printSlope("processor time of a daemon by leaf calls a second", "us/s", "leaf call", points);
 }
--- a/Tests/Benchmarks/edge_cost.cpp
+++ b/Tests/Benchmarks/edge_cost.cpp
@@ -21,17 +21,6 @@
 static constexpr std::chrono::seconds warmUp { 2 };
 static constexpr double microsecondsPerMillisecond = 1000;
 
-static std::vector<double> parseRates(std::string const& text)
-{
-    std::vector<double> rates;
-    for (std::size_t at = 0; at < text.size();) {
-        std::size_t length = 0;
-        rates.push_back(std::stod(text.substr(at), &length));
-        at += length + 1;
-    }
-    return rates;
-}
-
 /// Sends requests at that rate, one after the other, for the given time. Returns how many were answered with a success.
 static std::size_t runRequests(edge_fleet& fleet, double perSecond, std::chrono::seconds span)
 {
--- a/Tests/Benchmarks/line_fit.cpp
+++ b/Tests/Benchmarks/line_fit.cpp
@@ -8,6 +8,17 @@
 
 static constexpr double percent = 100;
 
+std::vector<double> parseRates(std::string const& text)
+{
+    std::vector<double> rates;
+    for (std::size_t at = 0; at < text.size();) {
+        std::size_t length = 0;
+        rates.push_back(std::stod(text.substr(at), &length));
+        at += length + 1;
+    }
+    return rates;
+}
+
 line_fit fitLine(std::vector<point> const& points)
 {
     auto const count = static_cast<double>(points.size());
--- a/Tests/Benchmarks/line_fit.h
+++ b/Tests/Benchmarks/line_fit.h
@@ -10,6 +10,9 @@
     double cost { 0 };
 };
 
+/// The numbers of a list separated by commas.
+std::vector<double> parseRates(std::string const& text);
+
 /// A straight line through measured points, by least squares.
 struct line_fit {
     double fixed { 0 };
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -279,6 +279,7 @@
         // Every other caller keeps its connections as long as they last.
         bool const isKeeping = number % 2 == 0;
         std::vector<std::unique_ptr<kept_connection>> kept;
+        kept.reserve(FLAGS_daemons);
         for (std::size_t index = 0; index < FLAGS_daemons; ++index)
             kept.push_back(std::make_unique<kept_connection>(m_fleet.daemon(index).callers));
         auto const ask = [&](std::size_t index, std::string const& bytes) {
--- a/Tests/Unit/store_budget_test.cpp
+++ b/Tests/Unit/store_budget_test.cpp
@@ -23,8 +23,8 @@
 
 TEST(StoreBudget, AllDaemonsTogetherStayBelowTheStoresRate)
 {
-    CHECK(countReads(5, 10s) * 5 <= 2000 * 10);
-    CHECK(countReads(300, 60s) * 300 <= 2000 * 60);
+    CHECK(countReads(5, 10s) * 5 <= 20'000);
+    CHECK(countReads(300, 60s) * 300 <= 120'000);
 }
 
 TEST(StoreBudget, ADaemonThatStartsListsAllAtOnce)
