Traffic: Keep the lines of failed requests apart from those of their calls; log denied calls

Ends and calls have shares of their own now, and denied=N is in the line. Test: EdgeFleet.TheEndOfEachFailedRequestIsLogged*, which fails with the program before.

--- a/Libraries/zinnialedge/forwarding/active_request.h
+++ b/Libraries/zinnialedge/forwarding/active_request.h
@@ -72,6 +72,7 @@
     std::size_t leftOut { 0 };
     std::size_t copies { 0 };
     std::size_t retries { 0 };
+    std::size_t denied { 0 };
     admission_state admission { admission_state::free };
     bool hasCallerLeft { false };
     /// The objective has passed; the least share is enough from now on.
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -26,9 +26,10 @@
     return std::chrono::duration_cast<kernel::duration>(std::clamp(usual, objective * earliestCopyShare, objective * latestCopyShare));
 }
 
-bool request_engine::takeExtraCall(std::string const& service, time_point now)
+bool request_engine::takeExtraCall(active_request& request, std::size_t place, time_point now)
 {
-    bool const isTaken = historyOf(service).budget.take(now, m_share.slackHolders);
+    bool const isTaken = historyOf(*request.parts[place].service).budget.take(now, m_share.slackHolders);
+    request.denied += isTaken ? 0 : 1;
     m_counters.extraCallsDenied += isTaken ? 0 : 1;
     m_deniedShare += deniedWeight * ((isTaken ? 0 : 1) - m_deniedShare);
     return isTaken;
@@ -145,7 +146,7 @@
 bool request_engine::sendCopyTo(active_request& request, std::size_t place, leaf_handle leaf, time_point now)
 {
     auto& part = request.parts[place];
-    if (!takeExtraCall(*part.service, now))
+    if (!takeExtraCall(request, place, now))
         return false;
     part.hasCopy = true;
     ++m_counters.copies;
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -34,6 +34,8 @@
     std::size_t leftOut { 0 };
     std::size_t copies { 0 };
     std::size_t retries { 0 };
+    /// Copies and retries that the budget did not allow.
+    std::size_t denied { 0 };
     kernel::duration elapsed {};
     std::chrono::milliseconds objective { 0 };
     std::string const& reason;
@@ -201,8 +203,8 @@
     bool sendCopy(active_request&, std::size_t place, kernel::time_point now);
     /// False when the budget has no room for it.
     bool sendCopyTo(active_request&, std::size_t place, leaf_handle, kernel::time_point now);
-    /// Takes an extra call from the service's budget; false when it has none.
-    [[nodiscard]] bool takeExtraCall(std::string const& service, kernel::time_point now);
+    /// Takes an extra call from the budget of the part's service; false when it has none.
+    [[nodiscard]] bool takeExtraCall(active_request&, std::size_t place, kernel::time_point now);
     /// After this time a call gets a copy, and a leaf that has been silent for so long is suspect.
     kernel::duration copyDelayOf(route const&);
 
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -140,7 +140,7 @@
         return;
     bool const isPossible = mayRetry(request, place, now) && m_leafs.hasLeaf(*part.service, part.asked);
     // A call that reached no leaf costs the service nothing, and neither does the one in its place.
-    bool const isPaid = isPossible && (!hasReachedLeaf || takeExtraCall(*part.service, now));
+    bool const isPaid = isPossible && (!hasReachedLeaf || takeExtraCall(request, place, now));
     if (!isPaid) {
         miss(request, place, now);
         return;
@@ -263,7 +263,7 @@
         missing += (missing.empty() ? "" : ",") + *part.service;
     }
     auto const* const admission = request.to->isGather() ? &admissionOf(*request.to).queue : nullptr;
-    m_hooks.report({ request.request->attemptId, request.to->name, request.table->version(), status, request.parts.size(), request.parts.size() - request.answered, request.leftOut, request.copies, request.retries, now - request.arrivedAt, request.to->objective, reason, request.hasCallerLeft, std::move(missing), retryAfter, admission ? admission->inFlight() : 0, admission ? admission->limit() : 0 });
+    m_hooks.report({ request.request->attemptId, request.to->name, request.table->version(), status, request.parts.size(), request.parts.size() - request.answered, request.leftOut, request.copies, request.retries, request.denied, now - request.arrivedAt, request.to->objective, reason, request.hasCallerLeft, std::move(missing), retryAfter, admission ? admission->inFlight() : 0, admission ? admission->limit() : 0 });
 }
 
 void request_engine::settle(active_request& request, final_answer answer, time_point now)
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -7,8 +7,10 @@
 using kernel::log_level;
 using kernel::logEvent;
 
-/// Lines a second on requests; the rest is counted.
-static constexpr unsigned linesPerSecond = 40;
+/// Lines a second on requests that ended, and on calls; the rest is counted. Calls have their own share, since one request
+/// over many shards can break a hundred of them, and the end of each other request tells more.
+static constexpr unsigned endsPerSecond = 40;
+static constexpr unsigned callsPerSecond = 20;
 /// Of the requests that were served whole and in time, one in so many gets a line.
 static constexpr std::uint64_t ordinarySampling = 200;
 
@@ -17,21 +19,22 @@
 {
 }
 
-bool request_log::mayWrite()
+bool request_log::mayWrite(unsigned& lines, unsigned most)
 {
     auto const now = m_clock();
     if (now - m_secondBegan >= std::chrono::seconds { 1 }) {
         if (m_leftOut > 0)
             logEvent(log_level::info, "request_lines_left_out", { { "count", m_leftOut } });
         m_secondBegan = now;
-        m_linesThisSecond = 0;
+        m_endsThisSecond = 0;
+        m_callsThisSecond = 0;
         m_leftOut = 0;
     }
-    if (m_linesThisSecond >= linesPerSecond) {
+    if (lines >= most) {
         ++m_leftOut;
         return false;
     }
-    ++m_linesThisSecond;
+    ++lines;
     return true;
 }
 
@@ -45,18 +48,18 @@
     bool const isOrdinary = report.status >= 200 && report.status < 300 && report.missing == 0 && report.elapsed <= report.objective;
     if (isOrdinary && m_ordinary++ % ordinarySampling != 0)
         return;
-    if (!mayWrite())
+    if (!mayWrite(m_endsThisSecond, endsPerSecond))
         return;
     logEvent(log_level::info, report.hasCallerLeft ? "caller_left" : "request_ended",
         { { "id", report.attemptId }, { "route", report.route }, { "version", report.version }, { "status", report.status }, { "reason", report.reason },
-            { "parts", report.parts }, { "missing", report.missing }, { "left_out", report.leftOut }, { "copies", report.copies }, { "retries", report.retries },
+            { "parts", report.parts }, { "missing", report.missing }, { "left_out", report.leftOut }, { "copies", report.copies }, { "retries", report.retries }, { "denied", report.denied },
             { "missing_shards", report.missingShards }, { "elapsed_ms", millisecondsOf(report.elapsed) }, { "objective_ms", report.objective.count() },
             { "retry_after_ms", report.retryAfter.value_or(std::chrono::milliseconds { 0 }).count() }, { "in_flight", report.admittedInFlight }, { "limit", report.admissionLimit } });
 }
 
 void request_log::noteLeafEvent(std::string const& attemptId, std::string const& leafId, std::string_view event, kernel::duration age)
 {
-    if (mayWrite())
+    if (mayWrite(m_callsThisSecond, callsPerSecond))
         logEvent(log_level::info, event, { { "id", attemptId }, { "leaf", leafId }, { "age_ms", millisecondsOf(age) } });
 }
 
--- a/Services/traffic/request_log.h
+++ b/Services/traffic/request_log.h
@@ -13,11 +13,13 @@
     void noteLeafEvent(std::string const& attemptId, std::string const& leafId, std::string_view event, kernel::duration age);
 
 private:
-    bool mayWrite();
+    /// Counts a line in its second, unless there were as many already.
+    bool mayWrite(unsigned& lines, unsigned most);
 
     kernel::clock_hook m_clock;
     kernel::time_point m_secondBegan;
-    unsigned m_linesThisSecond { 0 };
+    unsigned m_endsThisSecond { 0 };
+    unsigned m_callsThisSecond { 0 };
     std::uint64_t m_leftOut { 0 };
     std::uint64_t m_ordinary { 0 };
 };
--- a/Tests/Faults/edge_fleet_test.cpp
+++ b/Tests/Faults/edge_fleet_test.cpp
@@ -234,3 +234,17 @@
     fleet.store().erase("daemons", "daemon0");
     CHECK(waitUntil([&] { return fleet.store().find("daemons", "daemon0").has_value(); }));
 }
+
+TEST(EdgeFleet, TheEndOfEachFailedRequestIsLoggedHoweverManyCallsBreak)
+{
+    small_fleet fleet { 1 };
+    raw_leaf resetting { [](std::string const&) { return raw_reply { {}, false, true }; } };
+    for (std::size_t shard = 0; shard < 4; ++shard)
+        fleet.writeLeaf("leaf" + std::to_string(shard), "shard" + std::to_string(shard), resetting.place());
+    CHECK(waitUntil([&] { return fleet.get(0, "/gather/a", "first").status == 502; }));
+    std::this_thread::sleep_for(1100ms);
+    for (int count = 0; count < 30; ++count)
+        CHECK(fleet.get(0, "/gather/a", "request" + std::to_string(count)).status >= 500);
+    for (int count = 0; count < 30; ++count)
+        CHECK(fleet.daemon(0).process->waitForLine("event=request_ended id=request" + std::to_string(count) + " ", 3s).has_value());
+}
