--- a/Libraries/zinnialedge/limits/admission_queue.cpp
+++ b/Libraries/zinnialedge/limits/admission_queue.cpp
@@ -17,9 +17,9 @@
 static constexpr std::chrono::milliseconds lowerInterval { 60 };
 static constexpr std::chrono::milliseconds firstUsualTime { 20 };
 static constexpr int usualWeightDivisor = 16;
-/// Some times as long as a query takes, so that it does not change with each of them.
+/// Several times a query's duration, so that a single refusal does not switch the overload on and off.
 static constexpr std::chrono::milliseconds overloadMemory { 200 };
-/// Longer ones would be guesses, and callers have given up by then.
+/// Callers' deadlines on the users' sheets are of seconds at most, and they use a third of the time left.
 static constexpr std::chrono::milliseconds longestRetryAfter { 2000 };
 static constexpr std::chrono::milliseconds shortestRetryAfter { 20 };
 
@@ -68,7 +68,7 @@
     if (now - m_loweredAt < lowerInterval)
         return;
     m_loweredAt = now;
-    // What is in flight below the limit says that less is too much already.
+    // Fewer queries than the limit allows were too many, so that it falls from what was in flight.
     while (m_limit.value() > m_inFlight + 1 && m_limit.value() > smallestLimit)
         m_limit.noteShed();
     m_limit.noteShed();
