Forwarding: Log and count the limits that leafs name

Cause: an engineer on call could not see that a leaf had named a limit, nor on which path its calls came. Change: the adapter reads the header into a field of the reply; leaf_rate_limit keeps the limit of a leaf until a sealed reply to a later call names none, and counts the calls under it by origin. Three log events and three counters. No decision changes.

--- a/Libraries/zinnialedge/forwarding/leaf_record.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_record.cpp
@@ -41,8 +41,9 @@
     m_isDeregistered = false;
 }
 
-void leaf_record::recordSent(time_point now)
+void leaf_record::recordSent(call_origin origin, time_point now)
 {
+    m_rateLimit.recordCall(origin);
     m_inFlightSentAt.push_back(now);
 }
 
--- a/Libraries/zinnialedge/forwarding/leaf_record.h
+++ b/Libraries/zinnialedge/forwarding/leaf_record.h
@@ -2,6 +2,7 @@
 
 #include "Kernel/clock.h"
 #include "Libraries/zinnialedge/forwarding/leaf_pause.h"
+#include "Libraries/zinnialedge/forwarding/leaf_rate_limit.h"
 #include "Libraries/zinnialedge/forwarding/leaf_registration.h"
 #include "Libraries/zinnialedge/forwarding/messages.h"
 #include <deque>
@@ -25,7 +26,12 @@
     /// Records that the leaf wants no calls for a time.
     void pause(kernel::duration length, kernel::time_point now) { m_pause.extend(length, now); }
 
-    void recordSent(kernel::time_point now);
+    /// Records the limit that the leaf has named. Returns whether the limit is new or has changed.
+    bool setRateLimit(double requestsPerSecond, kernel::time_point now) { return m_rateLimit.set(requestsPerSecond, now); }
+    /// Records a reply without a limit to a call that was sent at `sentAt`. Returns whether a limit ended.
+    bool clearRateLimit(kernel::time_point sentAt) { return m_rateLimit.clear(sentAt); }
+
+    void recordSent(call_origin, kernel::time_point now);
     void recordSuccess(kernel::time_point sentAt, kernel::time_point now);
     /// Records that the leaf ran the call and replied with an error.
     void recordError(kernel::time_point sentAt, kernel::time_point now);
@@ -38,6 +44,7 @@
     /// Returns whether the leaf accepts calls, except during a pause.
     bool isAvailable() const { return !m_isDeregistered && !m_isMisdirected && !m_isLeaving && !m_registration.isDraining; }
     leaf_pause const& currentPause() const { return m_pause; }
+    leaf_rate_limit const& rateLimit() const { return m_rateLimit; }
     bool hasFreeConnection(kernel::time_point now) const { return m_inFlightSentAt.size() < m_pause.inFlightLimit(m_connectionLimit, now); }
     std::size_t inFlight() const { return m_inFlightSentAt.size(); }
     /// Returns the time for which the leaf has been unresponsive: the age of the oldest call in flight that was sent after the
@@ -73,6 +80,7 @@
     bool m_isMisdirected { false };
     bool m_isLeaving { false };
     leaf_pause m_pause;
+    leaf_rate_limit m_rateLimit;
 };
 
 }
--- a/Libraries/zinnialedge/forwarding/messages.h
+++ b/Libraries/zinnialedge/forwarding/messages.h
@@ -80,6 +80,9 @@
     bool isEncoded { false };
     /// True when the leaf reports that it is leaving.
     bool isLeaving { false };
+    /// Number of requests per second that the leaf accepts from all daemons together; not a number when the leaf's value was
+    /// malformed, and empty when the leaf names no limit.
+    std::optional<double> requestLimit;
     /// Time in seconds for which the leaf wants no calls from this daemon; not a number when the leaf's value was malformed.
     std::optional<double> pauseSeconds;
     std::optional<leaf_load> load;
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -57,10 +57,13 @@
     auto& part = request.parts[partIndex];
     auto& record = m_leafs.at(handle);
     auto const number = ++m_lastCallNumber;
+    auto origin = part.attemptCount() == 0 ? call_origin::first : call_origin::extra;
+    if (request.isRelayed())
+        origin = call_origin::relayed;
     part.calledLeafs.push_back(handle);
     part.calls.push_back({ number, handle, now });
     ++part.callsThatMayHaveRun;
-    record.recordSent(now);
+    record.recordSent(origin, now);
     m_calls[number] = { request.token, partIndex, handle, now };
     ++m_counters.calls;
     auto const abandonAt = request.endAt + abandonedCallGrace;
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -69,6 +69,8 @@
     std::function<void(request_report const&)> reportRequest;
     /// Logs a call that did not end with a success.
     std::function<void(std::string const& attemptId, std::string const& leafId, std::string_view event, kernel::duration age)> logLeafEvent;
+    /// Logs that a leaf has named a limit or names none any more.
+    std::function<void(std::string const& leafId, std::string_view event, leaf_rate_limit const&)> logLeafLimit;
 };
 
 /// Event counts since the start of the process.
@@ -92,6 +94,11 @@
     std::uint64_t leafPauses { 0 };
     /// Number of pauses with an invalid length.
     std::uint64_t leafPausesIgnored { 0 };
+    /// Number of new or changed limits that leafs named.
+    std::uint64_t leafLimits { 0 };
+    std::uint64_t leafLimitsEnded { 0 };
+    /// Number of limits that were no valid number.
+    std::uint64_t leafLimitsIgnored { 0 };
     /// Number of calls that were withheld on a new connection because the leaf wanted no calls any more.
     std::uint64_t callsWithheld { 0 };
     /// Number of requests rejected because all leafs of a service were paused.
@@ -265,6 +272,8 @@
     void recordLeafResult(call_context const&, call_result const&, kernel::time_point now);
     /// Applies what the leaf says about itself in a reply: that it is leaving, or that it wants no calls for a time.
     void applyLeafNotices(leaf_handle, leaf_reply const&, std::string const& attemptId, kernel::time_point now);
+    /// Applies the limit that the leaf names in a reply, or the end of the limit when a sealed reply names none.
+    void applyLeafLimit(leaf_handle, leaf_reply const&, kernel::time_point sentAt, kernel::time_point now);
     void logLeafEvent(active_request const&, call_context const&, std::string_view event, kernel::time_point now);
     void handleReply(active_request&, call_context const&, leaf_reply, kernel::time_point now);
     void handleFailure(active_request&, call_context const&, call_failure, kernel::time_point now);
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -41,6 +41,7 @@
     static std::string const noRequest;
     auto const* const request = findRequest(context.requestToken);
     applyLeafNotices(context.leaf, *result, request ? request->request->attemptId : noRequest, now);
+    applyLeafLimit(context.leaf, *result, context.sentAt, now);
     if (result->wasNotRun || result->isMisdirected) {
         record.recordShed(context.sentAt, now);
     } else if (result->isSuccess()) {
@@ -78,12 +79,43 @@
     log("leaf_paused", *length);
 }
 
+void request_engine::applyLeafLimit(leaf_handle leaf, leaf_reply const& reply, time_point sentAt, time_point now)
+{
+    if (reply.isMisdirected)
+        return;
+    auto& record = m_leafs.at(leaf);
+    auto const log = [&](std::string_view event) {
+        if (m_hooks.logLeafLimit)
+            m_hooks.logLeafLimit(record.registration().id, event, record.rateLimit());
+    };
+    if (!reply.requestLimit) {
+        // Only a reply with a seal is known to come from the leaf itself.
+        if (reply.isSuccess() && record.clearRateLimit(sentAt)) {
+            ++m_counters.leafLimitsEnded;
+            log("leaf_limit_ended");
+        }
+        return;
+    }
+    if (!leaf_rate_limit::isValid(*reply.requestLimit)) {
+        ++m_counters.leafLimitsIgnored;
+        log("leaf_limit_ignored");
+        return;
+    }
+    if (record.setRateLimit(*reply.requestLimit, now)) {
+        ++m_counters.leafLimits;
+        log("leaf_limit_named");
+    }
+}
+
 void request_engine::handleUnmatchedReply(leaf_handle leaf, leaf_reply const& reply, time_point now)
 {
     static std::string const noRequest;
     if (!m_leafs.contains(leaf))
         return;
     applyLeafNotices(leaf, reply, noRequest, now);
+    // The reply may be old, so a missing limit in it ends none.
+    if (reply.requestLimit)
+        applyLeafLimit(leaf, reply, now, now);
     dispatchQueuedParts(m_leafs.at(leaf).registration().service, now);
 }
 
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -64,4 +64,12 @@
         logEvent(log_level::info, event, { { "id", attemptId }, { "leaf", leafId }, { "age_ms", toMilliseconds(age) } });
 }
 
+void request_log::logLeafLimit(std::string const& leafId, std::string_view event, forwarding::leaf_rate_limit const& limit)
+{
+    if (!tryCountLine(m_callLineCount, callLinesPerSecond))
+        return;
+    auto const age = limit.inForceSince() == kernel::time_point {} ? kernel::duration::zero() : m_clock() - limit.inForceSince();
+    logEvent(log_level::info, event, { { "leaf", leafId }, { "limit", limit.requestsPerSecond() }, { "age_ms", toMilliseconds(age) }, { "first_calls", limit.calls().first }, { "extra_calls", limit.calls().extra }, { "relayed_calls", limit.calls().relayed } });
+}
+
 }
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -107,6 +107,9 @@
         metrics.counter("leafs_leaving_total", counters.leafsLeaving);
         metrics.counter("leaf_pauses_total", counters.leafPauses);
         metrics.counter("leaf_pauses_ignored_total", counters.leafPausesIgnored);
+        metrics.counter("leaf_limits_total", counters.leafLimits);
+        metrics.counter("leaf_limits_ended_total", counters.leafLimitsEnded);
+        metrics.counter("leaf_limits_ignored_total", counters.leafLimitsIgnored);
         metrics.counter("leaf_calls_withheld_total", counters.callsWithheld);
         metrics.counter("refusals_for_paused_leafs_total", counters.rejectionsForPauses);
         metrics.counter("leaf_connections_opened_total", m_leafConnections.counters().openedCount);
@@ -140,6 +143,7 @@
             m_latencies.add(report.route, report.isCallerDisconnected ? "caller_left" : report.reason, std::chrono::duration_cast<std::chrono::microseconds>(report.elapsed));
         };
         hooks.logLeafEvent = [this](std::string const& id, std::string const& leaf, std::string_view event, kernel::duration age) { m_requestLog.logLeafEvent(id, leaf, event, age); };
+        hooks.logLeafLimit = [this](std::string const& leaf, std::string_view event, forwarding::leaf_rate_limit const& limit) { m_requestLog.logLeafLimit(leaf, event, limit); };
         return hooks;
     }
 
