Forwarding: Divide the request limits of leafs among the daemons

Callers saw no failure: leafs in need got up to three times the calls in 4 s that they had asked for, from the first moment on. Cause: a leaf limits the rate of all daemons together, and no daemon knew of a rate that is shared. Each daemon decided calls from its own view of the leaf (connections, replies, pauses), and most calls reached a leaf through relays, on which the requesting daemon never sees the leaf's headers. The class of fault is a budget that belongs to the fleet and is spent by each member as if it were its own. Every call to a limited leaf, hedges and retries too, spends from the share, which holds at most one second of calls. Daemons that seem gone keep their share for 20 s, as a daemon that is cut off sees the others leave. Relays pass limits on, and shards of limited leafs are called directly, so that nobody spends another daemon's share. Requests that cannot start in time are rejected at once with a time of return; shards without room are left out up to the minimum coverage.

--- a/Libraries/zinnialedge/forwarding/active_request.cpp
+++ b/Libraries/zinnialedge/forwarding/active_request.cpp
@@ -13,6 +13,11 @@
     return std::any_of(parts.begin(), parts.end(), [](auto const& part) { return part.mayHaveRun(); });
 }
 
+bool active_request::hasSentCalls() const
+{
+    return std::any_of(parts.begin(), parts.end(), [](auto const& part) { return part.attemptCount() > 0; });
+}
+
 bool active_request::hasMinimumCoverage() const
 {
     // The requesting daemon checks the coverage, since only that daemon knows the other parts.
--- a/Libraries/zinnialedge/forwarding/active_request.h
+++ b/Libraries/zinnialedge/forwarding/active_request.h
@@ -72,6 +72,8 @@
     std::vector<std::string> relayedBodies;
     /// Ids of leafs that said in their replies that they are leaving.
     std::vector<std::string> leavingLeafIds;
+    /// Limits that leafs named in their replies.
+    std::vector<leaf_limit_notice> leafLimits;
     std::size_t answeredPartCount { 0 };
     std::size_t missingPartCount { 0 };
     std::size_t skippedPartCount { 0 };
@@ -88,6 +90,8 @@
     bool isRelayed() const { return request->relayed.has_value(); }
     std::size_t settledPartCount() const { return answeredPartCount + missingPartCount; }
     bool mayHaveRun() const;
+    /// Returns whether any call was sent.
+    bool hasSentCalls() const;
     bool hasMinimumCoverage() const;
     bool canReachMinimumCoverage() const;
     /// Returns the smallest number of parts with which an answer to a gather request is valid.
--- a/Libraries/zinnialedge/forwarding/fleet_share.h
+++ b/Libraries/zinnialedge/forwarding/fleet_share.h
@@ -22,6 +22,8 @@
     std::size_t daemonsSharingSlack { 1 };
     /// Daemons of other data centres that serve traffic.
     std::vector<relay> relays;
+    /// Number of equal shares into which the request limit of a leaf is divided; this daemon may use one of them.
+    double daemonsSharingLeafLimits { 1 };
 
     bool operator==(fleet_share const&) const = default;
 };
--- a/Libraries/zinnialedge/forwarding/leaf_rate_limit.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_rate_limit.cpp
@@ -1,27 +1,50 @@
 #include "Libraries/zinnialedge/forwarding/leaf_rate_limit.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace zinnialedge::forwarding {
 
+using kernel::duration;
 using kernel::time_point;
 
+/// Time without calls whose calls may be made up for later.
+static constexpr std::chrono::duration<double> burstTime { 1.0 };
+/// Calls per second of all daemons to a leaf whose limit is lower. Only the replies to calls show that a limit has ended.
+static constexpr double minimumRequestsPerSecond = 0.25;
+/// Tolerance for rounding when the time of the next call is computed.
+static constexpr std::chrono::microseconds roundingTolerance { 1 };
+
 bool leaf_rate_limit::isValid(double requestsPerSecond)
 {
     return std::isfinite(requestsPerSecond) && requestsPerSecond >= 0;
 }
 
-bool leaf_rate_limit::set(double requestsPerSecond, time_point now)
+bool leaf_rate_limit::set(double requestsPerSecond, double sharers, time_point now)
 {
     m_lastNamedAt = now;
-    if (m_requestsPerSecond == requestsPerSecond)
-        return false;
-    if (!m_requestsPerSecond) {
+    bool const isNew = !m_requestsPerSecond;
+    if (isNew) {
         m_inForceSince = now;
         m_calls = {};
+        m_countedAt = now;
     }
+    bool const hasChanged = isNew || *m_requestsPerSecond != requestsPerSecond;
+    auto const available = isNew ? 0 : availableCalls(now);
     m_requestsPerSecond = requestsPerSecond;
-    return true;
+    m_sharers = sharers;
+    m_countedAt = now;
+    m_availableCalls = available;
+    return hasChanged;
+}
+
+void leaf_rate_limit::setSharers(double sharers, time_point now)
+{
+    if (m_requestsPerSecond) {
+        m_availableCalls = availableCalls(now);
+        m_countedAt = now;
+    }
+    m_sharers = sharers;
 }
 
 bool leaf_rate_limit::clear(time_point sentAt)
@@ -33,10 +56,36 @@
     return true;
 }
 
-void leaf_rate_limit::recordCall(call_origin origin)
+double leaf_rate_limit::ownRate() const
+{
+    return std::max(m_requestsPerSecond.value_or(0), minimumRequestsPerSecond) / std::max(m_sharers, 1.0);
+}
+
+double leaf_rate_limit::availableCalls(time_point now) const
+{
+    auto const burst = std::max(1.0, ownRate() * burstTime.count());
+    return std::min(burst, m_availableCalls + ownRate() * std::chrono::duration<double> { now - m_countedAt }.count());
+}
+
+time_point leaf_rate_limit::nextCallAt(time_point now) const
+{
+    if (allowsCall(now))
+        return now;
+    auto const missingCalls = 1 - availableCalls(now);
+    return now + std::chrono::ceil<duration>(std::chrono::duration<double> { missingCalls / ownRate() }) + roundingTolerance;
+}
+
+duration leaf_rate_limit::callInterval() const
+{
+    return isInForce() ? std::chrono::ceil<duration>(std::chrono::duration<double> { 1 / ownRate() }) : duration::zero();
+}
+
+void leaf_rate_limit::recordCall(call_origin origin, time_point now)
 {
     if (!m_requestsPerSecond)
         return;
+    m_availableCalls = availableCalls(now) - 1;
+    m_countedAt = now;
     switch (origin) {
     case call_origin::first:
         ++m_calls.first;
--- a/Libraries/zinnialedge/forwarding/leaf_record.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_record.cpp
@@ -43,7 +43,7 @@
 
 void leaf_record::recordSent(call_origin origin, time_point now)
 {
-    m_rateLimit.recordCall(origin);
+    m_rateLimit.recordCall(origin, now);
     m_inFlightSentAt.push_back(now);
 }
 
--- a/Libraries/zinnialedge/forwarding/leaf_record.h
+++ b/Libraries/zinnialedge/forwarding/leaf_record.h
@@ -27,7 +27,9 @@
     void pause(kernel::duration length, kernel::time_point now) { m_pause.extend(length, now); }
 
     /// Records the limit that the leaf has named. Returns whether the limit is new or has changed.
-    bool setRateLimit(double requestsPerSecond, kernel::time_point now) { return m_rateLimit.set(requestsPerSecond, now); }
+    bool setRateLimit(double requestsPerSecond, double sharers, kernel::time_point now) { return m_rateLimit.set(requestsPerSecond, sharers, now); }
+    /// Sets the number of daemons that share the limit of the leaf.
+    void setRateLimitSharers(double sharers, kernel::time_point now) { m_rateLimit.setSharers(sharers, now); }
     /// Records a reply without a limit to a call that was sent at `sentAt`. Returns whether a limit ended.
     bool clearRateLimit(kernel::time_point sentAt) { return m_rateLimit.clear(sentAt); }
 
@@ -41,6 +43,8 @@
 
     leaf_registration const& registration() const { return m_registration; }
     bool acceptsCalls(kernel::time_point now) const { return isAvailable() && !m_pause.isActive(now); }
+    /// Returns whether a call may be sent now. A leaf that accepts calls may have no free connection, or no room under its limit.
+    bool hasRoom(kernel::time_point now) const { return acceptsCalls(now) && hasFreeConnection(now) && m_rateLimit.allowsCall(now); }
     /// Returns whether the leaf accepts calls, except during a pause.
     bool isAvailable() const { return !m_isDeregistered && !m_isMisdirected && !m_isLeaving && !m_registration.isDraining; }
     leaf_pause const& currentPause() const { return m_pause; }
--- a/Libraries/zinnialedge/forwarding/leaf_roster.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.cpp
@@ -15,12 +15,16 @@
 /// Time for which a leaf that is no longer registered is remembered. The store's entry of a leaf may lapse and return while the
 /// store is away, and a copy of the store may bring back the entry of a leaf that has left.
 static constexpr std::chrono::minutes formerLeafRetention { 10 };
+/// Time for which daemons that seem to have gone still count as sharers of a leaf's limit. A daemon that is cut off from the others
+/// sees them leave, and would otherwise take their shares while they use them.
+static constexpr std::chrono::seconds limitSharersHold { 20 };
 /// Weight of one call in the typical latency over all leafs.
 static constexpr double typicalLatencyWeight = 0.01;
 
 leaf_roster::leaf_roster(std::string localDataCentre, kernel::random_hook random)
     : m_localDataCentre(std::move(localDataCentre))
     , m_random(std::move(random))
+    , m_limitSharers(1, limitSharersHold)
 {
 }
 
@@ -105,7 +109,7 @@
     for (std::size_t index = 0; index < leafs->second.size(); ++index) {
         auto const handle = leafs->second[(index + offset) % leafs->second.size()];
         auto const& record = at(handle);
-        if (!record.acceptsCalls(now) || !record.hasFreeConnection(now) || std::find(excluded.begin(), excluded.end(), handle) != excluded.end())
+        if (!record.hasRoom(now) || std::find(excluded.begin(), excluded.end(), handle) != excluded.end())
             continue;
         bool const isSuspect = record.isSuspect(now, timeLimit);
         bool const isRemote = record.registration().dataCentre != m_localDataCentre;
@@ -148,7 +152,8 @@
     auto const leafs = m_handlesByService.find(service);
     return leafs != m_handlesByService.end() && std::any_of(leafs->second.begin(), leafs->second.end(), [&](auto handle) {
         auto const& record = at(handle);
-        return record.registration().dataCentre == dataCentre && record.acceptsCalls(now) && record.hasFreeConnection(now) && !record.isSuspect(now, timeLimit);
+        bool const isCountedAsLimited = record.rateLimit().isInForce() && dataCentre != m_localDataCentre;
+        return record.registration().dataCentre == dataCentre && record.hasRoom(now) && !isCountedAsLimited && !record.isSuspect(now, timeLimit);
     });
 }
 
@@ -158,6 +163,66 @@
     m_lastPauseEnd = std::max(m_lastPauseEnd, at(leaf).currentPause().endsAt());
 }
 
+void leaf_roster::setLimitSharers(double sharers, time_point now)
+{
+    m_limitSharers.set(sharers, now);
+    for (auto& [handle, record] : m_leafs)
+        record.setRateLimitSharers(m_limitSharers.value(now), now);
+}
+
+bool leaf_roster::limitLeaf(leaf_handle leaf, double requestsPerSecond, time_point now)
+{
+    return at(leaf).setRateLimit(requestsPerSecond, m_limitSharers.value(now), now);
+}
+
+std::optional<leaf_handle> leaf_roster::findLeaf(std::string const& leafId) const
+{
+    auto const found = m_handleById.find(leafId);
+    return found == m_handleById.end() ? std::nullopt : std::optional { found->second };
+}
+
+std::optional<time_point> leaf_roster::nextCallTime(std::string const& service, std::span<leaf_handle const> excluded, std::size_t callsAhead, time_point now) const
+{
+    struct limited_leaf {
+        time_point nextCallAt;
+        kernel::duration interval;
+    };
+    std::vector<limited_leaf> limited;
+    auto const leafs = m_handlesByService.find(service);
+    if (leafs == m_handlesByService.end())
+        return std::nullopt;
+    for (auto const handle : leafs->second) {
+        auto const& record = at(handle);
+        if (!record.acceptsCalls(now) || std::find(excluded.begin(), excluded.end(), handle) != excluded.end())
+            continue;
+        auto const& limit = record.rateLimit();
+        if (!limit.isInForce())
+            return now;
+        limited.push_back({ limit.nextCallAt(now), limit.callInterval() });
+    }
+    if (limited.empty())
+        return std::nullopt;
+    auto const earliest = [&] { return std::min_element(limited.begin(), limited.end(), [](auto const& left, auto const& right) { return left.nextCallAt < right.nextCallAt; }); };
+    for (std::size_t call = 0; call < callsAhead; ++call) {
+        auto const next = earliest();
+        next->nextCallAt += next->interval;
+    }
+    return earliest()->nextCallAt;
+}
+
+kernel::duration leaf_roster::limitedCallInterval(std::string const& service, time_point now) const
+{
+    double callsPerSecond = 0;
+    if (auto const leafs = m_handlesByService.find(service); leafs != m_handlesByService.end()) {
+        for (auto const handle : leafs->second) {
+            auto const& limit = at(handle).rateLimit();
+            if (at(handle).acceptsCalls(now) && limit.isInForce())
+                callsPerSecond += 1 / std::chrono::duration<double> { limit.callInterval() }.count();
+        }
+    }
+    return callsPerSecond == 0 ? kernel::duration::zero() : std::chrono::ceil<kernel::duration>(std::chrono::duration<double> { 1 / callsPerSecond });
+}
+
 bool leaf_roster::markLeaving(std::string const& leafId)
 {
     auto const found = m_handleById.find(leafId);
--- a/Libraries/zinnialedge/forwarding/leaf_roster.h
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.h
@@ -2,6 +2,7 @@
 
 #include "Libraries/zinnialedge/forwarding/leaf_record.h"
 #include "Libraries/zinnialedge/forwarding/route_table.h"
+#include "Libraries/zinnialedge/limits/held_maximum.h"
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -27,6 +28,9 @@
     /// Sets the route table with the connection caps, and the number of daemons that share the connections of a leaf.
     void setConnectionSharing(route_table_pointer, std::size_t daemonCount);
 
+    /// Sets the number of daemons that share the request limit of a leaf. A smaller number counts only after a hold time.
+    void setLimitSharers(double sharers, kernel::time_point now);
+
     /// Adds the duration of a successful call to the typical latency over all leafs.
     void recordCallDuration(kernel::duration callDuration);
 
@@ -52,9 +56,19 @@
     /// Returns the number of calls that the service's available leafs can run at the same time.
     std::size_t slotCount(std::string const& service) const;
     void pauseLeaf(leaf_handle, kernel::duration length, kernel::time_point now);
+    /// Puts a request limit of a leaf in force. Returns whether the limit is new or has changed.
+    bool limitLeaf(leaf_handle, double requestsPerSecond, kernel::time_point now);
+    /// Returns the handle of the registered leaf with this id.
+    std::optional<leaf_handle> findLeaf(std::string const& leafId) const;
+    /// Returns the earliest time at which request limits allow a call to a leaf of the service, without the excluded leafs and
+    /// behind `callsAhead` other calls. Returns nothing when no leaf accepts calls. Free connections are not checked.
+    std::optional<kernel::time_point> nextCallTime(std::string const& service, std::span<leaf_handle const> excluded, std::size_t callsAhead, kernel::time_point now) const;
+    /// Returns the mean time between two calls that the request limits of the service's leafs allow.
+    kernel::duration limitedCallInterval(std::string const& service, kernel::time_point now) const;
     /// Marks the registered leaf with this id as leaving. Returns false when there is none or when this was known.
     bool markLeaving(std::string const& leafId);
-    /// Returns true when the data centre has a healthy leaf of the service that accepts calls and has a free connection.
+    /// Returns true when the data centre has a healthy leaf of the service with room for a call. In other data centres, leafs
+    /// with a request limit do not count, because a relay would spend its own share of the limit instead of this daemon's.
     bool hasHealthyLeafIn(std::string const& service, std::string const& dataCentre, kernel::duration timeLimit, kernel::time_point now) const;
     std::vector<leaf_handle> leafsIn(std::string const& service, std::string const& dataCentre) const;
     /// Returns true when a leaf of the service accepts calls, without the excluded leafs. Free connections are not checked.
@@ -84,6 +98,7 @@
     kernel::time_point m_lastPauseEnd;
     std::unordered_map<std::string, std::vector<leaf_handle>> m_handlesByService;
     leaf_handle m_lastHandle { 0 };
+    limits::held_maximum m_limitSharers;
 };
 
 }
--- a/Libraries/zinnialedge/forwarding/messages.h
+++ b/Libraries/zinnialedge/forwarding/messages.h
@@ -64,6 +64,14 @@
     auto operator<=>(leaf_load const&) const = default;
 };
 
+/// Request limit of a leaf, as one daemon tells it to another.
+struct leaf_limit_notice {
+    std::string leafId;
+    double requestsPerSecond { 0 };
+
+    auto operator<=>(leaf_limit_notice const&) const = default;
+};
+
 struct leaf_reply {
     int status { 0 };
     std::vector<header> headers;
@@ -88,6 +96,8 @@
     std::optional<leaf_load> load;
     /// Ids of leafs that are leaving, as reported by another daemon.
     std::vector<std::string> leavingLeafIds;
+    /// Limits that leafs have named, as reported by another daemon.
+    std::vector<leaf_limit_notice> leafLimits;
     /// Shards covered by an answer of another daemon; the seals of their leafs are in `relayedSeals` in this order.
     std::vector<std::size_t> relayedShards;
     std::vector<std::string> relayedSeals;
@@ -138,6 +148,8 @@
     std::vector<std::size_t> partShards;
     /// Ids of leafs whose replies to this request said that they are leaving.
     std::vector<std::string> leavingLeafIds;
+    /// Limits that leafs named in their replies to this request.
+    std::vector<leaf_limit_notice> leafLimits;
     std::string attemptId;
     std::size_t missingParts { 0 };
     /// Error that the caller gets when no leaf's reply is passed on.
--- a/Libraries/zinnialedge/forwarding/relay_protocol.cpp
+++ b/Libraries/zinnialedge/forwarding/relay_protocol.cpp
@@ -1,5 +1,6 @@
 #include "Libraries/zinnialedge/forwarding/relay_protocol.h"
 
+#include "Libraries/zinnialedge/forwarding/leaf_rate_limit.h"
 #include <boost/algorithm/string/join.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/beast/core/string.hpp>
@@ -19,6 +20,8 @@
 static constexpr std::string_view sealsHeader = "X-Relay-Seals";
 /// Header with comma-separated ids of leafs that are leaving.
 static constexpr std::string_view leavingHeader = "X-Relay-Leaving";
+/// Header with comma-separated limits of leafs, each an id, an equals sign and a number of requests per second.
+static constexpr std::string_view limitsHeader = "X-Relay-Limits";
 
 /// Keep-alive timeout announced to other daemons; shorter than the time after which this daemon closes an idle connection.
 static constexpr std::string_view keepAliveValue = "timeout=30";
@@ -56,6 +59,31 @@
     return text;
 }
 
+static std::vector<leaf_limit_notice> parseLeafLimits(std::string_view text)
+{
+    std::vector<leaf_limit_notice> limits;
+    for (auto const& item : splitList(text)) {
+        auto const separator = item.rfind('=');
+        // An entry without a valid number tells nothing.
+        if (separator == std::string::npos)
+            continue;
+        leaf_limit_notice notice { item.substr(0, separator), 0 };
+        auto const* const end = item.data() + item.size();
+        auto const [last, failure] = std::from_chars(item.data() + separator + 1, end, notice.requestsPerSecond);
+        if (failure == std::errc {} && last == end && leaf_rate_limit::isValid(notice.requestsPerSecond))
+            limits.push_back(std::move(notice));
+    }
+    return limits;
+}
+
+static std::string formatLeafLimits(std::vector<leaf_limit_notice> const& limits)
+{
+    std::string text;
+    for (auto const& each : limits)
+        text += (text.empty() ? "" : ",") + each.leafId + "=" + std::to_string(each.requestsPerSecond);
+    return text;
+}
+
 static bool parseRequestHeader(std::string_view name, std::string_view value, caller_request& request)
 {
     if (!name.starts_with("X-Relay-"))
@@ -98,6 +126,8 @@
         reply.relayedSeals = splitList(value);
     else if (iequals(name, leavingHeader))
         reply.leavingLeafIds = splitList(value);
+    else if (iequals(name, limitsHeader))
+        reply.leafLimits = parseLeafLimits(value);
     return false;
 }
 
@@ -111,6 +141,8 @@
     appendHeader(lines, sealsHeader, boost::algorithm::join(answer.partSeals, ","));
     if (!answer.leavingLeafIds.empty())
         appendHeader(lines, leavingHeader, boost::algorithm::join(answer.leavingLeafIds, ","));
+    if (!answer.leafLimits.empty())
+        appendHeader(lines, limitsHeader, formatLeafLimits(answer.leafLimits));
 }
 
 edge_protocol makeRelayProtocol()
--- a/Libraries/zinnialedge/forwarding/request_admission.cpp
+++ b/Libraries/zinnialedge/forwarding/request_admission.cpp
@@ -42,11 +42,54 @@
     return shares[skipped];
 }
 
+static time_point latestStartOf(active_request const& request, time_point now)
+{
+    return now + std::chrono::duration_cast<kernel::duration>((request.objectiveAt - now) * latestStartShare);
+}
+
+bool request_engine::skipLimitedShards(active_request& request, time_point now)
+{
+    struct late_part {
+        std::size_t partIndex { 0 };
+        time_point startsAt;
+    };
+    // A relayed request leaves the wait to the requesting daemon, which can call other leafs.
+    auto const latestStart = request.isRelayed() ? now : latestStartOf(request, now);
+    std::vector<late_part> lateParts;
+    for (std::size_t partIndex = 0; partIndex < request.parts.size(); ++partIndex) {
+        auto const& part = request.parts[partIndex];
+        auto const startsAt = part.isMissing ? std::nullopt : m_leafs.nextCallTime(*part.service, {}, stateOf(*part.service).queuedParts.size(), now);
+        if (startsAt && *startsAt > latestStart)
+            lateParts.push_back({ partIndex, *startsAt });
+    }
+    if (lateParts.empty())
+        return true;
+    std::sort(lateParts.begin(), lateParts.end(), [](auto const& left, auto const& right) { return left.startsAt > right.startsAt; });
+    auto allowedCount = lateParts.size();
+    if (!request.isRelayed())
+        allowedCount = request.matchedRoute->isGather() ? request.allowedMissingParts() : 0;
+    if (lateParts.size() > allowedCount) {
+        auto const& firstNeeded = lateParts[allowedCount];
+        service_wait const wait { request.parts[firstNeeded.partIndex].service, firstNeeded.startsAt };
+        ++m_counters.rejectionsForLimits;
+        settleUntil(request, wait, "leafs_limited", m_leafs.limitedCallInterval(*wait.service, now), now);
+        return false;
+    }
+    for (auto const& late : lateParts) {
+        request.parts[late.partIndex].isMissing = true;
+        request.parts[late.partIndex].isSkipped = !request.isRelayed();
+        ++request.missingPartCount;
+        request.skippedPartCount += request.isRelayed() ? 0 : 1;
+        ++m_counters.shardsSkipped;
+    }
+    return true;
+}
+
 bool request_engine::admitOrEnqueue(active_request& request, time_point now)
 {
     auto& admission = admissionOf(*request.matchedRoute);
     admission.queue.setCapacityShare(unpausedCapacityShare(request, now));
-    auto const latestStart = now + std::chrono::duration_cast<kernel::duration>((request.objectiveAt - now) * latestStartShare);
+    auto const latestStart = latestStartOf(request, now);
     switch (admission.queue.arrive(request.token, request.matchedRoute->priority, latestStart, now)) {
     case verdict::admit:
         request.admission = admission_state::admitted;
@@ -72,8 +115,9 @@
         admission.queue.remove(request.token);
         return;
     }
-    // The calls of a caller who has left end soon and free their leafs, so that another request can start at once.
-    if (request.isCallerDisconnected)
+    // The calls of a caller who has left end soon and free their leafs, so that another request can start at once. The duration
+    // of a request without calls says nothing about the leafs.
+    if (request.isCallerDisconnected || !request.hasSentCalls())
         admission.queue.releaseAbandoned();
     else
         admission.queue.release(now - request.startedAt, request.wasCongested || request.lacksManyReplies(), now);
@@ -101,7 +145,8 @@
         request->admission = admission_state::admitted;
         request->startedAt = now;
         request->lastReplyAt = now;
-        startCalls(*request, now);
+        if (skipLimitedShards(*request, now))
+            startCalls(*request, now);
     }
 }
 
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -49,7 +49,7 @@
     if (pick)
         sendCall(request, partIndex, pick->leaf, now);
     else
-        enqueuePart(request, partIndex);
+        enqueuePart(request, partIndex, now);
 }
 
 void request_engine::sendCall(active_request& request, std::size_t partIndex, leaf_handle handle, time_point now)
@@ -77,7 +77,7 @@
     return found == m_calls.end() || m_leafs.at(found->second.leaf).acceptsCalls(now);
 }
 
-void request_engine::enqueuePart(active_request& request, std::size_t partIndex)
+void request_engine::enqueuePart(active_request& request, std::size_t partIndex, time_point now)
 {
     auto& queue = stateOf(*request.parts[partIndex].service).queuedParts;
     if (queue.size() >= maximumQueuedParts) {
@@ -89,23 +89,42 @@
     auto const priority = request.matchedRoute->priority;
     auto const position = std::find_if(queue.begin(), queue.end(), [&](auto const& each) { return each.priority > priority; });
     queue.insert(position, { request.token, partIndex, priority });
+    scheduleDispatch(*request.parts[partIndex].service, request.parts[partIndex].calledLeafs, now);
+}
+
+void request_engine::scheduleDispatch(std::string const& service, std::span<leaf_handle const> excluded, time_point now)
+{
+    auto const nextCallAt = m_leafs.nextCallTime(service, excluded, 0, now);
+    // Without a limit the part waits for a free connection, and the end of a call dispatches it.
+    if (!nextCallAt || *nextCallAt <= now || (m_nextDispatchAt && *m_nextDispatchAt <= *nextCallAt))
+        return;
+    m_nextDispatchAt = nextCallAt;
+    m_timers.push({ *nextCallAt, timer_kind::dispatch, 0 });
 }
 
 void request_engine::dispatchQueuedParts(std::string const& service, time_point now)
 {
     auto& queue = stateOf(service).queuedParts;
-    while (!queue.empty()) {
-        auto const next = queue.front();
+    std::size_t position = 0;
+    while (position < queue.size()) {
+        auto const next = queue[position];
+        auto const entry = queue.begin() + static_cast<std::ptrdiff_t>(position);
         auto* const request = findRequest(next.requestToken);
         if (!request || request->isCallerDisconnected || !request->parts[next.partIndex].isQueued) {
-            queue.pop_front();
+            queue.erase(entry);
             continue;
         }
         auto& part = request->parts[next.partIndex];
         auto const pick = m_leafs.pickLeaf(service, part.calledLeafs, hedgeDelayOf(*request->matchedRoute), now);
-        if (!pick && m_leafs.hasAcceptingLeaf(service, part.calledLeafs, now))
-            return;
-        queue.pop_front();
+        if (!pick && m_leafs.hasAcceptingLeaf(service, part.calledLeafs, now)) {
+            scheduleDispatch(service, part.calledLeafs, now);
+            // A part that may use any leaf waits, so the parts behind it wait too.
+            if (part.calledLeafs.empty())
+                return;
+            ++position;
+            continue;
+        }
+        queue.erase(entry);
         part.isQueued = false;
         if (pick)
             sendCall(*request, next.partIndex, pick->leaf, now);
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -52,9 +52,10 @@
     dispatchAllQueuedParts(now);
 }
 
-void request_engine::setFleetShare(fleet_share share)
+void request_engine::setFleetShare(fleet_share share, time_point now)
 {
     m_fleetShare = std::move(share);
+    m_leafs.setLimitSharers(m_fleetShare.daemonsSharingLeafLimits, now);
     m_leafs.setConnectionSharing(m_routes, m_fleetShare.daemonsSharingConnections);
 }
 
@@ -148,6 +149,8 @@
         settleUnavailable(*created, errors::error_kind::no_live_target, "no_leaf", now);
         return;
     }
+    if (!skipLimitedShards(*created, now))
+        return;
     if (!to->isGather() || created->isRelayed() || admitOrEnqueue(*created, now))
         startCalls(*created, now);
 }
@@ -316,6 +319,12 @@
             admitQueued(due.subject, now);
             continue;
         }
+        if (due.kind == timer_kind::dispatch) {
+            if (m_nextDispatchAt && *m_nextDispatchAt <= due.dueAt)
+                m_nextDispatchAt.reset();
+            dispatchAllQueuedParts(now);
+            continue;
+        }
         if (due.kind == timer_kind::relay_timeout) {
             handleLateRelay(due.subject, now);
             continue;
@@ -349,6 +358,7 @@
         case timer_kind::abandon_call:
         case timer_kind::relay_timeout:
         case timer_kind::admit:
+        case timer_kind::dispatch:
             break;
         }
     }
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -103,6 +103,8 @@
     std::uint64_t callsWithheld { 0 };
     /// Number of requests rejected because all leafs of a service were paused.
     std::uint64_t rejectionsForPauses { 0 };
+    /// Number of requests rejected because of the request limits of leafs.
+    std::uint64_t rejectionsForLimits { 0 };
 };
 
 /// Decides for each request which leafs are called, when a hedge is sent, and which answer the caller gets. The engine performs
@@ -113,7 +115,7 @@
 
     void setRoutes(route_table_pointer, kernel::time_point now);
     void setLeafs(std::vector<leaf_registration> const&, kernel::time_point now);
-    void setFleetShare(fleet_share);
+    void setFleetShare(fleet_share, kernel::time_point now);
     void setExtraCalls(extra_call_limits, kernel::time_point now);
 
     void handleRequest(request_token, caller_request, kernel::time_point now);
@@ -144,6 +146,8 @@
         relay_timeout,
         /// Queued requests over one set of shards can be admitted or have expired.
         admit,
+        /// The request limit of a leaf allows the call of a queued part.
+        dispatch,
     };
 
     struct timer {
@@ -190,12 +194,12 @@
     struct service_state {
         extra_call_budget extraCallBudget;
         std::deque<queued_part> queuedParts;
-        /// Times of return of requests that were rejected because all leafs of the service were paused.
+        /// Times of return of requests that were rejected because no leaf of the service accepted calls in time.
         limits::return_schedule returnSchedule;
     };
 
-    /// Service for whose paused leafs a request has to wait.
-    struct pause_wait {
+    /// Service for whose leafs a request has to wait.
+    struct service_wait {
         std::string const* service { nullptr };
         kernel::time_point endsAt;
     };
@@ -215,6 +219,9 @@
     void skipSlowShards(active_request&, kernel::time_point now);
     /// Queries skipped shards until the minimum coverage can be reached again.
     void callSkippedShards(active_request&, kernel::time_point now);
+    /// Leaves out the shards whose leafs' request limits allow no call in time, up to the number of shards that may be missing from
+    /// the answer. Rejects the request and returns false when more shards would be missing.
+    bool skipLimitedShards(active_request&, kernel::time_point now);
     /// Sends the first calls of a request.
     void startCalls(active_request&, kernel::time_point now);
     /// Returns the share of the leafs' capacity that remains for the request while leafs are paused, from 0 to 1.
@@ -230,9 +237,11 @@
     // Calls.
     void callPart(active_request&, std::size_t partIndex, kernel::time_point now);
     void sendCall(active_request&, std::size_t partIndex, leaf_handle, kernel::time_point now);
-    void enqueuePart(active_request&, std::size_t partIndex);
+    void enqueuePart(active_request&, std::size_t partIndex, kernel::time_point now);
     void dispatchQueuedParts(std::string const& service, kernel::time_point now);
     void dispatchAllQueuedParts(kernel::time_point now);
+    /// Schedules the dispatch of queued parts of the service for the time at which request limits allow the next call.
+    void scheduleDispatch(std::string const& service, std::span<leaf_handle const> excluded, kernel::time_point now);
     /// Sends a hedge for each call that exceeds the hedge delay, and schedules the next check. `dueAt` is the time for which this
     /// check was scheduled.
     void sendDueHedges(active_request&, kernel::time_point dueAt, kernel::time_point now);
@@ -274,6 +283,7 @@
     void applyLeafNotices(leaf_handle, leaf_reply const&, std::string const& attemptId, kernel::time_point now);
     /// Applies the limit that the leaf names in a reply, or the end of the limit when a sealed reply names none.
     void applyLeafLimit(leaf_handle, leaf_reply const&, kernel::time_point sentAt, kernel::time_point now);
+    void setLeafLimit(leaf_handle, double requestsPerSecond, kernel::time_point now);
     void logLeafEvent(active_request const&, call_context const&, std::string_view event, kernel::time_point now);
     void handleReply(active_request&, call_context const&, leaf_reply, kernel::time_point now);
     void handleFailure(active_request&, call_context const&, call_failure, kernel::time_point now);
@@ -289,12 +299,15 @@
     void settleAtEnd(active_request&, kernel::time_point now);
     void settleWithError(active_request&, errors::error_kind, std::string reason, kernel::time_point now);
     /// Returns the pause that must end before the request can be served, if only pauses prevent it.
-    std::optional<pause_wait> findPauseWait(active_request const&, kernel::time_point now) const;
+    std::optional<service_wait> findPauseWait(active_request const&, kernel::time_point now) const;
     /// Rejects a request of which nothing has run. If only pauses prevent the request, its retry-after is a time at which a paused
     /// leaf has room for it.
     void settleUnavailable(active_request&, errors::error_kind, std::string reason, kernel::time_point now);
     /// Rejects a request for which no call was sent, with a retry-after from the admission queue.
     void settleOverloaded(active_request&, kernel::time_point now);
+    /// Rejects a request that can be served when the wait ends. `interval` is the time between two requests that this daemon can
+    /// serve then.
+    void settleUntil(active_request&, service_wait const&, std::string reason, kernel::duration interval, kernel::time_point now);
     void settle(active_request&, final_answer, kernel::time_point now);
     void reportOutcome(active_request const&, int status, std::string const& reason, std::optional<std::chrono::milliseconds> retryAfter, kernel::time_point now);
     void abandon(active_request&, kernel::time_point now);
@@ -321,6 +334,8 @@
     std::unordered_map<std::string, shard_set_admission> m_admissions;
     std::unordered_map<std::uint64_t, shard_set_admission*> m_admissionsByNumber;
     std::priority_queue<timer, std::vector<timer>, std::greater<>> m_timers;
+    /// Due time of the earliest dispatch timer.
+    std::optional<kernel::time_point> m_nextDispatchAt;
     call_number m_lastCallNumber { 0 };
     /// Moving average of the share of extra calls that the budget denied.
     double m_deniedExtraCallShare { 0 };
--- a/Libraries/zinnialedge/forwarding/request_relays.cpp
+++ b/Libraries/zinnialedge/forwarding/request_relays.cpp
@@ -128,6 +128,10 @@
     if (result) {
         for (auto const& leafId : result->leavingLeafIds)
             m_counters.leafsLeaving += m_leafs.markLeaving(leafId) ? 1 : 0;
+        for (auto const& each : result->leafLimits) {
+            if (auto const leaf = m_leafs.findLeaf(each.leafId))
+                setLeafLimit(*leaf, each.requestsPerSecond, now);
+        }
     }
     auto* const request = findRequest(context.requestToken);
     if (!request || request->isCallerDisconnected)
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -101,10 +101,17 @@
         log("leaf_limit_ignored");
         return;
     }
-    if (record.setRateLimit(*reply.requestLimit, now)) {
-        ++m_counters.leafLimits;
-        log("leaf_limit_named");
-    }
+    setLeafLimit(leaf, *reply.requestLimit, now);
+}
+
+void request_engine::setLeafLimit(leaf_handle leaf, double requestsPerSecond, time_point now)
+{
+    if (!m_leafs.limitLeaf(leaf, requestsPerSecond, now))
+        return;
+    ++m_counters.leafLimits;
+    auto const& record = m_leafs.at(leaf);
+    if (m_hooks.logLeafLimit)
+        m_hooks.logLeafLimit(record.registration().id, "leaf_limit_named", record.rateLimit());
 }
 
 void request_engine::handleUnmatchedReply(leaf_handle leaf, leaf_reply const& reply, time_point now)
@@ -165,6 +172,8 @@
     // The requesting daemon calls leafs of this data centre too, and learns which of them are leaving.
     if (reply.isLeaving && request.isRelayed())
         request.leavingLeafIds.push_back(m_leafs.at(context.leaf).registration().id);
+    if (auto const& limit = m_leafs.at(context.leaf).rateLimit(); limit.isInForce() && request.isRelayed())
+        request.leafLimits.push_back({ m_leafs.at(context.leaf).registration().id, limit.requestsPerSecond() });
     if (reply.isSuccess()) {
         part.reply = std::move(reply);
         ++request.answeredPartCount;
@@ -232,7 +241,9 @@
     auto& part = request.parts[partIndex];
     if (!part.calls.empty() || part.isQueued)
         return;
-    bool const isPossible = canRetry(request, partIndex, now) && m_leafs.hasAcceptingLeaf(*part.service, part.calledLeafs, now);
+    auto const callsAhead = stateOf(*part.service).queuedParts.size();
+    auto const nextCallAt = m_leafs.nextCallTime(*part.service, part.calledLeafs, callsAhead, now);
+    bool const isPossible = canRetry(request, partIndex, now) && nextCallAt && *nextCallAt + minimumRetryTime < request.endAt;
     // A call that reached no leaf caused no load, so its replacement is not charged to the extra-call budget.
     bool const isAllowed = isPossible && (!hasReachedLeaf || consumeExtraCall(request, partIndex, now));
     if (!isAllowed) {
@@ -282,6 +293,7 @@
     answer.reason = std::move(reason);
     answer.attemptId = request.request->attemptId;
     answer.leavingLeafIds = request.leavingLeafIds;
+    answer.leafLimits = request.leafLimits;
     std::vector<std::string const*> bodies;
     for (auto const& part : request.parts) {
         if (!part.isAnswered())
@@ -347,11 +359,11 @@
     settle(request, std::move(answer), now);
 }
 
-std::optional<request_engine::pause_wait> request_engine::findPauseWait(active_request const& request, time_point now) const
+std::optional<request_engine::service_wait> request_engine::findPauseWait(active_request const& request, time_point now) const
 {
     if (!m_leafs.hasPausedLeafs(now))
         return std::nullopt;
-    std::vector<pause_wait> waits;
+    std::vector<service_wait> waits;
     std::size_t availableParts = 0;
     for (auto const& part : request.parts) {
         if (part.isAnswered() || m_leafs.hasAcceptingLeaf(*part.service, {}, now))
@@ -380,10 +392,15 @@
     // All daemons that share the leafs send their requests back, each for its share of the leafs' slots.
     auto const slots = std::max<std::size_t>(m_leafs.slotCount(*wait->service), 1);
     auto const interval = m_leafs.typicalCallDuration() * static_cast<std::int64_t>(m_fleetShare.daemonsSharingConnections) / static_cast<std::int64_t>(slots);
-    auto answer = makeRejection(errors::error_kind::overloaded, "leafs_paused", {});
-    answer.error->retryAfter = std::chrono::ceil<std::chrono::milliseconds>(stateOf(*wait->service).returnSchedule.nextRetryAfter(wait->endsAt, interval, m_random, now));
-    ++m_counters.rejections;
     ++m_counters.rejectionsForPauses;
+    settleUntil(request, *wait, "leafs_paused", interval, now);
+}
+
+void request_engine::settleUntil(active_request& request, service_wait const& wait, std::string reason, kernel::duration interval, time_point now)
+{
+    auto answer = makeRejection(errors::error_kind::overloaded, std::move(reason), {});
+    answer.error->retryAfter = std::chrono::ceil<std::chrono::milliseconds>(stateOf(*wait.service).returnSchedule.nextRetryAfter(wait.endsAt, interval, m_random, now));
+    ++m_counters.rejections;
     settle(request, std::move(answer), now);
 }
 
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -278,9 +278,13 @@
     if (group.empty() || group.size() > liveEndpoints.size()) {
         share.daemonsSharingConnections = liveEndpoints.size();
         share.daemonsSharingSlack = liveEndpoints.size();
+        share.daemonsSharingLeafLimits = static_cast<double>(liveEndpoints.size());
         return share;
     }
     share.daemonsSharingConnections = group.size() + (liveEndpoints.size() - group.size()) / outsideDaemonsPerShare;
+    // A daemon outside the group has a fraction of the share of a daemon in the group.
+    auto const limitShares = static_cast<double>(group.size()) + static_cast<double>(liveEndpoints.size() - group.size()) / static_cast<double>(outsideDaemonsPerShare);
+    share.daemonsSharingLeafLimits = isInGroup ? limitShares : limitShares * static_cast<double>(outsideDaemonsPerShare);
     // One extra holder is counted: a member that some daemons do not know yet must not make the sum of shares exceed the total.
     share.daemonsSharingSlack = isInGroup ? std::max(group.size(), std::min(liveEndpoints.size(), group.size() + 1)) : 0;
     for (auto const& each : group) {
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -112,6 +112,7 @@
         metrics.counter("leaf_limits_ignored_total", counters.leafLimitsIgnored);
         metrics.counter("leaf_calls_withheld_total", counters.callsWithheld);
         metrics.counter("refusals_for_paused_leafs_total", counters.rejectionsForPauses);
+        metrics.counter("refusals_for_leaf_limits_total", counters.rejectionsForLimits);
         metrics.counter("leaf_connections_opened_total", m_leafConnections.counters().openedCount);
         metrics.counter("leaf_connections_reused_total", m_leafConnections.counters().reusedCount);
         metrics.counter("log_lines_dropped_total", kernel::droppedLogLineCount());
@@ -318,8 +319,8 @@
     void apply(leafs_changed&& changed) { m_engine.setLeafs(changed.leafs, now()); }
     void apply(fleet_share_changed&& changed)
     {
-        logEvent(log_level::info, "fleet_share_changed", { { "connection_holders", changed.share.daemonsSharingConnections }, { "slack_holders", changed.share.daemonsSharingSlack }, { "relays", changed.share.relays.size() } });
-        m_engine.setFleetShare(std::move(changed.share));
+        logEvent(log_level::info, "fleet_share_changed", { { "connection_holders", changed.share.daemonsSharingConnections }, { "slack_holders", changed.share.daemonsSharingSlack }, { "limit_shares", changed.share.daemonsSharingLeafLimits }, { "relays", changed.share.relays.size() } });
+        m_engine.setFleetShare(std::move(changed.share), now());
     }
     void apply(extra_calls_changed&& changed) { m_engine.setExtraCalls(changed.limits, now()); }
     void apply(leaving_started&&) { m_isLeaving = true; }
--- a/Tests/Unit/relay_test.cpp
+++ b/Tests/Unit/relay_test.cpp
@@ -32,7 +32,7 @@
             leafs.push_back({ service + "/1", 1, service, { "10.0.0.2", 80 }, "elsewhere", 2, false, {} });
         }
         engine.setLeafs(leafs, now());
-        engine.setFleetShare({ 3, 3, { { "there", { "10.0.0.9", 7395 } } } });
+        engine.setFleetShare({ 3, 3, { { "there", { "10.0.0.9", 7395 } } } }, now());
     }
 
     std::vector<leaf_call> relayCalls() const
@@ -277,3 +277,23 @@
     CHECK(fleet.answerOf(token));
     LONGS_EQUAL(2, fleet.answerOf(token)->missingParts);
 }
+
+TEST(Relay, ShardsWhoseLeafsNamedALimitAreCalledDirectly)
+{
+    fleet_across_data_centres fleet;
+    fleet.arrive("/gather/1");
+    fleet.succeedDirectCalls();
+    auto const call = fleet.relayCalls().front();
+    auto const limitedShard = call.relayed->shardIndices.front();
+    auto const limitedLeaf = "shard" + std::to_string(limitedShard) + "/0";
+    leaf_reply answer;
+    answer.status = 200;
+    answer.leafLimits = { { limitedLeaf, 1000 }, { "unknown leaf", 1 } };
+    fleet.reply(call.number, std::move(answer));
+    fleet.succeedDirectCalls();
+    fleet.pass(100ms);
+    fleet.arrive("/gather/1");
+    auto const relayed = fleet.relayCalls().front().relayed->shardIndices;
+    LONGS_EQUAL(remoteShardCount - 1, relayed.size());
+    CHECK(std::find(relayed.begin(), relayed.end(), limitedShard) == relayed.end());
+}
