Wire: Give up responses whose framing has no end

Callers would see daemons that restart: a response whose chunk extension does not end was read until the time limit, 20 s for a watch, and held in memory. Cause: the parser limits the head and the body, but not what lies between the chunks. Change: the client gives up after 16 MB received for one response. Result: HttpClient ChunkExtensionWithoutAnEndIsGivenUp failed before (512 MB or 10 s were taken), passes now; HttpClient 7 of 7.

--- a/Libraries/zinnialedge/wire/http_client.cpp
+++ b/Libraries/zinnialedge/wire/http_client.cpp
@@ -95,6 +95,8 @@
 
     static constexpr unsigned httpVersion = 11;
     static constexpr std::size_t readBufferBytes = 8192;
+    /// Maximum number of bytes received for one response, the framing of the body included.
+    static constexpr std::size_t maximumResponseBytes = 16U << 20U;
     static constexpr int keepAliveIdleSeconds = 1;
     static constexpr int keepAliveIntervalSeconds = 1;
     static constexpr int keepAliveProbeCount = 2;
@@ -162,6 +164,7 @@
     {
         m_parser.emplace();
         m_parser->eager(true);
+        m_receivedBytes = 0;
         readMore();
     }
 
@@ -173,6 +176,10 @@
     void handleReadCompletion(beast::error_code failure, std::size_t bytes)
     {
         m_buffer.commit(bytes);
+        m_receivedBytes += bytes;
+        // The parser limits the head and the body, but not the extensions of chunks and the trailer.
+        if (!failure && m_receivedBytes > maximumResponseBytes)
+            failure = http::error::body_limit;
         if (failure == asio::error::eof && m_parser->got_some()) {
             // A response body without Content-Length ends when the server closes the connection.
             failure = {};
@@ -230,6 +237,7 @@
     asio::basic_stream_socket<tcp, executor> m_socket;
     asio::basic_waitable_timer<clock, asio::wait_traits<clock>, executor> m_timer;
     beast::flat_buffer m_buffer;
+    std::size_t m_receivedBytes { 0 };
     model::endpoint m_endpoint;
     http::request<http::string_body> m_request;
     std::vector<std::string> m_requestHeaderNames;
--- a/Tests/Unit/http_client_test.cpp
+++ b/Tests/Unit/http_client_test.cpp
@@ -115,3 +115,20 @@
     serverSocket.close();
     CHECK_FALSE(m_client->isUsable());
 }
+
+TEST(HttpClient, ChunkExtensionWithoutAnEndIsGivenUp)
+{
+    auto serverSocket = open();
+    std::size_t written = 0;
+    auto const reply = send("question", longTimeout, [&] {
+        boost::system::error_code failure;
+        asio::write(serverSocket, asio::buffer(std::string { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;" }), failure);
+        static constexpr std::size_t mostBytes = 512U << 20U;
+        std::string const block(65'536, 'x');
+        while (!failure && written < mostBytes)
+            written += asio::write(serverSocket, asio::buffer(block), failure);
+    });
+    CHECK(!reply.has_value());
+    static constexpr std::size_t maximumBytesTaken = 64U << 20U;
+    CHECK(written < maximumBytesTaken);
+}
