Traffic: Give up replies without an end

Callers would see requests cut off: 60 endless replies at once took a daemon over the 260 MB of the smallest VM. Cause: the parser limits the head and the body of one reply. Interim replies, chunk framing, chunk extensions and trailers were unlimited until the time limit, and nothing limited what many replies take together. Change: at most 8 MB are received for one call, framing and interim replies included; while all unfinished replies take over 32 MB, large ones are given up.

--- a/Services/traffic/leaf_connection.cpp
+++ b/Services/traffic/leaf_connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
+#include <utility>
 
 namespace zinnialedge::services::traffic {
 
@@ -16,8 +17,13 @@
 static constexpr std::size_t readChunkBytes = 8192;
 /// Misdirected Request: RFC 9110, section 15.5.20. Beast 1.81 defines no name for this status.
 static constexpr int misdirectedStatus = 421;
-/// Leaf replies are specified to stay within tens of kilobytes; a body above this limit is not a valid reply.
-static constexpr std::size_t replyBodyLimit = 8U << 20U;
+/// Maximum number of bytes received for one call, interim replies and the framing of the body included. Valid replies have tens of
+/// kilobytes.
+static constexpr std::size_t maximumReplyBytes = 8U << 20U;
+/// Memory of all unfinished replies above which large ones are given up: an eighth of the memory of the smallest VM.
+static constexpr std::size_t maximumUnfinishedReplyBytes = 32U << 20U;
+/// Size above which an unfinished reply counts as large.
+static constexpr std::size_t largeReplyBytes = 64U << 10U;
 /// A leaf that sends no Keep-Alive timeout closes an idle connection within a second.
 static constexpr std::chrono::milliseconds defaultIdleTimeout { 700 };
 /// Allowance for the transit time of a request to the leaf and for the resolution of the leaf's clock.
@@ -81,6 +87,7 @@
 void leaf_connection::writeCall()
 {
     m_discardedReplyCount = 0;
+    m_receivedBytes = 0;
     m_parser.reset();
     beast::error_code failure;
     auto const written = m_socket.write_some(asio::buffer(m_call->bytes), failure);
@@ -113,6 +120,7 @@
     if (m_isClosed)
         return;
     m_buffer.commit(bytes);
+    m_receivedBytes += bytes;
     if (failure == asio::error::eof && m_call && m_parser && m_parser->got_some()) {
         // A body without a declared length ends when the leaf closes the connection. A connection reset does not complete the body.
         beast::error_code incomplete;
@@ -130,8 +138,22 @@
         return;
     }
     parseReplies();
-    if (!m_isClosed)
-        readMore();
+    if (m_isClosed)
+        return;
+    if (!accountReplyBytes()) {
+        abort(call_failure::broken);
+        return;
+    }
+    readMore();
+}
+
+bool leaf_connection::accountReplyBytes()
+{
+    auto const held = m_buffer.size() + (m_parser && m_parser->is_header_done() ? m_parser->get().body().size() : 0);
+    auto& total = m_hooks.unfinishedReplies->bytes;
+    total = total - m_accountedBytes + held;
+    m_accountedBytes = held;
+    return m_receivedBytes <= maximumReplyBytes && (held <= largeReplyBytes || total <= maximumUnfinishedReplyBytes);
 }
 
 void leaf_connection::parseReplies()
@@ -140,7 +162,7 @@
         if (!m_parser) {
             m_parser.emplace();
             m_parser->eager(true);
-            m_parser->body_limit(replyBodyLimit);
+            m_parser->body_limit(maximumReplyBytes);
             m_parser->skip(m_call->isHead);
         }
         beast::error_code failure;
@@ -163,7 +185,7 @@
         return;
     m_parser.emplace();
     m_parser->eager(true);
-    m_parser->body_limit(replyBodyLimit);
+    m_parser->body_limit(maximumReplyBytes);
     beast::error_code ignored;
     m_buffer.consume(m_parser->put(m_buffer.data(), ignored));
     if (m_parser->is_header_done())
@@ -244,6 +266,7 @@
         return;
     m_isClosed = true;
     m_isConnected = false;
+    m_hooks.unfinishedReplies->bytes -= std::exchange(m_accountedBytes, 0);
     beast::error_code ignored;
     m_socket.close(ignored);
     m_hooks.connectionClosed();
--- a/Services/traffic/leaf_connection.h
+++ b/Services/traffic/leaf_connection.h
@@ -22,8 +22,14 @@
     std::string bytes;
 };
 
+/// Memory that the unfinished replies of several connections take together.
+struct reply_memory {
+    std::size_t bytes { 0 };
+};
+
 struct leaf_connection_hooks {
     forwarding::edge_protocol const* protocol { nullptr };
+    std::shared_ptr<reply_memory> unfinishedReplies { std::make_shared<reply_memory>() };
     /// Called when a call has ended, but never from within connectAndSend() or send().
     std::function<void(forwarding::call_number, forwarding::call_result)> handleCallEnd;
     /// Returns whether a call that waited for the connection to open may still be sent; empty when every call may.
@@ -63,6 +69,9 @@
     void handleRead(boost::system::error_code, std::size_t bytes);
     void parseReplies();
     void finishReply();
+    /// Updates the memory of unfinished replies. Returns false when the reply is larger than a reply may be, alone or with the
+    /// other unfinished replies.
+    bool accountReplyBytes();
     /// Reports the reply in the received bytes of a connection without a call, if there is one.
     void reportUnexpectedReply();
     forwarding::leaf_reply extractReply();
@@ -79,6 +88,10 @@
     kernel::time_point m_idleSince;
     kernel::duration m_idleTimeout;
     unsigned m_discardedReplyCount { 0 };
+    /// Number of bytes received since the call was sent.
+    std::size_t m_receivedBytes { 0 };
+    /// This connection's part of the memory of unfinished replies.
+    std::size_t m_accountedBytes { 0 };
     bool m_isConnected { false };
     bool m_isClosed { false };
     bool m_isWritePending { false };
--- a/Services/traffic/leaf_pools.cpp
+++ b/Services/traffic/leaf_pools.cpp
@@ -33,6 +33,7 @@
     auto const self = std::make_shared<std::weak_ptr<leaf_connection>>();
     leaf_connection_hooks hooks;
     hooks.protocol = &m_protocol;
+    hooks.unfinishedReplies = m_unfinishedReplies;
     hooks.handleCallEnd = [this](forwarding::call_number number, forwarding::call_result result) {
         m_busyConnections.erase(number);
         m_hooks.handleCallEnd(number, std::move(result));
--- a/Services/traffic/leaf_pools.h
+++ b/Services/traffic/leaf_pools.h
@@ -42,6 +42,7 @@
     boost::asio::io_context& m_context;
     forwarding::edge_protocol const& m_protocol;
     leaf_pool_hooks m_hooks;
+    std::shared_ptr<reply_memory> m_unfinishedReplies { std::make_shared<reply_memory>() };
     std::unordered_map<std::uint32_t, std::vector<connection>> m_idleConnections;
     std::unordered_map<leaf_connection*, connection> m_connections;
     std::unordered_map<forwarding::call_number, std::weak_ptr<leaf_connection>> m_busyConnections;
--- a/Tests/Support/scripted_leaf.cpp
+++ b/Tests/Support/scripted_leaf.cpp
@@ -99,6 +99,10 @@
         auto const reply = m_makeReply(request);
         boost::system::error_code ignored;
         asio::write(client->socket, asio::buffer(reply.bytes), ignored);
+        if (!reply.repeatedBytes.empty()) {
+            repeatBytes(client, std::make_shared<std::string const>(reply.repeatedBytes));
+            return;
+        }
         if (reply.shouldReset)
             client->socket.set_option(asio::socket_base::linger(true, 0), ignored);
         if (reply.shouldClose || reply.shouldReset) {
@@ -109,6 +113,15 @@
     readRequests(client);
 }
 
+void scripted_leaf::repeatBytes(std::shared_ptr<connection> const& client, std::shared_ptr<std::string const> const& bytes)
+{
+    asio::async_write(client->socket, asio::buffer(*bytes), [this, client, bytes](boost::system::error_code failure, std::size_t written) {
+        m_repeatedByteCount += written;
+        if (!failure)
+            repeatBytes(client, bytes);
+    });
+}
+
 std::string rawHeaderValue(std::string const& request, std::string const& name)
 {
     auto const start = request.find("\r\n" + name + ": ");
--- a/Tests/Support/scripted_leaf.h
+++ b/Tests/Support/scripted_leaf.h
@@ -3,7 +3,9 @@
 #include "Libraries/zinnialedge/model/endpoint.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <atomic>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -18,6 +20,8 @@
     bool shouldClose { false };
     /// Whether the leaf resets the connection after the bytes.
     bool shouldReset { false };
+    /// Bytes that the leaf repeats after the others until the daemon closes the connection; empty for none.
+    std::string repeatedBytes {};
 };
 
 /// A leaf that sends for each request the bytes that the test supplies, which need not be valid HTTP.
@@ -32,6 +36,8 @@
     model::endpoint place() const;
     std::vector<std::string> requests() const;
     std::size_t connectionCount() const;
+    /// Returns the number of repeated bytes that the leaf could write, of all connections together.
+    std::size_t repeatedByteCount() const { return m_repeatedByteCount; }
 
 private:
     struct connection;
@@ -39,6 +45,7 @@
     void acceptNextConnection();
     void readRequests(std::shared_ptr<connection> const&);
     void answerCompleteRequests(std::shared_ptr<connection> const&);
+    void repeatBytes(std::shared_ptr<connection> const&, std::shared_ptr<std::string const> const& bytes);
 
     std::function<scripted_reply(std::string const&)> m_makeReply;
     boost::asio::io_context m_context;
@@ -46,6 +53,7 @@
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
     std::size_t m_connectionCount { 0 };
+    std::atomic<std::size_t> m_repeatedByteCount { 0 };
     std::thread m_thread;
 };
 
