Traffic: Do not take a reply without an id for the reply to a later call

Callers of requests that must run once could be told that a request had not run while it ran: a leaf's late copy of a rejection without an id, on a connection in use again, was taken for the reply to the next call. Cause: only successes had to carry the id of the attempt. Change: on a connection that has carried another call, any reply without an id fails the call with an unknown outcome.

--- a/Services/traffic/leaf_connection.cpp
+++ b/Services/traffic/leaf_connection.cpp
@@ -86,6 +86,7 @@
 
 void leaf_connection::writeCall()
 {
+    ++m_callCount;
     m_discardedReplyCount = 0;
     m_receivedBytes = 0;
     m_parser.reset();
@@ -203,8 +204,10 @@
         m_hooks.handleUnmatchedReply(reply);
     if (isKeptAlive && (isInterim || (belongsToOtherCall && ++m_discardedReplyCount <= maximumDiscardedReplies)))
         return;
-    // A successful reply without an attempt ID may belong to another request.
-    if (belongsToOtherCall || isInterim || (reply.attemptId.empty() && reply.status < 300 && !m_call->attemptId.empty())) {
+    // Without an attempt ID, a successful reply may belong to another request, and on a connection that has carried other calls any
+    // reply may be a late copy. A copied rejection would say of this call that it has not run.
+    bool const isUnidentified = reply.attemptId.empty() && !m_call->attemptId.empty() && (reply.status < 300 || m_callCount > 1);
+    if (belongsToOtherCall || isInterim || isUnidentified) {
         abort(call_failure::broken);
         return;
     }
--- a/Services/traffic/leaf_connection.h
+++ b/Services/traffic/leaf_connection.h
@@ -87,6 +87,8 @@
     kernel::time_point m_connectStartedAt;
     kernel::time_point m_idleSince;
     kernel::duration m_idleTimeout;
+    /// Number of calls that the connection has carried, the open one included.
+    std::size_t m_callCount { 0 };
     unsigned m_discardedReplyCount { 0 };
     /// Number of bytes received since the call was sent.
     std::size_t m_receivedBytes { 0 };
--- a/Tests/Faults/edge_traffic_test.cpp
+++ b/Tests/Faults/edge_traffic_test.cpp
@@ -76,6 +76,26 @@
     STRCMP_EQUAL("body of a3", fixture.traffic.get("/single/a", "a3").body.c_str());
 }
 
+// Guards against a late copy of a rejection that is taken for the reply to the next call, which runs.
+TEST(EdgeTraffic, ACopyOfARejectionWithoutAnIdSaysNothingOfTheNextRequest)
+{
+    std::atomic<std::size_t> runCount { 0 };
+    one_leaf_fixture fixture { [&](std::string const& request) {
+        std::string const rejection = "HTTP/1.1 503 Service Unavailable\r\nZinnialedge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        auto const id = rawHeaderValue(request, "Zinnialedge-Attempt-Id");
+        if (id == "a1")
+            return scripted_reply { rejection, false, false };
+        ++runCount;
+        return scripted_reply { id == "a2" ? rejection + sealedReply(request, "body") : sealedReply(request, "body"), false, false };
+    } };
+    LONGS_EQUAL(503, fixture.traffic.post("/single/a", "a1", "order").status);
+    std::this_thread::sleep_for(std::chrono::milliseconds { 50 });
+    auto const status = fixture.traffic.post("/single/a", "a2", "order").status;
+    LONGS_EQUAL(1, runCount);
+    CHECK(status == 200 || status == 502);
+    LONGS_EQUAL(200, fixture.traffic.post("/single/a", "a3", "order").status);
+}
+
 TEST(EdgeTraffic, BytesAfterAReplyCloseTheConnection)
 {
     one_leaf_fixture fixture { [](std::string const& request) { return scripted_reply { sealedReply(request, "one") + sealedReply(request, "two"), false, false }; } };
