Traffic: Answer the requests that arrive at the end of a planned stop

Callers saw requests that must run once cut off without an answer although a leaf had received them: 2 in each of 3 stops under load of 16 callers. Cause: a stopping daemon went on accepting until it looked for the last time at the requests in flight, and ended up to 200 ms later; an answer counted as delivered before its last byte was written. Under steady load the daemon never found a moment without requests and ended at its time limit. Change: when callers have had the time to turn to other daemons, the daemon accepts what is already connected, closes its listeners and idle connections, and ends when every other connection has its last answer, or at the time limit.

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -27,6 +27,8 @@
 static constexpr std::chrono::milliseconds directorySlack { 300 };
 /// Part of the stop time that is reserved for the last answers to reach their callers before the process is killed.
 static constexpr std::chrono::milliseconds stopMargin { 600 };
+/// Time for the requests in flight after the last connection was accepted.
+static constexpr std::chrono::milliseconds minimumDrainTime { 500 };
 static constexpr std::chrono::milliseconds serviceAnswerTimeout { 200 };
 
 edge_daemon::edge_daemon(configuration::edge_settings settings)
@@ -97,6 +99,16 @@
         logEvent(log_level::error, "settings_not_taken", { { "service", fleet_service::serviceName } });
 }
 
+/// Returns the number of caller connections with a request, or one when the traffic service does not answer in time.
+static std::size_t countConnectionsToDrain(traffic_service& traffic)
+{
+    auto const count = std::make_shared<std::promise<std::size_t>>();
+    auto answer = count->get_future();
+    if (!traffic.drainConnections([count](std::size_t connections) { count->set_value(connections); }))
+        return 0;
+    return answer.wait_for(serviceAnswerTimeout) == std::future_status::ready ? answer.get() : 1;
+}
+
 void edge_daemon::stopGracefully(std::function<bool()> const& shouldStopNow)
 {
     auto& fleet = m_registry.find<fleet_service>(fleet_service::serviceName);
@@ -105,9 +117,12 @@
     if (!fleet.announceLeaving())
         logEvent(log_level::warn, "stop_step_failed", { { "step", "leaving" } });
     auto const latestStopAt = stopStartedAt + m_settings.stopTimeLimit - stopMargin;
-    auto const callersGoneAt = std::min(stopStartedAt + directoryValidity * callerValidityFactor + directorySlack, latestStopAt);
+    auto const callersGoneAt = std::min(stopStartedAt + directoryValidity * callerValidityFactor + directorySlack, latestStopAt - minimumDrainTime);
     auto const now = [] { return std::chrono::steady_clock::now(); };
-    while (!shouldStopNow() && now() < latestStopAt && (now() < callersGoneAt || traffic.requestsInFlight() > 0))
+    while (!shouldStopNow() && now() < callersGoneAt)
+        std::this_thread::sleep_for(idleCheckInterval);
+    // Some callers go on to use this daemon. They get no new connections, so that the last request is answered at some time.
+    while (!shouldStopNow() && now() < latestStopAt && countConnectionsToDrain(traffic) > 0)
         std::this_thread::sleep_for(idleCheckInterval);
     auto const announced = std::make_shared<std::promise<void>>();
     if (!fleet.announceStop([announced] { announced->set_value(); }) || announced->get_future().wait_for(serviceAnswerTimeout) != std::future_status::ready)
--- a/Services/traffic/caller_connection.cpp
+++ b/Services/traffic/caller_connection.cpp
@@ -221,7 +221,9 @@
         return;
     }
     auto const remainder = std::make_shared<std::string>(bytes.substr(written));
+    m_isWritePending = true;
     asio::async_write(m_socket, asio::buffer(*remainder), [self = shared_from_this(), remainder, isLast](beast::error_code result, std::size_t) {
+        self->m_isWritePending = false;
         if (result)
             self->close();
         else
@@ -278,6 +280,13 @@
     }
 }
 
+void caller_connection::closeIfIdle(kernel::duration minimumAge, kernel::time_point now)
+{
+    beast::error_code ignored;
+    if (m_phase == phase::idle && now - m_phaseStartedAt >= minimumAge && m_socket.available(ignored) == 0)
+        close();
+}
+
 void caller_connection::close()
 {
     if (m_isClosed)
--- a/Services/traffic/caller_connection.h
+++ b/Services/traffic/caller_connection.h
@@ -42,6 +42,10 @@
     void sendAnswer(forwarding::final_answer const&);
     /// Closes the connection or rejects the request when the caller exceeds a time limit.
     void enforceTimeLimits(kernel::time_point now);
+    /// Closes the connection if it has waited for a request for at least `minimumAge` and none has arrived.
+    void closeIfIdle(kernel::duration minimumAge, kernel::time_point now);
+    /// Returns whether the last answer has been written, or the connection is closed.
+    bool isDrained() const { return m_isClosed || (m_phase == phase::closing && !m_isWritePending); }
 
 private:
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -77,6 +81,8 @@
     bool m_shouldKeepAlive { true };
     bool m_isHeadRequest { false };
     bool m_isReadPending { false };
+    /// True while a part of an answer is still to be written.
+    bool m_isWritePending { false };
     bool m_hasSentContinue { false };
     bool m_isClosed { false };
 };
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -26,6 +26,8 @@
 static constexpr std::chrono::milliseconds sweepInterval { 200 };
 /// Delay before the next accept after a failed accept.
 static constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
+/// Time in which the first request of a new connection arrives.
+static constexpr std::chrono::milliseconds firstRequestTime { 100 };
 /// Longer than the keep-alive timeout that the relay protocol announces.
 static constexpr std::chrono::milliseconds relayIdleTimeout { 60'000 };
 
@@ -72,6 +74,19 @@
         armTimer();
     }
 
+    std::size_t drainConnections()
+    {
+        stopAccepting(m_callerAcceptor, m_edgeProtocol);
+        stopAccepting(m_relayAcceptor, m_relayProtocol);
+        auto const at = now();
+        std::size_t remaining = 0;
+        for (auto const& each : callerConnections()) {
+            each->closeIfIdle(firstRequestTime, at);
+            remaining += each->isDrained() ? 0 : 1;
+        }
+        return remaining;
+    }
+
     std::string describeState() const
     {
         boost::json::object const state {
@@ -177,6 +192,31 @@
         });
     }
 
+    /// Accepts the connections that callers have already opened, and closes the acceptor.
+    void stopAccepting(tcp::acceptor& acceptor, forwarding::edge_protocol const& protocol)
+    {
+        boost::system::error_code failure;
+        if (!acceptor.is_open())
+            return;
+        acceptor.non_blocking(true, failure);
+        while (!failure) {
+            tcp::socket accepted { m_context };
+            acceptor.accept(accepted, failure);
+            if (!failure)
+                addConnection(std::move(accepted), protocol);
+        }
+        acceptor.close(failure);
+    }
+
+    std::vector<std::shared_ptr<caller_connection>> callerConnections() const
+    {
+        std::vector<std::shared_ptr<caller_connection>> connections;
+        connections.reserve(m_callerConnections.size());
+        for (auto const& [pointer, each] : m_callerConnections)
+            connections.push_back(each);
+        return connections;
+    }
+
     /// Peers relay requests within the callers' limits, plus the headers of the relay protocol.
     static forwarding::caller_limits relayLimits(forwarding::caller_limits limits)
     {
@@ -297,11 +337,7 @@
             auto const at = now();
             m_leafConnections.closeExpiredConnections(at);
             m_relayConnections.closeExpiredConnections(at);
-            std::vector<std::shared_ptr<caller_connection>> connections;
-            connections.reserve(m_callerConnections.size());
-            for (auto const& [pointer, each] : m_callerConnections)
-                connections.push_back(each);
-            for (auto const& each : connections)
+            for (auto const& each : callerConnections())
                 each->enforceTimeLimits(at);
             scheduleSweep();
         });
@@ -370,6 +406,11 @@
     return m_implementation->port();
 }
 
+bool traffic_service::drainConnections(std::function<void(std::size_t)> receiver)
+{
+    return m_workerThread.post([this, receiver = std::move(receiver)] { receiver(m_implementation->drainConnections()); });
+}
+
 bool traffic_service::requestState(kernel::text_receiver receiver)
 {
     return m_workerThread.post([this, receiver = std::move(receiver)] { receiver(m_implementation->describeState()); });
--- a/Services/traffic/traffic_service.h
+++ b/Services/traffic/traffic_service.h
@@ -56,6 +56,11 @@
     /// Returns the number of requests that wait for an answer. Safe to call from any thread.
     std::size_t requestsInFlight() const { return m_requestsInFlight.load(); }
 
+    /// Stops accepting connections, closes idle ones, and passes the number of connections that may still carry a request to `receiver`
+    /// on the service's thread.
+    /// Returns false when the service has stopped.
+    bool drainConnections(std::function<void(std::size_t)> receiver);
+
     static constexpr char const* serviceName = "traffic";
 
 private:
