Forwarding: Send no call whose request has ended

Leafs ran requests for callers whose time had passed, after a pause of the daemon's process. Cause: on waking, an event loop may serve sockets before timers, so calls went out on connections that had opened meanwhile, and from the queue when another call ended, before the timers could end their requests. Change: whether a call is still wanted includes that its request is open, its caller there and its time not over; queued parts and replaced parts check the time as well.

--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -45,6 +45,11 @@
 
 void request_engine::callPart(active_request& request, std::size_t partIndex, time_point now)
 {
+    if (now >= request.endAt) {
+        request.parts[partIndex].isMissing = true;
+        ++request.missingPartCount;
+        return;
+    }
     auto const pick = m_leafs.pickLeaf(*request.parts[partIndex].service, request.parts[partIndex].calledLeafs, hedgeDelayOf(*request.matchedRoute), now);
     if (pick)
         sendCall(request, partIndex, pick->leaf, now);
@@ -74,7 +79,12 @@
 bool request_engine::isCallWanted(call_number number, time_point now) const
 {
     auto const found = m_calls.find(number);
-    return found == m_calls.end() || m_leafs.at(found->second.leaf).acceptsCalls(now);
+    if (found == m_calls.end())
+        return true;
+    // After a pause of this process, the connection may be reported open before the timers that end the request have run.
+    auto const request = m_requests.find(found->second.requestToken);
+    bool const isAwaited = request != m_requests.end() && !request->second.isCallerDisconnected && now < request->second.endAt;
+    return isAwaited && m_leafs.at(found->second.leaf).acceptsCalls(now);
 }
 
 void request_engine::enqueuePart(active_request& request, std::size_t partIndex, time_point now)
@@ -115,6 +125,12 @@
             continue;
         }
         auto& part = request->parts[next.partIndex];
+        if (now >= request->endAt) {
+            // The timer that ends the request is due.
+            part.isQueued = false;
+            queue.erase(entry);
+            continue;
+        }
         auto const pick = m_leafs.pickLeaf(service, part.calledLeafs, hedgeDelayOf(*request->matchedRoute), now);
         if (!pick && m_leafs.hasAcceptingLeaf(service, part.calledLeafs, now)) {
             scheduleDispatch(service, part.calledLeafs, now);
