--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -1,5 +1,6 @@
 #include "Kernel/clock.h"
 #include "Kernel/event_log.h"
+#include "Tests/Soak/limit_watch.h"
 #include "Tests/Soak/loopback_proxy.h"
 #include "Tests/Soak/soak_checker.h"
 #include "Tests/Support/edge_fleet.h"
@@ -14,6 +15,7 @@
 DEFINE_uint64(seconds, 15, "duration of the fault injection in seconds");
 DEFINE_uint64(daemons, 4, "number of daemons");
 DEFINE_uint64(shards, 6, "number of shards of the route; each shard has two leafs");
+DEFINE_bool(daemon_faults, true, "whether daemons are killed, stopped and paused; without these faults the request limits of leafs are checked");
 DEFINE_string(logs, "", "directory to which the daemons' logs are written if the run has findings");
 
 using namespace zinnialedge;
@@ -44,6 +46,7 @@
 
     scripted_reply answer(std::string const& request, soak_checker& checker)
     {
+        auto const limit = limits.recordArrival();
         auto const attempt = rawHeaderValue(request, "Zinnialedge-Attempt-Id");
         if (rawHeaderValue(request, "Zinnialedge-Target-Instance") != id)
             return { "HTTP/1.1 421 Misdirected Request\r\nZinnialedge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false, false };
@@ -55,7 +58,7 @@
             return { "HTTP/1.1 503 Service Unavailable\r\nZinnialedge-Not-Executed: 1\r\nRetry-After: " + std::to_string(std::chrono::duration<double> { pauseLength.load() }.count()) + "\r\nContent-Length: 0\r\n\r\n", false, false };
         checker.recordExecution(attempt);
         auto const body = service == "desk" ? makeBody(attempt) : makeRecords(service);
-        auto bytes = "HTTP/1.1 200 OK\r\nZinnialedge-Server-Seal: " + makeSeal(service, attempt) + "\r\nZinnialedge-Attempt-Id: " + attempt + "\r\nContent-Length: " + std::to_string(body.size()) + (isLeaving ? "\r\nServer-Leaving: 1" : "") + "\r\n\r\n" + body;
+        auto bytes = "HTTP/1.1 200 OK\r\nZinnialedge-Server-Seal: " + makeSeal(service, attempt) + "\r\nZinnialedge-Attempt-Id: " + attempt + "\r\nContent-Length: " + std::to_string(body.size()) + (isLeaving ? "\r\nServer-Leaving: 1" : "") + (limit > 0 ? "\r\nServer-Limit: " + std::to_string(limit) : "") + "\r\n\r\n" + body;
         if (fault == 1)
             return { {}, false, true };
         if (fault == 2)
@@ -70,6 +73,7 @@
     std::atomic<bool> isLeaving { false };
     /// Pause for which the leaf asks in half of its replies; zero for none.
     std::atomic<std::chrono::milliseconds> pauseLength { std::chrono::milliseconds { 0 } };
+    limit_watch limits;
     std::int64_t startedAt { edge_fleet::firstStartTime };
     scripted_leaf leaf;
     loopback_proxy proxy;
@@ -114,6 +118,7 @@
             injectFault();
             changeSettings();
             changeStoreOrLeafs();
+            changeLimits();
             std::this_thread::sleep_for(std::chrono::milliseconds { 20 + m_random() % 150 });
         }
         removeFaults();
@@ -161,7 +166,7 @@
         // The non-idempotent service has only the last two of all leafs, so a third of the leaf faults is directed at them.
         auto& leaf = *m_leafs[m_random() % 3 == 0 ? m_leafs.size() - 1 - m_random() % 2 : m_random() % m_leafs.size()];
         bool const isDaemonFault = m_random() % 3 == 0;
-        if (isDaemonFault && m_isStopping[index])
+        if (isDaemonFault && (m_isStopping[index] || !FLAGS_daemon_faults))
             return;
         auto const name = " daemon" + std::to_string(index);
         switch (isDaemonFault ? m_random() % 3 : 3 + m_random() % 9) {
@@ -279,6 +284,17 @@
         }
     }
 
+    /// Lets leafs name request limits or end them. A separate random number generator keeps the other faults of a seed unchanged.
+    void changeLimits()
+    {
+        if (m_limitRandom() % 12 != 0)
+            return;
+        auto& leaf = *m_leafs[m_limitRandom() % m_leafs.size()];
+        auto const limit = m_limitRandom() % 3 == 0 ? 0.0 : 3.0 + static_cast<double>(m_limitRandom() % 30);
+        recordEvent("leaf " + leaf.id + " names a limit of " + std::to_string(limit));
+        leaf.limits.setLimit(limit);
+    }
+
     void registerInStore(soak_leaf const& leaf)
     {
         m_fleet.registerLeaf(leaf.id, leaf.service, leaf.proxy.listenEndpoint(), "ready", m_dataCentres.at(leaf.id), leaf.startedAt);
@@ -327,6 +343,7 @@
         for (auto const& leaf : m_leafs) {
             leaf->faultsPerThousand = 0;
             leaf->proxy.setState(link_state::healthy);
+            leaf->limits.setLimit(0);
             if (leaf->isLeaving || leaf->pauseLength.load().count() > 0)
                 restartLeaf(*leaf);
             registerInStore(*leaf);
@@ -361,6 +378,12 @@
     {
         auto findings = m_checker.findings();
         findings.insert(findings.end(), m_plannedStopFindings.begin(), m_plannedStopFindings.end());
+        // A daemon that is restarted or paused is excused from the limits that it knew.
+        for (auto const& leaf : m_leafs) {
+            auto const overruns = FLAGS_daemon_faults ? std::vector<std::string> {} : leaf->limits.findings();
+            for (auto const& each : overruns)
+                findings.push_back(each + " of " + leaf->id);
+        }
         auto const servedShare = static_cast<double>(m_checker.servedCount()) / static_cast<double>(std::max<std::size_t>(m_checker.requestCount(), 1));
         if (servedShare < minimumServedShare)
             findings.push_back("RECOVER: " + std::to_string(m_checker.servedCount()) + " of " + std::to_string(m_checker.requestCount()) + " requests served after the faults");
@@ -391,6 +414,7 @@
     boost::asio::io_context m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_workGuard { m_context.get_executor() };
     kernel::random_hook m_settingsRandom { kernel::makeSeededRandom(FLAGS_seed + 1000) };
+    kernel::random_hook m_limitRandom { kernel::makeSeededRandom(FLAGS_seed + 3000) };
     kernel::random_hook m_returnRandom { kernel::makeSeededRandom(FLAGS_seed + 2000) };
     soak_checker m_checker;
     std::vector<std::unique_ptr<soak_leaf>> m_leafs;
