Control: Show the limits behind a rejection in explain

Cause: the line of a request that was rejected because of leafs' limits names no leaf. Change: zlctl explain adds the limits in force for leafs_limited, as it adds pauses for leafs_paused.

--- a/Tests/Support/scripted_leaf.h
+++ b/Tests/Support/scripted_leaf.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Libraries/zinnialedge/model/endpoint.h"
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
--- a/Tests/Unit/explain_test.cpp
+++ b/Tests/Unit/explain_test.cpp
@@ -34,3 +34,16 @@
     CHECK(lines[1].starts_with("time=3"));
     CHECK(lines[2].starts_with("time=4"));
 }
+
+TEST(Explain, LimitsThatLedToARejectionAreShown)
+{
+    std::istringstream log { "time=1 event=leaf_limit_named leaf=a limit=5\n"
+                             "time=2 event=leaf_limit_named leaf=b limit=7\n"
+                             "time=3 event=leaf_limit_named leaf=a limit=4\n"
+                             "time=4 event=leaf_limit_ended leaf=b limit=0\n"
+                             "time=5 event=request_ended id=r1 reason=leafs_limited\n" };
+    auto const lines = findRequestLines(log, "r1");
+    LONGS_EQUAL(2, lines.size());
+    CHECK(lines[0].starts_with("time=3"));
+    CHECK(lines[1].starts_with("time=5"));
+}
--- a/Utilities/zlctl/explain.cpp
+++ b/Utilities/zlctl/explain.cpp
@@ -17,17 +17,25 @@
 std::vector<std::string> findRequestLines(std::istream& log, std::string const& requestId)
 {
     std::vector<std::string> found;
-    // The last pause of each leaf. A request that is rejected because of pauses has no calls of its own that would show them.
+    // The last pause and the limit of each leaf. A request that is rejected because of them has no calls of its own that would show
+    // them.
     std::map<std::string, std::string> pausesByLeaf;
+    std::map<std::string, std::string> limitsByLeaf;
     for (std::string line; std::getline(log, line);) {
-        if (findValue(line, "event") == "leaf_paused")
+        auto const event = findValue(line, "event");
+        if (event == "leaf_paused")
             pausesByLeaf[findValue(line, "leaf")] = line;
+        else if (event == "leaf_limit_named")
+            limitsByLeaf[findValue(line, "leaf")] = line;
+        else if (event == "leaf_limit_ended")
+            limitsByLeaf.erase(findValue(line, "leaf"));
         if (findValue(line, "id") != requestId)
             continue;
-        if (findValue(line, "reason") == "leafs_paused") {
-            for (auto const& [leaf, pause] : pausesByLeaf) {
-                if (findValue(pause, "id") != requestId)
-                    found.push_back(pause);
+        auto const reason = findValue(line, "reason");
+        if (reason == "leafs_paused" || reason == "leafs_limited") {
+            for (auto const& [leaf, notice] : reason == "leafs_paused" ? pausesByLeaf : limitsByLeaf) {
+                if (findValue(notice, "id") != requestId)
+                    found.push_back(notice);
             }
         }
         found.push_back(line);
