--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -84,9 +84,9 @@
     if (reply.isMisdirected)
         return;
     auto& record = m_leafs.at(leaf);
-    auto const log = [&](std::string_view event) {
+    auto const log = [&, limit = record.rateLimit()](std::string_view event) {
         if (m_hooks.logLeafLimit)
-            m_hooks.logLeafLimit(record.registration().id, event, record.rateLimit());
+            m_hooks.logLeafLimit(record.registration().id, event, limit);
     };
     if (!reply.requestLimit) {
         // Only a reply with a seal is known to come from the leaf itself.
