--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -2,6 +2,7 @@
 
 #include "Kernel/event_log.h"
 #include "Kernel/metrics_text.h"
+#include "Libraries/zinnialedge/fleet/limit_shares.h"
 #include "Services/fleet/snapshot_codec.h"
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -30,9 +31,6 @@
 static constexpr std::chrono::milliseconds restoredLeafHold { 5000 };
 /// Long, because each new watch consumes store budget; the probe detects an unresponsive store sooner.
 static constexpr std::chrono::milliseconds watchHoldTime { 20'000 };
-/// Daemons outside the serving group get few requests, so that four of them need as many connections to a leaf as one daemon in the
-/// group.
-static constexpr std::size_t outsideDaemonsPerShare = 4;
 /// Interval between snapshot requests to peers while the store is unreachable.
 static constexpr std::chrono::milliseconds periodicInterval { 500 };
 /// Interval between comparisons of the registrations with the live daemons.
@@ -278,13 +276,11 @@
     if (group.empty() || group.size() > liveEndpoints.size()) {
         share.daemonsSharingConnections = liveEndpoints.size();
         share.daemonsSharingSlack = liveEndpoints.size();
-        share.daemonsSharingLeafLimits = static_cast<double>(liveEndpoints.size());
+        share.daemonsSharingLeafLimits = zinnialedge::fleet::countLimitShares(0, liveEndpoints.size(), false);
         return share;
     }
-    share.daemonsSharingConnections = group.size() + (liveEndpoints.size() - group.size()) / outsideDaemonsPerShare;
-    // A daemon outside the group has a fraction of the share of a daemon in the group.
-    auto const limitShares = static_cast<double>(group.size()) + static_cast<double>(liveEndpoints.size() - group.size()) / static_cast<double>(outsideDaemonsPerShare);
-    share.daemonsSharingLeafLimits = isInGroup ? limitShares : limitShares * static_cast<double>(outsideDaemonsPerShare);
+    share.daemonsSharingConnections = group.size() + (liveEndpoints.size() - group.size()) / zinnialedge::fleet::outsideDaemonsPerShare;
+    share.daemonsSharingLeafLimits = zinnialedge::fleet::countLimitShares(group.size(), liveEndpoints.size(), isInGroup);
     // One extra holder is counted: a member that some daemons do not know yet must not make the sum of shares exceed the total.
     share.daemonsSharingSlack = isInGroup ? std::max(group.size(), std::min(liveEndpoints.size(), group.size() + 1)) : 0;
     for (auto const& each : group) {
--- a/Tests/Faults/edge_leaf_limit_test.cpp
+++ b/Tests/Faults/edge_leaf_limit_test.cpp
@@ -94,7 +94,9 @@
     std::atomic<std::size_t> failed { 0 };
     std::vector<std::thread> callers;
     // A caller waits for its answer before the next request, so that a few callers alone would adapt to the limit.
-    for (std::size_t caller = 0; caller < 12; ++caller) {
+    static constexpr std::size_t callerCount = 12;
+    callers.reserve(callerCount);
+    for (std::size_t caller = 0; caller < callerCount; ++caller) {
         callers.emplace_back([&, caller] {
             for (std::size_t count = 0; std::chrono::steady_clock::now() < namedAt + settlingTime + countedWindow + 1s; ++count) {
                 auto const status = fleet.post(caller % daemonCount, "/single/a", "a" + std::to_string(caller) + "-" + std::to_string(count), "order").status;
--- a/Tests/Faults/endless_reply_test.cpp
+++ b/Tests/Faults/endless_reply_test.cpp
@@ -117,6 +117,7 @@
     isEndless = true;
     std::array<int, requestCount> statuses {};
     std::vector<std::thread> callers;
+    callers.reserve(requestCount);
     for (std::size_t index = 0; index < requestCount; ++index)
         callers.emplace_back([&, index] { statuses[index] = fleet.post(0, "/single/a", "a" + std::to_string(index), "order").status; });
     for (auto& caller : callers)
--- a/Tests/Faults/planned_stop_test.cpp
+++ b/Tests/Faults/planned_stop_test.cpp
@@ -57,7 +57,9 @@
     std::atomic<std::size_t> cutAfterCall { 0 };
     std::atomic<std::size_t> cutBeforeCall { 0 };
     std::vector<std::thread> callers;
-    for (std::size_t caller = 0; caller < 16; ++caller) {
+    static constexpr std::size_t callerCount = 16;
+    callers.reserve(callerCount);
+    for (std::size_t caller = 0; caller < callerCount; ++caller) {
         callers.emplace_back([&, caller] {
             persistent_connection kept { fleet.daemon(0).callers };
             for (std::size_t count = 0; !shouldEnd; ++count) {
