--- a/Libraries/zinnialedge/forwarding/leaf_rate_limit.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_rate_limit.cpp
@@ -8,9 +8,9 @@
 using kernel::duration;
 using kernel::time_point;
 
-/// Time without calls whose calls may be made up for later.
+/// Longest time without calls for which calls are saved up.
 static constexpr std::chrono::duration<double> burstTime { 1.0 };
-/// Calls per second of all daemons to a leaf whose limit is lower. Only the replies to calls show that a limit has ended.
+/// Lowest rate that all daemons together use of a limit, since only the replies to calls show that the limit has ended.
 static constexpr double minimumRequestsPerSecond = 0.25;
 /// Tolerance for rounding when the time of the next call is computed.
 static constexpr std::chrono::microseconds roundingTolerance { 1 };
@@ -49,7 +49,7 @@
 
 bool leaf_rate_limit::clear(time_point sentAt)
 {
-    // The reply to an earlier call may have been written before the leaf named its limit, and overtaken on another connection.
+    // The reply to an earlier call may have been written before the leaf named its limit, and may have been overtaken on another connection.
     if (!m_requestsPerSecond || sentAt <= m_lastNamedAt)
         return false;
     m_requestsPerSecond.reset();
--- a/Libraries/zinnialedge/forwarding/leaf_roster.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.cpp
@@ -152,8 +152,8 @@
     auto const leafs = m_handlesByService.find(service);
     return leafs != m_handlesByService.end() && std::any_of(leafs->second.begin(), leafs->second.end(), [&](auto handle) {
         auto const& record = at(handle);
-        bool const isCountedAsLimited = record.rateLimit().isInForce() && dataCentre != m_localDataCentre;
-        return record.registration().dataCentre == dataCentre && record.hasRoom(now) && !isCountedAsLimited && !record.isSuspect(now, timeLimit);
+        bool const needsDirectCall = record.rateLimit().isInForce() && dataCentre != m_localDataCentre;
+        return record.registration().dataCentre == dataCentre && record.hasRoom(now) && !needsDirectCall && !record.isSuspect(now, timeLimit);
     });
 }
 
--- a/Libraries/zinnialedge/forwarding/messages.h
+++ b/Libraries/zinnialedge/forwarding/messages.h
@@ -108,7 +108,7 @@
 enum class call_failure {
     /// No byte of the call was sent.
     not_sent,
-    /// No byte of the call was sent because the leaf wants no calls any more.
+    /// No byte of the call was sent because the leaf wants no calls any more, or because the request has ended.
     withheld,
     /// The connection was closed early, or the reply was malformed or incomplete.
     broken,
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -99,7 +99,7 @@
     std::uint64_t leafLimitsEnded { 0 };
     /// Number of limits that were no valid number.
     std::uint64_t leafLimitsIgnored { 0 };
-    /// Number of calls that were withheld on a new connection because the leaf wanted no calls any more.
+    /// Number of calls that were withheld on a new connection while their requests were open.
     std::uint64_t callsWithheld { 0 };
     /// Number of requests rejected because all leafs of a service were paused.
     std::uint64_t rejectionsForPauses { 0 };
