--- a/Tests/Unit/limit_sharing_test.cpp
+++ b/Tests/Unit/limit_sharing_test.cpp
@@ -93,6 +93,7 @@
 std::vector<std::unique_ptr<limited_daemon>> makeDaemons(std::size_t count)
 {
     std::vector<std::unique_ptr<limited_daemon>> daemons;
+    daemons.reserve(count);
     for (std::size_t index = 0; index < count; ++index)
         daemons.push_back(std::make_unique<limited_daemon>(static_cast<double>(count)));
     return daemons;
