Forwarding: Keep the slack of extra calls of daemons that leave for one window

Cause: of the class of the limits: the daemons that stayed divided the slack anew at once, while what the leaving ones had consumed counted in the window for 10 s more. Change: the number of daemons that share the slack falls only after one window (held_maximum, as for the limits of leafs).

--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -36,7 +36,8 @@
 
 bool request_engine::consumeExtraCall(active_request& request, std::size_t partIndex, time_point now)
 {
-    bool const isAllowed = stateOf(*request.parts[partIndex].service).extraCallBudget.tryConsume(now, m_fleetShare.daemonsSharingSlack);
+    auto const sharers = m_fleetShare.daemonsSharingSlack == 0 ? 0 : static_cast<std::size_t>(m_slackSharers.value(now));
+    bool const isAllowed = stateOf(*request.parts[partIndex].service).extraCallBudget.tryConsume(now, sharers);
     request.deniedExtraCallCount += isAllowed ? 0 : 1;
     m_counters.extraCallsDenied += isAllowed ? 0 : 1;
     m_deniedExtraCallShare += deniedShareWeight * ((isAllowed ? 0 : 1) - m_deniedExtraCallShare);
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -32,6 +32,8 @@
     , m_random(random)
     , m_startedAt(startedAt)
     , m_leafs(m_settings.dataCentre, std::move(random))
+    // What daemons that leave have consumed counts in each window that contains their calls.
+    , m_slackSharers(1, m_settings.extraCalls.window)
     , m_typicalRelayDuration(initialRelayDuration)
 {
 }
@@ -56,6 +58,8 @@
 {
     m_fleetShare = std::move(share);
     m_leafs.setLimitSharers(m_fleetShare.daemonsSharingLeafLimits, now);
+    if (m_fleetShare.daemonsSharingSlack > 0)
+        m_slackSharers.set(static_cast<double>(m_fleetShare.daemonsSharingSlack), now);
     m_leafs.setConnectionSharing(m_routes, m_fleetShare.daemonsSharingConnections);
 }
 
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -5,6 +5,7 @@
 #include "Libraries/zinnialedge/forwarding/fleet_share.h"
 #include "Libraries/zinnialedge/forwarding/leaf_roster.h"
 #include "Libraries/zinnialedge/limits/admission_queue.h"
+#include "Libraries/zinnialedge/limits/held_maximum.h"
 #include "Libraries/zinnialedge/limits/moving_quantile.h"
 #include "Libraries/zinnialedge/limits/return_schedule.h"
 #include <deque>
@@ -323,6 +324,8 @@
     leaf_roster m_leafs;
     route_table_pointer m_routes;
     fleet_share m_fleetShare;
+    /// Number of daemons that share the slack of extra calls, without zeros.
+    limits::held_maximum m_slackSharers;
     std::map<relay, relay_state> m_relayStates;
     /// Moving average of the durations of answered relay calls.
     kernel::duration m_typicalRelayDuration;
