Tests: Give daemons no sockets of the test

Cause: processes that a test starts inherited its listening sockets. When a leaf of the test closed its socket, a daemon that was started after it kept the port open, and calls to the ended leaf hung in place of being refused. Change: a started process closes all descriptors above standard error.

--- a/Tests/Support/child_process.cpp
+++ b/Tests/Support/child_process.cpp
@@ -27,6 +27,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, pipeEnds[1], STDOUT_FILENO);
     posix_spawn_file_actions_adddup2(&actions, pipeEnds[1], STDERR_FILENO);
+    // Sockets of the test that the process inherited would stay open when the test closes them.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     auto const path = programPath(program);
     std::vector<char*> argumentPointers { const_cast<char*>(path.c_str()) };
     for (auto const& argument : arguments)
