Forwarding: Log broken calls with the digest of their request

Cause: log lines name attempts, whose identifiers are always new, so that nothing tells whether several leafs ended under one request. Change: lines of broken calls have the digest of the request and the number of other open calls at the leaf, also after the request has ended; two counters. Decisions are unchanged.

--- a/Libraries/zinnialedge/forwarding/messages.h
+++ b/Libraries/zinnialedge/forwarding/messages.h
@@ -3,6 +3,7 @@
 #include "Kernel/clock.h"
 #include "Libraries/zinnialedge/errors/error_kind.h"
 #include "Libraries/zinnialedge/model/endpoint.h"
+#include "Libraries/zinnialedge/quarantine/request_digest.h"
 #include <memory>
 #include <optional>
 #include <string>
@@ -55,6 +56,9 @@
     std::optional<relayed_request> relayed;
 };
 
+/// Returns the digest by which equal requests are recognized.
+quarantine::request_digest digestOf(caller_request const&);
+
 /// Load that a leaf reports in a reply.
 struct leaf_load {
     std::uint32_t running { 0 };
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -70,7 +70,7 @@
     part.calls.push_back({ number, handle, now });
     ++part.callsThatMayHaveRun;
     record.recordSent(origin, now);
-    m_calls[number] = { request.token, partIndex, handle, now };
+    m_calls[number] = { request.token, partIndex, handle, now, request.request };
     ++m_counters.calls;
     auto const abandonAt = request.endAt + abandonedCallGrace;
     m_timers.push({ abandonAt, timer_kind::abandon_call, number });
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -61,6 +61,16 @@
     failed,
 };
 
+/// The connection of a call ended before its reply.
+struct broken_call_report {
+    std::string const& attemptId;
+    quarantine::request_digest request;
+    std::string const& leafId;
+    /// Number of other calls that this daemon has open at the leaf.
+    std::size_t otherCallCount { 0 };
+    kernel::duration age {};
+};
+
 struct engine_hooks {
     /// Sends a call. The end of the call is reported later through handleCallEnd(), never from within this hook.
     std::function<void(leaf_call)> sendCall;
@@ -70,6 +80,7 @@
     std::function<void(request_report const&)> reportRequest;
     /// Logs a call that did not end with a success.
     std::function<void(std::string const& attemptId, std::string const& leafId, std::string_view event, kernel::duration age)> logLeafEvent;
+    std::function<void(broken_call_report const&)> logBrokenCall;
     /// Logs that a leaf has named a limit or names none any more.
     std::function<void(std::string const& leafId, std::string_view event, leaf_rate_limit const&)> logLeafLimit;
 };
@@ -90,6 +101,9 @@
     std::uint64_t extraCallsDenied { 0 };
     std::uint64_t shardsSkipped { 0 };
     std::uint64_t lateReplies { 0 };
+    std::uint64_t brokenCalls { 0 };
+    /// Number of broken calls whose leafs had other open calls of this daemon.
+    std::uint64_t brokenCallsAmongOthers { 0 };
     /// Number of leafs that said that they are leaving.
     std::uint64_t leafsLeaving { 0 };
     std::uint64_t leafPauses { 0 };
@@ -165,6 +179,8 @@
         std::size_t partIndex { 0 };
         leaf_handle leaf { 0 };
         kernel::time_point sentAt;
+        /// The call may end after its request.
+        std::shared_ptr<caller_request const> request;
     };
 
     /// Context of a call to another daemon.
@@ -280,6 +296,7 @@
 
     // Replies.
     void recordLeafResult(call_context const&, call_result const&, kernel::time_point now);
+    void reportBrokenCall(call_context const&, kernel::time_point now);
     /// Applies what the leaf says about itself in a reply: that it is leaving, or that it wants no calls for a time.
     void applyLeafNotices(leaf_handle, leaf_reply const&, std::string const& attemptId, kernel::time_point now);
     /// Applies the limit that the leaf names in a reply, or the end of the limit when a sealed reply names none.
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -27,11 +27,22 @@
     return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
 }
 
+void request_engine::reportBrokenCall(call_context const& context, time_point now)
+{
+    auto const& record = m_leafs.at(context.leaf);
+    ++m_counters.brokenCalls;
+    m_counters.brokenCallsAmongOthers += record.inFlight() > 0 ? 1 : 0;
+    if (m_hooks.logBrokenCall)
+        m_hooks.logBrokenCall({ context.request->attemptId, digestOf(*context.request), record.registration().id, record.inFlight(), now - context.sentAt });
+}
+
 void request_engine::recordLeafResult(call_context const& context, call_result const& result, time_point now)
 {
     auto& record = m_leafs.at(context.leaf);
     if (!result) {
         record.recordFailure(result.error(), context.sentAt, now);
+        if (result.error() == call_failure::broken)
+            reportBrokenCall(context, now);
         return;
     }
     if (result->load)
@@ -222,7 +233,9 @@
     bool const wasSent = failure != call_failure::not_sent && failure != call_failure::withheld;
     if (failure == call_failure::withheld)
         ++m_counters.callsWithheld;
-    logLeafEvent(request, context, failureEvent(failure), now);
+    // A broken call has been logged by itself, because its request may have ended before.
+    if (failure != call_failure::broken)
+        logLeafEvent(request, context, failureEvent(failure), now);
     if (!wasSent)
         --part.callsThatMayHaveRun;
     retryOrMarkMissing(request, context.partIndex, wasSent, now);
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -64,6 +64,12 @@
         logEvent(log_level::info, event, { { "id", attemptId }, { "leaf", leafId }, { "age_ms", toMilliseconds(age) } });
 }
 
+void request_log::logBrokenCall(forwarding::broken_call_report const& report)
+{
+    if (tryCountLine(m_callLineCount, callLinesPerSecond))
+        logEvent(log_level::info, "call_broken", { { "id", report.attemptId }, { "leaf", report.leafId }, { "age_ms", toMilliseconds(report.age) }, { "request", quarantine::toString(report.request) }, { "other_calls", report.otherCallCount } });
+}
+
 void request_log::logLeafLimit(std::string const& leafId, std::string_view event, forwarding::leaf_rate_limit const& limit)
 {
     if (!tryCountLine(m_callLineCount, callLinesPerSecond))
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -119,6 +119,8 @@
         metrics.counter("relayed_calls_total", counters.relays);
         metrics.counter("relayed_parts_replaced_total", counters.relayedPartsReplaced);
         metrics.counter("late_replies_total", counters.lateReplies);
+        metrics.counter("leaf_calls_broken_total", counters.brokenCalls);
+        metrics.counter("leaf_calls_broken_among_others_total", counters.brokenCallsAmongOthers);
         metrics.counter("leafs_leaving_total", counters.leafsLeaving);
         metrics.counter("leaf_pauses_total", counters.leafPauses);
         metrics.counter("leaf_pauses_ignored_total", counters.leafPausesIgnored);
@@ -159,6 +161,7 @@
             m_latencies.add(report.route, report.isCallerDisconnected ? "caller_left" : report.reason, std::chrono::duration_cast<std::chrono::microseconds>(report.elapsed));
         };
         hooks.logLeafEvent = [this](std::string const& id, std::string const& leaf, std::string_view event, kernel::duration age) { m_requestLog.logLeafEvent(id, leaf, event, age); };
+        hooks.logBrokenCall = [this](forwarding::broken_call_report const& report) { m_requestLog.logBrokenCall(report); };
         hooks.logLeafLimit = [this](std::string const& leaf, std::string_view event, forwarding::leaf_rate_limit const& limit) { m_requestLog.logLeafLimit(leaf, event, limit); };
         return hooks;
     }
