--- a/Tests/Support/scripted_leaf.cpp
+++ b/Tests/Support/scripted_leaf.cpp
@@ -1,5 +1,7 @@
 #include "Tests/Support/scripted_leaf.h"
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
 
@@ -22,6 +24,7 @@
 scripted_leaf::scripted_leaf(std::function<scripted_reply(std::string const&)> makeReply)
     : m_makeReply(std::move(makeReply))
     , m_acceptor(m_context, tcp::endpoint { asio::ip::make_address("127.0.0.1"), 0 })
+    , m_endpoint(m_acceptor.local_endpoint())
 {
     acceptNextConnection();
     m_thread = std::thread { [this] { m_context.run(); } };
@@ -35,7 +38,7 @@
 
 model::endpoint scripted_leaf::place() const
 {
-    return { "127.0.0.1", m_acceptor.local_endpoint().port() };
+    return { "127.0.0.1", m_endpoint.port() };
 }
 
 std::vector<std::string> scripted_leaf::requests() const
@@ -59,7 +62,10 @@
             std::lock_guard const lock(m_mutex);
             ++m_connectionCount;
         }
-        readRequests(std::make_shared<connection>(std::move(accepted)));
+        auto const accepting = std::make_shared<connection>(std::move(accepted));
+        std::erase_if(m_openConnections, [](auto const& each) { return each.expired(); });
+        m_openConnections.push_back(accepting);
+        readRequests(accepting);
         acceptNextConnection();
     });
 }
@@ -97,22 +103,87 @@
             m_requests.push_back(request);
         }
         auto const reply = m_makeReply(request);
-        boost::system::error_code ignored;
-        asio::write(client->socket, asio::buffer(reply.bytes), ignored);
-        if (!reply.repeatedBytes.empty()) {
-            repeatBytes(client, std::make_shared<std::string const>(reply.repeatedBytes));
+        if (reply.runTime.count() > 0) {
+            auto const timer = std::make_shared<asio::steady_timer>(m_context, reply.runTime);
+            timer->async_wait([this, client, reply, timer](boost::system::error_code) {
+                if (performReply(client, reply))
+                    answerCompleteRequests(client);
+            });
             return;
         }
-        if (reply.shouldReset)
-            client->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-        if (reply.shouldClose || reply.shouldReset) {
-            client->socket.close(ignored);
+        if (!performReply(client, reply))
             return;
-        }
     }
     readRequests(client);
 }
 
+bool scripted_leaf::performReply(std::shared_ptr<connection> const& client, scripted_reply const& reply)
+{
+    if (reply.downTime.count() > 0)
+        endNow(reply.downTime);
+    // The leaf may have ended while it ran the request.
+    if (!client->socket.is_open())
+        return false;
+    boost::system::error_code ignored;
+    asio::write(client->socket, asio::buffer(reply.bytes), ignored);
+    if (!reply.repeatedBytes.empty()) {
+        repeatBytes(client, std::make_shared<std::string const>(reply.repeatedBytes));
+        return false;
+    }
+    if (reply.shouldReset)
+        client->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    if (reply.shouldClose || reply.shouldReset) {
+        client->socket.close(ignored);
+        return false;
+    }
+    return true;
+}
+
+void scripted_leaf::listenAfter(std::chrono::milliseconds delay)
+{
+    auto const timer = std::make_shared<asio::steady_timer>(m_context, delay);
+    timer->async_wait([this, timer](boost::system::error_code) {
+        boost::system::error_code failure;
+        m_acceptor.open(m_endpoint.protocol(), failure);
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+        m_acceptor.bind(m_endpoint, failure);
+        if (!failure)
+            m_acceptor.listen(asio::socket_base::max_listen_connections, failure);
+        if (!failure) {
+            acceptNextConnection();
+            return;
+        }
+        // A connection of another process may use the port for a moment.
+        static constexpr std::chrono::milliseconds retryDelay { 50 };
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        listenAfter(retryDelay);
+    });
+}
+
+void scripted_leaf::end(std::chrono::milliseconds downTime)
+{
+    asio::post(m_context, [this, downTime] { endNow(downTime); });
+}
+
+void scripted_leaf::endNow(std::chrono::milliseconds downTime)
+{
+    if (!m_acceptor.is_open())
+        return;
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    for (auto const& each : m_openConnections) {
+        auto const open = each.lock();
+        if (!open || !open->socket.is_open())
+            continue;
+        open->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        open->socket.close(ignored);
+    }
+    m_openConnections.clear();
+    ++m_endCount;
+    listenAfter(downTime);
+}
+
 void scripted_leaf::repeatBytes(std::shared_ptr<connection> const& client, std::shared_ptr<std::string const> const& bytes)
 {
     asio::async_write(client->socket, asio::buffer(*bytes), [this, client, bytes](boost::system::error_code failure, std::size_t written) {
--- a/Tests/Support/scripted_leaf.h
+++ b/Tests/Support/scripted_leaf.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -22,6 +23,11 @@
     bool shouldReset { false };
     /// Bytes that the leaf repeats after the others until the daemon closes the connection; empty for none.
     std::string repeatedBytes {};
+    /// Time that the leaf takes before it replies or ends.
+    std::chrono::milliseconds runTime { 0 };
+    /// Time for which the leaf has ended in place of a reply: all its connections are reset, and new ones are refused. Zero for a leaf
+    /// that replies.
+    std::chrono::milliseconds downTime { 0 };
 };
 
 /// A leaf that sends for each request the bytes that the test supplies, which need not be valid HTTP.
@@ -36,6 +42,10 @@
     model::endpoint place() const;
     std::vector<std::string> requests() const;
     std::size_t connectionCount() const;
+    /// Returns how often the leaf has ended.
+    std::size_t endCount() const { return m_endCount; }
+    /// Resets all connections and refuses new ones for a time.
+    void end(std::chrono::milliseconds downTime);
     /// Returns the number of repeated bytes that the leaf could write, of all connections together.
     std::size_t repeatedByteCount() const { return m_repeatedByteCount; }
 
@@ -45,11 +55,18 @@
     void acceptNextConnection();
     void readRequests(std::shared_ptr<connection> const&);
     void answerCompleteRequests(std::shared_ptr<connection> const&);
+    /// Returns whether the connection stays open for further requests.
+    bool performReply(std::shared_ptr<connection> const&, scripted_reply const&);
+    void listenAfter(std::chrono::milliseconds delay);
+    void endNow(std::chrono::milliseconds downTime);
     void repeatBytes(std::shared_ptr<connection> const&, std::shared_ptr<std::string const> const& bytes);
 
     std::function<scripted_reply(std::string const&)> m_makeReply;
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::endpoint m_endpoint;
+    std::vector<std::weak_ptr<connection>> m_openConnections;
+    std::atomic<std::size_t> m_endCount { 0 };
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
     std::size_t m_connectionCount { 0 };
