Tests: Soak with leafs that end under a marked request

Change: callers of the soak send marked requests to a single leaf and over shards, some with another query each; each leaf that runs one ends for a second and comes back under a new id. Without faults of daemons, at most three calls may follow four seconds after the third end. Rejections of marked requests must not invite another try.

--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -2,6 +2,7 @@
 #include "Kernel/event_log.h"
 #include "Tests/Soak/limit_watch.h"
 #include "Tests/Soak/loopback_proxy.h"
+#include "Tests/Soak/marked_request_watch.h"
 #include "Tests/Soak/soak_checker.h"
 #include "Tests/Support/edge_fleet.h"
 #include "Tests/Support/http_call.h"
@@ -32,23 +33,31 @@
 constexpr double minimumServedShare = 0.97;
 constexpr std::size_t callerCount = 6;
 constexpr std::size_t maxDaemons = 250;
+/// One in this many requests of a caller is marked and ends the leaf that runs it.
+constexpr std::size_t markedRequestInterval = 25;
+constexpr auto leafDownTime = 1000ms;
 
 /// A leaf with the proxy through which the daemons reach it.
 struct soak_leaf {
-    soak_leaf(boost::asio::io_context& context, std::string leafId, std::string leafService, soak_checker& checker, std::uint64_t seed)
-        : id(std::move(leafId))
+    using watches = std::vector<std::unique_ptr<marked_request_watch>>;
+
+    soak_leaf(boost::asio::io_context& context, std::string leafId, std::string leafService, soak_checker& checker, watches const& marked, std::uint64_t seed)
+        : name(std::move(leafId))
         , service(std::move(leafService))
         , random(kernel::makeSeededRandom(seed))
-        , leaf([this, &checker](std::string const& request) { return answer(request, checker); })
+        , leaf([this, &checker, &marked](std::string const& request) { return answer(request, checker, marked); })
         , proxy(context, leaf.place())
     {
     }
 
-    scripted_reply answer(std::string const& request, soak_checker& checker)
+    /// Returns the id of the current incarnation: a leaf that has ended comes back under another id.
+    std::string id() const { return name + "." + std::to_string(leaf.endCount()); }
+
+    scripted_reply answer(std::string const& request, soak_checker& checker, watches const& marked)
     {
         auto const limit = limits.recordArrival();
         auto const attempt = rawHeaderValue(request, "Zinnialedge-Attempt-Id");
-        if (rawHeaderValue(request, "Zinnialedge-Target-Instance") != id)
+        if (rawHeaderValue(request, "Zinnialedge-Target-Instance") != id())
             return { "HTTP/1.1 421 Misdirected Request\r\nZinnialedge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false, false };
         bool const shouldInjectFault = random() % 1000 < faultsPerThousand;
         auto const fault = shouldInjectFault ? random() % 4 : 99;
@@ -57,6 +66,16 @@
         if (pauseLength.load().count() > 0 && random() % 2 == 0)
             return { "HTTP/1.1 503 Service Unavailable\r\nZinnialedge-Not-Executed: 1\r\nRetry-After: " + std::to_string(std::chrono::duration<double> { pauseLength.load() }.count()) + "\r\nContent-Length: 0\r\n\r\n", false, false };
         checker.recordExecution(attempt);
+        for (auto const& each : marked) {
+            if (request.find(" " + each->target()) == std::string::npos)
+                continue;
+            if (hasHealthyLink)
+                each->recordEnd();
+            scripted_reply ending;
+            ending.runTime = 5ms;
+            ending.downTime = leafDownTime;
+            return ending;
+        }
         auto const body = service == "desk" ? makeBody(attempt) : makeRecords(service);
         auto bytes = "HTTP/1.1 200 OK\r\nZinnialedge-Server-Seal: " + makeSeal(service, attempt) + "\r\nZinnialedge-Attempt-Id: " + attempt + "\r\nContent-Length: " + std::to_string(body.size()) + (isLeaving ? "\r\nServer-Leaving: 1" : "") + (limit > 0 ? "\r\nServer-Limit: " + std::to_string(limit) : "") + "\r\n\r\n" + body;
         if (fault == 1)
@@ -66,9 +85,11 @@
         return { fault == 3 ? bytes + bytes : bytes, false, false };
     }
 
-    std::string id;
+    std::string name;
     std::string service;
     kernel::random_hook random;
+    std::string registeredId;
+    std::atomic<bool> hasHealthyLink { true };
     std::atomic<unsigned> faultsPerThousand { 0 };
     std::atomic<bool> isLeaving { false };
     /// Pause for which the leaf asks in half of its replies; zero for none.
@@ -86,6 +107,8 @@
         , m_fleet(FLAGS_daemons)
     {
         m_proxyThread = std::thread { [this] { m_context.run(); } };
+        for (auto const* const target : { "/single/poison", "/gather/poison" })
+            m_markedRequests.push_back(std::make_unique<marked_request_watch>(target));
         addLeafs();
         declareNextVersion();
         m_fleet.store().keepCopy();
@@ -119,6 +142,7 @@
             changeSettings();
             changeStoreOrLeafs();
             changeLimits();
+            renewEndedLeafs();
             std::this_thread::sleep_for(std::chrono::milliseconds { 20 + m_random() % 150 });
         }
         removeFaults();
@@ -137,9 +161,9 @@
     void addLeafs()
     {
         auto const add = [this](std::string const& id, std::string const& service, std::string const& dataCentre) {
-            m_leafs.push_back(std::make_unique<soak_leaf>(m_context, id, service, m_checker, m_random()));
+            m_leafs.push_back(std::make_unique<soak_leaf>(m_context, id, service, m_checker, m_markedRequests, m_random()));
             m_dataCentres[id] = dataCentre;
-            m_fleet.registerLeaf(id, service, m_leafs.back()->proxy.listenEndpoint(), "ready", dataCentre);
+            registerInStore(*m_leafs.back());
         };
         for (std::size_t shard = 0; shard < FLAGS_shards + 2; ++shard) {
             auto const service = "shard" + std::to_string(shard);
@@ -203,23 +227,25 @@
             declareNextVersion();
             return;
         case 8:
-            recordEvent("faulty replies of leaf " + leaf.id);
+            recordEvent("faulty replies of leaf " + leaf.name);
             leaf.faultsPerThousand = 200;
             return;
         case 9: {
             auto const state = static_cast<link_state>(m_random() % 4);
-            recordEvent("link state " + std::to_string(static_cast<int>(state)) + " of " + leaf.id);
+            recordEvent("link state " + std::to_string(static_cast<int>(state)) + " of " + leaf.name);
+            leaf.hasHealthyLink = state == link_state::healthy;
             leaf.proxy.setState(state);
             return;
         }
         case 10:
-            recordEvent("connections reset at leaf " + leaf.id);
+            recordEvent("connections reset at leaf " + leaf.name);
             leaf.proxy.resetConnections();
             return;
         default:
-            recordEvent("healthy leaf " + leaf.id);
+            recordEvent("healthy leaf " + leaf.name);
             leaf.faultsPerThousand = 0;
             leaf.proxy.setState(link_state::healthy);
+            leaf.hasHealthyLink = true;
             return;
         }
     }
@@ -270,15 +296,15 @@
                 registerInStore(*each);
             return;
         case 3:
-            recordEvent("leaf " + leaf.id + " says that it is leaving");
+            recordEvent("leaf " + leaf.name + " says that it is leaving");
             leaf.isLeaving = true;
             return;
         case 4:
             leaf.pauseLength = std::chrono::milliseconds { 100 + m_returnRandom() % 1500 };
-            recordEvent("leaf " + leaf.id + " asks for pauses of " + std::to_string(leaf.pauseLength.load().count()) + " ms");
+            recordEvent("leaf " + leaf.name + " asks for pauses of " + std::to_string(leaf.pauseLength.load().count()) + " ms");
             return;
         default:
-            recordEvent("leaf " + leaf.id + " restarted");
+            recordEvent("leaf " + leaf.name + " restarted");
             restartLeaf(leaf);
             return;
         }
@@ -291,13 +317,30 @@
             return;
         auto& leaf = *m_leafs[m_limitRandom() % m_leafs.size()];
         auto const limit = m_limitRandom() % 3 == 0 ? 0.0 : 3.0 + static_cast<double>(m_limitRandom() % 30);
-        recordEvent("leaf " + leaf.id + " names a limit of " + std::to_string(limit));
+        recordEvent("leaf " + leaf.name + " names a limit of " + std::to_string(limit));
         leaf.limits.setLimit(limit);
     }
 
-    void registerInStore(soak_leaf const& leaf)
+    void registerInStore(soak_leaf& leaf)
+    {
+        // A leaf registers itself, so that one that has ended does so when it is back.
+        if (!leaf.leaf.isListening())
+            return;
+        // The store may have come back from a copy with ids of former incarnations.
+        for (std::size_t incarnation = 0; incarnation < leaf.leaf.endCount(); ++incarnation)
+            m_fleet.removeLeaf(leaf.name + "." + std::to_string(incarnation));
+        leaf.registeredId = leaf.id();
+        m_fleet.registerLeaf(leaf.registeredId, leaf.service, leaf.proxy.listenEndpoint(), "ready", m_dataCentres.at(leaf.name), leaf.startedAt);
+    }
+
+    void renewEndedLeafs()
     {
-        m_fleet.registerLeaf(leaf.id, leaf.service, leaf.proxy.listenEndpoint(), "ready", m_dataCentres.at(leaf.id), leaf.startedAt);
+        for (auto const& leaf : m_leafs) {
+            if (leaf->registeredId == leaf->id() || !leaf->leaf.isListening())
+                continue;
+            recordEvent("leaf " + leaf->registeredId + " ended");
+            restartLeaf(*leaf);
+        }
     }
 
     void restartLeaf(soak_leaf& leaf)
@@ -338,11 +381,15 @@
     void removeFaults()
     {
         joinPlannedStops();
+        m_areMarkedRequestsSent = false;
+        std::this_thread::sleep_for(leafDownTime);
+        renewEndedLeafs();
         recordEvent("healed");
         m_fleet.store().setFaultMode(store_stand_in::trouble::none);
         for (auto const& leaf : m_leafs) {
             leaf->faultsPerThousand = 0;
             leaf->proxy.setState(link_state::healthy);
+            leaf->hasHealthyLink = true;
             leaf->limits.setLimit(0);
             if (leaf->isLeaving || leaf->pauseLength.load().count() > 0)
                 restartLeaf(*leaf);
@@ -366,7 +413,13 @@
         for (std::size_t count = 0; !m_shouldStopCallers; ++count) {
             auto const index = random() % FLAGS_daemons;
             auto const suffix = std::to_string(number) + "-" + std::to_string(count);
-            if (count % 2 == 0)
+            if (count % markedRequestInterval == 0 && m_areMarkedRequestsSent) {
+                // Attempts differ in their queries.
+                auto const& target = m_markedRequests[random() % m_markedRequests.size()]->target() + (random() % 3 == 0 ? "?page=" + suffix : std::string {});
+                bool const isPost = target.starts_with("/single/");
+                auto const id = (isPost ? "once-marked" : "marked") + suffix;
+                m_checker.checkMarked(id, sendRequest(index, isPost ? formatPostRequest(target, id, "order") : formatGetRequest(target, id)));
+            } else if (count % 2 == 0)
                 m_checker.checkSingle("once" + suffix, sendRequest(index, formatPostRequest("/single/a", "once" + suffix, "order")));
             else
                 m_checker.checkGather("all" + suffix, sendRequest(index, formatGetRequest("/gather/a", "all" + suffix)));
@@ -382,7 +435,12 @@
         for (auto const& leaf : m_leafs) {
             auto const overruns = FLAGS_daemon_faults ? std::vector<std::string> {} : leaf->limits.findings();
             for (auto const& each : overruns)
-                findings.push_back(each + " of " + leaf->id);
+                findings.push_back(each + " of " + leaf->name);
+        }
+        // Daemons that are killed, or leafs that end while a daemon sleeps, are not counted.
+        for (auto const& marked : m_markedRequests) {
+            auto const overruns = FLAGS_daemon_faults ? std::vector<std::string> {} : marked->findings();
+            findings.insert(findings.end(), overruns.begin(), overruns.end());
         }
         auto const servedShare = static_cast<double>(m_checker.servedCount()) / static_cast<double>(std::max<std::size_t>(m_checker.requestCount(), 1));
         if (servedShare < minimumServedShare)
@@ -417,6 +475,8 @@
     kernel::random_hook m_limitRandom { kernel::makeSeededRandom(FLAGS_seed + 3000) };
     kernel::random_hook m_returnRandom { kernel::makeSeededRandom(FLAGS_seed + 2000) };
     soak_checker m_checker;
+    soak_leaf::watches m_markedRequests;
+    std::atomic<bool> m_areMarkedRequestsSent { true };
     std::vector<std::unique_ptr<soak_leaf>> m_leafs;
     std::map<std::string, std::string> m_dataCentres;
     edge_fleet m_fleet;
--- a/Tests/Soak/soak_checker.cpp
+++ b/Tests/Soak/soak_checker.cpp
@@ -57,11 +57,26 @@
         if (m_executionCounts[attemptId] == 0)
             addFinding(attemptId, "MIXED: success of a request that no leaf executed");
     }
+    recordPromise(attemptId, answer);
+}
+
+void soak_checker::recordPromise(std::string const& attemptId, caller_answer const& answer)
+{
     static std::set<int> const notExecutedStatuses { 408, 421, 429, 503 };
     if (notExecutedStatuses.contains(answer.status))
         m_promisedNotExecuted.insert(attemptId);
 }
 
+void soak_checker::checkMarked(std::string const& attemptId, caller_answer const& answer)
+{
+    std::lock_guard const lock(m_mutex);
+    if (answer.status >= 200 && answer.status < 300 && !answer.isTruncated)
+        addFinding(attemptId, "MIXED: success of a request that no leaf answered");
+    if (answer.status == 502 && !answer.header("Retry-After").empty())
+        addFinding(attemptId, "a request that may have run was offered another try");
+    recordPromise(attemptId, answer);
+}
+
 void soak_checker::checkGather(std::string const& attemptId, caller_answer const& answer)
 {
     std::lock_guard const lock(m_mutex);
--- a/Tests/Soak/soak_checker.h
+++ b/Tests/Soak/soak_checker.h
@@ -19,6 +19,8 @@
 
     void checkSingle(std::string const& attemptId, caller_answer const&);
     void checkGather(std::string const& attemptId, caller_answer const&);
+    /// Checks the answer to a request that ends the leafs that run it.
+    void checkMarked(std::string const& attemptId, caller_answer const&);
     /// Runs the checks that are possible only after all requests have ended.
     void checkFinalState();
 
@@ -31,6 +33,8 @@
 private:
     void addFinding(std::string const& attemptId, std::string description);
 
+    void recordPromise(std::string const& attemptId, caller_answer const&);
+
     mutable std::mutex m_mutex;
     std::set<std::size_t> m_declaredShardCounts;
     std::map<std::string, unsigned> m_executionCounts;
--- a/Tests/Support/scripted_leaf.cpp
+++ b/Tests/Support/scripted_leaf.cpp
@@ -150,6 +150,7 @@
         if (!failure)
             m_acceptor.listen(asio::socket_base::max_listen_connections, failure);
         if (!failure) {
+            m_isListening = true;
             acceptNextConnection();
             return;
         }
@@ -180,6 +181,7 @@
         open->socket.close(ignored);
     }
     m_openConnections.clear();
+    m_isListening = false;
     ++m_endCount;
     listenAfter(downTime);
 }
--- a/Tests/Support/scripted_leaf.h
+++ b/Tests/Support/scripted_leaf.h
@@ -44,6 +44,8 @@
     std::size_t connectionCount() const;
     /// Returns how often the leaf has ended.
     std::size_t endCount() const { return m_endCount; }
+    /// Returns whether the leaf accepts connections.
+    bool isListening() const { return m_isListening; }
     /// Resets all connections and refuses new ones for a time.
     void end(std::chrono::milliseconds downTime);
     /// Returns the number of repeated bytes that the leaf could write, of all connections together.
@@ -67,6 +69,7 @@
     boost::asio::ip::tcp::endpoint m_endpoint;
     std::vector<std::weak_ptr<connection>> m_openConnections;
     std::atomic<std::size_t> m_endCount { 0 };
+    std::atomic<bool> m_isListening { true };
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
     std::size_t m_connectionCount { 0 };
