Quarantine: Do not blame requests that were beside the one that ends leafs

Requests that come often lost several leafs at once when a marked query ended a leaf of each shard; connections that were reset and incomplete replies counted as ends of leafs; calls to a leaf that had ended already counted again; losses that came together looked consecutive once another daemon had told of them in milliseconds, which made their quarantine an hour; and a trial was over when its call reached a leaf that did not run it. Change: only connections that end before any byte of the reply count, once for each leaf, and not if the leaf replies within a second. A request that has succeeded within the last 15 to 30 s is not blamed, and the daemon that knows so tells the others. Ages are told in microseconds. A trial goes on until a leaf has run it. The longest quarantine is ten minutes. Quarantine lines have a rate limit of their own, since those of broken calls left them out.

--- a/Libraries/zinnialedge/forwarding/leaf_record.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_record.cpp
@@ -58,6 +58,14 @@
     m_averageLatencyMicroseconds = m_averageLatencyMicroseconds == 0 ? microseconds : m_averageLatencyMicroseconds + sampleWeight * (microseconds - m_averageLatencyMicroseconds);
 }
 
+bool leaf_record::recordLoss(time_point sentAt, time_point now)
+{
+    if (m_lostAt && sentAt >= *m_lostAt)
+        return false;
+    m_lostAt = m_lostAt.value_or(now);
+    return true;
+}
+
 void leaf_record::recordSuccess(time_point sentAt, time_point now)
 {
     removeFromInFlight(sentAt);
@@ -91,7 +99,8 @@
     if (failure == call_failure::timed_out && m_lastReplyAt > sentAt)
         return;
     ++m_consecutiveFailures;
-    if (failure == call_failure::broken && m_consecutiveFailures < failuresBeforeBackoff)
+    bool const isOfOneReply = failure == call_failure::broken || failure == call_failure::malformed;
+    if (isOfOneReply && m_consecutiveFailures < failuresBeforeBackoff)
         return;
     auto const doublings = std::min(m_consecutiveFailures - 1, maximumBackoffDoublings);
     m_backoffUntil = std::max(m_backoffUntil, now + initialFailureBackoff * (1U << doublings));
--- a/Libraries/zinnialedge/forwarding/leaf_record.h
+++ b/Libraries/zinnialedge/forwarding/leaf_record.h
@@ -6,6 +6,7 @@
 #include "Libraries/zinnialedge/forwarding/leaf_registration.h"
 #include "Libraries/zinnialedge/forwarding/messages.h"
 #include <deque>
+#include <optional>
 #include <utility>
 
 namespace zinnialedge::forwarding {
@@ -39,6 +40,11 @@
     void recordError(kernel::time_point sentAt, kernel::time_point now);
     void recordShed(kernel::time_point sentAt, kernel::time_point now);
     void recordFailure(call_failure, kernel::time_point sentAt, kernel::time_point now);
+    /// Records that the connection of a call ended before any byte of the reply. Returns false when the call was sent after the leaf had
+    /// been lost already, so that the call can't be the cause.
+    bool recordLoss(kernel::time_point sentAt, kernel::time_point now);
+    /// Records that the leaf has sent a reply. Returns the time at which it seemed lost, if it did.
+    std::optional<kernel::time_point> recordLife() { return std::exchange(m_lostAt, std::nullopt); }
     void recordLoad(leaf_load const& load) { m_load = load; }
 
     leaf_registration const& registration() const { return m_registration; }
@@ -80,6 +86,8 @@
     double m_errorRate { 0 };
     unsigned m_consecutiveFailures { 0 };
     leaf_load m_load;
+    /// Time since which no reply has come after connections to the leaf ended.
+    std::optional<kernel::time_point> m_lostAt;
     bool m_isDeregistered { false };
     bool m_isMisdirected { false };
     bool m_isLeaving { false };
--- a/Libraries/zinnialedge/forwarding/messages.h
+++ b/Libraries/zinnialedge/forwarding/messages.h
@@ -116,8 +116,10 @@
     not_sent,
     /// No byte of the call was sent because the leaf wants no calls any more, or because the request has ended.
     withheld,
-    /// The connection was closed early, or the reply was malformed or incomplete.
+    /// The connection ended before any byte of the reply.
     broken,
+    /// The reply was malformed or incomplete.
+    malformed,
     /// No reply arrived before the timeout.
     timed_out,
     cancelled,
--- a/Libraries/zinnialedge/forwarding/relay_protocol.cpp
+++ b/Libraries/zinnialedge/forwarding/relay_protocol.cpp
@@ -23,7 +23,7 @@
 /// Header with comma-separated limits of leafs, each an id, an equals sign and a number of requests per second.
 static constexpr std::string_view limitsHeader = "X-Relay-Limits";
 
-/// Header with comma-separated losses of leafs under the request, each a hash of the leaf and two ages in milliseconds.
+/// Header with comma-separated losses of leafs under the request, each a hash of the leaf and two ages in microseconds.
 static constexpr std::string_view lossesHeader = "X-Relay-Losses";
 
 /// Keep-alive timeout announced to other daemons; shorter than the time after which this daemon closes an idle connection.
@@ -95,7 +95,7 @@
         boost::algorithm::split(numbers, item, [](char character) { return character == '/'; });
         // An entry of another form tells nothing.
         if (numbers.size() == 3)
-            losses.push_back({ parseNumber<std::uint64_t>(numbers[0]), std::chrono::milliseconds { parseNumber<std::int64_t>(numbers[1]) }, std::chrono::milliseconds { parseNumber<std::int64_t>(numbers[2]) } });
+            losses.push_back({ parseNumber<std::uint64_t>(numbers[0]), std::chrono::microseconds { parseNumber<std::int64_t>(numbers[1]) }, std::chrono::microseconds { parseNumber<std::int64_t>(numbers[2]) } });
     }
     return losses;
 }
@@ -103,8 +103,11 @@
 static std::string formatLosses(std::vector<quarantine::loss_notice> const& losses)
 {
     std::string text;
-    for (auto const& each : losses)
+    for (auto const& each : losses) {
+        if (each.isRefuted)
+            continue;
         text += (text.empty() ? "" : ",") + std::to_string(each.leaf) + "/" + std::to_string(each.sentAge.count()) + "/" + std::to_string(each.lostAge.count());
+    }
     return text;
 }
 
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -310,6 +310,8 @@
     /// Returns whether a call for the part may be sent now. A part that may not waits for the outcome of the request's open calls.
     bool mayCallLeaf(active_request&, std::size_t partIndex, kernel::time_point now) const;
     void recordLoss(call_context const&, kernel::time_point now);
+    /// Records that the leaf has sent a reply, so that only connections to it were lost.
+    void recordLife(leaf_handle, kernel::time_point now);
     /// Records that a leaf ran the request and replied.
     void recordRun(quarantine::request_evidence&, kernel::time_point now);
     /// Records a call that tries a quarantined request again.
--- a/Libraries/zinnialedge/forwarding/request_quarantine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_quarantine.cpp
@@ -11,9 +11,7 @@
 
 verdict request_engine::judge(quarantine::request_evidence& evidence, time_point now) const
 {
-    if (m_quarantine.isEmpty() || evidence.hasSucceeded())
-        return verdict::innocent;
-    return m_quarantine.judge(evidence.digests(), now);
+    return m_quarantine.judge(evidence, now);
 }
 
 bool request_engine::mayCallLeaf(active_request& request, std::size_t partIndex, time_point now) const
@@ -27,8 +25,9 @@
 
 void request_engine::recordLoss(call_context const& context, time_point now)
 {
-    auto const& registration = m_leafs.at(context.leaf).registration();
-    if (context.evidence->hasSucceeded())
+    auto& record = m_leafs.at(context.leaf);
+    auto const& registration = record.registration();
+    if (!record.recordLoss(context.sentAt, now) || context.evidence->hasSucceeded())
         return;
     auto const& digests = context.evidence->digests();
     auto const leaf = quarantine::hashLeaf(registration.id, registration.startedAt);
@@ -39,11 +38,22 @@
     shareSuspects(now);
 }
 
+void request_engine::recordLife(leaf_handle leaf, time_point now)
+{
+    auto& record = m_leafs.at(leaf);
+    auto const lostAt = record.recordLife();
+    // A later reply may come from a new incarnation that has not been registered yet.
+    if (!lostAt || m_quarantine.isEmpty() || now - *lostAt > quarantine::refutationTime)
+        return;
+    m_quarantine.refuteLosses(quarantine::hashLeaf(record.registration().id, record.registration().startedAt), now);
+    shareSuspects(now);
+}
+
 void request_engine::recordRun(quarantine::request_evidence& evidence, time_point now)
 {
-    evidence.recordSuccess();
-    if (m_quarantine.isEmpty())
+    if (evidence.hasSucceeded())
         return;
+    evidence.recordSuccess();
     if (m_quarantine.recordSuccess(evidence.digests(), now)) {
         logQuarantine("request_cleared", evidence.digests(), {}, now);
         shareSuspects(now);
@@ -55,7 +65,7 @@
     if (judge(evidence, now) != verdict::trial)
         return;
     ++m_counters.quarantineTrials;
-    m_quarantine.recordCall(evidence.digests(), now);
+    m_quarantine.recordCall(evidence, now);
     logQuarantine("request_tried_again", evidence.digests(), leafId, now);
     shareSuspects(now);
 }
@@ -66,8 +76,8 @@
         auto const* const known = m_quarantine.find(digest);
         if (!m_hooks.logQuarantine || !known)
             continue;
-        auto const nextTrial = known->losses.empty() ? kernel::duration::zero() : std::max(m_quarantine.nextTrialTime(*known) - now, kernel::duration::zero());
-        m_hooks.logQuarantine({ event, digest, leafId, known->losses.size(), quarantine::consecutiveLossCount(*known), nextTrial });
+        auto const nextTrial = quarantine::lossCount(*known) == 0 ? kernel::duration::zero() : std::max(m_quarantine.nextTrialTime(*known) - now, kernel::duration::zero());
+        m_hooks.logQuarantine({ event, digest, leafId, quarantine::lossCount(*known), quarantine::consecutiveLossCount(*known), nextTrial });
     }
 }
 
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -49,6 +49,8 @@
     }
     if (result->load)
         record.recordLoad(*result->load);
+    if (!result->isMisdirected)
+        recordLife(context.leaf, now);
     if (result->isMisdirected)
         record.markMisdirected();
     static std::string const noRequest;
@@ -225,6 +227,8 @@
         return "call_withheld";
     case call_failure::broken:
         return "call_broken";
+    case call_failure::malformed:
+        return "reply_malformed";
     case call_failure::timed_out:
     case call_failure::cancelled:
         break;
--- a/Libraries/zinnialedge/quarantine/quarantine_table.cpp
+++ b/Libraries/zinnialedge/quarantine/quarantine_table.cpp
@@ -8,9 +8,9 @@
 using kernel::time_point;
 
 /// Time after the last change for which a request with few losses is remembered.
-static constexpr std::chrono::minutes suspicionRetention { 60 };
+static constexpr std::chrono::minutes suspicionRetention { 10 };
 /// Time after the last change for which a quarantined request is remembered; longer than the longest quarantine.
-static constexpr std::chrono::hours quarantineRetention { 4 };
+static constexpr std::chrono::minutes quarantineRetention { 60 };
 /// Time for which a success is remembered, so that daemons that have not heard of it do not bring the losses back.
 static constexpr std::chrono::seconds clearedRetention { 60 };
 /// Time that a call gets to find out whether a request still ends leafs, before another one is sent.
@@ -25,7 +25,7 @@
     static constexpr double hashRange = 18'446'744'073'709'551'616.0;
     auto const turn = static_cast<double>(XXH3_64bits_withSeed(of.request.bytes.data(), of.request.bytes.size(), m_daemonSeed)) / hashRange;
     auto const spread = [turn](kernel::duration span) { return span + std::chrono::duration_cast<kernel::duration>(span * turn); };
-    auto const afterLoss = of.losses.back().lostAt + spread(length);
+    auto const afterLoss = lastLossTime(of) + spread(length);
     // A call that is trying the request again has not ended yet, or has ended without telling anything.
     return of.trialAt == time_point {} ? afterLoss : std::max(afterLoss, of.trialAt + spread(std::max<kernel::duration>(length, trialTime)));
 }
@@ -39,7 +39,7 @@
 verdict quarantine_table::judgeDigest(request_digest const& request, time_point now) const
 {
     auto const* const known = find(request);
-    if (!known || known->losses.empty())
+    if (!known || lossCount(*known) == 0)
         return verdict::innocent;
     if (!isQuarantined(*known))
         return verdict::suspected;
@@ -54,9 +54,19 @@
     return strictest;
 }
 
+verdict quarantine_table::judge(request_evidence& evidence, time_point now) const
+{
+    if (m_entries.empty() || evidence.hasSucceeded())
+        return verdict::innocent;
+    auto const judged = judge(evidence.digests(), now);
+    auto const trialBeganAt = evidence.trialBeganAt();
+    bool const isTrial = judged == verdict::quarantined && trialBeganAt && !isQuarantinedSince(evidence.digests(), *trialBeganAt, now);
+    return isTrial ? verdict::trial : judged;
+}
+
 bool quarantine_table::isQuarantinedSince(request_digests const& digests, time_point since, time_point now) const
 {
-    return std::any_of(digests.begin(), digests.end(), [&](auto const& digest) { return judgeDigest(digest, now) == verdict::quarantined && find(digest)->losses.back().lostAt > since; });
+    return std::any_of(digests.begin(), digests.end(), [&](auto const& digest) { return judgeDigest(digest, now) == verdict::quarantined && lastLossTime(*find(digest)) > since; });
 }
 
 quarantine_table::entry& quarantine_table::entryOf(request_digest const& request, time_point now)
@@ -75,9 +85,10 @@
     m_hasChanges = true;
 }
 
-void quarantine_table::recordCall(request_digests const& digests, time_point now)
+void quarantine_table::recordCall(request_evidence& evidence, time_point now)
 {
-    for (auto const& digest : digests) {
+    evidence.beginTrial(now);
+    for (auto const& digest : evidence.digests()) {
         auto const found = m_entries.find(digest);
         if (found == m_entries.end() || !isQuarantined(found->second.known))
             continue;
@@ -90,6 +101,8 @@
 {
     bool isNewlyQuarantined = false;
     for (auto const& digest : digests) {
+        if (m_successes.contains(digest, now))
+            continue;
         auto& recorded = entryOf(digest, now);
         bool const wasQuarantined = isQuarantined(recorded.known);
         if (mergeSuspect(recorded.known, { .request = digest, .losses = { loss } }))
@@ -103,6 +116,7 @@
 {
     bool hadLosses = false;
     for (auto const& digest : digests) {
+        m_successes.add(digest, now);
         auto const found = m_entries.find(digest);
         if (found == m_entries.end() || found->second.known.losses.empty())
             continue;
@@ -114,6 +128,18 @@
     return hadLosses;
 }
 
+void quarantine_table::refuteLosses(std::uint64_t leaf, time_point now)
+{
+    for (auto& [request, each] : m_entries) {
+        for (auto& loss : each.known.losses) {
+            if (loss.leaf != leaf || loss.isRefuted)
+                continue;
+            loss.isRefuted = true;
+            markChanged(each, now);
+        }
+    }
+}
+
 std::vector<request_digest> quarantine_table::merge(std::span<suspect const> others, time_point now)
 {
     std::vector<request_digest> quarantined;
@@ -122,6 +148,12 @@
         if (other.losses.empty() && !find(other.request))
             continue;
         auto& merged = entryOf(other.request, now);
+        if (lossCount(other) > 0 && m_successes.contains(other.request, now)) {
+            // The other daemon learns from this one that the request runs.
+            merged.known.clearedAt = now;
+            markChanged(merged, now);
+            continue;
+        }
         bool const wasQuarantined = isQuarantined(merged.known);
         if (mergeSuspect(merged.known, other))
             markChanged(merged, now);
@@ -165,7 +197,7 @@
 {
     // Requests with few losses are many when leafs end for other reasons, and drive out only each other.
     auto const least = std::min_element(m_entries.begin(), m_entries.end(), [](auto const& left, auto const& right) {
-        auto const rankOf = [](entry const& each) { return std::pair { std::min(each.known.losses.size(), quarantineLossCount), each.changedAt }; };
+        auto const rankOf = [](entry const& each) { return std::pair { std::min(lossCount(each.known), quarantineLossCount), each.changedAt }; };
         return rankOf(left.second) < rankOf(right.second);
     });
     m_entries.erase(least);
--- a/Libraries/zinnialedge/quarantine/quarantine_table.h
+++ b/Libraries/zinnialedge/quarantine/quarantine_table.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Libraries/zinnialedge/quarantine/recent_digests.h"
+#include "Libraries/zinnialedge/quarantine/request_evidence.h"
 #include "Libraries/zinnialedge/quarantine/suspect.h"
 #include <map>
 #include <span>
@@ -52,17 +54,23 @@
 
     /// Returns the strictest verdict on the digests of a request.
     verdict judge(request_digests const&, kernel::time_point now) const;
+    /// Returns the verdict on a request that is being handled. A request that tries whether it still ends leafs may go on until a leaf
+    /// is lost: its first call may have reached a leaf that did not run it.
+    verdict judge(request_evidence&, kernel::time_point now) const;
     /// Returns whether the request was quarantined by a loss after the given time.
     bool isQuarantinedSince(request_digests const&, kernel::time_point since, kernel::time_point now) const;
     /// Returns the time from which on the quarantined request may be tried again.
     kernel::time_point nextTrialTime(suspect const&) const;
 
     /// Records that a call for the request is sent.
-    void recordCall(request_digests const&, kernel::time_point now);
+    void recordCall(request_evidence&, kernel::time_point now);
     /// Records the loss of a leaf. Returns whether the request is quarantined now and was not before.
     bool recordLoss(request_digests const&, leaf_loss const&, kernel::time_point now);
-    /// Records that a leaf ran the request and replied. Returns whether leafs had been lost under the request.
+    /// Records that a leaf ran the request and replied. For some seconds losses do not count against the request, as they have another
+    /// cause. Returns whether leafs had been lost under it.
     bool recordSuccess(request_digests const&, kernel::time_point now);
+    /// Records that the leaf has sent a reply, so that it was not lost under any request.
+    void refuteLosses(std::uint64_t leaf, kernel::time_point now);
     /// Merges what another daemon knows. Returns the requests that are quarantined now and were not before.
     std::vector<request_digest> merge(std::span<suspect const>, kernel::time_point now);
 
@@ -87,7 +95,7 @@
     };
 
     verdict judgeDigest(request_digest const&, kernel::time_point now) const;
-    static bool isQuarantined(suspect const& known) { return known.losses.size() >= quarantineLossCount; }
+    static bool isQuarantined(suspect const& known) { return lossCount(known) >= quarantineLossCount; }
     entry& entryOf(request_digest const&, kernel::time_point now);
     void markChanged(entry&, kernel::time_point now);
     /// Removes the entry that matters least.
@@ -95,6 +103,7 @@
 
     std::uint64_t m_daemonSeed;
     std::map<request_digest, entry> m_entries;
+    recent_digests m_successes;
     bool m_hasChanges { false };
 };
 
--- a/Libraries/zinnialedge/quarantine/request_evidence.h
+++ b/Libraries/zinnialedge/quarantine/request_evidence.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Kernel/clock.h"
 #include "Libraries/zinnialedge/quarantine/request_digest.h"
 #include <functional>
 
@@ -23,11 +24,15 @@
     /// Records that a leaf ran the request and replied, so that the request does not end every leaf that runs it.
     void recordSuccess() { m_hasSucceeded = true; }
     bool hasSucceeded() const { return m_hasSucceeded; }
+    /// Records that a call for this request tries again whether it ends leafs.
+    void beginTrial(kernel::time_point now) { m_trialBeganAt = m_trialBeganAt.value_or(now); }
+    std::optional<kernel::time_point> trialBeganAt() const { return m_trialBeganAt; }
 
 private:
     std::function<request_digests()> m_computeDigests;
     request_digests m_digests;
     bool m_hasSucceeded { false };
+    std::optional<kernel::time_point> m_trialBeganAt;
 };
 
 }
--- a/Libraries/zinnialedge/quarantine/suspect.cpp
+++ b/Libraries/zinnialedge/quarantine/suspect.cpp
@@ -12,7 +12,7 @@
 /// each time, so that the pauses grow quickly.
 static constexpr std::chrono::seconds initialQuarantine { 2 };
 static constexpr int quarantineFactor = 8;
-static constexpr std::chrono::hours longestQuarantine { 1 };
+static constexpr std::chrono::minutes longestQuarantine { 10 };
 /// Uncertainty of times that another daemon tells, as its datagrams take time and may wait.
 static constexpr std::chrono::milliseconds timeUncertainty { 1000 };
 
@@ -21,12 +21,25 @@
     return XXH3_64bits_withSeed(id.data(), id.size(), static_cast<std::uint64_t>(incarnation));
 }
 
+std::size_t lossCount(suspect const& of)
+{
+    return static_cast<std::size_t>(std::count_if(of.losses.begin(), of.losses.end(), [](auto const& loss) { return !loss.isRefuted; }));
+}
+
+time_point lastLossTime(suspect const& of)
+{
+    time_point last;
+    for (auto const& loss : of.losses)
+        last = loss.isRefuted ? last : std::max(last, loss.lostAt);
+    return last;
+}
+
 std::size_t consecutiveLossCount(suspect const& of)
 {
     std::size_t count = 0;
     time_point lastLossAt;
     for (auto const& loss : of.losses) {
-        if (loss.sentAt < lastLossAt)
+        if (loss.isRefuted || loss.sentAt < lastLossAt)
             continue;
         ++count;
         lastLossAt = loss.lostAt;
@@ -61,7 +74,7 @@
 
 bool mergeSuspect(suspect& into, suspect const& from)
 {
-    auto const hasLoss = [&](leaf_loss const& loss) { return std::any_of(into.losses.begin(), into.losses.end(), [&](auto const& known) { return known.leaf == loss.leaf; }); };
+    auto const findLoss = [&](leaf_loss const& loss) { return std::find_if(into.losses.begin(), into.losses.end(), [&](auto const& known) { return known.leaf == loss.leaf; }); };
     bool isChanged = false;
     if (from.clearedAt > into.clearedAt + timeUncertainty) {
         into.clearedAt = from.clearedAt;
@@ -73,7 +86,9 @@
     }
     auto const before = into.losses;
     for (auto const& loss : from.losses) {
-        if (!hasLoss(loss))
+        if (auto const known = findLoss(loss); known != into.losses.end())
+            known->isRefuted |= loss.isRefuted;
+        else
             into.losses.push_back(loss);
     }
     normalize(into);
--- a/Libraries/zinnialedge/quarantine/suspect.h
+++ b/Libraries/zinnialedge/quarantine/suspect.h
@@ -12,6 +12,8 @@
     std::uint64_t leaf { 0 };
     kernel::time_point sentAt;
     kernel::time_point lostAt;
+    /// True when the leaf has replied since, so that only a connection to it was lost.
+    bool isRefuted { false };
 
     auto operator<=>(leaf_loss const&) const = default;
 };
@@ -36,6 +38,13 @@
 /// Number of losses that are kept of one request.
 inline constexpr std::size_t maximumLossCount = 8;
 
+/// Time after a loss in which a reply shows that the leaf did not end. Leafs that end are back after some seconds.
+inline constexpr std::chrono::milliseconds refutationTime { 1000 };
+
+/// Returns the number of losses that count.
+std::size_t lossCount(suspect const&);
+/// Returns the time of the latest loss that counts.
+kernel::time_point lastLossTime(suspect const&);
 /// Returns how many losses came one after the other: each of their calls was sent after the loss before it. Leafs that are lost
 /// together, by an outage for example, count as one.
 std::size_t consecutiveLossCount(suspect const&);
--- a/Libraries/zinnialedge/quarantine/suspect_notice.h
+++ b/Libraries/zinnialedge/quarantine/suspect_notice.h
@@ -5,11 +5,13 @@
 
 namespace zinnialedge::quarantine {
 
-/// Loss of a leaf, as one daemon tells it to another. Daemons have different clocks, so that times are told as ages.
+/// Loss of a leaf, as one daemon tells it to another. Daemons have different clocks, so that times are told as ages, exact enough to
+/// tell losses that came one after the other from losses that came together.
 struct loss_notice {
     std::uint64_t leaf { 0 };
-    std::chrono::milliseconds sentAge { 0 };
-    std::chrono::milliseconds lostAge { 0 };
+    std::chrono::microseconds sentAge { 0 };
+    std::chrono::microseconds lostAge { 0 };
+    bool isRefuted { false };
 
     auto operator<=>(loss_notice const&) const = default;
 };
@@ -18,8 +20,8 @@
 struct suspect_notice {
     request_digest request;
     std::vector<loss_notice> losses;
-    std::optional<std::chrono::milliseconds> trialAge;
-    std::optional<std::chrono::milliseconds> clearedAge;
+    std::optional<std::chrono::microseconds> trialAge;
+    std::optional<std::chrono::microseconds> clearedAge;
 
     auto operator<=>(suspect_notice const&) const = default;
 };
--- a/Libraries/zinnialedge/queries/query_quarantine.cpp
+++ b/Libraries/zinnialedge/queries/query_quarantine.cpp
@@ -12,9 +12,7 @@
 
 verdict query_engine::judge(query const& activeQuery, time_point now) const
 {
-    if (m_quarantine.isEmpty() || activeQuery.evidence->hasSucceeded())
-        return verdict::innocent;
-    return m_quarantine.judge(activeQuery.evidence->digests(), now);
+    return m_quarantine.judge(*activeQuery.evidence, now);
 }
 
 bool query_engine::mayCallLeaf(query const& activeQuery, std::uint32_t shardIndex, time_point now) const
@@ -31,8 +29,10 @@
     auto& evidence = *owner.evidence;
     auto const& leaf = m_leafs.at(owner.leaf);
     if (outcome.kind == leaf_outcome_kind::answered) {
+        if (evidence.hasSucceeded())
+            return;
         evidence.recordSuccess();
-        if (!m_quarantine.isEmpty() && m_quarantine.recordSuccess(evidence.digests(), now))
+        if (m_quarantine.recordSuccess(evidence.digests(), now))
             reportQuarantine("request_cleared", evidence.digests().front(), leaf.name());
     } else if (outcome.isConnectionLost && !evidence.hasSucceeded()) {
         auto const lost = quarantine::hashLeaf(leaf.name(), 0);
@@ -47,7 +47,7 @@
 {
     if (judge(activeQuery, now) != verdict::trial)
         return;
-    m_quarantine.recordCall(activeQuery.evidence->digests(), now);
+    m_quarantine.recordCall(*activeQuery.evidence, now);
     reportQuarantine("request_tried_again", activeQuery.evidence->digests().front(), m_leafs.at(leaf).name());
     shareSuspects(now);
 }
@@ -55,7 +55,7 @@
 void query_engine::reportQuarantine(std::string_view event, quarantine::request_digest const& request, std::string const& leaf)
 {
     auto const* const known = m_quarantine.find(request);
-    m_actions.emplace_back(report_quarantine { event, request, leaf, known ? known->losses.size() : 0 });
+    m_actions.emplace_back(report_quarantine { event, request, leaf, known ? quarantine::lossCount(*known) : 0 });
 }
 
 void query_engine::holdShard(query& activeQuery, std::uint32_t shardIndex)
--- a/Libraries/zinnialedge/wire/membership_codec.cpp
+++ b/Libraries/zinnialedge/wire/membership_codec.cpp
@@ -44,14 +44,15 @@
     for (auto const& loss : notice.losses) {
         generated::LeafLoss lost;
         lost.__set_leaf(static_cast<std::int64_t>(loss.leaf));
-        lost.__set_sentMillisecondsAgo(loss.sentAge.count());
-        lost.__set_lostMillisecondsAgo(loss.lostAge.count());
+        lost.__set_sentMicrosecondsAgo(loss.sentAge.count());
+        lost.__set_lostMicrosecondsAgo(loss.lostAge.count());
+        lost.__set_isRefuted(loss.isRefuted);
         encoded.losses.push_back(lost);
     }
     if (notice.trialAge)
-        encoded.__set_triedMillisecondsAgo(notice.trialAge->count());
+        encoded.__set_triedMicrosecondsAgo(notice.trialAge->count());
     if (notice.clearedAge)
-        encoded.__set_clearedMillisecondsAgo(notice.clearedAge->count());
+        encoded.__set_clearedMicrosecondsAgo(notice.clearedAge->count());
     return encoded;
 }
 
@@ -113,11 +114,11 @@
         return errors::makeError(error_kind::malformed_request, "a suspect request has no valid digest");
     quarantine::suspect_notice notice { .request = *digest };
     for (auto const& lost : encoded.losses)
-        notice.losses.push_back({ static_cast<std::uint64_t>(lost.leaf), std::chrono::milliseconds { lost.sentMillisecondsAgo }, std::chrono::milliseconds { lost.lostMillisecondsAgo } });
-    if (encoded.__isset.triedMillisecondsAgo)
-        notice.trialAge = std::chrono::milliseconds { encoded.triedMillisecondsAgo };
-    if (encoded.__isset.clearedMillisecondsAgo)
-        notice.clearedAge = std::chrono::milliseconds { encoded.clearedMillisecondsAgo };
+        notice.losses.push_back({ static_cast<std::uint64_t>(lost.leaf), std::chrono::microseconds { lost.sentMicrosecondsAgo }, std::chrono::microseconds { lost.lostMicrosecondsAgo }, lost.isRefuted });
+    if (encoded.__isset.triedMicrosecondsAgo)
+        notice.trialAge = std::chrono::microseconds { encoded.triedMicrosecondsAgo };
+    if (encoded.__isset.clearedMicrosecondsAgo)
+        notice.clearedAge = std::chrono::microseconds { encoded.clearedMicrosecondsAgo };
     return notice;
 }
 
--- a/Libraries/zinnialedge/wire/peer_messages.thrift
+++ b/Libraries/zinnialedge/wire/peer_messages.thrift
@@ -101,16 +101,18 @@
 /// Loss of a leaf while it ran a request. Times are ages at the time of sending.
 struct LeafLoss {
     1: required i64 leaf;
-    2: required i64 sentMillisecondsAgo;
-    3: required i64 lostMillisecondsAgo;
+    2: required i64 sentMicrosecondsAgo;
+    3: required i64 lostMicrosecondsAgo;
+    /// True when the leaf has replied since.
+    4: bool isRefuted;
 }
 
 /// Request under which leafs were lost.
 struct SuspectRequest {
     1: required binary digest;
     2: list<LeafLoss> losses;
-    3: optional i64 triedMillisecondsAgo;
-    4: optional i64 clearedMillisecondsAgo;
+    3: optional i64 triedMicrosecondsAgo;
+    4: optional i64 clearedMicrosecondsAgo;
 }
 
 /// One UDP datagram that a daemon sends to another daemon.
--- a/Services/traffic/leaf_connection.cpp
+++ b/Services/traffic/leaf_connection.cpp
@@ -135,14 +135,14 @@
         if (!failure)
             reportUnexpectedReply();
         // Bytes that belong to no call make the connection unusable.
-        abort(call_failure::broken);
+        abort(m_receivedBytes == 0 ? call_failure::broken : call_failure::malformed);
         return;
     }
     parseReplies();
     if (m_isClosed)
         return;
     if (!accountReplyBytes()) {
-        abort(call_failure::broken);
+        abort(call_failure::malformed);
         return;
     }
     readMore();
@@ -171,7 +171,7 @@
         if (failure == http::error::need_more)
             return;
         if (failure) {
-            abort(call_failure::broken);
+            abort(call_failure::malformed);
             return;
         }
         if (!m_parser->is_done())
@@ -208,7 +208,7 @@
     // reply may be a late copy. A copied rejection would say of this call that it has not run.
     bool const isUnidentified = reply.attemptId.empty() && !m_call->attemptId.empty() && (reply.status < 300 || m_callCount > 1);
     if (belongsToOtherCall || isInterim || isUnidentified) {
-        abort(call_failure::broken);
+        abort(call_failure::malformed);
         return;
     }
     bool const isReusable = isKeptAlive && !m_isWritePending && m_buffer.size() == 0;
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -12,6 +12,7 @@
 /// informative.
 static constexpr unsigned requestLinesPerSecond = 40;
 static constexpr unsigned callLinesPerSecond = 20;
+static constexpr unsigned quarantineLinesPerSecond = 20;
 /// One in this many requests with a complete answer within the objective is logged.
 static constexpr std::uint64_t ordinarySampleInterval = 200;
 
@@ -29,6 +30,7 @@
         m_currentSecondStart = now;
         m_requestLineCount = 0;
         m_callLineCount = 0;
+        m_quarantineLineCount = 0;
         m_suppressedLineCount = 0;
     }
     if (lineCount >= limit) {
@@ -72,7 +74,7 @@
 
 void request_log::logQuarantine(forwarding::quarantine_report const& report)
 {
-    if (tryCountLine(m_callLineCount, callLinesPerSecond))
+    if (tryCountLine(m_quarantineLineCount, quarantineLinesPerSecond))
         logEvent(log_level::info, report.event, { { "request", quarantine::toString(report.request) }, { "leaf", report.leafId }, { "losses", report.lossCount }, { "consecutive", report.consecutiveLossCount }, { "next_trial_ms", toMilliseconds(report.nextTrial) } });
 }
 
--- a/Services/traffic/request_log.h
+++ b/Services/traffic/request_log.h
@@ -23,6 +23,7 @@
     kernel::time_point m_currentSecondStart;
     unsigned m_requestLineCount { 0 };
     unsigned m_callLineCount { 0 };
+    unsigned m_quarantineLineCount { 0 };
     std::uint64_t m_suppressedLineCount { 0 };
     std::uint64_t m_ordinaryRequestCount { 0 };
 };
--- a/Tests/Support/engine_harness.cpp
+++ b/Tests/Support/engine_harness.cpp
@@ -60,12 +60,19 @@
 
 void engine_harness::registerLeafs(std::vector<std::string> const& services, std::size_t perService)
 {
-    std::vector<leaf_registration> leafs;
+    m_leafs.clear();
     for (auto const& service : services) {
         for (std::size_t index = 0; index < perService; ++index)
-            leafs.push_back({ service + "/" + std::to_string(index), 1, service, { "10.0.0.1", 80 }, index == 0 ? "here" : "there", 2, false, {} });
+            m_leafs.push_back({ service + "/" + std::to_string(index), 1, service, { "10.0.0.1", 80 }, index == 0 ? "here" : "there", 2, false, {} });
     }
-    engine.setLeafs(leafs, m_now);
+    engine.setLeafs(m_leafs, m_now);
+}
+
+void engine_harness::restartLeaf(std::string const& id)
+{
+    for (auto& each : m_leafs)
+        each.startedAt += each.id == id ? 1 : 0;
+    engine.setLeafs(m_leafs, m_now);
 }
 
 engine_hooks engine_harness::makeHooks()
--- a/Tests/Support/engine_harness.h
+++ b/Tests/Support/engine_harness.h
@@ -22,6 +22,8 @@
     /// service is in the local data centre.
     void registerLeafs(std::vector<std::string> const& services, std::size_t perService);
 
+    /// Registers a new incarnation of a leaf.
+    void restartLeaf(std::string const& id);
     /// Sets the transit time of the requests that arrive after this call.
     void setTransitTime(std::optional<kernel::duration> transit) { m_transitTime = transit; }
     /// Passes a GET request to the engine as if a caller had sent the request.
@@ -48,6 +50,7 @@
     forwarding::request_token submitRequest(std::string const& path, std::chrono::milliseconds timeout, std::optional<forwarding::relayed_request>);
 
     std::optional<kernel::duration> m_transitTime;
+    std::vector<forwarding::leaf_registration> m_leafs;
     kernel::time_point m_now { std::chrono::hours { 1 } };
     std::map<forwarding::call_number, forwarding::leaf_call> m_openCalls;
     std::vector<forwarding::call_number> m_cancelledCalls;
