Quarantine: Try a request again three times soon, and rarely then

Change: trials come after 0, 2, 4 and 64 s and then every 10 min, each spread over as much again; a trial counts as a step whether its outcome is seen or not.

--- a/Libraries/zinnialedge/membership/membership_engine.cpp
+++ b/Libraries/zinnialedge/membership/membership_engine.cpp
@@ -18,7 +18,7 @@
 /// Size in bytes of the datagram fields other than the sender, the subject and the updates.
 static constexpr std::size_t fixedDatagramBytes = 64;
 /// Bytes of a datagram that are kept free for suspects while there are any: room for the largest one.
-static constexpr std::size_t reservedSuspectBytes = 270;
+static constexpr std::size_t reservedSuspectBytes = 280;
 /// Number of suspects that changed last and are in every datagram, besides those whose turn it is.
 static constexpr std::size_t latestSuspectCount = 2;
 static constexpr std::chrono::milliseconds configurationExchangeInterval { 500 };
--- a/Libraries/zinnialedge/quarantine/suspect.cpp
+++ b/Libraries/zinnialedge/quarantine/suspect.cpp
@@ -1,6 +1,7 @@
 #include "Libraries/zinnialedge/quarantine/suspect.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 #include <xxhash.h>
 
@@ -8,11 +9,9 @@
 
 using kernel::time_point;
 
-/// Quarantine after two consecutive losses, and the factor for each further one. The request of a caller who tries again ends a leaf
-/// each time, so that the pauses grow quickly.
-static constexpr std::chrono::seconds initialQuarantine { 2 };
-static constexpr int quarantineFactor = 8;
-static constexpr std::chrono::minutes longestQuarantine { 10 };
+/// Quarantines after one, two, three and more consecutive losses. Leafs that were lost at one moment may have had another cause, so that one
+/// call may find out at once. After three trials there is little doubt left, and each further one ends another leaf.
+static constexpr std::array<std::chrono::seconds, 5> quarantineLengths { std::chrono::seconds { 0 }, std::chrono::seconds { 2 }, std::chrono::seconds { 4 }, std::chrono::seconds { 64 }, std::chrono::seconds { 600 } };
 /// Uncertainty of times that another daemon tells, as its datagrams take time and may wait.
 static constexpr std::chrono::milliseconds timeUncertainty { 1000 };
 
@@ -49,20 +48,16 @@
 
 kernel::duration quarantineLength(suspect const& of)
 {
-    // Leafs that were lost at one moment may have had another cause, so that one call may find out at once.
-    auto const consecutive = consecutiveLossCount(of);
-    if (consecutive < 2)
-        return kernel::duration::zero();
-    kernel::duration length = initialQuarantine;
-    for (std::size_t count = 2; count < consecutive && length < longestQuarantine; ++count)
-        length *= quarantineFactor;
-    return std::min<kernel::duration>(length, longestQuarantine);
+    auto const step = std::max<std::size_t>(consecutiveLossCount(of), of.trialCount + 1U);
+    return quarantineLengths[std::clamp<std::size_t>(step, 1, quarantineLengths.size()) - 1];
 }
 
 /// Removes losses before the last success and all but the latest losses. Two losses of one leaf are one.
 static void normalize(suspect& normalized)
 {
     auto& losses = normalized.losses;
+    if (normalized.trialAt <= normalized.clearedAt)
+        normalized.trialCount = 0;
     if (normalized.clearedAt != time_point {})
         std::erase_if(losses, [&](auto const& loss) { return loss.lostAt <= normalized.clearedAt + timeUncertainty; });
     std::sort(losses.begin(), losses.end(), [](auto const& left, auto const& right) { return std::tie(left.leaf, left.lostAt) < std::tie(right.leaf, right.lostAt); });
@@ -84,6 +79,10 @@
         into.trialAt = from.trialAt;
         isChanged = true;
     }
+    if (from.trialCount > into.trialCount && from.trialAt > into.clearedAt + timeUncertainty) {
+        into.trialCount = from.trialCount;
+        isChanged = true;
+    }
     auto const before = into.losses;
     for (auto const& loss : from.losses) {
         if (auto const known = findLoss(loss); known != into.losses.end())
--- a/Libraries/zinnialedge/quarantine/suspect_notice.cpp
+++ b/Libraries/zinnialedge/quarantine/suspect_notice.cpp
@@ -27,6 +27,7 @@
         notice.losses.push_back({ loss.leaf, ageOf(loss.sentAt, now), ageOf(loss.lostAt, now), loss.isRefuted });
     if (told.trialAt != time_point {})
         notice.trialAge = ageOf(told.trialAt, now);
+    notice.trialCount = told.trialCount;
     if (told.clearedAt != time_point {})
         notice.clearedAge = ageOf(told.clearedAt, now);
     return notice;
@@ -41,6 +42,7 @@
     }
     if (notice.trialAge)
         told.trialAt = timeAt(*notice.trialAge, now);
+    told.trialCount = notice.trialCount;
     if (notice.clearedAge)
         told.clearedAt = timeAt(*notice.clearedAge, now);
     return told;
@@ -49,7 +51,7 @@
 std::size_t maximumEncodedBytes(suspect_notice const& notice)
 {
     // A number takes ten bytes at most, and an age of a day six; each field has a header.
-    static constexpr std::size_t fixedBytes = request_digest::byteCount + 20;
+    static constexpr std::size_t fixedBytes = request_digest::byteCount + 28;
     static constexpr std::size_t bytesPerLoss = 28;
     return fixedBytes + bytesPerLoss * notice.losses.size();
 }
--- a/Libraries/zinnialedge/wire/peer_messages.thrift
+++ b/Libraries/zinnialedge/wire/peer_messages.thrift
@@ -113,6 +113,8 @@
     2: list<LeafLoss> losses;
     3: optional i64 triedMicrosecondsAgo;
     4: optional i64 clearedMicrosecondsAgo;
+    /// Number of calls that tried the request again.
+    5: i32 trialCount;
 }
 
 /// One UDP datagram that a daemon sends to another daemon.
--- a/Tests/Unit/quarantine_table_test.cpp
+++ b/Tests/Unit/quarantine_table_test.cpp
@@ -79,6 +79,20 @@
     CHECK(trials >= 1 && trials <= 3);
 }
 
+// Guards against trials that go on at a short interval because their outcome is not seen, by a link that is cut for example.
+TEST(QuarantineTable, TrialsWithoutAnOutcomeBecomeRareToo)
+{
+    quarantine(poison);
+    std::size_t trials = 0;
+    for (auto const end = now + 5min; now < end; now += 100ms) {
+        if (table.judge({ poison }, now) != verdict::trial)
+            continue;
+        ++trials;
+        tryAgain();
+    }
+    CHECK(trials >= 3 && trials <= 5);
+}
+
 // Guards against a request that is turned away for long because an outage took several of its leafs at one moment.
 TEST(QuarantineTable, LeafsLostTogetherCallForATrialAtOnce)
 {
