Quarantine: Count a trial as a step only when its call gets no answer

Change: a step is counted when the call of a trial ends with neither a reply nor a loss that counts.

--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -44,6 +44,8 @@
         if (result.error() == call_failure::broken) {
             reportBrokenCall(context, now);
             recordLoss(context, now);
+        } else if (result.error() == call_failure::timed_out || result.error() == call_failure::cancelled) {
+            m_quarantine.recordUnansweredCall(*context.evidence, now);
         }
         return;
     }
--- a/Libraries/zinnialedge/quarantine/quarantine_table.cpp
+++ b/Libraries/zinnialedge/quarantine/quarantine_table.cpp
@@ -93,7 +93,19 @@
         if (found == m_entries.end() || !isQuarantined(found->second.known))
             continue;
         found->second.known.trialAt = now;
-        ++found->second.known.trialCount;
+        markChanged(found->second, now);
+    }
+}
+
+void quarantine_table::recordUnansweredCall(request_evidence& evidence, time_point now)
+{
+    if (!evidence.trialBeganAt())
+        return;
+    for (auto const& digest : evidence.digests()) {
+        auto const found = m_entries.find(digest);
+        if (found == m_entries.end() || !isQuarantined(found->second.known))
+            continue;
+        ++found->second.known.unansweredTrialCount;
         markChanged(found->second, now);
     }
 }
@@ -122,7 +134,7 @@
         if (found == m_entries.end() || found->second.known.losses.empty())
             continue;
         found->second.known.losses.clear();
-        found->second.known.trialCount = 0;
+        found->second.known.unansweredTrialCount = 0;
         found->second.known.clearedAt = now;
         markChanged(found->second, now);
         hadLosses = true;
--- a/Libraries/zinnialedge/quarantine/quarantine_table.h
+++ b/Libraries/zinnialedge/quarantine/quarantine_table.h
@@ -64,6 +64,8 @@
 
     /// Records that a call for the request is sent.
     void recordCall(request_evidence&, kernel::time_point now);
+    /// Records that a call for the request ended with neither a reply nor a loss.
+    void recordUnansweredCall(request_evidence&, kernel::time_point now);
     /// Records the loss of a leaf. Returns whether the request is quarantined now and was not before.
     bool recordLoss(request_digests const&, leaf_loss const&, kernel::time_point now);
     /// Records that a leaf ran the request and replied. For some seconds losses do not count against the request, as they have another
--- a/Libraries/zinnialedge/quarantine/suspect.cpp
+++ b/Libraries/zinnialedge/quarantine/suspect.cpp
@@ -48,7 +48,7 @@
 
 kernel::duration quarantineLength(suspect const& of)
 {
-    auto const step = std::max<std::size_t>(consecutiveLossCount(of), of.trialCount + 1U);
+    auto const step = std::max<std::size_t>(consecutiveLossCount(of), of.unansweredTrialCount + 1U);
     return quarantineLengths[std::clamp<std::size_t>(step, 1, quarantineLengths.size()) - 1];
 }
 
@@ -57,7 +57,7 @@
 {
     auto& losses = normalized.losses;
     if (normalized.trialAt <= normalized.clearedAt)
-        normalized.trialCount = 0;
+        normalized.unansweredTrialCount = 0;
     if (normalized.clearedAt != time_point {})
         std::erase_if(losses, [&](auto const& loss) { return loss.lostAt <= normalized.clearedAt + timeUncertainty; });
     std::sort(losses.begin(), losses.end(), [](auto const& left, auto const& right) { return std::tie(left.leaf, left.lostAt) < std::tie(right.leaf, right.lostAt); });
@@ -79,8 +79,8 @@
         into.trialAt = from.trialAt;
         isChanged = true;
     }
-    if (from.trialCount > into.trialCount && from.trialAt > into.clearedAt + timeUncertainty) {
-        into.trialCount = from.trialCount;
+    if (from.unansweredTrialCount > into.unansweredTrialCount && from.trialAt > into.clearedAt + timeUncertainty) {
+        into.unansweredTrialCount = from.unansweredTrialCount;
         isChanged = true;
     }
     auto const before = into.losses;
--- a/Libraries/zinnialedge/quarantine/suspect.h
+++ b/Libraries/zinnialedge/quarantine/suspect.h
@@ -25,8 +25,8 @@
     std::vector<leaf_loss> losses;
     /// Time of the latest call that was sent although the request was quarantined; zero for none.
     kernel::time_point trialAt;
-    /// Number of such calls since the last success. Not all of them end with a reply or a loss that a daemon sees.
-    std::uint32_t trialCount { 0 };
+    /// Number of such calls since the last success that ended with neither a reply nor a loss, at a leaf behind a faulty link for example.
+    std::uint32_t unansweredTrialCount { 0 };
     /// Time of the latest success; zero for none. Losses before it do not count.
     kernel::time_point clearedAt;
 
--- a/Libraries/zinnialedge/quarantine/suspect_notice.cpp
+++ b/Libraries/zinnialedge/quarantine/suspect_notice.cpp
@@ -27,7 +27,7 @@
         notice.losses.push_back({ loss.leaf, ageOf(loss.sentAt, now), ageOf(loss.lostAt, now), loss.isRefuted });
     if (told.trialAt != time_point {})
         notice.trialAge = ageOf(told.trialAt, now);
-    notice.trialCount = told.trialCount;
+    notice.unansweredTrialCount = told.unansweredTrialCount;
     if (told.clearedAt != time_point {})
         notice.clearedAge = ageOf(told.clearedAt, now);
     return notice;
@@ -42,7 +42,7 @@
     }
     if (notice.trialAge)
         told.trialAt = timeAt(*notice.trialAge, now);
-    told.trialCount = notice.trialCount;
+    told.unansweredTrialCount = notice.unansweredTrialCount;
     if (notice.clearedAge)
         told.clearedAt = timeAt(*notice.clearedAge, now);
     return told;
--- a/Libraries/zinnialedge/quarantine/suspect_notice.h
+++ b/Libraries/zinnialedge/quarantine/suspect_notice.h
@@ -21,7 +21,7 @@
     request_digest request;
     std::vector<loss_notice> losses;
     std::optional<std::chrono::microseconds> trialAge;
-    std::uint32_t trialCount { 0 };
+    std::uint32_t unansweredTrialCount { 0 };
     std::optional<std::chrono::microseconds> clearedAge;
 
     auto operator<=>(suspect_notice const&) const = default;
--- a/Libraries/zinnialedge/queries/query_quarantine.cpp
+++ b/Libraries/zinnialedge/queries/query_quarantine.cpp
@@ -39,6 +39,8 @@
         bool const isNew = m_quarantine.recordLoss(evidence.digests(), { lost, owner.sentAt, now }, now);
         m_counters.requestsQuarantined += isNew ? 1 : 0;
         reportQuarantine(isNew ? "request_quarantined" : "leaf_lost_under_request", evidence.digests().front(), leaf.name());
+    } else if (outcome.kind == leaf_outcome_kind::failed && outcome.mayHaveBeenSent) {
+        m_quarantine.recordUnansweredCall(evidence, now);
     }
     shareSuspects(now);
 }
--- a/Libraries/zinnialedge/wire/membership_codec.cpp
+++ b/Libraries/zinnialedge/wire/membership_codec.cpp
@@ -50,7 +50,7 @@
         lost.__set_isRefuted(loss.isRefuted);
         encoded.losses.push_back(lost);
     }
-    encoded.__set_trialCount(static_cast<std::int32_t>(notice.trialCount));
+    encoded.__set_unansweredTrialCount(static_cast<std::int32_t>(notice.unansweredTrialCount));
     if (notice.trialAge)
         encoded.__set_triedMicrosecondsAgo(notice.trialAge->count());
     if (notice.clearedAge)
@@ -117,7 +117,7 @@
     quarantine::suspect_notice notice { .request = *digest };
     for (auto const& lost : encoded.losses)
         notice.losses.push_back({ static_cast<std::uint64_t>(lost.leaf), std::chrono::microseconds { lost.sentMicrosecondsAgo }, std::chrono::microseconds { lost.lostMicrosecondsAgo }, lost.isRefuted });
-    notice.trialCount = static_cast<std::uint32_t>(std::max(encoded.trialCount, 0));
+    notice.unansweredTrialCount = static_cast<std::uint32_t>(std::max(encoded.unansweredTrialCount, 0));
     if (encoded.__isset.triedMicrosecondsAgo)
         notice.trialAge = std::chrono::microseconds { encoded.triedMicrosecondsAgo };
     if (encoded.__isset.clearedMicrosecondsAgo)
--- a/Libraries/zinnialedge/wire/peer_messages.thrift
+++ b/Libraries/zinnialedge/wire/peer_messages.thrift
@@ -113,8 +113,8 @@
     2: list<LeafLoss> losses;
     3: optional i64 triedMicrosecondsAgo;
     4: optional i64 clearedMicrosecondsAgo;
-    /// Number of calls that tried the request again.
-    5: i32 trialCount;
+    /// Number of calls that tried the request again and ended with neither a reply nor a loss.
+    5: i32 unansweredTrialCount;
 }
 
 /// One UDP datagram that a daemon sends to another daemon.
--- a/Tests/Support/membership_network.cpp
+++ b/Tests/Support/membership_network.cpp
@@ -40,12 +40,28 @@
     performActions(index, m_nodes.at(index).engine->step(event, m_now));
 }
 
+void membership_network::passOnSuspects(std::uint16_t index, suspects_received const& told)
+{
+    auto& suspects = m_nodes.at(index).toldSuspects;
+    bool isNew = false;
+    for (auto const& each : told.suspects)
+        isNew |= suspects.emplace(each.request, each).second;
+    if (!isNew)
+        return;
+    suspects_changed changed;
+    for (auto const& [request, each] : suspects)
+        changed.suspects.push_back(each);
+    give(index, changed);
+}
+
 void membership_network::performActions(std::uint16_t index, membership_actions const& actions)
 {
     auto& node = m_nodes.at(index);
     for (auto const& action : actions) {
         if (auto const* sentDatagram = std::get_if<send_datagram>(&action)) {
             sendDatagram(index, *sentDatagram);
+        } else if (auto const* told = std::get_if<suspects_received>(&action)) {
+            passOnSuspects(index, *told);
         } else if (auto const* memberChange = std::get_if<member_changed>(&action)) {
             node.seen[memberChange->record.name] = memberChange->status;
             node.reportedDeathCount += memberChange->status == member_status::dead ? 1 : 0;
--- a/Tests/Support/membership_network.h
+++ b/Tests/Support/membership_network.h
@@ -14,6 +14,8 @@
         std::unique_ptr<membership::membership_engine> engine;
         /// Last status that the engine reported, by name of the other daemon.
         std::map<std::string, membership::member_status> seen;
+        /// Suspects that other daemons told of.
+        std::map<quarantine::request_digest, quarantine::suspect> toldSuspects;
         bool isRunning { true };
         bool isFrozen { false };
         /// Network partition of the node. Datagrams pass only between nodes with an equal value.
@@ -67,6 +69,8 @@
         bool operator>(scheduled_timer const& other) const { return at > other.at; }
     };
 
+    /// Tells the engine of a node about suspects that it has heard of, as a daemon does that learns something new.
+    void passOnSuspects(std::uint16_t index, membership::suspects_received const&);
     void performActions(std::uint16_t index, membership::membership_actions const&);
     void sendDatagram(std::uint16_t from, membership::send_datagram const&);
     void deliverNextDatagram();
--- a/Tests/Unit/membership_test.cpp
+++ b/Tests/Unit/membership_test.cpp
@@ -217,3 +217,27 @@
     CHECK(!wire::decodeDatagram("nonsense").has_value());
     CHECK(!wire::decodeDatagram({}).has_value());
 }
+
+// Guards against daemons that do not hear which requests end leafs: far away ones, and ones that start or come back later.
+TEST(Membership, SuspectsReachEveryDaemonWithinASecond)
+{
+    network.loss = 0.02;
+    startAll(40);
+    quarantine::suspect const poison { .request = quarantine::computeDigest({ "poison" }), .losses = { { 1, network.now(), network.now() }, { 2, network.now(), network.now() }, { 3, network.now(), network.now() } } };
+    auto const hasHeard = [&](std::uint16_t index) { return network.at(index).toldSuspects.contains(poison.request); };
+    auto const haveHeard = [&](std::uint16_t first, std::uint16_t last) {
+        for (auto index = first; index <= last; ++index) {
+            if (!hasHeard(index))
+                return false;
+        }
+        return true;
+    };
+    network.at(40).side = 1;
+    network.give(1, suspects_changed { { poison } });
+    CHECK(network.runUntil([&] { return haveHeard(2, 39); }, 1s).has_value());
+    network.start(nameOf(41), 41, { 1, 2 });
+    CHECK(network.runUntil([&] { return hasHeard(41); }, 1s).has_value());
+    CHECK_FALSE(hasHeard(40));
+    network.at(40).side = 0;
+    CHECK(network.runUntil([&] { return hasHeard(40); }, 4s).has_value());
+}
--- a/Tests/Unit/suspect_request_test.cpp
+++ b/Tests/Unit/suspect_request_test.cpp
@@ -113,6 +113,7 @@
     std::size_t lostInnocentCalls = 0;
     for (int count = 0; count < 20; ++count) {
         std::vector<forwarding::request_token> innocent;
+        innocent.reserve(20);
         for (int index = 0; index < 20; ++index)
             innocent.push_back(daemon.arrive("/single/innocent" + std::to_string(index)));
         daemon.arrive("/single/poison");
