Forwarding: Hold a part once

Cause: a part that was held twice counted twice, and its request would have been rejected although nothing was held any more. Change: holding a held part changes nothing.

--- a/Libraries/zinnialedge/forwarding/request_quarantine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_quarantine.cpp
@@ -3,6 +3,7 @@
 #include "Libraries/zinnialedge/forwarding/request_engine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace zinnialedge::forwarding {
 
@@ -83,7 +84,8 @@
 
 void request_engine::holdPart(active_request& request, std::size_t partIndex)
 {
-    request.parts[partIndex].isHeld = true;
+    if (std::exchange(request.parts[partIndex].isHeld, true))
+        return;
     ++request.heldPartCount;
     ++m_counters.partsHeld;
 }
