--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -317,9 +317,11 @@
     /// Records a call that tries a quarantined request again.
     void recordQuarantineCall(quarantine::request_evidence&, std::string const& leafId, kernel::time_point now);
     void logQuarantine(std::string_view event, quarantine::request_digests const&, std::string const& leafId, kernel::time_point now);
+    /// Lets a part wait until a leaf has run its request or no call of it is open any more.
     void holdPart(active_request&, std::size_t partIndex);
     /// Calls leafs for the parts of a request that waited, now that a leaf has run the request.
     void releaseHeldParts(request_token, kernel::time_point now);
+    /// Calls a leaf, first or again, for a part that waited.
     void resumePart(active_request&, std::size_t partIndex, kernel::time_point now);
     /// Calls a leaf for one of the parts that wait, if it may be called. Returns whether there was one.
     bool tryHeldPart(active_request&, kernel::time_point now);
--- a/Libraries/zinnialedge/quarantine/suspect.h
+++ b/Libraries/zinnialedge/quarantine/suspect.h
@@ -35,9 +35,9 @@
 
 /// Returns the hash by which the losses of one incarnation of a leaf are recognized as one.
 std::uint64_t hashLeaf(std::string_view id, std::int64_t incarnation);
-/// Returns the number of losses of different leafs from which on a request is quarantined.
+/// Number of losses of different leafs from which on a request is quarantined.
 inline constexpr std::size_t quarantineLossCount = 3;
-/// Number of losses that are kept of one request.
+/// Number of losses of one request that are kept.
 inline constexpr std::size_t maximumLossCount = 8;
 
 /// Time after a loss in which a reply shows that the leaf did not end. Leafs that end are back after some seconds.
