--- a/Tests/Unit/suspect_request_test.cpp
+++ b/Tests/Unit/suspect_request_test.cpp
@@ -286,3 +286,22 @@
     daemon.sendRelayedRequest("/gather/poison", { 1, { 3, 4, 5 }, 60ms, 60ms });
     LONGS_EQUAL(0, daemon.openCalls().size());
 }
+
+// Guards against trials that, within a minute, end more leafs than the platform allows after the third one.
+TEST(SuspectRequest, EndsAtMostThreeLeafsMoreInAMinute)
+{
+    useDeskLeafs();
+    while (endCount < 3) {
+        sendPoison("/single/poison");
+        daemon.pass(100ms);
+    }
+    auto const ruleBeginsAt = daemon.now() + 4s;
+    std::size_t counted = 0;
+    while (daemon.now() < ruleBeginsAt + 60s) {
+        auto const before = endCount;
+        sendPoison("/single/poison");
+        counted += daemon.now() >= ruleBeginsAt ? endCount - before : 0;
+        daemon.pass(100ms);
+    }
+    CHECK(counted <= 3);
+}
