Traffic: Log connections to leafs that do not open, with the leafs that replied lately

Change: the line leaf_not_connected with the reason and the number of leafs that have replied within a second; leaf_connections_failed_total by reason and leafs_replied_lately. No decision changes.

--- a/Libraries/zinnialedge/forwarding/leaf_record.h
+++ b/Libraries/zinnialedge/forwarding/leaf_record.h
@@ -56,6 +56,7 @@
     leaf_pause const& currentPause() const { return m_pause; }
     leaf_rate_limit const& rateLimit() const { return m_rateLimit; }
     bool hasFreeConnection(kernel::time_point now) const { return m_inFlightSentAt.size() < m_pause.inFlightLimit(m_connectionLimit, now); }
+    kernel::time_point lastReplyAt() const { return m_lastReplyAt; }
     std::size_t inFlight() const { return m_inFlightSentAt.size(); }
     /// Returns the time for which the leaf has been unresponsive: the age of the oldest call in flight that was sent after the
     /// last reply, or zero.
--- a/Libraries/zinnialedge/forwarding/leaf_roster.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.cpp
@@ -91,6 +91,11 @@
     std::erase_if(m_leafs, [&](auto const& entry) { return !retained.contains(entry.first) && entry.second.inFlight() == 0; });
 }
 
+std::size_t leaf_roster::repliedSince(time_point start) const
+{
+    return static_cast<std::size_t>(std::count_if(m_handleById.begin(), m_handleById.end(), [&](auto const& entry) { return at(entry.second).lastReplyAt() >= start; }));
+}
+
 void leaf_roster::recordCallDuration(kernel::duration callDuration)
 {
     ++m_typicalLatencySampleCount;
--- a/Libraries/zinnialedge/forwarding/leaf_roster.h
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.h
@@ -38,6 +38,8 @@
     leaf_record const& at(leaf_handle leaf) const { return m_leafs.at(leaf); }
     bool contains(leaf_handle leaf) const { return m_leafs.contains(leaf); }
     std::size_t size() const { return m_handleById.size(); }
+    /// Returns the number of registered leafs that have replied since the given time.
+    std::size_t repliedSince(kernel::time_point) const;
     /// Returns the typical duration of a successful call over all leafs.
     kernel::duration typicalCallDuration() const { return std::chrono::duration_cast<kernel::duration>(std::chrono::duration<double, std::micro> { m_typicalLatencyMicroseconds }); }
 
--- a/Services/traffic/leaf_connection.cpp
+++ b/Services/traffic/leaf_connection.cpp
@@ -41,6 +41,30 @@
 {
 }
 
+std::string_view toString(connect_failure failure)
+{
+    switch (failure) {
+    case connect_failure::refused:
+        return "refused";
+    case connect_failure::reset:
+        return "reset";
+    case connect_failure::timed_out:
+        return "timed_out";
+    case connect_failure::other:
+        break;
+    }
+    return "other";
+}
+
+static connect_failure connectFailureOf(beast::error_code failure)
+{
+    if (failure == asio::error::connection_refused)
+        return connect_failure::refused;
+    if (failure == asio::error::connection_reset)
+        return connect_failure::reset;
+    return failure == asio::error::timed_out ? connect_failure::timed_out : connect_failure::other;
+}
+
 void leaf_connection::connectAndSend(model::endpoint const& endpoint, serialized_call call)
 {
     m_connectStartedAt = std::chrono::steady_clock::now();
@@ -55,7 +79,7 @@
         if (self->m_isClosed)
             return;
         if (result) {
-            self->abort(call_failure::not_sent);
+            self->abandonConnect(connectFailureOf(result));
             return;
         }
         beast::error_code ignored;
@@ -286,4 +310,13 @@
         endCall(tl::unexpected(wasConnected || failure == call_failure::withheld ? failure : call_failure::not_sent));
 }
 
+void leaf_connection::abandonConnect(connect_failure failure)
+{
+    if (m_isClosed)
+        return;
+    if (m_hooks.connectFailed)
+        m_hooks.connectFailed(failure);
+    abort(call_failure::not_sent);
+}
+
 }
--- a/Services/traffic/leaf_connection.h
+++ b/Services/traffic/leaf_connection.h
@@ -27,6 +27,16 @@
     std::size_t bytes { 0 };
 };
 
+/// Reason for which a connection was not opened.
+enum class connect_failure {
+    refused,
+    reset,
+    timed_out,
+    other,
+};
+
+std::string_view toString(connect_failure);
+
 struct leaf_connection_hooks {
     forwarding::edge_protocol const* protocol { nullptr };
     std::shared_ptr<reply_memory> unfinishedReplies { std::make_shared<reply_memory>() };
@@ -36,6 +46,8 @@
     std::function<bool(forwarding::call_number)> isCallWanted;
     /// Called with a reply that answers no open call. May be empty.
     std::function<void(forwarding::leaf_reply const&)> handleUnmatchedReply;
+    /// Called when the connection could not be opened. May be empty.
+    std::function<void(connect_failure)> connectFailed;
     /// Called when the connection can carry another call.
     std::function<void()> becameIdle;
     std::function<void()> connectionClosed;
@@ -52,6 +64,8 @@
     void send(serialized_call);
     /// Closes the connection and fails its call, if any.
     void abort(forwarding::call_failure);
+    /// Closes a connection that has not opened, and fails its call as not sent.
+    void abandonConnect(connect_failure);
 
     bool isIdle() const { return m_isConnected && !m_call; }
     /// Returns true when the leaf is not expected to close the idle connection before a new call reaches the leaf.
--- a/Services/traffic/leaf_pools.cpp
+++ b/Services/traffic/leaf_pools.cpp
@@ -41,6 +41,11 @@
     hooks.isCallWanted = m_hooks.isCallWanted;
     if (m_hooks.handleUnmatchedReply)
         hooks.handleUnmatchedReply = [this, leaf](forwarding::leaf_reply const& reply) { m_hooks.handleUnmatchedReply(leaf, reply); };
+    hooks.connectFailed = [this, leaf](connect_failure failure) {
+        ++m_counters.failedCounts[failure];
+        if (m_hooks.connectFailed)
+            m_hooks.connectFailed(leaf, failure);
+    };
     hooks.becameIdle = [this, self, leaf] {
         if (auto created = self->lock())
             m_idleConnections[leaf].push_back(std::move(created));
@@ -84,12 +89,16 @@
 
 void leaf_connection_pools::closeExpiredConnections(kernel::time_point now)
 {
+    std::vector<connection> unopened;
     std::vector<connection> expired;
     for (auto const& [pointer, each] : m_connections) {
-        bool const hasTimedOut = each->isConnecting() && now - each->connectStartedAt() > connectTimeout;
-        if (hasTimedOut || (each->isIdle() && !each->isLikelyOpen(now, true)))
+        if (each->isConnecting() && now - each->connectStartedAt() > connectTimeout)
+            unopened.push_back(each);
+        else if (each->isIdle() && !each->isLikelyOpen(now, true))
             expired.push_back(each);
     }
+    for (auto const& each : unopened)
+        each->abandonConnect(connect_failure::timed_out);
     for (auto const& each : expired)
         each->abort(forwarding::call_failure::not_sent);
     std::erase_if(m_idleConnections, [](auto const& entry) { return entry.second.empty(); });
--- a/Services/traffic/leaf_pools.h
+++ b/Services/traffic/leaf_pools.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Services/traffic/leaf_connection.h"
+#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -9,6 +10,8 @@
 struct leaf_connection_counters {
     std::uint64_t openedCount { 0 };
     std::uint64_t reusedCount { 0 };
+    /// Connections that were not opened, by the reason.
+    std::map<connect_failure, std::uint64_t> failedCounts;
 };
 
 struct leaf_pool_hooks {
@@ -17,6 +20,8 @@
     std::function<bool(forwarding::call_number)> isCallWanted {};
     /// Called with a leaf's reply that answers no open call. May be empty.
     std::function<void(std::uint32_t leaf, forwarding::leaf_reply const&)> handleUnmatchedReply {};
+    /// Called when a connection to a leaf could not be opened. May be empty.
+    std::function<void(std::uint32_t leaf, connect_failure)> connectFailed {};
 };
 
 /// Connection pools of all leafs. A call reuses an idle connection to its leaf or opens a new connection.
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -66,6 +66,12 @@
         logEvent(log_level::info, event, { { "id", attemptId }, { "leaf", leafId }, { "age_ms", toMilliseconds(age) } });
 }
 
+void request_log::logConnectFailure(std::string const& leafId, std::string_view reason, std::size_t leafsRepliedLately)
+{
+    if (tryCountLine(m_callLineCount, callLinesPerSecond))
+        logEvent(log_level::info, "leaf_not_connected", { { "leaf", leafId }, { "reason", reason }, { "leafs_replied_lately", leafsRepliedLately } });
+}
+
 void request_log::logBrokenCall(forwarding::broken_call_report const& report)
 {
     if (tryCountLine(m_callLineCount, callLinesPerSecond))
--- a/Services/traffic/request_log.h
+++ b/Services/traffic/request_log.h
@@ -11,6 +11,7 @@
 
     void logRequest(forwarding::request_report const&);
     void logLeafEvent(std::string const& attemptId, std::string const& leafId, std::string_view event, kernel::duration age);
+    void logConnectFailure(std::string const& leafId, std::string_view reason, std::size_t leafsRepliedLately);
     void logBrokenCall(forwarding::broken_call_report const&);
     void logQuarantine(forwarding::quarantine_report const&);
     void logLeafLimit(std::string const& leafId, std::string_view event, forwarding::leaf_rate_limit const&);
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -24,6 +24,8 @@
 static constexpr std::size_t inboxCapacity = 256;
 /// Interval between checks of the connections' time limits.
 static constexpr std::chrono::milliseconds sweepInterval { 200 };
+/// Time within which a reply counts as recent in the metrics.
+static constexpr std::chrono::seconds recentReplyTime { 1 };
 /// Delay before the next accept after a failed accept.
 static constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
 /// Time in which the first request of a new connection arrives.
@@ -140,6 +142,11 @@
         metrics.gauge("quarantined_requests", m_engine.quarantined().quarantinedCount());
         metrics.counter("leaf_connections_opened_total", m_leafConnections.counters().openedCount);
         metrics.counter("leaf_connections_reused_total", m_leafConnections.counters().reusedCount);
+        std::vector<std::pair<std::string_view, std::uint64_t>> connectFailures;
+        for (auto const& [reason, count] : m_leafConnections.counters().failedCounts)
+            connectFailures.emplace_back(toString(reason), count);
+        metrics.counter("leaf_connections_failed_total", "reason", connectFailures);
+        metrics.gauge("leafs_replied_lately", m_engine.leafs().repliedSince(now() - recentReplyTime));
         metrics.counter("log_lines_dropped_total", kernel::droppedLogLineCount());
         metrics.gauge("requests_in_flight", m_engine.requestsInFlight());
         metrics.gauge("leaf_calls_in_flight", m_engine.callsInFlight());
@@ -184,6 +191,11 @@
         leaf_pool_hooks hooks;
         hooks.handleCallEnd = [this](forwarding::call_number number, forwarding::call_result result) { endCall(number, std::move(result)); };
         hooks.isCallWanted = [this](forwarding::call_number number) { return m_engine.isCallWanted(number, now()); };
+        hooks.connectFailed = [this](std::uint32_t leaf, connect_failure failure) {
+            auto const& leafs = m_engine.leafs();
+            if (leafs.contains(leaf))
+                m_requestLog.logConnectFailure(leafs.at(leaf).registration().id, toString(failure), leafs.repliedSince(now() - recentReplyTime));
+        };
         hooks.handleUnmatchedReply = [this](std::uint32_t leaf, forwarding::leaf_reply const& reply) {
             m_engine.handleUnmatchedReply(leaf, reply, now());
             armTimer();
