Traffic: Let the settings choose the local address of connections to leafs

Cause: on a VM with several addresses the system chose the address under which leafs see a daemon. A test could not cut one daemon off from the leafs either: all daemons come from 127.0.0.1, and proxies treat all connections alike.

Change: the optional setting leaf_calls_from; the loopback proxies move to Tests/Support and keep a state for each source address, with two new ones (reset, no new connections).

Result: without the setting nothing changes; the fault tests set it.

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -49,6 +49,7 @@
     services::traffic::traffic_settings traffic;
     traffic.callers = m_settings.callers;
     traffic.relays = m_settings.relays;
+    traffic.leafCallSource = m_settings.leafCallSource;
     traffic.engine.dataCentre = m_settings.dataCentre;
     traffic.engine.extraCalls = m_settings.extraCalls;
     traffic.engine.maximumLeafPause = m_settings.maximumLeafPause;
--- a/Libraries/zinnialedge/configuration/edge_settings.cpp
+++ b/Libraries/zinnialedge/configuration/edge_settings.cpp
@@ -46,6 +46,7 @@
     compare(change.appliedAtNextStart, "relays", before.relays == after.relays);
     compare(change.appliedAtNextStart, "operators", before.operators == after.operators);
     compare(change.appliedAtNextStart, "store", before.store == after.store);
+    compare(change.appliedAtNextStart, "leaf_calls_from", before.leafCallSource == after.leafCallSource);
     compare(change.appliedAtNextStart, "maximum_leaf_pause_s", before.maximumLeafPause == after.maximumLeafPause);
     return change;
 }
@@ -80,6 +81,11 @@
     settings.stopTimeLimit = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("stop_time_s", 1, maximumStopSeconds) * 1000) };
     if (reader.has("maximum_leaf_pause_s"))
         settings.maximumLeafPause = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("maximum_leaf_pause_s", 1, maximumLeafPauseSeconds) * 1000) };
+    if (reader.has("leaf_calls_from")) {
+        settings.leafCallSource = reader.text("leaf_calls_from");
+        if (!model::parseEndpoint(settings.leafCallSource + ":1"))
+            reader.report("leaf_calls_from", "an address like \"10.0.0.1\"");
+    }
     static std::vector<std::string_view> const levels { "trace", "debug", "info", "warn", "error" };
     settings.logLevel = std::string { levels[reader.choice("log_level", levels, 2)] };
     reader.finish();
--- a/Libraries/zinnialedge/configuration/edge_settings.h
+++ b/Libraries/zinnialedge/configuration/edge_settings.h
@@ -32,6 +32,8 @@
     std::chrono::milliseconds stopTimeLimit { 6000 };
     /// Longest pause that a leaf may ask for; longer pauses are ignored as malformed.
     std::chrono::milliseconds maximumLeafPause { std::chrono::hours { 1 } };
+    /// Local address of the connections to leafs, for a VM with several; empty when the system chooses it.
+    std::string leafCallSource;
     std::string logLevel { "info" };
 
     bool operator==(edge_settings const&) const = default;
--- a/Services/traffic/leaf_connection.cpp
+++ b/Services/traffic/leaf_connection.cpp
@@ -3,7 +3,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/rfc7230.hpp>
+#include <cerrno>
 #include <charconv>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace zinnialedge::services::traffic {
@@ -65,12 +68,29 @@
     return failure == asio::error::timed_out ? connect_failure::timed_out : connect_failure::other;
 }
 
-void leaf_connection::connectAndSend(model::endpoint const& endpoint, serialized_call call)
+beast::error_code leaf_connection::bindTo(std::string const& source)
+{
+    beast::error_code failure;
+    auto const address = asio::ip::make_address(source, failure);
+    if (!failure)
+        m_socket.open(tcp::v4(), failure);
+    // The kernel chooses the port when the connection opens, so that connections to different leafs can share one.
+    int const isPortChosenLater = 1;
+    if (!failure && ::setsockopt(m_socket.native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &isPortChosenLater, sizeof(isPortChosenLater)) != 0)
+        failure = { errno, boost::system::system_category() };
+    if (!failure)
+        m_socket.bind({ address, 0 }, failure);
+    return failure;
+}
+
+void leaf_connection::connectAndSend(model::endpoint const& endpoint, std::string const& source, serialized_call call)
 {
     m_connectStartedAt = std::chrono::steady_clock::now();
     m_call = std::move(call);
     beast::error_code failure;
     auto const address = asio::ip::make_address(endpoint.address, failure);
+    if (!failure && !source.empty())
+        failure = bindTo(source);
     if (failure) {
         asio::post(m_context, [self = shared_from_this()] { self->abort(call_failure::not_sent); });
         return;
--- a/Services/traffic/leaf_connection.h
+++ b/Services/traffic/leaf_connection.h
@@ -58,8 +58,8 @@
 public:
     leaf_connection(boost::asio::io_context&, leaf_connection_hooks);
 
-    /// Opens the connection and sends the call.
-    void connectAndSend(model::endpoint const&, serialized_call);
+    /// Opens the connection from the local address `source`, which may be empty, and sends the call.
+    void connectAndSend(model::endpoint const&, std::string const& source, serialized_call);
     /// Sends a call over the open, idle connection.
     void send(serialized_call);
     /// Closes the connection and fails its call, if any.
@@ -77,6 +77,7 @@
     using executor = boost::asio::io_context::executor_type;
     using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+    boost::system::error_code bindTo(std::string const& source);
     void writeCall();
     void writeRemainder(std::size_t written);
     void readMore();
--- a/Services/traffic/leaf_pools.cpp
+++ b/Services/traffic/leaf_pools.cpp
@@ -7,10 +7,11 @@
 /// Connecting takes a few milliseconds; a partitioned leaf never answers the handshake.
 static constexpr std::chrono::milliseconds connectTimeout { 400 };
 
-leaf_connection_pools::leaf_connection_pools(boost::asio::io_context& context, forwarding::edge_protocol const& protocol, leaf_pool_hooks hooks)
+leaf_connection_pools::leaf_connection_pools(boost::asio::io_context& context, forwarding::edge_protocol const& protocol, leaf_pool_hooks hooks, std::string source)
     : m_context(context)
     , m_protocol(protocol)
     , m_hooks(std::move(hooks))
+    , m_source(std::move(source))
 {
 }
 
@@ -75,7 +76,7 @@
     ++m_counters.openedCount;
     auto const created = makeConnection(leaf);
     m_busyConnections[number] = created;
-    created->connectAndSend(endpoint, std::move(call));
+    created->connectAndSend(endpoint, m_source, std::move(call));
 }
 
 void leaf_connection_pools::cancel(forwarding::call_number number, forwarding::call_failure failure)
--- a/Services/traffic/leaf_pools.h
+++ b/Services/traffic/leaf_pools.h
@@ -27,7 +27,8 @@
 /// Connection pools of all leafs. A call reuses an idle connection to its leaf or opens a new connection.
 class leaf_connection_pools {
 public:
-    leaf_connection_pools(boost::asio::io_context&, forwarding::edge_protocol const&, leaf_pool_hooks);
+    /// `source` is the local address of new connections; empty when the system chooses it.
+    leaf_connection_pools(boost::asio::io_context&, forwarding::edge_protocol const&, leaf_pool_hooks, std::string source = {});
 
     void send(std::uint32_t leaf, model::endpoint const&, serialized_call, kernel::time_point now);
     /// Fails a call and closes its connection.
@@ -47,6 +48,7 @@
     boost::asio::io_context& m_context;
     forwarding::edge_protocol const& m_protocol;
     leaf_pool_hooks m_hooks;
+    std::string m_source;
     std::shared_ptr<reply_memory> m_unfinishedReplies { std::make_shared<reply_memory>() };
     std::unordered_map<std::uint32_t, std::vector<connection>> m_idleConnections;
     std::unordered_map<leaf_connection*, connection> m_connections;
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -45,7 +45,7 @@
         , m_relayAcceptor(context)
         , m_engineTimer(context)
         , m_sweepTimer(context)
-        , m_leafConnections(context, m_edgeProtocol, makeLeafPoolHooks())
+        , m_leafConnections(context, m_edgeProtocol, makeLeafPoolHooks(), m_settings.leafCallSource)
         , m_relayConnections(context, m_relayProtocol, { .handleCallEnd = [this](forwarding::call_number number, forwarding::call_result result) { endCall(number, std::move(result)); } })
         , m_requestLog(kernel::makeSteadyClock())
         , m_engine(m_settings.engine, makeHooks(), std::move(random), now())
--- a/Services/traffic/traffic_service.h
+++ b/Services/traffic/traffic_service.h
@@ -14,6 +14,8 @@
     model::endpoint callers;
     /// Endpoint on which peers relay calls to leafs of this data centre.
     model::endpoint relays;
+    /// Local address of the connections to leafs; empty when the system chooses it.
+    std::string leafCallSource;
     std::size_t maximumCallerConnections { 3000 };
     forwarding::engine_settings engine;
 };
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -1,11 +1,11 @@
 #include "Kernel/clock.h"
 #include "Kernel/event_log.h"
 #include "Tests/Soak/limit_watch.h"
-#include "Tests/Soak/loopback_proxy.h"
 #include "Tests/Soak/marked_request_watch.h"
 #include "Tests/Soak/soak_checker.h"
 #include "Tests/Support/edge_fleet.h"
 #include "Tests/Support/http_call.h"
+#include "Tests/Support/loopback_proxy.h"
 #include <array>
 #include <boost/asio/executor_work_guard.hpp>
 #include <fstream>
--- a/Tests/Support/edge_fleet.cpp
+++ b/Tests/Support/edge_fleet.cpp
@@ -70,6 +70,7 @@
         { "relays", each.callers.address + ":" + std::to_string(relaysPort) },
         { "operators", toString(each.operators) },
         { "store", toString(m_store.place()) },
+        { "leaf_calls_from", each.callers.address },
         { "seeds", std::move(seeds) },
         { "extra_calls", { { "ratio", 0.2 }, { "window_s", 10 }, { "slack", 50 } } },
         { "store_rates", { { "reads_per_s", 2000 }, { "writes_per_s", 400 } } },
--- a/Tests/Soak/loopback_proxy.cpp
+++ b/Tests/Support/loopback_proxy.cpp
@@ -1,11 +1,11 @@
-#include "Tests/Soak/loopback_proxy.h"
+#include "Tests/Support/loopback_proxy.h"
 
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
-namespace zinnialedge::tests::soak {
+namespace zinnialedge::tests {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -22,6 +22,7 @@
 
     tcp::socket caller;
     tcp::socket target;
+    std::string source;
     std::array<std::array<char, 16'384>, 2> buffers {};
     bool isEnded { false };
 };
@@ -42,15 +43,48 @@
 void loopback_proxy::resetConnections()
 {
     asio::post(m_context, [this] {
+        for (auto const& each : std::set { m_connections })
+            reset(each);
+    });
+}
+
+void loopback_proxy::reset(std::shared_ptr<proxied_connection> const& connection)
+{
+    boost::system::error_code ignored;
+    connection->caller.set_option(asio::socket_base::linger(true, 0), ignored);
+    connection->target.set_option(asio::socket_base::linger(true, 0), ignored);
+    closeConnection(connection);
+}
+
+void loopback_proxy::setStateFrom(std::string const& source, link_state state)
+{
+    {
+        std::lock_guard const lock(m_mutex);
+        m_statesBySource[source] = state;
+    }
+    if (state != link_state::reset)
+        return;
+    asio::post(m_context, [this, source] {
         for (auto const& each : std::set { m_connections }) {
-            boost::system::error_code ignored;
-            each->caller.set_option(asio::socket_base::linger(true, 0), ignored);
-            each->target.set_option(asio::socket_base::linger(true, 0), ignored);
-            closeConnection(each);
+            if (each->source == source)
+                reset(each);
         }
     });
 }
 
+void loopback_proxy::clearStateFrom(std::string const& source)
+{
+    std::lock_guard const lock(m_mutex);
+    m_statesBySource.erase(source);
+}
+
+link_state loopback_proxy::stateOf(proxied_connection const& connection) const
+{
+    std::lock_guard const lock(m_mutex);
+    auto const found = m_statesBySource.find(connection.source);
+    return found == m_statesBySource.end() ? m_state.load() : found->second;
+}
+
 void loopback_proxy::closeConnection(std::shared_ptr<proxied_connection> const& ended)
 {
     if (std::exchange(ended->isEnded, true))
@@ -67,7 +101,14 @@
         if (failure)
             return;
         auto const connection = std::make_shared<proxied_connection>(m_context, std::move(accepted));
+        boost::system::error_code gone;
+        connection->source = connection->caller.remote_endpoint(gone).address().to_string();
         m_connections.insert(connection);
+        if (auto const state = stateOf(*connection); state == link_state::reset || state == link_state::no_new_connections) {
+            reset(connection);
+            accept();
+            return;
+        }
         connection->target.async_connect({ asio::ip::make_address(m_target.address), m_target.port }, [this, connection](boost::system::error_code refused) {
             if (refused) {
                 closeConnection(connection);
@@ -94,9 +135,8 @@
     });
 }
 
-bool loopback_proxy::isWithheld(bool isTowardsTarget) const
+bool loopback_proxy::isWithheld(link_state state, bool isTowardsTarget)
 {
-    auto const state = m_state.load();
     return state == link_state::unresponsive || (state == link_state::replies_withheld && !isTowardsTarget);
 }
 
@@ -104,11 +144,12 @@
 {
     if (connection->isEnded)
         return;
-    if (isWithheld(isTowardsTarget) || m_state == link_state::delayed) {
-        bool const isDelayed = !isWithheld(isTowardsTarget);
+    auto const state = stateOf(*connection);
+    if (isWithheld(state, isTowardsTarget) || state == link_state::delayed) {
+        bool const isDelayed = !isWithheld(state, isTowardsTarget);
         auto const timer = std::make_shared<asio::steady_timer>(m_context, isDelayed ? forwardingDelay : heldBytesCheckInterval);
         timer->async_wait([this, timer, connection, isTowardsTarget, bytes, isDelayed](boost::system::error_code) {
-            if (!isDelayed || m_state != link_state::delayed) {
+            if (!isDelayed || stateOf(*connection) != link_state::delayed) {
                 forward(connection, isTowardsTarget, bytes);
                 return;
             }
