Tests: A daemon that has lost its links to all leafs (known to fail)

Change: three tests with real daemons, which reach their leafs through proxies: unresponsive links, reset links, and links that open no new connections. The bound is the platform's: two thirds of what other daemons serve, from the stable window on. Each order may run once.

--- /dev/null
+++ b/Tests/Faults/edge_lost_links_test.cpp
@@ -0,0 +1,73 @@
+#include "Tests/Support/http_call.h"
+#include "Tests/Support/proxied_edge_fleet.h"
+#include <CppUTest/TestHarness.h>
+#include <map>
+
+using namespace zinnialedge;
+using namespace std::chrono_literals;
+using tests::link_state;
+using tests::proxied_edge_fleet;
+using tests::rawHeaderValue;
+using tests::waitUntil;
+
+namespace {
+
+/// Time after which the platform's rules hold for a daemon whose links to the leafs are gone.
+constexpr auto stableWindow = 4s;
+constexpr int requestCount = 30;
+
+/// Sends queries and orders to one daemon, and returns how many of them got an answer of a leaf.
+int countServed(proxied_edge_fleet& fleet, std::size_t daemon, std::string const& prefix)
+{
+    int served = 0;
+    for (int number = 0; number < requestCount; ++number) {
+        auto const id = prefix + std::to_string(number);
+        auto const answer = number % 2 == 0 ? fleet.get(daemon, "/gather/a", id) : fleet.post(daemon, "/single/a", id, "order");
+        served += answer.status == 200 ? 1 : 0;
+    }
+    return served;
+}
+
+void checkEachOrderRanOnce(proxied_edge_fleet const& fleet)
+{
+    std::map<std::string, int> runs;
+    for (auto const& request : fleet.requestsOf("desk"))
+        LONGS_EQUAL(1, ++runs[rawHeaderValue(request, "Zinnialedge-Attempt-Id")]);
+}
+
+void checkDaemonWithoutLinksServes(link_state state)
+{
+    proxied_edge_fleet fleet { { "here", "here", "there" } };
+    LONGS_EQUAL(requestCount, countServed(fleet, 0, "before"));
+    fleet.setLinks(0, state);
+    auto const windowEnd = std::chrono::steady_clock::now() + stableWindow;
+    for (int number = 0; std::chrono::steady_clock::now() < windowEnd; ++number)
+        fleet.get(0, "/gather/a", "during" + std::to_string(number), 250);
+    auto const others = countServed(fleet, 1, "other");
+    LONGS_EQUAL(requestCount, others);
+    // The platform's bound: two thirds as often as the other daemons.
+    CHECK(3 * countServed(fleet, 0, "after") >= 2 * others);
+    checkEachOrderRanOnce(fleet);
+}
+
+}
+
+TEST_GROUP(EdgeLostLinks) {};
+
+// Guards against: a daemon that can't reach any leaf fails its callers although other daemons reach the leafs.
+TEST(EdgeLostLinks, DaemonWithUnresponsiveLinksServesThroughOthers)
+{
+    checkDaemonWithoutLinksServes(link_state::unresponsive);
+}
+
+// Guards against: the same with links whose connections are reset.
+TEST(EdgeLostLinks, DaemonWithResetLinksServesThroughOthers)
+{
+    checkDaemonWithoutLinksServes(link_state::reset);
+}
+
+// Guards against: the same with links that open no new connections, while those in use live on until they are idle.
+TEST(EdgeLostLinks, DaemonWithoutNewConnectionsServesThroughOthers)
+{
+    checkDaemonWithoutLinksServes(link_state::no_new_connections);
+}
