Membership: Members say whether they reach leafs

Cause: nobody heard of a daemon without leafs.

Change: a member declares the loss of its leafs in its own updates; suspicion and death of the member leave the declaration as it is. The directory takes the daemons that reach leafs, or all when none does.

Result: 40 daemons with 2% of datagrams lost all know within the stable window of 4 s (Membership test); directory tests for one daemon, a data centre, all.

--- a/Libraries/zinnialedge/fleet/directory_choice.cpp
+++ b/Libraries/zinnialedge/fleet/directory_choice.cpp
@@ -20,6 +20,13 @@
     return XXH3_64bits(entry.name.data(), entry.name.size());
 }
 
+std::vector<serving_daemon> daemonsWithLeafs(std::vector<serving_daemon> daemons)
+{
+    if (std::any_of(daemons.begin(), daemons.end(), [](auto const& each) { return each.reachesLeafs; }))
+        std::erase_if(daemons, [](auto const& each) { return !each.reachesLeafs; });
+    return daemons;
+}
+
 std::vector<serving_daemon> chooseServingGroup(std::vector<serving_daemon> const& daemons)
 {
     std::map<std::string, std::vector<serving_daemon>> byDataCentre;
--- a/Libraries/zinnialedge/fleet/directory_choice.h
+++ b/Libraries/zinnialedge/fleet/directory_choice.h
@@ -11,10 +11,15 @@
     std::string name;
     std::string dataCentre;
     model::endpoint place;
+    /// False while the daemon has lost its links to all leafs. It passes requests on to other daemons meanwhile.
+    bool reachesLeafs { true };
 
     auto operator<=>(serving_daemon const&) const = default;
 };
 
+/// Returns the daemons that reach leafs, or all of them when none does: a list without any daemon would leave callers nowhere to go.
+std::vector<serving_daemon> daemonsWithLeafs(std::vector<serving_daemon>);
+
 /// Returns the daemons that carry the traffic: a few in each data centre. The result depends only on the set of daemons, so
 /// all daemons that know the same set compute the same group. A small group keeps its connections to leafs in use and has more
 /// information about the leafs' queues.
--- a/Libraries/zinnialedge/membership/member.cpp
+++ b/Libraries/zinnialedge/membership/member.cpp
@@ -33,7 +33,7 @@
 std::size_t maximumEncodedBytes(member_update const& update)
 {
     // Field headers, string lengths and numbers of a record.
-    static constexpr std::size_t fixedBytes = 28;
+    static constexpr std::size_t fixedBytes = 30;
     static constexpr std::size_t fixedEndpointBytes = 32;
     auto const& record = update.record;
     if (!isSelfDeclared(update.status))
--- a/Libraries/zinnialedge/membership/member.h
+++ b/Libraries/zinnialedge/membership/member.h
@@ -24,6 +24,8 @@
     /// Version that only the member itself raises, either to declare a new status or to refute a suspicion.
     std::uint32_t version { 0 };
     member_status status { member_status::joining };
+    /// False while the member declares that it has lost its links to all leafs.
+    bool reachesLeafs { true };
 
     auto operator<=>(member_update const&) const = default;
 };
--- a/Libraries/zinnialedge/membership/membership_engine.cpp
+++ b/Libraries/zinnialedge/membership/membership_engine.cpp
@@ -238,6 +238,14 @@
     announceImmediately({});
 }
 
+void membership_engine::handle(leaf_reach_changed const& changed, kernel::time_point)
+{
+    if (std::exchange(m_self.reachesLeafs, changed.reachesLeafs) == changed.reachesLeafs)
+        return;
+    ++m_self.version;
+    announceImmediately({});
+}
+
 void membership_engine::handle(configuration_changed const& changed, kernel::time_point)
 {
     m_configurationDigest = changed.digest;
@@ -278,7 +286,7 @@
             m_suspicionEnds.erase(name);
         if (m_probe && m_probe->target == name && member.status == member_status::dead)
             m_probe = std::nullopt;
-        m_actions.emplace_back(member_changed { member.record, member.status });
+        m_actions.emplace_back(member_changed { member.record, member.status, member.reachesLeafs });
     }
 }
 
--- a/Libraries/zinnialedge/membership/membership_engine.h
+++ b/Libraries/zinnialedge/membership/membership_engine.h
@@ -48,6 +48,11 @@
     member_status status { member_status::joining };
 };
 
+/// This daemon has lost its links to all leafs, or they are back.
+struct leaf_reach_changed {
+    bool reachesLeafs { true };
+};
+
 /// The digest of the services that this daemon knows has changed.
 struct configuration_changed {
     std::uint64_t digest { 0 };
@@ -65,7 +70,7 @@
 /// The time that nextTimerTime() returned has been reached.
 struct membership_timer_due { };
 
-using membership_event = std::variant<datagram_received, daemon_registered, daemon_unregistered, status_declared, configuration_changed, suspects_changed, process_stopping, membership_timer_due>;
+using membership_event = std::variant<datagram_received, daemon_registered, daemon_unregistered, status_declared, leaf_reach_changed, configuration_changed, suspects_changed, process_stopping, membership_timer_due>;
 
 // Actions.
 
@@ -77,6 +82,7 @@
 struct member_changed {
     daemon_record record;
     member_status status { member_status::joining };
+    bool reachesLeafs { true };
 };
 
 /// The daemon at `endpoint` knows a different configuration.
@@ -137,6 +143,7 @@
     void handle(daemon_registered const&, kernel::time_point);
     void handle(daemon_unregistered const&, kernel::time_point);
     void handle(status_declared const&, kernel::time_point);
+    void handle(leaf_reach_changed const&, kernel::time_point);
     void handle(configuration_changed const&, kernel::time_point);
     void handle(suspects_changed const&, kernel::time_point);
     void handle(process_stopping const&, kernel::time_point);
--- a/Libraries/zinnialedge/wire/membership_codec.cpp
+++ b/Libraries/zinnialedge/wire/membership_codec.cpp
@@ -35,6 +35,7 @@
     encoded.__set_dataCentre(update.record.dataCentre);
     encoded.__set_callers(toThrift(update.record.callerEndpoint));
     encoded.__set_peers(toThrift(update.record.peerEndpoint));
+    encoded.__set_reachesNoLeafs(!update.reachesLeafs);
     return encoded;
 }
 
@@ -105,6 +106,7 @@
     update.record.dataCentre = encoded.dataCentre;
     update.record.callerEndpoint = *callers;
     update.record.peerEndpoint = *peers;
+    update.reachesLeafs = !encoded.reachesNoLeafs;
     update.record.isLeaving = update.status == member_status::leaving;
     return update;
 }
--- a/Libraries/zinnialedge/wire/peer_messages.thrift
+++ b/Libraries/zinnialedge/wire/peer_messages.thrift
@@ -96,6 +96,8 @@
     7: optional string dataCentre;
     8: optional Place callers;
     9: optional Place peers;
+    /// True while the member has lost its links to all leafs.
+    10: bool reachesNoLeafs;
 }
 
 /// Loss of a leaf while it ran a request. Times are ages at the time of sending.
--- a/Tests/Unit/directory_choice_test.cpp
+++ b/Tests/Unit/directory_choice_test.cpp
@@ -61,3 +61,30 @@
     LONGS_EQUAL(1, fleet::chooseEndpoints({ makeDaemons(1).front() }, "b").size());
     LONGS_EQUAL(0, fleet::chooseEndpoints({}, "a").size());
 }
+
+// Guards against: callers are sent to daemons that have lost their leafs while others reach them.
+TEST(DirectoryChoice, DaemonsWithoutLeafsAreReplacedByOthers)
+{
+    auto daemons = makeDaemons(4);
+    auto const before = fleet::chooseServingGroup(daemons);
+    for (auto& each : daemons)
+        each.reachesLeafs = each.place != before.front().place;
+    auto const listed = fleet::chooseServingGroup(fleet::daemonsWithLeafs(daemons));
+    LONGS_EQUAL(before.size(), listed.size());
+    CHECK(std::none_of(listed.begin(), listed.end(), [](auto const& each) { return !each.reachesLeafs; }));
+    // A data centre whose daemons have all lost their leafs sends its callers to the others.
+    for (auto& each : daemons)
+        each.reachesLeafs = each.dataCentre != "a";
+    auto const endpoints = fleet::chooseEndpoints(fleet::daemonsWithLeafs(daemons), "a");
+    LONGS_EQUAL(2, endpoints.size());
+    CHECK(std::all_of(daemons.begin(), daemons.end(), [&](auto const& each) { return each.reachesLeafs || std::find(endpoints.begin(), endpoints.end(), each.place) == endpoints.end(); }));
+}
+
+// Guards against: callers are left without any address when all daemons have lost their leafs.
+TEST(DirectoryChoice, AllDaemonsAreListedWhenNoneReachesLeafs)
+{
+    auto daemons = makeDaemons(2);
+    for (auto& each : daemons)
+        each.reachesLeafs = false;
+    LONGS_EQUAL(daemons.size(), fleet::daemonsWithLeafs(daemons).size());
+}
--- a/Tests/Unit/membership_test.cpp
+++ b/Tests/Unit/membership_test.cpp
@@ -241,3 +241,27 @@
     network.at(40).side = 0;
     CHECK(network.runUntil([&] { return hasHeard(40); }, 4s).has_value());
 }
+
+// Guards against: daemons go on listing a daemon that has lost its leafs, and passing work to it.
+TEST(Membership, LossOfLeafsReachesEveryDaemonBeforeTheStableWindowEnds)
+{
+    network.loss = 0.02;
+    startAll(40);
+    auto const allKnow = [&](bool reachesLeafs) {
+        return std::all_of(network.nodes().begin(), network.nodes().end(), [&](auto const& entry) {
+            auto const* const member = entry.second.engine->members().find(nameOf(1));
+            return entry.first == 1 || (member && member->reachesLeafs == reachesLeafs);
+        });
+    };
+    CHECK(allKnow(true));
+    network.give(1, leaf_reach_changed { false });
+    CHECK(network.runUntil([&] { return allKnow(false); }, 4s).has_value());
+    // What others suspect of a member says nothing about its links.
+    network.at(1).isFrozen = true;
+    CHECK(network.runUntil([&] { return network.allNodesReport(nameOf(1), member_status::suspect); }, 10s).has_value());
+    CHECK(allKnow(false));
+    network.at(1).isFrozen = false;
+    CHECK(network.runUntil([&] { return network.allNodesReport(nameOf(1), member_status::serving) || network.allNodesReport(nameOf(1), member_status::joining); }, 10s).has_value());
+    network.give(1, leaf_reach_changed { true });
+    CHECK(network.runUntil([&] { return allKnow(true); }, 4s).has_value());
+}
