--- a/Libraries/zinnialedge/forwarding/active_request.cpp
+++ b/Libraries/zinnialedge/forwarding/active_request.cpp
@@ -10,7 +10,7 @@
 
 bool active_request::mayHaveRun() const
 {
-    return std::any_of(parts.begin(), parts.end(), [](auto const& part) { return part.mayHaveRun(); });
+    return (detour && detour->mayHaveRun) || std::any_of(parts.begin(), parts.end(), [](auto const& part) { return part.mayHaveRun(); });
 }
 
 static bool isOpen(request_part const& part)
@@ -32,6 +32,11 @@
     return heldPartCount > 0 && std::none_of(parts.begin(), parts.end(), isOpen);
 }
 
+bool active_request::hasUsedAttempts() const
+{
+    return std::any_of(parts.begin(), parts.end(), [](auto const& part) { return part.relayDataCentre || part.isAnswered(); });
+}
+
 bool active_request::hasSentCalls() const
 {
     return std::any_of(parts.begin(), parts.end(), [](auto const& part) { return part.attemptCount() > 0; });
--- a/Libraries/zinnialedge/forwarding/active_request.h
+++ b/Libraries/zinnialedge/forwarding/active_request.h
@@ -4,6 +4,7 @@
 #include "Libraries/zinnialedge/forwarding/messages.h"
 #include "Libraries/zinnialedge/limits/hedge_hold.h"
 #include "Libraries/zinnialedge/quarantine/request_evidence.h"
+#include <algorithm>
 
 namespace zinnialedge::forwarding {
 
@@ -55,6 +56,22 @@
     admitted,
 };
 
+/// Passing on of a complete request to another daemon.
+struct request_detour {
+    /// Open call to the other daemon, or zero.
+    call_number callNumber { 0 };
+    /// Daemons that got the request, the last one included.
+    std::vector<model::endpoint> calledDaemons;
+    /// True when a leaf may have run the request before the last daemon got it.
+    bool mayHaveRunBefore { false };
+    /// True when a leaf may have run the request, be it before or through the last daemon.
+    bool mayHaveRun { false };
+    /// Number of leafs of each shard that were called before the last daemon got the request, as far as they count as attempts.
+    std::uint32_t attemptsUsed { 0 };
+    /// True when this daemon has counted the request for the budget of extra calls.
+    bool isCounted { false };
+};
+
 /// A request in flight.
 struct active_request {
     request_token token { 0 };
@@ -72,6 +89,8 @@
     kernel::time_point endAt;
     std::optional<kernel::time_point> callerDeadline;
     std::vector<request_part> parts;
+    /// Set once the request has been passed on to another daemon; its parts count no more then.
+    std::optional<request_detour> detour;
     /// Bodies of relayed answers, each with the greatest records of the relayed parts.
     std::vector<std::string> relayedBodies;
     /// Ids of leafs that said in their replies that they are leaving.
@@ -93,12 +112,18 @@
     bool wasCongested { false };
 
     bool isRelayed() const { return request->relayed.has_value(); }
+    /// Returns whether another daemon has sent the request, for some shards or as a whole.
+    bool isFromDaemon() const { return isRelayed() || request->detoured; }
+    /// Returns the number of leafs that may be called for each part.
+    std::size_t maximumAttempts() const { return matchedRoute->maximumAttempts - std::min(matchedRoute->maximumAttempts, request->detoured ? request->detoured->attemptsUsed : 0); }
     std::size_t settledPartCount() const { return answeredPartCount + missingPartCount; }
     bool mayHaveRun() const;
     /// Returns whether a part other than `partIndex` has a call in flight, waits in a queue, or was relayed and not answered yet.
     bool hasOpenCalls(std::size_t partIndex) const;
     /// Returns whether parts wait although no open call can tell any more whether the request ends leafs.
     bool isHeldForNothing() const;
+    /// Returns whether a daemon of another data centre was asked for parts, or parts have replies already.
+    bool hasUsedAttempts() const;
     /// Returns whether any call was sent.
     bool hasSentCalls() const;
     bool hasMinimumCoverage() const;
--- a/Libraries/zinnialedge/forwarding/fleet_share.h
+++ b/Libraries/zinnialedge/forwarding/fleet_share.h
@@ -6,7 +6,7 @@
 
 namespace zinnialedge::forwarding {
 
-/// Daemon of another data centre that calls leafs of that data centre on behalf of this daemon.
+/// Daemon that calls leafs on behalf of this daemon.
 struct relay {
     std::string dataCentre;
     model::endpoint endpoint;
@@ -22,6 +22,8 @@
     std::size_t daemonsSharingSlack { 1 };
     /// Daemons of other data centres that serve traffic.
     std::vector<relay> relays;
+    /// Daemons to which complete requests may be passed on while this daemon reaches no leafs.
+    std::vector<relay> detours;
     /// Number of equal shares into which the request limit of a leaf is divided; this daemon may use one of them.
     double daemonsSharingLeafLimits { 1 };
 
--- a/Libraries/zinnialedge/forwarding/leaf_record.h
+++ b/Libraries/zinnialedge/forwarding/leaf_record.h
@@ -39,6 +39,8 @@
     /// Records that the leaf ran the call and replied with an error.
     void recordError(kernel::time_point sentAt, kernel::time_point now);
     void recordShed(kernel::time_point sentAt, kernel::time_point now);
+    /// Records the end of a probe, whatever came of it.
+    void recordProbeEnd(kernel::time_point sentAt) { removeFromInFlight(sentAt); }
     void recordFailure(call_failure, kernel::time_point sentAt, kernel::time_point now);
     /// Records that the connection of a call ended before any byte of the reply. Returns false when the call was sent after the leaf had
     /// been lost already, so that the call can't be the cause.
--- a/Libraries/zinnialedge/forwarding/leaf_roster.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.cpp
@@ -277,6 +277,32 @@
     return count;
 }
 
+std::vector<leaf_handle> leaf_roster::registeredLeafs() const
+{
+    std::vector<leaf_handle> handles;
+    handles.reserve(m_handleById.size());
+    for (auto const& [id, handle] : m_handleById)
+        handles.push_back(handle);
+    return handles;
+}
+
+std::size_t leaf_roster::availableCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_handleById.begin(), m_handleById.end(), [&](auto const& entry) { return at(entry.second).isAvailable(); }));
+}
+
+std::vector<leaf_handle> leaf_roster::chooseProbeTargets(std::size_t count, bool areLatestFirst, std::function<bool(leaf_handle)> const& isSuitable, time_point now) const
+{
+    auto chosen = registeredLeafs();
+    std::erase_if(chosen, [&](auto handle) { return !at(handle).hasRoom(now) || !isSuitable(handle); });
+    for (std::size_t index = chosen.size(); index > 1; --index)
+        std::swap(chosen[index - 1], chosen[m_random() % index]);
+    if (areLatestFirst)
+        std::stable_sort(chosen.begin(), chosen.end(), [&](auto left, auto right) { return at(left).lastReplyAt() > at(right).lastReplyAt(); });
+    chosen.resize(std::min(chosen.size(), count));
+    return chosen;
+}
+
 std::vector<leaf_handle> leaf_roster::leafsIn(std::string const& service, std::string const& dataCentre) const
 {
     std::vector<leaf_handle> found;
--- a/Libraries/zinnialedge/forwarding/leaf_roster.h
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.h
@@ -3,6 +3,7 @@
 #include "Libraries/zinnialedge/forwarding/leaf_record.h"
 #include "Libraries/zinnialedge/forwarding/route_table.h"
 #include "Libraries/zinnialedge/limits/held_maximum.h"
+#include <functional>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -72,6 +73,12 @@
     /// Returns true when the data centre has a healthy leaf of the service with room for a call. In other data centres, leafs
     /// with a request limit do not count, because a relay would spend its own share of the limit instead of this daemon's.
     bool hasHealthyLeafIn(std::string const& service, std::string const& dataCentre, kernel::duration timeLimit, kernel::time_point now) const;
+    /// Returns leafs that have room for a call and satisfy the predicate, those that replied last first, or in random order.
+    std::vector<leaf_handle> chooseProbeTargets(std::size_t count, bool areLatestFirst, std::function<bool(leaf_handle)> const& isSuitable, kernel::time_point now) const;
+    /// Returns the number of registered leafs that accept calls, or will after a pause.
+    std::size_t availableCount() const;
+    /// Returns the handles of all registered leafs.
+    std::vector<leaf_handle> registeredLeafs() const;
     std::vector<leaf_handle> leafsIn(std::string const& service, std::string const& dataCentre) const;
     /// Returns true when a leaf of the service accepts calls, without the excluded leafs. Free connections are not checked.
     bool hasAcceptingLeaf(std::string const& service, std::span<leaf_handle const> excluded, kernel::time_point now) const;
--- a/Libraries/zinnialedge/forwarding/messages.h
+++ b/Libraries/zinnialedge/forwarding/messages.h
@@ -39,6 +39,20 @@
     bool operator==(relayed_request const&) const = default;
 };
 
+/// Complete request that another daemon passes on because it reaches no leafs itself.
+struct detoured_request {
+    /// Lowest version of the configuration under which the request may be handled.
+    std::uint64_t minimumVersion { 0 };
+    /// Time left until the answer is most useful to the other daemon.
+    std::chrono::milliseconds objectiveLeft { 0 };
+    /// Number of leafs of each shard that the other daemon has called and that may have run the request.
+    std::uint32_t attemptsUsed { 0 };
+    /// True when the other daemon has counted the request for the budget of extra calls.
+    bool isCounted { false };
+
+    bool operator==(detoured_request const&) const = default;
+};
+
 /// Request as received from a caller. The method, target, headers and body are forwarded unchanged.
 struct caller_request {
     std::string method;
@@ -54,6 +68,8 @@
     std::string body;
     /// Set when the request was relayed by another daemon.
     std::optional<relayed_request> relayed;
+    /// Set when another daemon passed on the complete request.
+    std::optional<detoured_request> detoured;
 };
 
 /// Returns the digests by which equal requests are recognized: with the query of the target and, if it has one, without.
@@ -76,6 +92,18 @@
     auto operator<=>(leaf_limit_notice const&) const = default;
 };
 
+/// What another daemon tells of its answer to a detoured request, besides what a leaf's reply has.
+struct detour_outcome {
+    /// Reason for the outcome, for the logs.
+    std::string reason;
+    /// Version of the configuration under which the request was handled.
+    std::uint64_t version { 0 };
+    /// Error of the other daemon itself; empty when it passes on a leaf's reply or a merged answer.
+    std::optional<errors::error_kind> error;
+    std::optional<std::chrono::milliseconds> retryAfter;
+    std::size_t missingParts { 0 };
+};
+
 struct leaf_reply {
     int status { 0 };
     std::vector<header> headers;
@@ -107,6 +135,10 @@
     /// Shards covered by an answer of another daemon; the seals of their leafs are in `relayedSeals` in this order.
     std::vector<std::size_t> relayedShards;
     std::vector<std::string> relayedSeals;
+    /// Set in an answer of another daemon to a detoured request, and in its rejections.
+    std::optional<detour_outcome> detour;
+    /// True when no other call was sent over the connection before.
+    bool isOnNewConnection { false };
 
     bool isSuccess() const { return status >= 200 && status < 300 && !seal.empty() && !isEncoded; }
 };
@@ -139,8 +171,12 @@
     kernel::time_point abandonAt;
     bool isRepeatable { false };
     std::shared_ptr<caller_request const> request;
-    /// Set when the call goes to another daemon.
+    /// Set when the call asks another daemon for some shards.
     std::optional<relayed_request> relayed;
+    /// Set when the call passes the complete request on to another daemon.
+    std::optional<detoured_request> detoured;
+    /// True for a status request that shows whether the leaf can be reached over a new connection.
+    bool isProbe { false };
 };
 
 /// Answer to a caller: a leaf's reply, a merged answer, or an error.
@@ -162,6 +198,10 @@
     std::vector<quarantine::loss_notice> losses;
     std::string attemptId;
     std::size_t missingParts { 0 };
+    /// Version of the configuration under which the request was handled.
+    std::uint64_t version { 0 };
+    /// True when the answer goes to a daemon that has passed on the complete request.
+    bool isForDetour { false };
     /// Error that the caller gets when no leaf's reply is passed on.
     std::optional<errors::error> error;
     /// Reason for the outcome, for the logs.
--- a/Libraries/zinnialedge/forwarding/relay_protocol.cpp
+++ b/Libraries/zinnialedge/forwarding/relay_protocol.cpp
@@ -26,9 +26,27 @@
 /// Header with comma-separated losses of leafs under the request, each a hash of the leaf and two ages in microseconds.
 static constexpr std::string_view lossesHeader = "X-Relay-Losses";
 
+// Headers of complete requests that one daemon passes on to another, and of their answers.
+static constexpr std::string_view minimumVersionHeader = "X-Relay-Minimum-Version";
+static constexpr std::string_view objectiveHeader = "X-Relay-Objective-Ms";
+static constexpr std::string_view attemptsUsedHeader = "X-Relay-Attempts-Used";
+/// Value 1 when the sender has counted the request for the budget of extra calls.
+static constexpr std::string_view countedHeader = "X-Relay-Counted";
+static constexpr std::string_view reasonHeader = "X-Relay-Reason";
+static constexpr std::string_view errorHeader = "X-Relay-Error";
+static constexpr std::string_view retryAfterHeader = "X-Relay-Retry-After-Ms";
+static constexpr std::string_view missingHeader = "X-Relay-Missing";
+static constexpr std::string_view sealHeader = "X-Relay-Seal";
+
 /// Keep-alive timeout announced to other daemons; shorter than the time after which this daemon closes an idle connection.
 static constexpr std::string_view keepAliveValue = "timeout=30";
 
+bool isRelayHeader(std::string_view name)
+{
+    static constexpr std::string_view prefix = "X-Relay-";
+    return iequals(name.substr(0, prefix.size()), prefix);
+}
+
 template <typename Number>
 static Number parseNumber(std::string_view text)
 {
@@ -111,24 +129,50 @@
     return text;
 }
 
+static bool parseDetourHeader(std::string_view name, std::string_view value, detoured_request& detoured)
+{
+    if (iequals(name, minimumVersionHeader))
+        detoured.minimumVersion = parseNumber<std::uint64_t>(value);
+    else if (iequals(name, objectiveHeader))
+        detoured.objectiveLeft = std::chrono::milliseconds { parseNumber<std::int64_t>(value) };
+    else if (iequals(name, attemptsUsedHeader))
+        detoured.attemptsUsed = parseNumber<std::uint32_t>(value);
+    else if (iequals(name, countedHeader))
+        detoured.isCounted = value == "1";
+    else
+        return false;
+    return true;
+}
+
+static bool parseRelayHeader(std::string_view name, std::string_view value, relayed_request& relayed)
+{
+    if (iequals(name, answerWithinHeader))
+        relayed.answerTimeLimit = std::chrono::milliseconds { parseNumber<std::int64_t>(value) };
+    else if (iequals(name, latestAnswerHeader))
+        relayed.latestAnswerTimeLimit = std::chrono::milliseconds { parseNumber<std::int64_t>(value) };
+    else if (iequals(name, versionHeader))
+        relayed.version = parseNumber<std::uint64_t>(value);
+    else if (iequals(name, shardsHeader))
+        relayed.shardIndices = parseShardIndices(value);
+    else
+        return false;
+    return true;
+}
+
 static bool parseRequestHeader(std::string_view name, std::string_view value, caller_request& request)
 {
-    if (!name.starts_with("X-Relay-"))
+    if (!isRelayHeader(name))
         return true;
-    if (!request.relayed)
-        request.relayed = relayed_request {};
+    auto detoured = request.detoured.value_or(detoured_request {});
+    auto relayed = request.relayed.value_or(relayed_request {});
     if (iequals(name, attemptHeader))
         request.attemptId = std::string { value };
     else if (iequals(name, patienceHeader))
         request.timeLimit = std::chrono::milliseconds { parseNumber<std::int64_t>(value) };
-    else if (iequals(name, answerWithinHeader))
-        request.relayed->answerTimeLimit = std::chrono::milliseconds { parseNumber<std::int64_t>(value) };
-    else if (iequals(name, latestAnswerHeader))
-        request.relayed->latestAnswerTimeLimit = std::chrono::milliseconds { parseNumber<std::int64_t>(value) };
-    else if (iequals(name, versionHeader))
-        request.relayed->version = parseNumber<std::uint64_t>(value);
-    else if (iequals(name, shardsHeader))
-        request.relayed->shardIndices = parseShardIndices(value);
+    else if (parseDetourHeader(name, value, detoured))
+        request.detoured = detoured;
+    else if (parseRelayHeader(name, value, relayed))
+        request.relayed = std::move(relayed);
     return false;
 }
 
@@ -137,38 +181,88 @@
     appendHeader(lines, attemptHeader, call.request->attemptId);
     if (left)
         appendHeader(lines, patienceHeader, std::to_string(left->count()));
+    if (call.detoured) {
+        appendHeader(lines, minimumVersionHeader, std::to_string(call.detoured->minimumVersion));
+        appendHeader(lines, objectiveHeader, std::to_string(call.detoured->objectiveLeft.count()));
+        appendHeader(lines, attemptsUsedHeader, std::to_string(call.detoured->attemptsUsed));
+        appendHeader(lines, countedHeader, call.detoured->isCounted ? "1" : "0");
+        return;
+    }
     appendHeader(lines, answerWithinHeader, std::to_string(call.relayed->answerTimeLimit.count()));
     appendHeader(lines, latestAnswerHeader, std::to_string(call.relayed->latestAnswerTimeLimit.count()));
     appendHeader(lines, versionHeader, std::to_string(call.relayed->version));
     appendHeader(lines, shardsHeader, formatShardIndices(call.relayed->shardIndices));
 }
 
+static bool parseDetourOutcome(std::string_view name, std::string_view value, detour_outcome& outcome)
+{
+    if (iequals(name, reasonHeader))
+        outcome.reason = std::string { value };
+    else if (iequals(name, versionHeader))
+        outcome.version = parseNumber<std::uint64_t>(value);
+    else if (iequals(name, errorHeader))
+        outcome.error = errors::parseErrorKind(value).value_or(errors::error_kind::internal);
+    else if (iequals(name, retryAfterHeader))
+        outcome.retryAfter = std::chrono::milliseconds { parseNumber<std::int64_t>(value) };
+    else if (iequals(name, missingHeader))
+        outcome.missingParts = parseNumber<std::size_t>(value);
+    else
+        return false;
+    return true;
+}
+
 static bool parseReplyHeader(std::string_view name, std::string_view value, leaf_reply& reply)
 {
+    if (!isRelayHeader(name))
+        return true;
+    auto outcome = reply.detour.value_or(detour_outcome {});
     if (iequals(name, attemptHeader))
         reply.attemptId = std::string { value };
     else if (iequals(name, shardsHeader))
         reply.relayedShards = parseShardIndices(value);
     else if (iequals(name, sealsHeader))
         reply.relayedSeals = splitList(value);
+    else if (iequals(name, sealHeader))
+        reply.seal = std::string { value };
     else if (iequals(name, leavingHeader))
         reply.leavingLeafIds = splitList(value);
     else if (iequals(name, limitsHeader))
         reply.leafLimits = parseLeafLimits(value);
     else if (iequals(name, lossesHeader))
         reply.losses = parseLosses(value);
+    else if (parseDetourOutcome(name, value, outcome))
+        reply.detour = std::move(outcome);
     return false;
 }
 
+static void writeDetourOutcome(final_answer const& answer, std::string& lines)
+{
+    appendHeader(lines, reasonHeader, answer.reason);
+    appendHeader(lines, versionHeader, std::to_string(answer.version));
+    if (!answer.seal.empty())
+        appendHeader(lines, sealHeader, answer.seal);
+    if (answer.isMerged)
+        appendHeader(lines, missingHeader, std::to_string(answer.missingParts));
+    if (!answer.error)
+        return;
+    appendHeader(lines, errorHeader, errors::propertiesOf(answer.error->kind).name);
+    if (answer.error->retryAfter)
+        appendHeader(lines, retryAfterHeader, std::to_string(answer.error->retryAfter->count()));
+}
+
 static void writeAnswerHeaders(final_answer const& answer, std::string& lines)
 {
     appendHeader(lines, attemptHeader, answer.attemptId);
     appendHeader(lines, "Keep-Alive", keepAliveValue);
     if (!answer.losses.empty())
         appendHeader(lines, lossesHeader, formatLosses(answer.losses));
+    // A rejection of relayed shards needs the reason too: the requesting daemon avoids a daemon without links.
+    if (answer.isForDetour || answer.error)
+        writeDetourOutcome(answer, lines);
     if (!answer.isMerged)
         return;
-    appendHeader(lines, shardsHeader, formatShardIndices(answer.partShards));
+    if (!answer.isForDetour)
+        appendHeader(lines, shardsHeader, formatShardIndices(answer.partShards));
     appendHeader(lines, sealsHeader, boost::algorithm::join(answer.partSeals, ","));
     if (!answer.leavingLeafIds.empty())
         appendHeader(lines, leavingHeader, boost::algorithm::join(answer.leavingLeafIds, ","));
--- a/Libraries/zinnialedge/forwarding/relay_protocol.h
+++ b/Libraries/zinnialedge/forwarding/relay_protocol.h
@@ -4,8 +4,11 @@
 
 namespace zinnialedge::forwarding {
 
-/// Returns the protocol by which a daemon requests another daemon to call leafs of the other data centre. The caller's request
-/// is forwarded unchanged, so the relay headers are sent in addition to the caller's headers.
+/// Returns whether the header belongs to the protocol between daemons. Callers' headers with such names are not forwarded to daemons.
+bool isRelayHeader(std::string_view name);
+
+/// Returns the protocol by which a daemon asks another daemon to call leafs for some shards, or to handle a complete request. The
+/// caller's request is forwarded unchanged, so the relay headers are sent in addition to the caller's headers.
 edge_protocol makeRelayProtocol();
 
 }
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -75,11 +75,13 @@
     part.calls.push_back({ number, handle, now });
     ++part.callsThatMayHaveRun;
     record.recordSent(origin, now);
-    m_calls[number] = { request.token, partIndex, handle, now, request.request, request.evidence };
+    m_calls[number] = { request.token, partIndex, handle, now, false, request.request, request.evidence };
+    m_links.recordCall(handle, now);
+    scheduleLinkCheck(now);
     ++m_counters.calls;
     auto const abandonAt = request.endAt + abandonedCallGrace;
     m_timers.push({ abandonAt, timer_kind::abandon_call, number });
-    m_hooks.sendCall({ number, handle, record.registration().id, record.registration().place, request.callerDeadline, abandonAt, request.matchedRoute->isRepeatable, request.request, std::nullopt });
+    m_hooks.sendCall({ number, handle, record.registration().id, record.registration().place, request.callerDeadline, abandonAt, request.matchedRoute->isRepeatable, request.request, std::nullopt, std::nullopt, false });
 }
 
 bool request_engine::isCallWanted(call_number number, time_point now) const
@@ -195,7 +197,7 @@
     std::optional<time_point> next;
     for (std::size_t partIndex = 0; partIndex < request.parts.size(); ++partIndex) {
         auto& part = request.parts[partIndex];
-        if (part.isSettled() || part.isHedged || part.calls.size() != 1 || part.attemptCount() >= request.matchedRoute->maximumAttempts)
+        if (part.isSettled() || part.isHedged || part.calls.size() != 1 || part.attemptCount() >= request.maximumAttempts())
             continue;
         auto dueAt = part.calls.front().sentAt + delay;
         if (dueAt <= now) {
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -52,6 +52,8 @@
 void request_engine::setLeafs(std::vector<leaf_registration> const& registrations, time_point now)
 {
     m_leafs.replaceRegistrations(registrations, now);
+    m_links.setLeafCount(m_leafs.availableCount(), now);
+    scheduleLinkCheck(now);
     dispatchAllQueuedParts(now);
 }
 
@@ -101,6 +103,7 @@
     answer.status = errors::propertiesOf(kind).httpStatus;
     answer.error = errors::error { kind, std::string { errors::propertiesOf(kind).description }, std::nullopt };
     answer.reason = std::move(reason);
+    answer.version = m_routes ? m_routes->version() : 0;
     // Jitter of up to the retry-after itself spreads the retries of callers that were rejected at once.
     if (retryAfter > kernel::duration::zero())
         answer.error->retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(retryAfter + retryAfter * static_cast<std::int64_t>(m_random() % jitterSteps) / jitterSteps);
@@ -110,6 +113,8 @@
 void request_engine::reject(request_token token, caller_request const& request, final_answer answer)
 {
     ++m_counters.rejections;
+    answer.isForDetour = request.detoured.has_value();
+    answer.attemptId = request.attemptId;
     static std::string const noRoute;
     if (m_hooks.reportRequest && !request.relayed)
         m_hooks.reportRequest({ .attemptId = request.attemptId, .route = noRoute, .version = m_routes ? m_routes->version() : 0, .status = answer.status, .reason = answer.reason, .retryAfter = answer.error->retryAfter });
@@ -132,6 +137,14 @@
         reject(token, request, makeRejection(errors::error_kind::not_configured, "other_version", {}));
         return;
     }
+    if (request.detoured) {
+        ++m_counters.detouredRequests;
+        // Under an older version the request could go where the other daemon's configuration no longer lets it.
+        if (request.detoured->minimumVersion > m_routes->version()) {
+            reject(token, request, makeRejection(errors::error_kind::not_configured, "other_version", noConfigurationRetryAfter));
+            return;
+        }
+    }
     auto const* const to = m_routes->find(request.host, requestPath(request.target));
     if (!to) {
         reject(token, request, makeRejection(errors::error_kind::unknown_route, "no_route", {}));
@@ -145,9 +158,13 @@
     m_quarantine.removeExpired(now);
     auto const verdict = judge(*created->evidence, now);
     if (verdict == quarantine::verdict::quarantined || (verdict == quarantine::verdict::trial && created->isRelayed())) {
+        countRequest(*created, now);
         settleQuarantined(*created, now);
         return;
     }
+    if (areLinksLost() && handleWithoutLinks(*created, now))
+        return;
+    countRequest(*created, now);
     for (auto& part : created->parts) {
         if (m_leafs.hasAcceptingLeaf(*part.service, {}, now))
             continue;
@@ -217,6 +234,9 @@
         created.callerDeadline = now + *request.timeLimit;
         timeLimit = std::min(timeLimit, *request.timeLimit);
     }
+    // The other daemon needs time to pass the answer on.
+    if (request.detoured)
+        created.objectiveAt = now + std::max<kernel::duration>(request.detoured->objectiveLeft - transit - answerReserve, kernel::duration::zero());
     auto const endMargin = std::max<kernel::duration>(minimumEndMargin, transit + answerReserve);
     created.endAt = now + std::max<kernel::duration>(timeLimit - endMargin, timeLimit / 2);
     created.request = std::make_shared<caller_request const>(std::move(request));
@@ -233,7 +253,6 @@
         request.parts.resize(1);
         request.parts[0].service = &chooseService(to);
     } else if (request.isRelayed()) {
-        // The requesting daemon counts the request, since extra calls are charged to the budget of that daemon.
         for (auto const shard : request.request->relayed->shardIndices) {
             if (shard < to.gather.shards.size())
                 request.parts.push_back({ .service = &to.gather.shards[shard], .shardIndex = shard });
@@ -250,6 +269,13 @@
         m_timers.push({ request.objectiveAt, timer_kind::objective, request.token });
         m_timers.push({ now + to.objective * objectivesUntilLate, timer_kind::accept_minimum_coverage, request.token });
     }
+}
+
+void request_engine::countRequest(active_request const& request, time_point now)
+{
+    // The daemon that relays a request counts it, because it also sends the extra calls.
+    if (request.isRelayed() || (request.request->detoured && request.request->detoured->isCounted))
+        return;
     for (auto const& part : request.parts)
         stateOf(*part.service).extraCallBudget.recordRequest(now);
 }
@@ -293,8 +319,8 @@
     ++m_counters.callersDisconnected;
     request->isCallerDisconnected = true;
     releaseAdmission(*request, now);
-    // The requesting daemon has already applied the delay to a relayed request.
-    m_timers.push({ request->isRelayed() ? now : now + abandonDelay, timer_kind::abandon, token });
+    // The daemon that sent the request has already applied the delay.
+    m_timers.push({ request->isFromDaemon() ? now : now + abandonDelay, timer_kind::abandon, token });
 }
 
 void request_engine::abandon(active_request& request, time_point now)
@@ -310,6 +336,8 @@
             if (part.relayCallNumber != 0)
                 m_hooks.cancelCall(part.relayCallNumber, call_failure::cancelled);
         }
+        if (request.detour && request.detour->callNumber != 0)
+            m_hooks.cancelCall(request.detour->callNumber, call_failure::cancelled);
     }
     m_requests.erase(request.token);
 }
@@ -327,7 +355,7 @@
         auto const due = m_timers.top();
         m_timers.pop();
         if (due.kind == timer_kind::abandon_call) {
-            if (m_calls.contains(due.subject) || m_relayCalls.contains(due.subject))
+            if (m_calls.contains(due.subject) || m_relayCalls.contains(due.subject) || m_detourCalls.contains(due.subject) || m_probes.contains(due.subject))
                 m_hooks.cancelCall(due.subject, call_failure::timed_out);
             continue;
         }
@@ -350,9 +378,22 @@
             handleLateRelay(due.subject, now);
             continue;
         }
+        if (due.kind == timer_kind::detour_timeout) {
+            handleLateDetour(due.subject, now);
+            continue;
+        }
+        if (due.kind == timer_kind::check_links) {
+            if (m_nextLinkCheckAt && *m_nextLinkCheckAt <= due.dueAt)
+                m_nextLinkCheckAt.reset();
+            checkLinks(now);
+            continue;
+        }
         auto* const request = findRequest(due.subject);
         if (!request || (request->isCallerDisconnected && due.kind != timer_kind::abandon))
             continue;
+        // The parts of a request that another daemon handles are no longer called here.
+        if (request->detour && due.kind != timer_kind::end && due.kind != timer_kind::abandon)
+            continue;
         switch (due.kind) {
         case timer_kind::hedge:
             sendDueHedges(*request, due.dueAt, now);
@@ -381,6 +422,8 @@
         case timer_kind::admit:
         case timer_kind::dispatch:
         case timer_kind::share_suspects:
+        case timer_kind::check_links:
+        case timer_kind::detour_timeout:
             break;
         }
     }
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -9,6 +9,7 @@
 #include "Libraries/zinnialedge/limits/moving_quantile.h"
 #include "Libraries/zinnialedge/limits/return_schedule.h"
 #include "Libraries/zinnialedge/quarantine/quarantine_table.h"
+#include "Libraries/zinnialedge/reachability/link_monitor.h"
 #include <deque>
 #include <functional>
 #include <map>
@@ -55,8 +56,25 @@
     /// routes to a single service.
     std::size_t admittedInFlight { 0 };
     std::uint32_t admissionLimit { 0 };
+    /// Endpoint of the daemon that got the complete request, or empty.
+    std::string detour;
+    /// True when another daemon passed on the complete request.
+    bool isForOtherDaemon { false };
 };
 
+/// A change of what this daemon believes of its links to the leafs.
+struct link_report {
+    reachability::link_state state { reachability::link_state::intact };
+    reachability::link_evidence evidence;
+    /// Number of requests in flight that were passed on to other daemons.
+    std::size_t detouredRequestCount { 0 };
+};
+
+/// Reason in the rejections of a daemon that reaches no leafs, by which other daemons recognize them.
+inline constexpr std::string_view linksLostReason = "links_lost";
+/// Back-off after a call to another daemon failed: about the time in which the membership detects a dead daemon.
+inline constexpr std::chrono::milliseconds relayBackoff { 1000 };
+
 /// Reason for an extra call of a shard after the first call.
 enum class extra_call_reason {
     slow,
@@ -99,6 +117,10 @@
     std::function<void(quarantine_report const&)> logQuarantine;
     /// Tells the other daemons of requests under which leafs were lost.
     std::function<void(std::vector<quarantine::suspect>)> shareSuspects;
+    /// Logs a change of the state of the links to the leafs.
+    std::function<void(link_report const&)> logLinks;
+    /// Tells the other daemons whether this daemon reaches leafs.
+    std::function<void(bool)> shareLeafReach;
     /// Logs that a leaf has named a limit or names none any more.
     std::function<void(std::string const& leafId, std::string_view event, leaf_rate_limit const&)> logLeafLimit;
 };
@@ -143,6 +165,17 @@
     std::uint64_t quarantineTrials { 0 };
     /// Number of parts that waited for a sign that their request does not end leafs.
     std::uint64_t partsHeld { 0 };
+    /// Number of times that the links to all leafs were lost.
+    std::uint64_t linkLosses { 0 };
+    std::uint64_t probes { 0 };
+    /// Number of requests passed on as a whole to another daemon, counted again for each further daemon.
+    std::uint64_t detours { 0 };
+    /// Number of passed on requests that the other daemon did not answer or could not serve.
+    std::uint64_t detoursFailed { 0 };
+    /// Number of requests that other daemons have passed on to this daemon.
+    std::uint64_t detouredRequests { 0 };
+    /// Number of requests rejected because no daemon was known that reaches leafs.
+    std::uint64_t rejectionsForLostLinks { 0 };
     /// Number of requests rejected because of the request limits of leafs.
     std::uint64_t rejectionsForLimits { 0 };
 };
@@ -163,6 +196,8 @@
     void handleRequest(request_token, caller_request, kernel::time_point now);
     void handleCallerDisconnect(request_token, kernel::time_point now);
     void handleCallEnd(call_number, call_result, kernel::time_point now);
+    /// Takes that the connection of a call is open, so that the call is being sent. May be called from within the hook that sends it.
+    void handleCallConnected(call_number, kernel::time_point now);
     /// Takes what a leaf says about itself in a reply that answers no open call.
     void handleUnmatchedReply(leaf_handle, leaf_reply const&, kernel::time_point now);
     /// Returns whether a call whose connection has just been opened may still be sent. A call that may not must end with
@@ -177,6 +212,7 @@
     leaf_roster const& leafs() const { return m_leafs; }
     route_table_pointer const& routes() const { return m_routes; }
     quarantine::quarantine_table const& quarantined() const { return m_quarantine; }
+    reachability::link_state linkState() const { return m_links.state(); }
 
 private:
     enum class timer_kind {
@@ -193,6 +229,10 @@
         dispatch,
         /// Other daemons have not been told yet of requests under which leafs were lost.
         share_suspects,
+        /// Probes are due, or show the state of the links to the leafs.
+        check_links,
+        /// The answer of a daemon to a detoured request is late.
+        detour_timeout,
     };
 
     struct timer {
@@ -209,6 +249,8 @@
         std::size_t partIndex { 0 };
         leaf_handle leaf { 0 };
         kernel::time_point sentAt;
+        /// False while the call waits for its connection to open.
+        bool isConnected { false };
         /// The call may end after its request.
         std::shared_ptr<caller_request const> request;
         std::shared_ptr<quarantine::request_evidence> evidence;
@@ -223,6 +265,18 @@
         std::shared_ptr<quarantine::request_evidence> evidence;
     };
 
+    /// Context of a complete request that was passed on to another daemon.
+    struct detour_call_context {
+        request_token requestToken { 0 };
+        relay remoteDaemon;
+        kernel::time_point sentAt;
+    };
+
+    struct probe_context {
+        leaf_handle leaf { 0 };
+        kernel::time_point sentAt;
+    };
+
     struct relay_state {
         kernel::time_point backoffUntil;
         kernel::time_point lastAnswerAt;
@@ -283,6 +337,45 @@
     shard_set_admission& admissionOf(route const&);
     active_request* createRequest(request_token, caller_request, route const&, kernel::time_point now);
 
+    /// Counts the request for the budget of extra calls of its services, unless another daemon has counted it.
+    void countRequest(active_request const&, kernel::time_point now);
+
+    // Links to the leafs.
+    bool areLinksLost() const { return m_links.state() == reachability::link_state::lost; }
+    /// Returns whether the links are lost and other daemons reach leafs, so that leafs that seem lost are not.
+    bool haveOnlyOwnLinksFailed() const { return areLinksLost() && !m_fleetShare.detours.empty(); }
+    /// Records what the end of a call tells about the links.
+    void recordLinkSign(leaf_handle, call_result const&, kernel::time_point now);
+    void scheduleLinkCheck(kernel::time_point now);
+    /// Sends due probes and acts on a change of the links' state.
+    void checkLinks(kernel::time_point now);
+    void sendProbes(std::size_t count, kernel::time_point now);
+    void handleProbeEnd(probe_context const&, call_result const&, kernel::time_point now);
+    /// Withdraws the losses of leafs that the loss of the links explains.
+    void refuteOwnLosses(kernel::time_point now);
+
+    // Detours: complete requests that other daemons handle while this daemon reaches no leafs.
+    /// Handles a request that arrives while the links are lost. Returns false when the request is to be tried directly.
+    bool handleWithoutLinks(active_request&, kernel::time_point now);
+    std::optional<relay> chooseDetour(active_request const&, kernel::time_point now);
+    /// Passes the request on to a daemon that has not had it yet. Returns false when there is none.
+    bool sendDetour(active_request&, bool isCounted, kernel::time_point now);
+    /// Passes on a request whose calls can't be answered any more, if nothing can run twice by that. Returns whether it did.
+    bool switchToDetour(active_request&, kernel::time_point now);
+    /// Ends the calls and queue entries of a request that goes on through another daemon.
+    void withdrawCalls(active_request&, kernel::time_point now);
+    /// Returns whether a leaf may have got a call for the part.
+    bool mayHaveReachedLeaf(request_part const&) const;
+    /// Consumes an extra call for each part that leafs may have got already. Returns false when the budget does not allow them.
+    bool consumeExtraCalls(active_request&, kernel::time_point now);
+    void switchAllToDetours(kernel::time_point now);
+    void handleDetourEnd(detour_call_context const&, call_result, kernel::time_point now);
+    void handleLateDetour(call_number, kernel::time_point now);
+    /// Sends the other daemon's answer to the caller.
+    void settleDetour(active_request&, leaf_reply, kernel::time_point now);
+    /// Ends a request that no daemon has answered.
+    void settleWithoutLinks(active_request&, kernel::time_point now);
+
     // Calls.
     void callPart(active_request&, std::size_t partIndex, kernel::time_point now);
     void sendCall(active_request&, std::size_t partIndex, leaf_handle, kernel::time_point now);
@@ -404,6 +497,14 @@
     std::unordered_map<request_token, active_request> m_requests;
     std::unordered_map<call_number, call_context> m_calls;
     std::unordered_map<call_number, relay_call_context> m_relayCalls;
+    std::unordered_map<call_number, detour_call_context> m_detourCalls;
+    std::unordered_map<call_number, probe_context> m_probes;
+    reachability::link_monitor m_links;
+    /// State of the links on which the engine has acted.
+    reachability::link_state m_knownLinkState { reachability::link_state::intact };
+    std::optional<kernel::time_point> m_nextLinkCheckAt;
+    /// Highest configuration version under which another daemon has handled a request of this daemon's callers.
+    std::uint64_t m_detourVersion { 0 };
     std::unordered_map<std::string, route_state> m_routeStates;
     std::unordered_map<std::string, service_state> m_serviceStates;
     std::unordered_map<std::string, shard_set_admission> m_admissions;
--- a/Libraries/zinnialedge/forwarding/request_quarantine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_quarantine.cpp
@@ -28,7 +28,7 @@
 {
     auto& record = m_leafs.at(context.leaf);
     auto const& registration = record.registration();
-    if (!record.recordLoss(context.sentAt, now) || context.evidence->hasSucceeded())
+    if (!record.recordLoss(context.sentAt, now) || context.evidence->hasSucceeded() || haveOnlyOwnLinksFailed())
         return;
     auto const& digests = context.evidence->digests();
     auto const leaf = quarantine::hashLeaf(registration.id, registration.startedAt);
@@ -150,6 +150,9 @@
 
 void request_engine::shareSuspects(time_point now)
 {
+    // The loss of the links may explain the losses; the decision is near.
+    if (m_links.state() == reachability::link_state::suspected)
+        return;
     if (now < m_nextSharingAt) {
         if (!std::exchange(m_isSharingScheduled, true))
             m_timers.push({ m_nextSharingAt, timer_kind::share_suspects, 0 });
--- a/Libraries/zinnialedge/forwarding/request_relays.cpp
+++ b/Libraries/zinnialedge/forwarding/request_relays.cpp
@@ -22,9 +22,6 @@
 /// A relay call is late when it takes this many times the typical duration.
 static constexpr int relayLateFactor = 2;
 static constexpr int relayDurationWeightDivisor = 8;
-/// Back-off after a relay call failed: about the time in which the membership detects a dead daemon.
-static constexpr std::chrono::milliseconds relayBackoff { 1000 };
-
 std::optional<relay> request_engine::chooseRelay(std::string const& dataCentre, time_point now)
 {
     std::optional<relay> best;
@@ -110,7 +107,7 @@
     m_relayCalls[number] = { request.token, partIndices, to, now, request.evidence };
     m_timers.push({ now + relayLateTime(answerTimeLimit, latestAnswerTimeLimit), timer_kind::relay_timeout, number });
     m_timers.push({ request.endAt, timer_kind::abandon_call, number });
-    m_hooks.sendCall({ number, 0, {}, to.endpoint, request.callerDeadline, request.endAt, true, request.request, relayed_request { request.table->version(), std::move(partIndices), answerTimeLimit, latestAnswerTimeLimit } });
+    m_hooks.sendCall({ number, 0, {}, to.endpoint, request.callerDeadline, request.endAt, true, request.request, relayed_request { request.table->version(), std::move(partIndices), answerTimeLimit, latestAnswerTimeLimit }, std::nullopt, false });
 }
 
 void request_engine::handleRelayEnd(call_number number, relay_call_context const& context, call_result result, time_point now)
@@ -123,7 +120,8 @@
         state.lastAnswerAt = now;
         m_typicalRelayDuration += (now - context.sentAt - m_typicalRelayDuration) / relayDurationWeightDivisor;
     }
-    if (!result && result.error() != call_failure::cancelled)
+    bool const hasLostLinks = result && result->detour && result->detour->reason == linksLostReason;
+    if ((!result && result.error() != call_failure::cancelled) || hasLostLinks)
         state.backoffUntil = now + relayBackoff;
     if (result) {
         for (auto const& leafId : result->leavingLeafIds)
@@ -138,7 +136,7 @@
             recordRun(*context.evidence, now);
     }
     auto* const request = findRequest(context.requestToken);
-    if (!request || request->isCallerDisconnected)
+    if (!request || request->isCallerDisconnected || request->detour)
         return;
     for (auto const partIndex : context.partIndices) {
         auto& part = request->parts[partIndex];
@@ -215,7 +213,7 @@
 bool request_engine::hedgeRelayedPart(active_request& request, std::size_t partIndex, time_point now)
 {
     auto& part = request.parts[partIndex];
-    if (part.attemptCount() >= request.matchedRoute->maximumAttempts)
+    if (part.attemptCount() >= request.maximumAttempts())
         return false;
     auto const excluded = m_leafs.leafsIn(*part.service, *part.relayDataCentre);
     auto const pick = m_leafs.pickLeaf(*part.service, excluded, hedgeDelayOf(*request.matchedRoute), now);
@@ -233,7 +231,7 @@
     if (state.lastAnswerAt < context.sentAt && state.inFlight > 1)
         state.backoffUntil = now + relayBackoff;
     auto* const request = findRequest(context.requestToken);
-    if (!request || request->isCallerDisconnected)
+    if (!request || request->isCallerDisconnected || request->detour)
         return;
     // The late answer is still accepted when it arrives before the replies of the leafs.
     replaceUnansweredParts(*request, context, true, now);
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -158,11 +158,20 @@
         handleRelayEnd(number, context, std::move(result), now);
         return;
     }
+    if (auto const detoured = m_detourCalls.extract(number)) {
+        handleDetourEnd(detoured.mapped(), std::move(result), now);
+        return;
+    }
+    if (auto const probe = m_probes.extract(number)) {
+        handleProbeEnd(probe.mapped(), result, now);
+        return;
+    }
     auto const found = m_calls.find(number);
     if (found == m_calls.end())
         return;
     auto const context = found->second;
     m_calls.erase(found);
+    recordLinkSign(context.leaf, result, now);
     recordLeafResult(context, result, now);
     auto const service = m_leafs.at(context.leaf).registration().service;
     auto* const request = findRequest(context.requestToken);
@@ -174,6 +183,13 @@
         if (result && result->isSuccess())
             stateOf(*request->matchedRoute).callDurationQuantile.add(std::chrono::duration_cast<std::chrono::microseconds>(now - context.sentAt));
         std::erase_if(request->parts[context.partIndex].calls, [&](auto const& call) { return call.number == number; });
+        if (request->detour) {
+            bool const wasNotSent = !result && (result.error() == call_failure::not_sent || result.error() == call_failure::withheld);
+            if (wasNotSent || (result && result->wasNotRun))
+                --request->parts[context.partIndex].callsThatMayHaveRun;
+            dispatchQueuedParts(service, now);
+            return;
+        }
         if (request->parts[context.partIndex].isSettled())
             ++m_counters.lateReplies;
         else if (result)
@@ -255,7 +271,7 @@
 bool request_engine::canRetry(active_request const& request, std::size_t partIndex, time_point now) const
 {
     auto const& part = request.parts[partIndex];
-    if (request.isCallerDisconnected || request.isRelayed() || part.attemptCount() >= request.matchedRoute->maximumAttempts || now + minimumRetryTime >= request.endAt)
+    if (request.isCallerDisconnected || request.isRelayed() || part.attemptCount() >= request.maximumAttempts() || now + minimumRetryTime >= request.endAt)
         return false;
     return request.matchedRoute->isRepeatable || !part.mayHaveRun();
 }
@@ -265,6 +281,8 @@
     auto& part = request.parts[partIndex];
     if (!part.calls.empty() || part.isQueued)
         return;
+    if (areLinksLost() && switchToDetour(request, now))
+        return;
     auto const callsAhead = stateOf(*part.service).queuedParts.size();
     auto const nextCallAt = m_leafs.nextCallTime(*part.service, part.calledLeafs, callsAhead, now);
     bool const isPossible = canRetry(request, partIndex, now) && nextCallAt && *nextCallAt + minimumRetryTime < request.endAt;
@@ -296,7 +314,7 @@
 void request_engine::settleIfDecided(active_request& request, time_point now)
 {
     // A disconnected caller needs no answer; the abandon timer ends the open calls together.
-    if (request.isCallerDisconnected)
+    if (request.isCallerDisconnected || request.detour)
         return;
     if (request.matchedRoute->isGather())
         callSkippedShards(request, now);
@@ -376,8 +394,7 @@
         settleSingle(request, now);
         return;
     }
-    bool const mayHaveRun = request.mayHaveRun();
-    if (mayHaveRun)
+    if (request.mayHaveRun())
         settleWithError(request, errors::error_kind::deadline_exceeded, "timed_out", now);
     else
         settleUnavailable(request, errors::error_kind::overloaded, "no_room", now);
@@ -474,13 +491,19 @@
         .retryAfter = retryAfter,
         .admittedInFlight = admission ? admission->inFlight() : 0,
         .admissionLimit = admission ? admission->limit() : 0,
+        .detour = request.detour ? toString(request.detour->calledDaemons.back()) : std::string {},
+        .isForOtherDaemon = request.request->detoured.has_value(),
     });
 }
 
 void request_engine::settle(active_request& request, final_answer answer, time_point now)
 {
     m_counters.answers += answer.error ? 0 : 1;
-    if (request.isRelayed() && !m_quarantine.isEmpty()) {
+    answer.isForDetour = request.request->detoured.has_value();
+    if (request.isFromDaemon())
+        answer.attemptId = request.request->attemptId;
+    answer.version = std::max(answer.version, request.table->version());
+    if (request.isFromDaemon() && !m_quarantine.isEmpty()) {
         if (auto const* const known = m_quarantine.find(request.evidence->digests().back()))
             answer.losses = quarantine::makeNotice(*known, now).losses;
     }
--- a/Libraries/zinnialedge/forwarding/route.h
+++ b/Libraries/zinnialedge/forwarding/route.h
@@ -66,6 +66,8 @@
     std::string name;
     /// Maximum number of connections that one leaf accepts from all daemons together.
     std::uint32_t connectionCap { 25 };
+    /// Target of status requests to the service's leafs.
+    std::string statusTarget { "/health" };
 
     auto operator<=>(service_rules const&) const = default;
 };
--- a/Libraries/zinnialedge/forwarding/route_table.cpp
+++ b/Libraries/zinnialedge/forwarding/route_table.cpp
@@ -12,7 +12,7 @@
     for (auto& [host, routes] : m_routesByHost)
         std::stable_sort(routes.begin(), routes.end(), [](auto const* left, auto const* right) { return left->pathPrefix.size() > right->pathPrefix.size(); });
     for (auto const& each : m_declarations.services)
-        m_connectionCaps[each.name] = each.connectionCap;
+        m_services[each.name] = &each;
 }
 
 route const* route_table::find(std::string_view host, std::string_view path) const
@@ -26,8 +26,14 @@
 
 std::uint32_t route_table::connectionCapOf(std::string const& service) const
 {
-    auto const found = m_connectionCaps.find(service);
-    return found == m_connectionCaps.end() ? service_rules {}.connectionCap : found->second;
+    auto const found = m_services.find(service);
+    return found == m_services.end() ? service_rules {}.connectionCap : found->second->connectionCap;
+}
+
+std::string route_table::statusTargetOf(std::string const& service) const
+{
+    auto const found = m_services.find(service);
+    return found == m_services.end() ? service_rules {}.statusTarget : found->second->statusTarget;
 }
 
 }
--- a/Libraries/zinnialedge/forwarding/route_table.h
+++ b/Libraries/zinnialedge/forwarding/route_table.h
@@ -32,12 +32,14 @@
     route const* find(std::string_view host, std::string_view path) const;
     /// Returns the declared connection cap for each leaf of the service, or the default cap.
     std::uint32_t connectionCapOf(std::string const& service) const;
+    /// Returns the declared target of status requests to the service's leafs, or the default target.
+    std::string statusTargetOf(std::string const& service) const;
 
 private:
     route_declarations m_declarations;
     /// Routes of each host, ordered by descending prefix length.
     std::unordered_map<std::string_view, std::vector<route const*>> m_routesByHost;
-    std::unordered_map<std::string_view, std::uint32_t> m_connectionCaps;
+    std::unordered_map<std::string_view, service_rules const*> m_services;
 };
 
 using route_table_pointer = std::shared_ptr<route_table const>;
--- a/Libraries/zinnialedge/reachability/link_monitor.cpp
+++ b/Libraries/zinnialedge/reachability/link_monitor.cpp
@@ -24,6 +24,8 @@
 /// Time after an unfounded suspicion before the next one; doubles while leafs that are gone keep raising suspicions.
 static constexpr std::chrono::milliseconds firstSuspicionPause { 1000 };
 static constexpr std::chrono::milliseconds longestSuspicionPause { 8000 };
+/// Time after the handshake of a probe for which a reply of a leaf does not seem impossible; longer than a probe waits for one.
+static constexpr std::chrono::milliseconds openedWindow { 2000 };
 static constexpr std::size_t probesWhileLost = 2;
 static constexpr std::chrono::milliseconds lostProbeInterval { 250 };
 /// Replies that prove the links must come within this time.
@@ -209,7 +211,7 @@
 
 bool link_monitor::isSurelyLost(time_point now) const
 {
-    return m_state == link_state::lost && now - m_probeOpenedAt > provingWindow;
+    return m_state == link_state::lost && now - m_probeOpenedAt > openedWindow;
 }
 
 link_evidence link_monitor::evidence(time_point now) const
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -71,6 +71,9 @@
         // A service that has stopped tells the other daemons nothing more.
         std::ignore = self->m_workerThread.post([self, suspects = std::move(suspects)] { self->m_membershipLink.step(membership::suspects_changed { suspects }); });
     });
+    traffic.setLeafReachReceiver([self = created.get()](bool reachesLeafs) {
+        std::ignore = self->m_workerThread.post([self, reachesLeafs] { self->handleLeafReachChanged(reachesLeafs); });
+    });
     return created;
 }
 
@@ -265,6 +268,13 @@
     sendToTraffic(traffic::fleet_share_changed { std::move(share) });
 }
 
+void fleet_service::handleLeafReachChanged(bool reachesLeafs)
+{
+    m_reachesLeafs = reachesLeafs;
+    m_membershipLink.step(membership::leaf_reach_changed { reachesLeafs });
+    handleMembersChanged();
+}
+
 forwarding::fleet_share fleet_service::computeFleetShare()
 {
     std::set<model::endpoint> liveEndpoints { m_settings.callerEndpoint };
@@ -274,7 +284,11 @@
     }
     m_liveDaemonCount = liveEndpoints.size();
     m_storeBudget.setDaemonCount(m_liveDaemonCount, std::chrono::steady_clock::now());
-    auto const group = zinnialedge::fleet::chooseServingGroup(servingDaemons());
+    auto const daemons = servingDaemons();
+    auto const callable = zinnialedge::fleet::chooseServingGroup(zinnialedge::fleet::daemonsWithLeafs(daemons));
+    // Daemons that have lost their links keep their shares, since they and those that take their place may both use them meanwhile.
+    auto group = zinnialedge::fleet::chooseServingGroup(daemons);
+    std::copy_if(callable.begin(), callable.end(), std::back_inserter(group), [&](auto const& each) { return std::find(group.begin(), group.end(), each) == group.end(); });
     forwarding::fleet_share share;
     bool const isInGroup = std::any_of(group.begin(), group.end(), [this](auto const& each) { return each.place == m_settings.callerEndpoint; });
     if (group.empty() || group.size() > liveEndpoints.size()) {
@@ -287,9 +301,12 @@
     share.daemonsSharingLeafLimits = zinnialedge::fleet::countLimitShares(group.size(), liveEndpoints.size(), isInGroup);
     // One extra holder is counted: a member that some daemons do not know yet must not make the sum of shares exceed the total.
     share.daemonsSharingSlack = isInGroup ? std::max(group.size(), std::min(liveEndpoints.size(), group.size() + 1)) : 0;
-    for (auto const& each : group) {
+    for (auto const& each : callable) {
+        forwarding::relay const remote { each.dataCentre, { each.place.address, m_settings.relayEndpoint.port } };
         if (each.dataCentre != m_settings.dataCentre)
-            share.relays.push_back({ each.dataCentre, { each.place.address, m_settings.relayEndpoint.port } });
+            share.relays.push_back(remote);
+        if (each.reachesLeafs && each.place != m_settings.callerEndpoint)
+            share.detours.push_back(remote);
     }
     return share;
 }
@@ -322,12 +339,12 @@
 {
     std::vector<zinnialedge::fleet::serving_daemon> daemons;
     if (m_isServing && !m_isLeaving)
-        daemons.push_back({ m_settings.name, m_settings.dataCentre, m_settings.callerEndpoint });
+        daemons.push_back({ m_settings.name, m_settings.dataCentre, m_settings.callerEndpoint, m_reachesLeafs });
     for (auto const& [name, member] : m_membershipLink.engine().members().members()) {
         // A restarted daemon counts as two members until its earlier incarnation is declared dead.
         bool const isKnown = std::any_of(daemons.begin(), daemons.end(), [&](auto const& each) { return each.place == member.record.callerEndpoint; });
         if (member.status == member_status::serving && !isKnown)
-            daemons.push_back({ name.substr(0, name.rfind('.')), member.record.dataCentre, member.record.callerEndpoint });
+            daemons.push_back({ name.substr(0, name.rfind('.')), member.record.dataCentre, member.record.callerEndpoint, member.reachesLeafs });
     }
     return daemons;
 }
@@ -335,7 +352,7 @@
 void fleet_service::answerDirectory(std::string const& dataCentre, wire::http_responder const& respond)
 {
     ++m_directoryAnswerCount;
-    auto addresses = zinnialedge::fleet::chooseEndpoints(servingDaemons(), dataCentre);
+    auto addresses = zinnialedge::fleet::chooseEndpoints(zinnialedge::fleet::daemonsWithLeafs(servingDaemons()), dataCentre);
     if (addresses.empty()) {
         respond({ statusUnavailable, "{}", {} });
         return;
@@ -458,10 +475,11 @@
     return m_workerThread.post([this, receiver = std::move(receiver)] {
         boost::json::array members;
         for (auto const& [name, member] : m_membershipLink.engine().members().members())
-            members.push_back({ { "name", name }, { "status", membership::toString(member.status) }, { "callers", toString(member.record.callerEndpoint) } });
+            members.push_back({ { "name", name }, { "status", membership::toString(member.status) }, { "reaches_leafs", member.reachesLeafs }, { "callers", toString(member.record.callerEndpoint) } });
         boost::json::object const state {
             { "serving", m_isServing },
             { "leaving", m_isLeaving },
+            { "reaches_leafs", m_reachesLeafs },
             { "configuration_version", m_routeTable ? m_routeTable->version() : 0 },
             { "leafs", m_leafRegistrations.size() },
             { "store_reached", m_routeLink.mirror().isConnected() && m_leafLink.mirror().isConnected() },
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -76,6 +76,8 @@
     void handleLeafsChanged();
     void handleDaemonsChanged();
     void handleMembersChanged();
+    /// Tells the other daemons whether this daemon reaches leafs, and leaves or enters the directory.
+    void handleLeafReachChanged(bool reachesLeafs);
     forwarding::fleet_share computeFleetShare();
     void sendToTraffic(traffic::traffic_event);
     void startServingWhenReady();
@@ -127,6 +129,7 @@
     std::uint64_t m_directoryAnswerCount { 0 };
     bool m_isServing { false };
     bool m_isLeaving { false };
+    bool m_reachesLeafs { true };
     bool m_isSnapshotRequestInFlight { false };
 };
 
--- a/Services/traffic/leaf_connection.cpp
+++ b/Services/traffic/leaf_connection.cpp
@@ -20,9 +20,6 @@
 static constexpr std::size_t readChunkBytes = 8192;
 /// Misdirected Request: RFC 9110, section 15.5.20. Beast 1.81 defines no name for this status.
 static constexpr int misdirectedStatus = 421;
-/// Maximum number of bytes received for one call, interim replies and the framing of the body included. Valid replies have tens of
-/// kilobytes.
-static constexpr std::size_t maximumReplyBytes = 8U << 20U;
 /// Memory of all unfinished replies above which large ones are given up: an eighth of the memory of the smallest VM.
 static constexpr std::size_t maximumUnfinishedReplyBytes = 32U << 20U;
 /// Size above which an unfinished reply counts as large.
@@ -110,6 +107,8 @@
             return;
         }
         self->m_isConnected = true;
+        if (self->m_hooks.callConnected)
+            self->m_hooks.callConnected(self->m_call->number);
         self->writeCall();
         if (!self->m_isClosed)
             self->readMore();
@@ -198,7 +197,7 @@
     auto& total = m_hooks.unfinishedReplies->bytes;
     total = total - m_accountedBytes + held;
     m_accountedBytes = held;
-    return m_receivedBytes <= maximumReplyBytes && (held <= largeReplyBytes || total <= maximumUnfinishedReplyBytes);
+    return (!m_call || m_receivedBytes <= m_call->replyLimit) && (held <= largeReplyBytes || total <= maximumUnfinishedReplyBytes);
 }
 
 void leaf_connection::parseReplies()
@@ -207,7 +206,7 @@
         if (!m_parser) {
             m_parser.emplace();
             m_parser->eager(true);
-            m_parser->body_limit(maximumReplyBytes);
+            m_parser->body_limit(serialized_call::maximumReplyBytes);
             m_parser->skip(m_call->isHead);
         }
         beast::error_code failure;
@@ -230,7 +229,7 @@
         return;
     m_parser.emplace();
     m_parser->eager(true);
-    m_parser->body_limit(maximumReplyBytes);
+    m_parser->body_limit(serialized_call::maximumReplyBytes);
     beast::error_code ignored;
     m_buffer.consume(m_parser->put(m_buffer.data(), ignored));
     if (m_parser->is_header_done())
@@ -283,6 +282,7 @@
     forwarding::leaf_reply reply;
     auto message = m_parser->release();
     reply.status = static_cast<int>(message.result_int());
+    reply.isOnNewConnection = m_callCount == 1;
     reply.isMisdirected = reply.status == misdirectedStatus;
     for (auto const& field : message) {
         std::string_view const name { field.name_string().data(), field.name_string().size() };
--- a/Services/traffic/leaf_connection.h
+++ b/Services/traffic/leaf_connection.h
@@ -20,6 +20,11 @@
     bool isHead { false };
     bool isRepeatable { false };
     std::string bytes;
+    /// Maximum number of bytes received for the call, interim replies and the framing of the body included.
+    std::size_t replyLimit { maximumReplyBytes };
+
+    /// Valid replies have tens of kilobytes.
+    static constexpr std::size_t maximumReplyBytes { 8U << 20U };
 };
 
 /// Memory that the unfinished replies of several connections take together.
@@ -46,6 +51,8 @@
     std::function<bool(forwarding::call_number)> isCallWanted;
     /// Called with a reply that answers no open call. May be empty.
     std::function<void(forwarding::leaf_reply const&)> handleUnmatchedReply;
+    /// Called when the connection has opened, before its call is sent. May be empty.
+    std::function<void(forwarding::call_number)> callConnected;
     /// Called when the connection could not be opened. May be empty.
     std::function<void(connect_failure)> connectFailed;
     /// Called when the connection can carry another call.
--- a/Services/traffic/leaf_pools.cpp
+++ b/Services/traffic/leaf_pools.cpp
@@ -40,6 +40,7 @@
         m_hooks.handleCallEnd(number, std::move(result));
     };
     hooks.isCallWanted = m_hooks.isCallWanted;
+    hooks.callConnected = m_hooks.callConnected;
     if (m_hooks.handleUnmatchedReply)
         hooks.handleUnmatchedReply = [this, leaf](forwarding::leaf_reply const& reply) { m_hooks.handleUnmatchedReply(leaf, reply); };
     hooks.connectFailed = [this, leaf](connect_failure failure) {
@@ -70,9 +71,17 @@
     if (auto const idle = takeIdleConnection(leaf, call.isRepeatable, now)) {
         ++m_counters.reusedCount;
         m_busyConnections[number] = idle;
+        if (m_hooks.callConnected)
+            m_hooks.callConnected(number);
         idle->send(std::move(call));
         return;
     }
+    sendOverNewConnection(leaf, endpoint, std::move(call));
+}
+
+void leaf_connection_pools::sendOverNewConnection(std::uint32_t leaf, model::endpoint const& endpoint, serialized_call call)
+{
+    auto const number = call.number;
     ++m_counters.openedCount;
     auto const created = makeConnection(leaf);
     m_busyConnections[number] = created;
--- a/Services/traffic/leaf_pools.h
+++ b/Services/traffic/leaf_pools.h
@@ -20,6 +20,8 @@
     std::function<bool(forwarding::call_number)> isCallWanted {};
     /// Called with a leaf's reply that answers no open call. May be empty.
     std::function<void(std::uint32_t leaf, forwarding::leaf_reply const&)> handleUnmatchedReply {};
+    /// Called when the connection of a call is open, before the call is sent. May be empty.
+    std::function<void(forwarding::call_number)> callConnected {};
     /// Called when a connection to a leaf could not be opened. May be empty.
     std::function<void(std::uint32_t leaf, connect_failure)> connectFailed {};
 };
@@ -31,6 +33,8 @@
     leaf_connection_pools(boost::asio::io_context&, forwarding::edge_protocol const&, leaf_pool_hooks, std::string source = {});
 
     void send(std::uint32_t leaf, model::endpoint const&, serialized_call, kernel::time_point now);
+    /// Sends a call over a new connection.
+    void sendOverNewConnection(std::uint32_t leaf, model::endpoint const&, serialized_call);
     /// Fails a call and closes its connection.
     void cancel(forwarding::call_number, forwarding::call_failure);
     /// Closes connections that were not established in time or have been idle for too long.
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -1,6 +1,7 @@
 #include "Services/traffic/request_log.h"
 
 #include "Kernel/event_log.h"
+#include <array>
 
 namespace zinnialedge::services::traffic {
 
@@ -57,7 +58,7 @@
         { { "id", report.attemptId }, { "route", report.route }, { "version", report.version }, { "status", report.status }, { "reason", report.reason },
             { "parts", report.parts }, { "missing", report.missingPartCount }, { "left_out", report.skippedPartCount }, { "copies", report.hedgeCount }, { "retries", report.retryCount }, { "denied", report.deniedExtraCallCount },
             { "missing_shards", report.missingShards }, { "elapsed_ms", toMilliseconds(report.elapsed) }, { "objective_ms", report.objective.count() },
-            { "retry_after_ms", report.retryAfter.value_or(std::chrono::milliseconds { 0 }).count() }, { "in_flight", report.admittedInFlight }, { "limit", report.admissionLimit } });
+            { "retry_after_ms", report.retryAfter.value_or(std::chrono::milliseconds { 0 }).count() }, { "in_flight", report.admittedInFlight }, { "limit", report.admissionLimit }, { "detour", report.detour }, { "for_daemon", report.isForOtherDaemon ? 1 : 0 } });
 }
 
 void request_log::logLeafEvent(std::string const& attemptId, std::string const& leafId, std::string_view event, kernel::duration age)
@@ -84,6 +85,13 @@
         logEvent(log_level::info, report.event, { { "request", quarantine::toString(report.request) }, { "leaf", report.leafId }, { "losses", report.lossCount }, { "consecutive", report.consecutiveLossCount }, { "next_trial_ms", toMilliseconds(report.nextTrial) } });
 }
 
+void request_log::logLinks(forwarding::link_report const& report, std::size_t leafCount)
+{
+    static constexpr std::array events { "leaf_links_intact", "leaf_links_suspected", "leaf_links_lost" };
+    auto const level = report.state == reachability::link_state::lost ? log_level::warn : log_level::info;
+    logEvent(level, events.at(static_cast<std::size_t>(report.state)), { { "leafs", leafCount }, { "silent", report.evidence.silentLeafs }, { "failed", report.evidence.failedLeafs }, { "since_reply_ms", toMilliseconds(report.evidence.sinceLastReply) }, { "requests_detoured", report.detouredRequestCount } });
+}
+
 void request_log::logLeafLimit(std::string const& leafId, std::string_view event, forwarding::leaf_rate_limit const& limit)
 {
     if (!tryCountLine(m_callLineCount, callLinesPerSecond))
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -26,6 +26,8 @@
 static constexpr std::chrono::milliseconds sweepInterval { 200 };
 /// Time within which a reply counts as recent in the metrics.
 static constexpr std::chrono::seconds recentReplyTime { 1 };
+/// A status reply has a few hundred bytes.
+static constexpr std::size_t maximumProbeReplyBytes = 65'536;
 /// Delay before the next accept after a failed accept.
 static constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
 /// Time in which the first request of a new connection arrives.
@@ -72,6 +74,8 @@
 
     void setSuspectsReceiver(std::function<void(std::vector<quarantine::suspect>)> receiver) { m_suspectsReceiver = std::move(receiver); }
 
+    void setLeafReachReceiver(std::function<void(bool)> receiver) { m_leafReachReceiver = std::move(receiver); }
+
     void handleEvent(traffic_event&& event)
     {
         std::visit([this](auto& each) { apply(std::move(each)); }, event);
@@ -100,6 +104,7 @@
             { "leaf_connections", m_leafConnections.connectionCount() },
             { "leafs", m_engine.leafs().size() },
             { "configuration_version", m_engine.routes() ? m_engine.routes()->version() : 0 },
+            { "leaf_links", reachability::toString(m_engine.linkState()) },
             { "is_leaving", m_isLeaving },
         };
         return boost::json::serialize(state);
@@ -138,6 +143,13 @@
         metrics.counter("refusals_for_quarantine_total", counters.rejectionsForQuarantine);
         metrics.counter("quarantine_trials_total", counters.quarantineTrials);
         metrics.counter("parts_held_total", counters.partsHeld);
+        metrics.counter("leaf_link_losses_total", counters.linkLosses);
+        metrics.counter("leaf_probes_total", counters.probes);
+        metrics.counter("detours_total", counters.detours);
+        metrics.counter("detours_failed_total", counters.detoursFailed);
+        metrics.counter("detoured_requests_total", counters.detouredRequests);
+        metrics.counter("refusals_for_lost_links_total", counters.rejectionsForLostLinks);
+        metrics.gauge("leaf_links_lost", m_engine.linkState() == reachability::link_state::lost ? 1 : 0);
         metrics.gauge("suspect_requests", m_engine.quarantined().size());
         metrics.gauge("quarantined_requests", m_engine.quarantined().quarantinedCount());
         metrics.counter("leaf_connections_opened_total", m_leafConnections.counters().openedCount);
@@ -182,6 +194,11 @@
             if (m_suspectsReceiver)
                 m_suspectsReceiver(std::move(suspects));
         };
+        hooks.logLinks = [this](forwarding::link_report const& report) { m_requestLog.logLinks(report, m_engine.leafs().size()); };
+        hooks.shareLeafReach = [this](bool reachesLeafs) {
+            if (m_leafReachReceiver)
+                m_leafReachReceiver(reachesLeafs);
+        };
         hooks.logLeafLimit = [this](std::string const& leaf, std::string_view event, forwarding::leaf_rate_limit const& limit) { m_requestLog.logLeafLimit(leaf, event, limit); };
         return hooks;
     }
@@ -191,6 +208,7 @@
         leaf_pool_hooks hooks;
         hooks.handleCallEnd = [this](forwarding::call_number number, forwarding::call_result result) { endCall(number, std::move(result)); };
         hooks.isCallWanted = [this](forwarding::call_number number) { return m_engine.isCallWanted(number, now()); };
+        hooks.callConnected = [this](forwarding::call_number number) { m_engine.handleCallConnected(number, now()); };
         hooks.connectFailed = [this](std::uint32_t leaf, connect_failure failure) {
             auto const& leafs = m_engine.leafs();
             if (leafs.contains(leaf))
@@ -308,22 +326,29 @@
     {
         auto const at = now();
         serialized_call message { call.number, call.request->attemptId, call.request->method == "HEAD", call.isRepeatable, {} };
+        if (call.isProbe)
+            message.replyLimit = maximumProbeReplyBytes;
         auto& bytes = message.bytes;
         bytes.reserve(512 + call.request->body.size());
         bytes += call.request->method + " " + call.request->target + " HTTP/1.1\r\n";
-        for (auto const& each : call.request->headers)
-            bytes += each.name + ": " + each.value + "\r\n";
+        bool const isToDaemon = call.relayed || call.detoured;
+        for (auto const& each : call.request->headers) {
+            if (!isToDaemon || !forwarding::isRelayHeader(each.name))
+                bytes += each.name + ": " + each.value + "\r\n";
+        }
         std::optional<std::chrono::milliseconds> remaining;
         if (call.deadline)
             remaining = std::max(std::chrono::duration_cast<std::chrono::milliseconds>(*call.deadline - at), std::chrono::milliseconds { 1 });
-        auto const& protocol = call.relayed ? m_relayProtocol : m_edgeProtocol;
+        auto const& protocol = isToDaemon ? m_relayProtocol : m_edgeProtocol;
         protocol.writeCallHeaders(call, remaining, bytes);
         bool const hasBody = !call.request->body.empty() || call.request->method == "POST" || call.request->method == "PUT" || call.request->method == "PATCH";
         if (hasBody)
             bytes += "Content-Length: " + std::to_string(call.request->body.size()) + "\r\n";
         bytes += "\r\n";
         bytes += call.request->body;
-        if (call.relayed)
+        if (call.isProbe)
+            m_leafConnections.sendOverNewConnection(call.leaf, call.endpoint, std::move(message));
+        else if (isToDaemon)
             m_relayConnections.send(relayPoolKey(call.endpoint), call.endpoint, std::move(message), at);
         else
             m_leafConnections.send(call.leaf, call.endpoint, std::move(message), at);
@@ -383,7 +408,7 @@
     void apply(leafs_changed&& changed) { m_engine.setLeafs(changed.leafs, now()); }
     void apply(fleet_share_changed&& changed)
     {
-        logEvent(log_level::info, "fleet_share_changed", { { "connection_holders", changed.share.daemonsSharingConnections }, { "slack_holders", changed.share.daemonsSharingSlack }, { "limit_shares", changed.share.daemonsSharingLeafLimits }, { "relays", changed.share.relays.size() } });
+        logEvent(log_level::info, "fleet_share_changed", { { "connection_holders", changed.share.daemonsSharingConnections }, { "slack_holders", changed.share.daemonsSharingSlack }, { "limit_shares", changed.share.daemonsSharingLeafLimits }, { "relays", changed.share.relays.size() }, { "detours", changed.share.detours.size() } });
         m_engine.setFleetShare(std::move(changed.share), now());
     }
     void apply(extra_calls_changed&& changed) { m_engine.setExtraCalls(changed.limits, now()); }
@@ -415,6 +440,7 @@
     request_log m_requestLog;
     callers::latency_metrics m_latencies;
     std::function<void(std::vector<quarantine::suspect>)> m_suspectsReceiver;
+    std::function<void(bool)> m_leafReachReceiver;
     forwarding::request_engine m_engine;
 };
 
@@ -440,6 +466,11 @@
     m_implementation->setSuspectsReceiver(std::move(receiver));
 }
 
+void traffic_service::setLeafReachReceiver(std::function<void(bool)> receiver)
+{
+    m_implementation->setLeafReachReceiver(std::move(receiver));
+}
+
 std::uint16_t traffic_service::port() const
 {
     return m_implementation->port();
--- a/Services/traffic/traffic_service.h
+++ b/Services/traffic/traffic_service.h
@@ -61,6 +61,8 @@
     kernel::ring<traffic_event>& inbox() { return *m_inbox; }
     /// Sets the receiver of the requests under which leafs were lost, which is called on the service's thread. Call before start().
     void setSuspectsReceiver(std::function<void(std::vector<quarantine::suspect>)>);
+    /// Sets the receiver of whether this daemon reaches leafs, which is called on the service's thread. Call before start().
+    void setLeafReachReceiver(std::function<void(bool)>);
     std::uint16_t port() const;
     /// Returns the number of requests that wait for an answer. Safe to call from any thread.
     std::size_t requestsInFlight() const { return m_requestsInFlight.load(); }
--- a/Tests/Support/engine_harness.cpp
+++ b/Tests/Support/engine_harness.cpp
@@ -1,5 +1,7 @@
 #include "Tests/Support/engine_harness.h"
 
+#include <utility>
+
 namespace zinnialedge::tests {
 
 using namespace forwarding;
@@ -78,8 +80,23 @@
 engine_hooks engine_harness::makeHooks()
 {
     engine_hooks hooks;
-    hooks.sendCall = [this](leaf_call const& call) { m_openCalls[call.number] = call; };
-    hooks.cancelCall = [this](call_number number, call_failure) { m_cancelledCalls.push_back(number); };
+    hooks.sendCall = [this](leaf_call const& call) {
+        if (call.isProbe) {
+            m_openProbes.push_back(call.number);
+            if (m_areProbesConnected)
+                m_connectedProbes.push_back(call.number);
+            return;
+        }
+        m_openCalls[call.number] = call;
+        if (m_areCallsConnected)
+            engine.handleCallConnected(call.number, m_now);
+    };
+    hooks.cancelCall = [this](call_number number, call_failure) {
+        if (std::erase(m_openProbes, number) > 0)
+            m_failedProbes.push_back(number);
+        else
+            m_cancelledCalls.push_back(number);
+    };
     hooks.sendAnswer = [this](request_token token, final_answer answer) { m_answers[token] = std::move(answer); };
     return hooks;
 }
@@ -94,7 +111,12 @@
     return submitRequest(path, std::chrono::milliseconds { 1500 }, std::move(relayed));
 }
 
-request_token engine_harness::submitRequest(std::string const& path, std::chrono::milliseconds timeout, std::optional<relayed_request> relayed)
+request_token engine_harness::sendDetouredRequest(std::string const& path, detoured_request detoured)
+{
+    return submitRequest(path, std::chrono::milliseconds { 1500 }, std::nullopt, detoured);
+}
+
+request_token engine_harness::submitRequest(std::string const& path, std::chrono::milliseconds timeout, std::optional<relayed_request> relayed, std::optional<detoured_request> detoured)
 {
     caller_request request;
     request.method = "GET";
@@ -104,6 +126,7 @@
     request.timeLimit = timeout;
     request.roundTripTime = m_transitTime;
     request.relayed = std::move(relayed);
+    request.detoured = detoured;
     engine.handleRequest(++m_lastToken, std::move(request), m_now);
     return m_lastToken;
 }
@@ -114,8 +137,26 @@
     while (engine.nextTimerTime() && *engine.nextTimerTime() <= end) {
         m_now = std::max(m_now, *engine.nextTimerTime());
         engine.runTimers(m_now);
+        answerProbes();
     }
     m_now = end;
+    answerProbes();
+}
+
+void engine_harness::answerProbes()
+{
+    for (auto const number : std::exchange(m_failedProbes, {}))
+        engine.handleCallEnd(number, tl::unexpected(call_failure::timed_out), m_now);
+    for (auto const number : std::exchange(m_connectedProbes, {}))
+        engine.handleCallConnected(number, m_now);
+    if (!m_areProbesAnswered)
+        return;
+    for (auto const number : std::exchange(m_openProbes, {})) {
+        leaf_reply leafReply;
+        leafReply.status = statusOk;
+        leafReply.isOnNewConnection = true;
+        engine.handleCallEnd(number, std::move(leafReply), m_now);
+    }
 }
 
 void engine_harness::reply(call_number number, leaf_reply leafReply)
--- a/Tests/Support/engine_harness.h
+++ b/Tests/Support/engine_harness.h
@@ -30,7 +30,15 @@
     forwarding::request_token arrive(std::string const& path, std::chrono::milliseconds timeout = std::chrono::milliseconds { 1500 });
     /// Passes a request to the engine as if another daemon had relayed the request for some of the shards.
     forwarding::request_token sendRelayedRequest(std::string const& path, forwarding::relayed_request);
-    /// Advances the virtual time and runs each timer at the time when the timer is due.
+    /// Passes a request to the engine as if another daemon had passed on the complete request.
+    forwarding::request_token sendDetouredRequest(std::string const& path, forwarding::detoured_request);
+    /// Sets whether probes of the links are answered; they are by default.
+    void setProbesAnswered(bool areAnswered) { m_areProbesAnswered = areAnswered; }
+    /// Sets whether the connections of probes open; they do so by default only in order to be answered.
+    void setProbesConnected(bool areConnected) { m_areProbesConnected = areConnected; }
+    /// Sets whether the connection of a call is open when the call is sent; it is by default.
+    void setCallsConnected(bool areConnected) { m_areCallsConnected = areConnected; }
+    /// Advances the virtual time and runs each timer at the time when the timer is due. Probes are answered at the end.
     void pass(std::chrono::milliseconds);
     kernel::time_point now() const { return m_now; }
 
@@ -47,13 +55,20 @@
 
 private:
     forwarding::engine_hooks makeHooks();
-    forwarding::request_token submitRequest(std::string const& path, std::chrono::milliseconds timeout, std::optional<forwarding::relayed_request>);
+    forwarding::request_token submitRequest(std::string const& path, std::chrono::milliseconds timeout, std::optional<forwarding::relayed_request>, std::optional<forwarding::detoured_request> = std::nullopt);
+    void answerProbes();
 
     std::optional<kernel::duration> m_transitTime;
     std::vector<forwarding::leaf_registration> m_leafs;
     kernel::time_point m_now { std::chrono::hours { 1 } };
     std::map<forwarding::call_number, forwarding::leaf_call> m_openCalls;
     std::vector<forwarding::call_number> m_cancelledCalls;
+    std::vector<forwarding::call_number> m_openProbes;
+    std::vector<forwarding::call_number> m_connectedProbes;
+    std::vector<forwarding::call_number> m_failedProbes;
+    bool m_areProbesAnswered { true };
+    bool m_areProbesConnected { false };
+    bool m_areCallsConnected { true };
     std::map<forwarding::request_token, forwarding::final_answer> m_answers;
     forwarding::request_token m_lastToken { 0 };
 
