Quarantine: Let daemons that reach a leaf refute its loss by others

Cause: a daemon that lost its links withdrew the losses of all leafs, on the assumption that its links explained them.

Change: a reply to a call that was sent after a loss, at whichever daemon, refutes the loss; nothing is withdrawn without such evidence. Calls that break while the links are lost count for nothing, and probes that end with a reset do not let a leaf seem busy, so that requests are rejected at once in place of being sent to break.

--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -342,8 +342,6 @@
 
     // Links to the leafs.
     bool areLinksLost() const { return m_links.state() == reachability::link_state::lost; }
-    /// Returns whether the links are lost and other daemons reach leafs, so that leafs that seem lost are not.
-    bool haveOnlyOwnLinksFailed() const { return areLinksLost() && !m_fleetShare.detours.empty(); }
     /// Records what the end of a call tells about the links.
     void recordLinkSign(leaf_handle, call_result const&, kernel::time_point now);
     void scheduleLinkCheck(kernel::time_point now);
@@ -351,8 +349,6 @@
     void checkLinks(kernel::time_point now);
     void sendProbes(std::size_t count, kernel::time_point now);
     void handleProbeEnd(probe_context const&, call_result const&, kernel::time_point now);
-    /// Withdraws the losses of leafs that the loss of the links explains.
-    void refuteOwnLosses(kernel::time_point now);
 
     // Detours: complete requests that other daemons handle while this daemon reaches no leafs.
     /// Handles a request that arrives while the links are lost. Returns false when the request is to be tried directly.
@@ -403,8 +399,8 @@
     /// Returns whether a call for the part may be sent now. A part that may not waits for the outcome of the request's open calls.
     bool mayCallLeaf(active_request&, std::size_t partIndex, kernel::time_point now) const;
     void recordLoss(call_context const&, kernel::time_point now);
-    /// Records that the leaf has sent a reply, so that only connections to it were lost.
-    void recordLife(leaf_handle, kernel::time_point now);
+    /// Records that the leaf has replied to a call, so that only connections to it were lost, of this daemon or of others.
+    void recordLife(leaf_handle, kernel::time_point sentAt, kernel::time_point now);
     /// Records that a leaf ran the request and replied.
     void recordRun(quarantine::request_evidence&, kernel::time_point now);
     /// Records a call that tries a quarantined request again.
--- a/Libraries/zinnialedge/forwarding/request_links.cpp
+++ b/Libraries/zinnialedge/forwarding/request_links.cpp
@@ -45,8 +45,6 @@
     auto const countBefore = m_counters.detours;
     if (m_knownLinkState == link_state::lost) {
         ++m_counters.linkLosses;
-        if (haveOnlyOwnLinksFailed())
-            refuteOwnLosses(now);
         if (m_hooks.shareLeafReach)
             m_hooks.shareLeafReach(false);
         switchAllToDetours(now);
@@ -54,8 +52,6 @@
         if (m_hooks.shareLeafReach)
             m_hooks.shareLeafReach(true);
         dispatchAllQueuedParts(now);
-    } else if (m_knownLinkState == link_state::intact) {
-        shareSuspects(now);
     }
     if (m_hooks.logLinks)
         m_hooks.logLinks({ m_knownLinkState, m_links.evidence(now), m_counters.detours - countBefore });
@@ -104,18 +100,13 @@
     if (result || result.error() == call_failure::malformed)
         m_links.recordReply(context.leaf, true, now);
     else
-        m_links.recordProbeFailure(context.leaf, now);
+        m_links.recordProbeFailure(context.leaf, result.error() == call_failure::timed_out, now);
     static std::string const noRequest;
-    if (result && m_leafs.contains(context.leaf))
+    if (result && !result->isMisdirected && m_leafs.contains(context.leaf)) {
+        recordLife(context.leaf, context.sentAt, now);
         applyLeafNotices(context.leaf, *result, noRequest, now);
+    }
     scheduleLinkCheck(now);
 }
 
-void request_engine::refuteOwnLosses(time_point now)
-{
-    for (auto const leaf : m_leafs.registeredLeafs())
-        recordLife(leaf, now);
-    shareSuspects(now);
-}
-
 }
--- a/Libraries/zinnialedge/forwarding/request_quarantine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_quarantine.cpp
@@ -26,9 +26,12 @@
 
 void request_engine::recordLoss(call_context const& context, time_point now)
 {
+    // A call that breaks while no leaf can be reached says nothing about the request.
+    if (areLinksLost())
+        return;
     auto& record = m_leafs.at(context.leaf);
     auto const& registration = record.registration();
-    if (!record.recordLoss(context.sentAt, now) || context.evidence->hasSucceeded() || haveOnlyOwnLinksFailed())
+    if (!record.recordLoss(context.sentAt, now) || context.evidence->hasSucceeded())
         return;
     auto const& digests = context.evidence->digests();
     auto const leaf = quarantine::hashLeaf(registration.id, registration.startedAt);
@@ -39,14 +42,18 @@
     shareSuspects(now);
 }
 
-void request_engine::recordLife(leaf_handle leaf, time_point now)
+void request_engine::recordLife(leaf_handle leaf, time_point sentAt, time_point now)
 {
     auto& record = m_leafs.at(leaf);
     auto const lostAt = record.recordLife();
-    // A later reply may come from a new incarnation that has not been registered yet.
-    if (!lostAt || m_quarantine.isEmpty() || now - *lostAt > quarantine::refutationTime)
+    if (m_quarantine.isEmpty())
         return;
-    m_quarantine.refuteLosses(quarantine::hashLeaf(record.registration().id, record.registration().startedAt), now);
+    auto const hash = quarantine::hashLeaf(record.registration().id, record.registration().startedAt);
+    // A later reply may come from a new incarnation that has not been registered yet.
+    if (lostAt && now - *lostAt <= quarantine::refutationTime)
+        m_quarantine.refuteLosses(hash, now);
+    // Daemons whose links to the leaf were lost have not lost the leaf. Only a call that was sent after the loss tells.
+    m_quarantine.refuteLossesBefore(hash, sentAt, now);
     shareSuspects(now);
 }
 
@@ -150,9 +157,6 @@
 
 void request_engine::shareSuspects(time_point now)
 {
-    // The loss of the links may explain the losses; the decision is near.
-    if (m_links.state() == reachability::link_state::suspected)
-        return;
     if (now < m_nextSharingAt) {
         if (!std::exchange(m_isSharingScheduled, true))
             m_timers.push({ m_nextSharingAt, timer_kind::share_suspects, 0 });
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -52,7 +52,7 @@
     if (result->load)
         record.recordLoad(*result->load);
     if (!result->isMisdirected)
-        recordLife(context.leaf, now);
+        recordLife(context.leaf, context.sentAt, now);
     if (result->isMisdirected)
         record.markMisdirected();
     static std::string const noRequest;
--- a/Libraries/zinnialedge/quarantine/quarantine_table.cpp
+++ b/Libraries/zinnialedge/quarantine/quarantine_table.cpp
@@ -154,6 +154,18 @@
     }
 }
 
+void quarantine_table::refuteLossesBefore(std::uint64_t leaf, time_point aliveAt, time_point now)
+{
+    for (auto& [request, each] : m_entries) {
+        for (auto& loss : each.known.losses) {
+            if (loss.leaf != leaf || loss.isRefuted || loss.lostAt > aliveAt || now - loss.lostAt > refutationTime)
+                continue;
+            loss.isRefuted = true;
+            markChanged(each, now);
+        }
+    }
+}
+
 std::vector<request_digest> quarantine_table::merge(std::span<suspect const> others, time_point now)
 {
     std::vector<request_digest> quarantined;
--- a/Libraries/zinnialedge/quarantine/quarantine_table.h
+++ b/Libraries/zinnialedge/quarantine/quarantine_table.h
@@ -73,6 +73,9 @@
     bool recordSuccess(request_digests const&, kernel::time_point now);
     /// Records that the leaf has sent a reply, so that it was not lost under any request.
     void refuteLosses(std::uint64_t leaf, kernel::time_point now);
+    /// Records that the leaf has replied to a call that was sent at `aliveAt`, which refutes earlier losses of it by any daemon unless they
+    /// are so old that the leaf may have started again.
+    void refuteLossesBefore(std::uint64_t leaf, kernel::time_point aliveAt, kernel::time_point now);
     /// Merges what another daemon knows. Returns the requests that are quarantined now and were not before.
     std::vector<request_digest> merge(std::span<suspect const>, kernel::time_point now);
 
--- a/Libraries/zinnialedge/reachability/link_monitor.cpp
+++ b/Libraries/zinnialedge/reachability/link_monitor.cpp
@@ -108,8 +108,10 @@
         m_probesDecideAt = std::max(*m_probesDecideAt, now + probeReplyTimeout);
 }
 
-void link_monitor::recordProbeFailure(leaf_key leaf, time_point now)
+void link_monitor::recordProbeFailure(leaf_key leaf, bool hasTimedOut, time_point now)
 {
+    if (!hasTimedOut)
+        m_probeOpenedAt = {};
     m_failedLeafs.insert(leaf);
     m_probesInFlight -= std::min<std::size_t>(m_probesInFlight, 1);
     if (m_state == link_state::suspected && m_probesInFlight == 0 && m_dueProbes == 0)
--- a/Libraries/zinnialedge/reachability/link_monitor.h
+++ b/Libraries/zinnialedge/reachability/link_monitor.h
@@ -46,8 +46,8 @@
     void recordFailure(leaf_key, kernel::time_point now);
     /// Records that a connection for a probe has opened, so that the reply may take longer.
     void recordProbeOpened(kernel::time_point now);
-    /// Records the end of a probe without a reply.
-    void recordProbeFailure(leaf_key, kernel::time_point now);
+    /// Records the end of a probe without a reply. A leaf that is only busy keeps the connection open.
+    void recordProbeFailure(leaf_key, bool hasTimedOut, kernel::time_point now);
 
     /// Updates the state, and returns the number of probes to send now; the number is returned once.
     std::size_t takeDueProbes(kernel::time_point now);
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -1,6 +1,7 @@
 #include "Kernel/clock.h"
 #include "Kernel/event_log.h"
 #include "Tests/Soak/limit_watch.h"
+#include "Tests/Soak/link_faults.h"
 #include "Tests/Soak/marked_request_watch.h"
 #include "Tests/Soak/soak_checker.h"
 #include "Tests/Support/edge_fleet.h"
@@ -17,6 +18,8 @@
 DEFINE_uint64(daemons, 4, "number of daemons");
 DEFINE_uint64(shards, 6, "number of shards of the route; each shard has two leafs");
 DEFINE_bool(daemon_faults, true, "whether daemons are killed, stopped and paused; without these faults the request limits of leafs are checked");
+DEFINE_bool(link_faults, false, "whether daemons are cut off from all leafs; what their callers get is checked in runs without daemon faults");
+DEFINE_bool(leaf_faults, true, "whether leafs, the store, settings and configurations have faults or change");
 DEFINE_string(logs, "", "directory to which the daemons' logs are written if the run has findings");
 
 using namespace zinnialedge;
@@ -59,6 +62,8 @@
         auto const attempt = rawHeaderValue(request, "Zinnialedge-Attempt-Id");
         if (rawHeaderValue(request, "Zinnialedge-Target-Instance") != id())
             return { "HTTP/1.1 421 Misdirected Request\r\nZinnialedge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false, false };
+        if (request.starts_with("GET /health "))
+            return { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false, false };
         bool const shouldInjectFault = random() % 1000 < faultsPerThousand;
         auto const fault = shouldInjectFault ? random() % 4 : 99;
         if (fault == 0)
@@ -138,10 +143,13 @@
             m_callerThreads.emplace_back([this, number] { callLoop(number); });
         auto const end = std::chrono::steady_clock::now() + std::chrono::seconds { FLAGS_seconds };
         while (std::chrono::steady_clock::now() < end) {
-            injectFault();
-            changeSettings();
-            changeStoreOrLeafs();
-            changeLimits();
+            if (FLAGS_leaf_faults) {
+                injectFault();
+                changeSettings();
+                changeStoreOrLeafs();
+                changeLimits();
+            }
+            changeLinks();
             renewEndedLeafs();
             std::this_thread::sleep_for(std::chrono::milliseconds { 20 + m_random() % 150 });
         }
@@ -321,6 +329,22 @@
         leaf.limits.setLimit(limit);
     }
 
+    /// Cuts daemons off from all leafs, or restores them.
+    void changeLinks()
+    {
+        if (!FLAGS_link_faults)
+            return;
+        for (auto const& event : m_linkFaults.step())
+            recordEvent(event);
+    }
+
+    void setLinks(std::size_t daemon, std::optional<link_state> state)
+    {
+        auto const& source = m_fleet.daemon(daemon).callers.address;
+        for (auto const& leaf : m_leafs)
+            state ? leaf->proxy.setStateFrom(source, *state) : leaf->proxy.clearStateFrom(source);
+    }
+
     void registerInStore(soak_leaf& leaf)
     {
         // A leaf registers itself, so that one that has ended does so when it is back.
@@ -385,6 +409,7 @@
         std::this_thread::sleep_for(leafDownTime);
         renewEndedLeafs();
         recordEvent("healed");
+        m_linkFaults.restoreAll();
         m_fleet.store().setFaultMode(store_stand_in::trouble::none);
         for (auto const& leaf : m_leafs) {
             leaf->faultsPerThousand = 0;
@@ -408,7 +433,12 @@
         for (std::size_t index = 0; index < FLAGS_daemons; ++index)
             connections.push_back(std::make_unique<persistent_connection>(m_fleet.daemon(index).callers));
         auto const sendRequest = [&](std::size_t index, std::string const& bytes) {
-            return isReusingConnections ? connections[index]->ask(bytes) : sendOverNewConnection(m_fleet.daemon(index).callers, bytes);
+            auto const sentAt = std::chrono::steady_clock::now();
+            auto answer = isReusingConnections ? connections[index]->ask(bytes) : sendOverNewConnection(m_fleet.daemon(index).callers, bytes);
+            // Marked requests are meant to fail.
+            if (bytes.find("/poison") == std::string::npos)
+                m_linkFaults.recordAnswer(index, sentAt, answer.status == 200);
+            return answer;
         };
         for (std::size_t count = 0; !m_shouldStopCallers; ++count) {
             auto const index = random() % FLAGS_daemons;
@@ -442,10 +472,12 @@
             auto const overruns = FLAGS_daemon_faults ? std::vector<std::string> {} : marked->findings();
             findings.insert(findings.end(), overruns.begin(), overruns.end());
         }
+        auto const linkFindings = FLAGS_daemon_faults ? std::vector<std::string> {} : m_linkFaults.findings();
+        findings.insert(findings.end(), linkFindings.begin(), linkFindings.end());
         auto const servedShare = static_cast<double>(m_checker.servedCount()) / static_cast<double>(std::max<std::size_t>(m_checker.requestCount(), 1));
         if (servedShare < minimumServedShare)
             findings.push_back("RECOVER: " + std::to_string(m_checker.servedCount()) + " of " + std::to_string(m_checker.requestCount()) + " requests served after the faults");
-        std::cout << "soak: seed " << FLAGS_seed << ", " << m_events.size() << " faults, " << m_checker.servedCount() << " of " << m_checker.requestCount() << " requests served after them, " << findings.size() << " findings\n";
+        std::cout << "soak: seed " << FLAGS_seed << ", " << m_events.size() << " faults, " << m_checker.servedCount() << " of " << m_checker.requestCount() << " requests served after them, " << (FLAGS_link_faults ? m_linkFaults.summary() + ", " : std::string {}) << findings.size() << " findings\n";
         if (findings.empty())
             return 0;
         for (auto const& each : findings)
@@ -473,6 +505,7 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_workGuard { m_context.get_executor() };
     kernel::random_hook m_settingsRandom { kernel::makeSeededRandom(FLAGS_seed + 1000) };
     kernel::random_hook m_limitRandom { kernel::makeSeededRandom(FLAGS_seed + 3000) };
+    link_faults m_linkFaults { FLAGS_seed + 4000, FLAGS_daemons, [this](std::size_t daemon, std::optional<link_state> state) { setLinks(daemon, state); } };
     kernel::random_hook m_returnRandom { kernel::makeSeededRandom(FLAGS_seed + 2000) };
     soak_checker m_checker;
     soak_leaf::watches m_markedRequests;
--- a/Tests/Unit/quarantine_table_test.cpp
+++ b/Tests/Unit/quarantine_table_test.cpp
@@ -220,3 +220,15 @@
     LONGS_EQUAL(32, toString(poison).size());
     CHECK(computeDigest({ "ab", "c" }) != computeDigest({ "a", "bc" }));
 }
+
+// Guards against: a reply from before a loss, or one of the leaf's next run, refutes the loss.
+TEST(QuarantineTable, OnlyReplyToALaterCallSoonAfterTheLossRefutesIt)
+{
+    lose(poison, 7);
+    table.refuteLossesBefore(7, now - 1ms, now + 5ms);
+    table.refuteLossesBefore(8, now + 1ms, now + 5ms);
+    table.refuteLossesBefore(7, now + 2s, now + 2s);
+    LONGS_EQUAL(1, lossCount(*table.find(poison)));
+    table.refuteLossesBefore(7, now + 1ms, now + 5ms);
+    LONGS_EQUAL(0, lossCount(*table.find(poison)));
+}
