Quarantine: Do not use up trials while links are lost

Cause: in the soak with all daemons cut off, daemons without links sent the trials that tell whether a quarantined request still ends leafs, and counted nothing when such a call broke: innocent requests stayed under quarantine after the links were back, and marked ones were tried once too often. A suspicion that had been unfounded delayed the next one by up to 8 s, so that calls went on breaking.

Change: no trial without links; a call that breaks without links counts as unanswered, which keeps the schedule of trials; the pause between suspicions is 1 s.

--- a/Libraries/zinnialedge/forwarding/request_detours.cpp
+++ b/Libraries/zinnialedge/forwarding/request_detours.cpp
@@ -25,8 +25,10 @@
 {
     if (!request.isFromDaemon() && sendDetour(request, false, now))
         return true;
-    // A daemon that passes requests on asks another one. Requests of callers are tried while it is not sure that they can't be served.
-    if (!request.isFromDaemon() && !m_links.isSurelyLost(now))
+    // A daemon that passes requests on asks another one. Requests of callers are tried while it is not sure that they can't be served,
+    // but a call that is to tell whether a request ends leafs needs links that work.
+    bool const isTrial = judge(*request.evidence, now) == quarantine::verdict::trial;
+    if (!request.isFromDaemon() && !m_links.isSurelyLost(now) && !isTrial)
         return false;
     countRequest(request, now);
     settleWithoutLinks(request, now);
--- a/Libraries/zinnialedge/forwarding/request_quarantine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_quarantine.cpp
@@ -26,9 +26,11 @@
 
 void request_engine::recordLoss(call_context const& context, time_point now)
 {
-    // A call that breaks while no leaf can be reached says nothing about the request.
-    if (areLinksLost())
+    // A call that breaks while no leaf can be reached does not show that its leaf has ended.
+    if (areLinksLost()) {
+        m_quarantine.recordUnansweredCall(*context.evidence, now);
         return;
+    }
     auto& record = m_leafs.at(context.leaf);
     auto const& registration = record.registration();
     if (!record.recordLoss(context.sentAt, now) || context.evidence->hasSucceeded())
--- a/Libraries/zinnialedge/reachability/link_monitor.cpp
+++ b/Libraries/zinnialedge/reachability/link_monitor.cpp
@@ -21,9 +21,8 @@
 /// A check that runs so late shows that this process stood still, and replies may wait in its sockets.
 static constexpr std::chrono::milliseconds stallTolerance { 50 };
 static constexpr unsigned maximumExtensions { 3 };
-/// Time after an unfounded suspicion before the next one; doubles while leafs that are gone keep raising suspicions.
-static constexpr std::chrono::milliseconds firstSuspicionPause { 1000 };
-static constexpr std::chrono::milliseconds longestSuspicionPause { 8000 };
+/// Time after an unfounded suspicion before the next one. The links may be lost while leafs that are gone raise suspicions.
+static constexpr std::chrono::milliseconds suspicionPause { 1000 };
 /// Time after the handshake of a probe for which a reply of a leaf does not seem impossible; longer than a probe waits for one.
 static constexpr std::chrono::milliseconds openedWindow { 2000 };
 static constexpr std::size_t probesWhileLost = 2;
@@ -138,10 +137,7 @@
     m_dueProbes = 0;
     m_probesDecideAt.reset();
     m_provingReplies.clear();
-    bool const isSoonAfterLast = now - m_dismissedAt < longestSuspicionPause * 2;
-    m_suspicionPause = isSoonAfterLast ? std::min<kernel::duration>(m_suspicionPause * 2, longestSuspicionPause) : firstSuspicionPause;
-    m_dismissedAt = now;
-    m_nextSuspicionAt = now + m_suspicionPause;
+    m_nextSuspicionAt = now + suspicionPause;
 }
 
 void link_monitor::declareLost(time_point now)
@@ -172,7 +168,6 @@
     dismissSuspicion(now);
     // The links may be lost again at once.
     m_nextSuspicionAt = now;
-    m_dismissedAt = {};
 }
 
 std::size_t link_monitor::takeDueProbes(time_point now)
--- a/Libraries/zinnialedge/reachability/link_monitor.h
+++ b/Libraries/zinnialedge/reachability/link_monitor.h
@@ -86,8 +86,6 @@
     unsigned m_extensionCount { 0 };
     kernel::time_point m_probeOpenedAt;
     kernel::time_point m_nextSuspicionAt;
-    kernel::time_point m_dismissedAt;
-    kernel::duration m_suspicionPause {};
     kernel::time_point m_lostAt;
     kernel::time_point m_restoredAt;
     /// Minimum time for which the links count as lost; longer for links that fail again soon.
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -20,6 +20,7 @@
 DEFINE_bool(daemon_faults, true, "whether daemons are killed, stopped and paused; without these faults the request limits of leafs are checked");
 DEFINE_bool(link_faults, false, "whether daemons are cut off from all leafs; what their callers get is checked in runs without daemon faults");
 DEFINE_bool(leaf_faults, true, "whether leafs, the store, settings and configurations have faults or change");
+DEFINE_bool(marked_requests, true, "whether callers send requests that end the leafs that run them");
 DEFINE_string(logs, "", "directory to which the daemons' logs are written if the run has findings");
 
 using namespace zinnialedge;
@@ -509,7 +510,7 @@
     kernel::random_hook m_returnRandom { kernel::makeSeededRandom(FLAGS_seed + 2000) };
     soak_checker m_checker;
     soak_leaf::watches m_markedRequests;
-    std::atomic<bool> m_areMarkedRequestsSent { true };
+    std::atomic<bool> m_areMarkedRequestsSent { FLAGS_marked_requests };
     std::vector<std::unique_ptr<soak_leaf>> m_leafs;
     std::map<std::string, std::string> m_dataCentres;
     edge_fleet m_fleet;
--- a/Tests/Unit/detour_test.cpp
+++ b/Tests/Unit/detour_test.cpp
@@ -354,6 +354,25 @@
     CHECK(daemon.engine.quarantined().isEmpty());
 }
 
+// Guards against: daemons without links use up the trials that would end a quarantine.
+TEST(Detour, QuarantinedRequestIsNotTriedAgainWhileLinksAreLost)
+{
+    daemon_with_peers daemon { false, 0 };
+    daemon.setProbesConnected(true);
+    daemon.setProbesAnswered(false);
+    daemon.arrive("/gather/victim");
+    for (auto const& call : daemon.leafCallsOf("/gather/victim"))
+        daemon.fail(call.number, call_failure::broken);
+    daemon.pass(1300ms);
+    CHECK(daemon.engine.linkState() == link_state::lost);
+    CHECK(daemon.engine.quarantined().quarantinedCount() > 0);
+    daemon.pass(5s);
+    auto const again = daemon.arrive("/gather/victim");
+    CHECK(daemon.leafCallsOf("/gather/victim").empty());
+    LONGS_EQUAL(0, daemon.engine.counters().quarantineTrials);
+    CHECK(daemon.answerOf(again)->status == 502 || daemon.answerOf(again)->status == 503);
+}
+
 // Guards against: a request that ends leafs is forgotten because the links are lost as well.
 TEST(Detour, LossesBeforeTheLinksAreLostStillCount)
 {
