Traffic: Reset the connection of a call that is given up

Cause: a call that timed out closed its connection in the ordinary way. What a partition held up was then delivered when the partition ended, so that leafs got requests whose callers had their answers long before.

Change: the connection of a call without a reply is reset; held bytes are lost with it. The loopback proxy drops what it holds up when the sender has reset.

--- a/Services/traffic/leaf_connection.cpp
+++ b/Services/traffic/leaf_connection.cpp
@@ -325,6 +325,10 @@
         return;
     auto const self = shared_from_this();
     bool const wasConnected = m_isConnected;
+    // A reset drops what a partition holds up, which would otherwise reach the leaf when the partition ends.
+    beast::error_code ignored;
+    if (m_call && wasConnected)
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
     close();
     if (m_call)
         endCall(tl::unexpected(wasConnected || failure == call_failure::withheld ? failure : call_failure::not_sent));
--- a/Tests/Faults/edge_lost_links_test.cpp
+++ b/Tests/Faults/edge_lost_links_test.cpp
@@ -71,3 +71,15 @@
 {
     checkDaemonWithoutLinksServes(link_state::no_new_connections);
 }
+
+// Guards against: a request that has timed out behind a partition reaches its leaf when the partition ends.
+TEST(EdgeLostLinks, RequestThatTimedOutDoesNotReachItsLeafLater)
+{
+    proxied_edge_fleet fleet { { "here" }, true };
+    fleet.setLinks(0, link_state::unresponsive);
+    LONGS_EQUAL(504, fleet.get(0, "/single/late", "late", 300).status);
+    std::this_thread::sleep_for(1s);
+    fleet.restoreLinks(0);
+    std::this_thread::sleep_for(500ms);
+    LONGS_EQUAL(0, fleet.requestsOf("desk").size());
+}
--- a/Tests/Support/loopback_proxy.cpp
+++ b/Tests/Support/loopback_proxy.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <cerrno>
+#include <sys/socket.h>
 
 namespace zinnialedge::tests {
 
@@ -135,6 +137,12 @@
     });
 }
 
+static bool hasBeenReset(tcp::socket& socket)
+{
+    char unused = 0;
+    return ::recv(socket.native_handle(), &unused, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == ECONNRESET;
+}
+
 bool loopback_proxy::isWithheld(link_state state, bool isTowardsTarget)
 {
     return state == link_state::unresponsive || (state == link_state::replies_withheld && !isTowardsTarget);
@@ -145,6 +153,11 @@
     if (connection->isEnded)
         return;
     auto const state = stateOf(*connection);
+    // Bytes that are held up are lost when their sender resets the connection.
+    if (isWithheld(state, isTowardsTarget) && hasBeenReset(isTowardsTarget ? connection->caller : connection->target)) {
+        reset(connection);
+        return;
+    }
     if (isWithheld(state, isTowardsTarget) || state == link_state::delayed) {
         bool const isDelayed = !isWithheld(state, isTowardsTarget);
         auto const timer = std::make_shared<asio::steady_timer>(m_context, isDelayed ? forwardingDelay : heldBytesCheckInterval);
