Traffic: Give up idle connections together when they have died silently

Change: silence over open connections to several leafs, while probes over new ones are answered, closes all idle connections; so does the return of lost links, whose connections are from before the cut.

--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -119,6 +119,8 @@
     std::function<void(std::vector<quarantine::suspect>)> shareSuspects;
     /// Logs a change of the state of the links to the leafs.
     std::function<void(link_report const&)> logLinks;
+    /// Closes the connections to leafs that carry no call.
+    std::function<void()> closeIdleConnections;
     /// Tells the other daemons whether this daemon reaches leafs.
     std::function<void(bool)> shareLeafReach;
     /// Logs that a leaf has named a limit or names none any more.
--- a/Libraries/zinnialedge/forwarding/request_links.cpp
+++ b/Libraries/zinnialedge/forwarding/request_links.cpp
@@ -42,6 +42,10 @@
     scheduleLinkCheck(now);
     if (before == m_knownLinkState)
         return;
+    // Connections that were open before the doubt may have died without notice, and each would fail a call.
+    bool const mayHaveDeadConnections = before == link_state::lost || (before == link_state::suspected && m_links.wasSilent());
+    if (m_knownLinkState == link_state::intact && mayHaveDeadConnections && m_hooks.closeIdleConnections)
+        m_hooks.closeIdleConnections();
     auto const countBefore = m_counters.detours;
     if (m_knownLinkState == link_state::lost) {
         ++m_counters.linkLosses;
--- a/Libraries/zinnialedge/reachability/link_monitor.cpp
+++ b/Libraries/zinnialedge/reachability/link_monitor.cpp
@@ -125,6 +125,7 @@
 void link_monitor::suspect(time_point now)
 {
     m_state = link_state::suspected;
+    m_wasSilent = countSilentLeafs(now) >= decisiveLeafCount();
     m_dueProbes = std::min(probesOfSuspicion, m_leafCount);
     m_probesInFlight = 0;
     m_extensionCount = 0;
--- a/Libraries/zinnialedge/reachability/link_monitor.h
+++ b/Libraries/zinnialedge/reachability/link_monitor.h
@@ -57,6 +57,8 @@
     link_state state() const { return m_state; }
     /// Returns whether the links are lost, and no probe has even opened a connection lately.
     bool isSurelyLost(kernel::time_point now) const;
+    /// Returns whether the last doubt about the links arose from silence over open connections, which may have died without notice.
+    bool wasSilent() const { return m_wasSilent; }
     /// Returns whether the leaf has failed or is silent, so that a probe of it would tell little about the links.
     bool isDoubtful(leaf_key leaf) const { return m_failedLeafs.contains(leaf) || m_unansweredSince.contains(leaf); }
     link_evidence evidence(kernel::time_point now) const;
@@ -83,6 +85,7 @@
     /// Time at which probes without a reply show that the links are lost, or at which the next probes are due.
     std::optional<kernel::time_point> m_probesDecideAt;
     std::optional<kernel::time_point> m_silenceCheckAt;
+    bool m_wasSilent { false };
     unsigned m_extensionCount { 0 };
     kernel::time_point m_probeOpenedAt;
     kernel::time_point m_nextSuspicionAt;
--- a/Services/traffic/leaf_pools.cpp
+++ b/Services/traffic/leaf_pools.cpp
@@ -1,6 +1,7 @@
 #include "Services/traffic/leaf_pools.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace zinnialedge::services::traffic {
 
@@ -97,6 +98,14 @@
         busyConnection->abort(failure);
 }
 
+void leaf_connection_pools::closeIdleConnections()
+{
+    for (auto const& [leaf, idle] : std::exchange(m_idleConnections, {})) {
+        for (auto const& each : idle)
+            each->abort(forwarding::call_failure::not_sent);
+    }
+}
+
 void leaf_connection_pools::closeExpiredConnections(kernel::time_point now)
 {
     std::vector<connection> unopened;
--- a/Services/traffic/leaf_pools.h
+++ b/Services/traffic/leaf_pools.h
@@ -40,6 +40,9 @@
     /// Closes connections that were not established in time or have been idle for too long.
     void closeExpiredConnections(kernel::time_point now);
 
+    /// Closes all connections that carry no call.
+    void closeIdleConnections();
+
     std::size_t connectionCount() const { return m_connections.size(); }
     leaf_connection_counters const& counters() const { return m_counters; }
 
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -195,6 +195,7 @@
                 m_suspectsReceiver(std::move(suspects));
         };
         hooks.logLinks = [this](forwarding::link_report const& report) { m_requestLog.logLinks(report, m_engine.leafs().size()); };
+        hooks.closeIdleConnections = [this] { m_leafConnections.closeIdleConnections(); };
         hooks.shareLeafReach = [this](bool reachesLeafs) {
             if (m_leafReachReceiver)
                 m_leafReachReceiver(reachesLeafs);
--- a/Tests/Faults/edge_lost_links_test.cpp
+++ b/Tests/Faults/edge_lost_links_test.cpp
@@ -2,6 +2,7 @@
 #include "Tests/Support/proxied_edge_fleet.h"
 #include <CppUTest/TestHarness.h>
 #include <map>
+#include <thread>
 
 using namespace zinnialedge;
 using namespace std::chrono_literals;
@@ -83,3 +84,25 @@
     std::this_thread::sleep_for(500ms);
     LONGS_EQUAL(0, fleet.requestsOf("desk").size());
 }
+
+// Guards against: connections that died silently while idle fail one request after the other.
+TEST(EdgeLostLinks, SilentIdleConnectionsAreGivenUpTogether)
+{
+    // Each request holds its connections for a while, so that as many are idle afterwards as requests were in flight.
+    auto const replySlowly = [](std::string const& request) {
+        tests::scripted_reply reply { tests::sealedReply(request, std::string(16, 'a'), "Keep-Alive: timeout=10\r\n") };
+        reply.runTime = 20ms;
+        return reply;
+    };
+    proxied_edge_fleet fleet { { "here" }, true, replySlowly };
+    std::vector<std::thread> callers;
+    for (int number = 0; number < 12; ++number)
+        callers.emplace_back([&, number] { fleet.get(0, "/gather/a", "before" + std::to_string(number)); });
+    for (auto& each : callers)
+        each.join();
+    fleet.setLinks(0, link_state::old_connections_silent);
+    int failed = 0;
+    for (int number = 0; number < 12; ++number)
+        failed += fleet.get(0, "/gather/a", "after" + std::to_string(number), 400).status == 200 ? 0 : 1;
+    CHECK(failed <= 2);
+}
--- a/Tests/Support/loopback_proxy.cpp
+++ b/Tests/Support/loopback_proxy.cpp
@@ -25,6 +25,7 @@
     tcp::socket caller;
     tcp::socket target;
     std::string source;
+    std::chrono::steady_clock::time_point acceptedAt { std::chrono::steady_clock::now() };
     std::array<std::array<char, 16'384>, 2> buffers {};
     bool isEnded { false };
 };
@@ -63,6 +64,7 @@
     {
         std::lock_guard const lock(m_mutex);
         m_statesBySource[source] = state;
+        m_stateTimesBySource[source] = std::chrono::steady_clock::now();
     }
     if (state != link_state::reset)
         return;
@@ -84,7 +86,11 @@
 {
     std::lock_guard const lock(m_mutex);
     auto const found = m_statesBySource.find(connection.source);
-    return found == m_statesBySource.end() ? m_state.load() : found->second;
+    if (found == m_statesBySource.end())
+        return m_state;
+    if (found->second == link_state::old_connections_silent)
+        return connection.acceptedAt < m_stateTimesBySource.at(connection.source) ? link_state::unresponsive : link_state::healthy;
+    return found->second;
 }
 
 void loopback_proxy::closeConnection(std::shared_ptr<proxied_connection> const& ended)
--- a/Tests/Support/loopback_proxy.h
+++ b/Tests/Support/loopback_proxy.h
@@ -25,6 +25,8 @@
     reset,
     /// Open connections live on; new ones are reset as soon as they are open.
     no_new_connections,
+    /// Connections that are open when the state is set are silent for good; new ones work.
+    old_connections_silent,
 };
 
 /// Proxies TCP connections to a target on loopback and injects faults. All proxies share one event loop.
@@ -57,6 +59,7 @@
     std::atomic<link_state> m_state { link_state::healthy };
     mutable std::mutex m_mutex;
     std::map<std::string, link_state> m_statesBySource;
+    std::map<std::string, std::chrono::steady_clock::time_point> m_stateTimesBySource;
     std::set<std::shared_ptr<proxied_connection>> m_connections;
 };
 
