--- a/Tests/Faults/edge_lost_links_test.cpp
+++ b/Tests/Faults/edge_lost_links_test.cpp
@@ -95,14 +95,16 @@
         return reply;
     };
     proxied_edge_fleet fleet { { "here" }, true, replySlowly };
+    static constexpr int callerCount = 12;
     std::vector<std::thread> callers;
-    for (int number = 0; number < 12; ++number)
+    callers.reserve(callerCount);
+    for (int number = 0; number < callerCount; ++number)
         callers.emplace_back([&, number] { fleet.get(0, "/gather/a", "before" + std::to_string(number)); });
     for (auto& each : callers)
         each.join();
     fleet.setLinks(0, link_state::old_connections_silent);
     int failed = 0;
-    for (int number = 0; number < 12; ++number)
+    for (int number = 0; number < callerCount; ++number)
         failed += fleet.get(0, "/gather/a", "after" + std::to_string(number), 400).status == 200 ? 0 : 1;
     CHECK(failed <= 2);
 }
