Reachability: Call leafs over proved links during the hold

Change: links with proving replies are not surely lost, so that requests without a detour are tried directly.

Result: LinkMonitor.ProvedLinksAreNotSurelyLostDuringTheHold failed before and passes now.

--- a/Libraries/zinnialedge/reachability/link_monitor.cpp
+++ b/Libraries/zinnialedge/reachability/link_monitor.cpp
@@ -209,7 +209,9 @@
 
 bool link_monitor::isSurelyLost(time_point now) const
 {
-    return m_state == link_state::lost && now - m_probeOpenedAt > openedWindow;
+    // Links that are proved may count as lost for a while longer because they were unsteady.
+    bool const hasReply = std::any_of(m_provingReplies.begin(), m_provingReplies.end(), [&](auto const& entry) { return now - entry.second <= provingWindow; });
+    return m_state == link_state::lost && !hasReply && now - m_probeOpenedAt > openedWindow;
 }
 
 link_evidence link_monitor::evidence(time_point now) const
--- a/Libraries/zinnialedge/reachability/link_monitor.h
+++ b/Libraries/zinnialedge/reachability/link_monitor.h
@@ -55,7 +55,7 @@
     std::optional<kernel::time_point> nextCheckTime() const;
 
     link_state state() const { return m_state; }
-    /// Returns whether the links are lost, and no probe has even opened a connection lately.
+    /// Returns whether the links are lost, and no probe has had a reply or even opened a connection lately.
     bool isSurelyLost(kernel::time_point now) const;
     /// Returns whether the last doubt about the links arose from silence over open connections, which may have died without notice.
     bool wasSilent() const { return m_wasSilent; }
--- a/Tests/Unit/link_monitor_test.cpp
+++ b/Tests/Unit/link_monitor_test.cpp
@@ -255,6 +255,19 @@
     CHECK(links.monitor.state() == link_state::intact);
 }
 
+// Guards against: links that work again and count as lost only because they were unsteady let requests be rejected.
+TEST(LinkMonitor, ProvedLinksAreNotSurelyLostDuringTheHold)
+{
+    monitored_links links;
+    links.loseLinks();
+    links.proveLinks();
+    links.loseLinks();
+    CHECK(links.monitor.isSurelyLost(links.now));
+    links.proveLinks();
+    CHECK(links.monitor.state() == link_state::lost);
+    CHECK_FALSE(links.monitor.isSurelyLost(links.now));
+}
+
 // Guards against: a daemon that knows no leafs yet counts as cut off.
 TEST(LinkMonitor, WithoutLeafsNothingIsLost)
 {
