Forwarding: Declare tenants, public routes and the warm-up of services

Cause: configurations of new deployments have tenants with access keys and quotas, public routes, and services that declare how long a started leaf stays cold; the daemon ignored all of it. Nothing uses them yet.

--- a/Libraries/zinnialedge/errors/error_kind.cpp
+++ b/Libraries/zinnialedge/errors/error_kind.cpp
@@ -36,9 +36,11 @@
     error_properties { "request_timeout", 408, execution_state::no, true, "The request did not arrive in time." },
     error_properties { "request_quarantined", 502, execution_state::maybe, false, "Leafs were lost while they ran this request. It may have run, and no leaf gets it for now." },
     error_properties { "internal", 500, execution_state::maybe, false, "Internal error caused by a bug; see the log of the daemon." },
+    error_properties { "unknown_access_key", 401, execution_state::no, false, "The request needs a valid access key." },
+    error_properties { "over_quota", 429, execution_state::no, true, "The tenant has exhausted its quota of requests." },
 };
 
-static_assert(propertiesByKind.size() == static_cast<std::size_t>(error_kind::internal) + 1);
+static_assert(propertiesByKind.size() == static_cast<std::size_t>(error_kind::over_quota) + 1);
 
 error_properties const& propertiesOf(error_kind kind)
 {
--- a/Libraries/zinnialedge/errors/error_kind.h
+++ b/Libraries/zinnialedge/errors/error_kind.h
@@ -39,6 +39,8 @@
     request_timeout,
     request_quarantined,
     internal,
+    unknown_access_key,
+    over_quota,
 };
 
 /// Whether a target may have executed the request.
--- a/Libraries/zinnialedge/forwarding/leaf_record.h
+++ b/Libraries/zinnialedge/forwarding/leaf_record.h
@@ -5,6 +5,7 @@
 #include "Libraries/zinnialedge/forwarding/leaf_rate_limit.h"
 #include "Libraries/zinnialedge/forwarding/leaf_registration.h"
 #include "Libraries/zinnialedge/forwarding/messages.h"
+#include <algorithm>
 #include <deque>
 #include <optional>
 #include <utility>
@@ -20,6 +21,9 @@
     void updateRegistration(leaf_registration, kernel::time_point now);
     void setConnectionLimit(std::uint32_t limit) { m_connectionLimit = limit; }
     void markDeregistered() { m_isDeregistered = true; }
+    /// Records that the leaf is cold for at least the given time, unless a later registration says otherwise.
+    void becomeCold(kernel::duration remaining, kernel::time_point now) { m_warmupEndsAt = std::max(m_warmupEndsAt, now + remaining); }
+    bool isCold(kernel::time_point now) const { return now < m_warmupEndsAt; }
     /// Records that another leaf answers at this leaf's endpoint.
     void markMisdirected() { m_isMisdirected = true; }
     /// Records that the leaf has said that it is leaving. Returns false when this was known.
--- a/Libraries/zinnialedge/forwarding/messages.h
+++ b/Libraries/zinnialedge/forwarding/messages.h
@@ -66,6 +66,10 @@
     std::optional<kernel::duration> roundTripTime;
     std::vector<header> headers;
     std::string body;
+    /// Access key headers as the caller sent them, which are not among `headers`. Their values are secrets.
+    std::vector<header> accessKeys {};
+    /// Name of the tenant to which the access key belongs; empty when the request needs none.
+    std::string tenant {};
     /// Set when the request was relayed by another daemon.
     std::optional<relayed_request> relayed;
     /// Set when another daemon passed on the complete request.
--- a/Libraries/zinnialedge/forwarding/route.h
+++ b/Libraries/zinnialedge/forwarding/route.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,8 @@
     std::vector<weighted_service> services;
     /// Gather policy; its list of shards is empty for a route to a single service.
     gather_policy gather;
+    /// True when requests need no access key although the configuration declares tenants.
+    bool isPublic { false };
 
     bool isGather() const { return !gather.shards.empty(); }
     auto operator<=>(route const&) const = default;
@@ -68,6 +71,10 @@
     std::uint32_t connectionCap { 25 };
     /// Target of status requests to the service's leafs.
     std::string statusTarget { "/health" };
+    /// Time for which a leaf is cold after its start; empty when the service declares none.
+    std::optional<std::chrono::milliseconds> warmupTime {};
+    /// Number of requests per second that a cold leaf accepts from all daemons together; zero for no limit.
+    double coldRequestsPerSecond { 0 };
 
     auto operator<=>(service_rules const&) const = default;
 };
--- a/Libraries/zinnialedge/forwarding/route_table.cpp
+++ b/Libraries/zinnialedge/forwarding/route_table.cpp
@@ -13,6 +13,11 @@
         std::stable_sort(routes.begin(), routes.end(), [](auto const* left, auto const* right) { return left->pathPrefix.size() > right->pathPrefix.size(); });
     for (auto const& each : m_declarations.services)
         m_services[each.name] = &each;
+    for (auto const& each : m_declarations.tenants) {
+        m_tenantsByName[each.name] = &each;
+        for (auto const& key : each.accessKeys)
+            m_tenantsByKey[key] = &each;
+    }
 }
 
 route const* route_table::find(std::string_view host, std::string_view path) const
@@ -24,16 +29,34 @@
     return found == routes->second.end() ? nullptr : *found;
 }
 
-std::uint32_t route_table::connectionCapOf(std::string const& service) const
+service_rules const* route_table::rulesOf(std::string const& service) const
 {
     auto const found = m_services.find(service);
-    return found == m_services.end() ? service_rules {}.connectionCap : found->second->connectionCap;
+    return found == m_services.end() ? nullptr : found->second;
+}
+
+std::uint32_t route_table::connectionCapOf(std::string const& service) const
+{
+    auto const* const rules = rulesOf(service);
+    return rules ? rules->connectionCap : service_rules {}.connectionCap;
 }
 
 std::string route_table::statusTargetOf(std::string const& service) const
 {
-    auto const found = m_services.find(service);
-    return found == m_services.end() ? service_rules {}.statusTarget : found->second->statusTarget;
+    auto const* const rules = rulesOf(service);
+    return rules ? rules->statusTarget : service_rules {}.statusTarget;
+}
+
+tenant const* route_table::findTenant(std::string_view accessKey) const
+{
+    auto const found = m_tenantsByKey.find(accessKey);
+    return found == m_tenantsByKey.end() ? nullptr : found->second;
+}
+
+tenant const* route_table::tenantNamed(std::string_view name) const
+{
+    auto const found = m_tenantsByName.find(name);
+    return found == m_tenantsByName.end() ? nullptr : found->second;
 }
 
 }
--- a/Libraries/zinnialedge/forwarding/route_table.h
+++ b/Libraries/zinnialedge/forwarding/route_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Libraries/zinnialedge/forwarding/route.h"
+#include "Libraries/zinnialedge/forwarding/tenant.h"
 #include <cstdint>
 #include <memory>
 #include <string_view>
@@ -14,6 +15,7 @@
     std::vector<route> routes;
     std::vector<service_rules> services;
     caller_limits limits;
+    std::vector<tenant> tenants {};
 
     bool operator==(route_declarations const&) const = default;
 };
@@ -34,12 +36,23 @@
     std::uint32_t connectionCapOf(std::string const& service) const;
     /// Returns the declared target of status requests to the service's leafs, or the default target.
     std::string statusTargetOf(std::string const& service) const;
+    /// Returns the declared properties of the service, or null.
+    service_rules const* rulesOf(std::string const& service) const;
+
+    bool hasTenants() const { return !m_declarations.tenants.empty(); }
+    std::vector<tenant> const& tenants() const { return m_declarations.tenants; }
+    /// Returns the tenant that holds the access key, or null.
+    tenant const* findTenant(std::string_view accessKey) const;
+    /// Returns the tenant with the name, or null.
+    tenant const* tenantNamed(std::string_view name) const;
 
 private:
     route_declarations m_declarations;
     /// Routes of each host, ordered by descending prefix length.
     std::unordered_map<std::string_view, std::vector<route const*>> m_routesByHost;
     std::unordered_map<std::string_view, service_rules const*> m_services;
+    std::unordered_map<std::string_view, tenant const*> m_tenantsByKey;
+    std::unordered_map<std::string_view, tenant const*> m_tenantsByName;
 };
 
 using route_table_pointer = std::shared_ptr<route_table const>;
