Quarantine: Let one daemon try a quarantined request for all

Ruled out by the logs: withdrawn losses, entries that aged, a daemon that had just started. Change: by rendezvous hashing of the digest over the serving group one daemon tries; the others pass a request that is due on to it, with the losses that they know. Without that daemon nobody tries until the membership has replaced it. A call whose connection opens after the third loss is sent only as the trial.

--- a/Libraries/zinnialedge/forwarding/active_request.h
+++ b/Libraries/zinnialedge/forwarding/active_request.h
@@ -70,6 +70,8 @@
     std::uint32_t attemptsUsed { 0 };
     /// True when this daemon has counted the request for the budget of extra calls.
     bool isCounted { false };
+    /// True when the daemon was asked because only it tries the quarantined request again.
+    bool isTrial { false };
 };
 
 /// A request in flight.
--- a/Libraries/zinnialedge/forwarding/fleet_share.h
+++ b/Libraries/zinnialedge/forwarding/fleet_share.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Libraries/zinnialedge/model/endpoint.h"
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,8 +23,10 @@
     std::size_t daemonsSharingSlack { 1 };
     /// Daemons of other data centres that serve traffic.
     std::vector<relay> relays;
-    /// Daemons to which complete requests may be passed on while this daemon reaches no leafs.
+    /// Daemons of the serving group to which complete requests may be passed on, without this one.
     std::vector<relay> detours;
+    /// This daemon as the others list it, if it belongs to the serving group and reaches leafs.
+    std::optional<relay> self {};
     /// Number of equal shares into which the request limit of a leaf is divided; this daemon may use one of them.
     double daemonsSharingLeafLimits { 1 };
 
--- a/Libraries/zinnialedge/forwarding/messages.h
+++ b/Libraries/zinnialedge/forwarding/messages.h
@@ -49,6 +49,8 @@
     std::uint32_t attemptsUsed { 0 };
     /// True when the other daemon has counted the request for the budget of extra calls.
     bool isCounted { false };
+    /// What the other daemon knows of the request, if leafs were lost under it.
+    std::optional<quarantine::suspect_notice> known {};
 
     bool operator==(detoured_request const&) const = default;
 };
--- a/Libraries/zinnialedge/forwarding/relay_protocol.cpp
+++ b/Libraries/zinnialedge/forwarding/relay_protocol.cpp
@@ -32,6 +32,8 @@
 static constexpr std::string_view attemptsUsedHeader = "X-Relay-Attempts-Used";
 /// Value 1 when the sender has counted the request for the budget of extra calls.
 static constexpr std::string_view countedHeader = "X-Relay-Counted";
+/// Age in microseconds of the latest call that tried a quarantined request again.
+static constexpr std::string_view triedHeader = "X-Relay-Tried";
 static constexpr std::string_view reasonHeader = "X-Relay-Reason";
 static constexpr std::string_view errorHeader = "X-Relay-Error";
 static constexpr std::string_view retryAfterHeader = "X-Relay-Retry-After-Ms";
@@ -129,6 +131,13 @@
     return text;
 }
 
+static quarantine::suspect_notice& noticeOf(detoured_request& detoured)
+{
+    if (!detoured.known)
+        detoured.known.emplace();
+    return *detoured.known;
+}
+
 static bool parseDetourHeader(std::string_view name, std::string_view value, detoured_request& detoured)
 {
     if (iequals(name, minimumVersionHeader))
@@ -139,6 +148,10 @@
         detoured.attemptsUsed = parseNumber<std::uint32_t>(value);
     else if (iequals(name, countedHeader))
         detoured.isCounted = value == "1";
+    else if (iequals(name, lossesHeader))
+        noticeOf(detoured).losses = parseLosses(value);
+    else if (iequals(name, triedHeader))
+        noticeOf(detoured).trialAge = std::chrono::microseconds { parseNumber<std::int64_t>(value) };
     else
         return false;
     return true;
@@ -186,6 +199,11 @@
         appendHeader(lines, objectiveHeader, std::to_string(call.detoured->objectiveLeft.count()));
         appendHeader(lines, attemptsUsedHeader, std::to_string(call.detoured->attemptsUsed));
         appendHeader(lines, countedHeader, call.detoured->isCounted ? "1" : "0");
+        if (auto const& known = call.detoured->known) {
+            appendHeader(lines, lossesHeader, formatLosses(known->losses));
+            if (known->trialAge)
+                appendHeader(lines, triedHeader, std::to_string(known->trialAge->count()));
+        }
         return;
     }
     appendHeader(lines, answerWithinHeader, std::to_string(call.relayed->answerTimeLimit.count()));
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -92,7 +92,7 @@
     // After a pause of this process, the connection may be reported open before the timers that end the request have run.
     auto const request = m_requests.find(found->second.requestToken);
     // The leafs of other calls may have been lost in the meantime.
-    if (auto& evidence = *found->second.evidence; judge(evidence, now) == quarantine::verdict::quarantined && m_quarantine.isQuarantinedSince(evidence.digests(), found->second.sentAt, now))
+    if (auto& evidence = *found->second.evidence; !m_quarantine.isEmpty() && !evidence.hasSucceeded() && m_quarantine.hasLossesSince(evidence.digests(), found->second.sentAt))
         return false;
     bool const isAwaited = request != m_requests.end() && !request->second.isCallerDisconnected && now < request->second.endAt;
     return isAwaited && m_leafs.at(found->second.leaf).acceptsCalls(now);
--- a/Libraries/zinnialedge/forwarding/request_detours.cpp
+++ b/Libraries/zinnialedge/forwarding/request_detours.cpp
@@ -59,27 +59,35 @@
     auto const to = chooseDetour(request, now);
     if (!to || request.isCallerDisconnected || now + minimumDetourTime >= request.endAt)
         return false;
+    sendDetourTo(*to, request, isCounted, now);
+    return true;
+}
+
+void request_engine::sendDetourTo(relay const& to, active_request& request, bool isCounted, time_point now)
+{
     bool const mayHaveRun = request.mayHaveRun();
     if (!request.detour)
         request.detour = request_detour { .attemptsUsed = request.hasUsedAttempts() ? 1U : 0U, .isCounted = isCounted };
     auto& detour = *request.detour;
     detour.callNumber = ++m_lastCallNumber;
-    detour.calledDaemons.push_back(to->endpoint);
+    detour.calledDaemons.push_back(to.endpoint);
     detour.mayHaveRunBefore = mayHaveRun;
     detour.mayHaveRun = true;
     ++m_counters.detours;
-    ++m_relayStates[*to].inFlight;
-    m_detourCalls[detour.callNumber] = { request.token, *to, now };
+    ++m_relayStates[to].inFlight;
+    m_detourCalls[detour.callNumber] = { request.token, to, now };
     m_timers.push({ std::max(request.objectiveAt, now + minimumLateTime), timer_kind::detour_timeout, detour.callNumber });
     m_timers.push({ request.endAt, timer_kind::abandon_call, detour.callNumber });
-    detoured_request const passedOn {
+    detoured_request passedOn {
         .minimumVersion = std::max(request.table->version(), m_detourVersion),
         .objectiveLeft = std::chrono::duration_cast<std::chrono::milliseconds>(std::max(request.objectiveAt - now, kernel::duration::zero())),
         .attemptsUsed = detour.attemptsUsed,
         .isCounted = detour.isCounted,
     };
-    m_hooks.sendCall({ detour.callNumber, 0, {}, to->endpoint, request.endAt, request.endAt, request.matchedRoute->isRepeatable, request.request, std::nullopt, passedOn, false });
-    return true;
+    // The other daemon may not have heard yet of the latest losses.
+    if (auto const* const known = m_quarantine.isEmpty() ? nullptr : m_quarantine.find(request.evidence->digests().back()))
+        passedOn.known = quarantine::makeNotice(*known, now);
+    m_hooks.sendCall({ detour.callNumber, 0, {}, to.endpoint, request.endAt, request.endAt, request.matchedRoute->isRepeatable, request.request, std::nullopt, std::move(passedOn), false });
 }
 
 bool request_engine::mayHaveReachedLeaf(request_part const& part) const
@@ -219,6 +227,10 @@
     auto& detour = *request->detour;
     if (wasRefused || wasNotSent)
         detour.mayHaveRun = detour.mayHaveRunBefore;
+    if (detour.isTrial) {
+        settleQuarantined(*request, now);
+        return;
+    }
     // Otherwise the other daemon may have called as many leafs as the route allows, so that no further daemon may call any.
     if ((wasRefused || wasNotSent) && sendDetour(*request, detour.isCounted, now))
         return;
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -156,8 +156,11 @@
     }
     auto* const created = createRequest(token, std::move(request), *to, now);
     m_quarantine.removeExpired(now);
+    mergeDetouredKnowledge(*created, now);
     auto const verdict = judge(*created->evidence, now);
     if (verdict == quarantine::verdict::quarantined || (verdict == quarantine::verdict::trial && created->isRelayed())) {
+        if (passTrialOn(*created, now))
+            return;
         countRequest(*created, now);
         settleQuarantined(*created, now);
         return;
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -194,6 +194,7 @@
     std::optional<relay> chooseDetour(active_request const&, kernel::time_point now);
     /// Passes the request on to a daemon that has not had it yet. Returns false when there is none.
     bool sendDetour(active_request&, bool isCounted, kernel::time_point now);
+    void sendDetourTo(relay const&, active_request&, bool isCounted, kernel::time_point now);
     /// Passes on a request whose calls can't be answered any more, if nothing can run twice by that. Returns whether it did.
     bool switchToDetour(active_request&, kernel::time_point now);
     /// Ends the calls and queue entries of a request that goes on through another daemon.
@@ -234,6 +235,10 @@
 
     // Quarantine.
     quarantine::verdict judge(quarantine::request_evidence&, kernel::time_point now) const;
+    /// Returns the other daemon that alone tries the quarantined request again; empty when this daemon does.
+    std::optional<relay> trialDaemonOf(quarantine::request_evidence&) const;
+    /// Passes a request that is due for a trial on to the daemon that tries it again. Returns whether it did.
+    bool passTrialOn(active_request&, kernel::time_point now);
     /// Returns whether a call for the part may be sent now. A part that may not waits for the outcome of the request's open calls.
     bool mayCallLeaf(active_request&, std::size_t partIndex, kernel::time_point now) const;
     void recordLoss(call_context const&, kernel::time_point now);
@@ -253,6 +258,8 @@
     /// Calls a leaf for one of the parts that wait, if it may be called. Returns whether there was one.
     bool tryHeldPart(active_request&, kernel::time_point now);
     void settleQuarantined(active_request&, kernel::time_point now);
+    /// Takes what the daemon that passed the request on knows of it.
+    void mergeDetouredKnowledge(active_request const&, kernel::time_point now);
     void shareSuspects(kernel::time_point now);
 
     // Calls through other daemons.
--- a/Libraries/zinnialedge/forwarding/request_quarantine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_quarantine.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <xxhash.h>
 
 namespace zinnialedge::forwarding {
 
@@ -12,7 +13,53 @@
 
 verdict request_engine::judge(quarantine::request_evidence& evidence, time_point now) const
 {
-    return m_quarantine.judge(evidence, now);
+    auto const judged = m_quarantine.judge(evidence, now);
+    // Daemons that try a request at the same moment do not know of each other's trials, and each trial may end a leaf.
+    bool const isOfOtherDaemon = judged == verdict::trial && !evidence.trialBeganAt() && trialDaemonOf(evidence);
+    return isOfOtherDaemon ? verdict::quarantined : judged;
+}
+
+std::optional<relay> request_engine::trialDaemonOf(quarantine::request_evidence& evidence) const
+{
+    // Rendezvous hashing: all daemons that know the same serving group choose the same daemon. The digest without the query lets all
+    // variants of a request share their trials.
+    auto const& digest = evidence.digests().back();
+    auto const weightOf = [&](relay const& each) {
+        auto const place = toString(each.endpoint);
+        return XXH3_64bits_withSeed(place.data(), place.size(), XXH3_64bits(digest.bytes.data(), digest.bytes.size()));
+    };
+    auto const& others = m_fleetShare.detours;
+    auto const best = std::max_element(others.begin(), others.end(), [&](auto const& left, auto const& right) { return weightOf(left) < weightOf(right); });
+    if (best == others.end() || (m_fleetShare.self && weightOf(*m_fleetShare.self) > weightOf(*best)))
+        return std::nullopt;
+    return *best;
+}
+
+bool request_engine::passTrialOn(active_request& request, time_point now)
+{
+    if (request.isFromDaemon() || request.detour || request.isCallerDisconnected || m_quarantine.judge(*request.evidence, now) != verdict::trial)
+        return false;
+    auto const daemon = trialDaemonOf(*request.evidence);
+    bool const mayRunAgain = request.matchedRoute->isRepeatable && (!request.hasUsedAttempts() || request.matchedRoute->maximumAttempts > 1);
+    if (!daemon || (request.mayHaveRun() && !mayRunAgain) || !consumeExtraCalls(request, now))
+        return false;
+    bool const isCounted = request.hasSentCalls();
+    ++m_counters.quarantineTrialsPassedOn;
+    if (m_hooks.logLeafEvent)
+        m_hooks.logLeafEvent(request.request->attemptId, toString(daemon->endpoint), "trial_passed_on", now - request.arrivedAt);
+    sendDetourTo(*daemon, request, isCounted, now);
+    request.detour->isTrial = true;
+    withdrawCalls(request, now);
+    return true;
+}
+
+void request_engine::mergeDetouredKnowledge(active_request const& request, time_point now)
+{
+    if (!request.request->detoured || !request.request->detoured->known)
+        return;
+    auto notice = *request.request->detoured->known;
+    notice.request = request.evidence->digests().back();
+    mergeSuspects({ quarantine::readNotice(notice, now) }, now);
 }
 
 bool request_engine::mayCallLeaf(active_request& request, std::size_t partIndex, time_point now) const
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -319,7 +319,7 @@
     if (request.matchedRoute->isGather())
         callSkippedShards(request, now);
     if (request.isHeldForNothing()) {
-        if (!tryHeldPart(request, now))
+        if (!tryHeldPart(request, now) && !passTrialOn(request, now))
             settleQuarantined(request, now);
         return;
     }
--- a/Libraries/zinnialedge/quarantine/quarantine_table.cpp
+++ b/Libraries/zinnialedge/quarantine/quarantine_table.cpp
@@ -69,6 +69,14 @@
     return std::any_of(digests.begin(), digests.end(), [&](auto const& digest) { return judgeDigest(digest, now) == verdict::quarantined && lastLossTime(*find(digest)) > since; });
 }
 
+bool quarantine_table::hasLossesSince(request_digests const& digests, time_point since) const
+{
+    return std::any_of(digests.begin(), digests.end(), [&](auto const& digest) {
+        auto const* const known = find(digest);
+        return known && isQuarantined(*known) && lastLossTime(*known) > since;
+    });
+}
+
 quarantine_table::entry& quarantine_table::entryOf(request_digest const& request, time_point now)
 {
     if (auto const found = m_entries.find(request); found != m_entries.end())
--- a/Libraries/zinnialedge/quarantine/quarantine_table.h
+++ b/Libraries/zinnialedge/quarantine/quarantine_table.h
@@ -59,6 +59,8 @@
     verdict judge(request_evidence&, kernel::time_point now) const;
     /// Returns whether the request was quarantined by a loss after the given time.
     bool isQuarantinedSince(request_digests const&, kernel::time_point since, kernel::time_point now) const;
+    /// Returns whether the request is in the table as one that ends leafs and lost a leaf after the given time. It may be due for a trial.
+    bool hasLossesSince(request_digests const&, kernel::time_point since) const;
     /// Returns the time from which on the quarantined request may be tried again.
     kernel::time_point nextTrialTime(suspect const&) const;
 
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -307,6 +307,8 @@
             share.relays.push_back(remote);
         if (each.reachesLeafs && each.place != m_settings.callerEndpoint)
             share.detours.push_back(remote);
+        else if (each.reachesLeafs)
+            share.self = remote;
     }
     return share;
 }
