Forwarding: Hedge few shards of a query before the first reply

Change: before the first reply of any leaf, a query over more than four shards is hedged for two of them. The first reply, also one to a hedge, releases the other hedges at once. Result: SuspectRequest.QueryWithoutAnyReplyIsHedgedForFewShards fails without the limit (40 open calls where 22 are allowed) and passes with it; 328 unit tests pass.

--- a/Libraries/zinnialedge/forwarding/active_request.h
+++ b/Libraries/zinnialedge/forwarding/active_request.h
@@ -110,6 +110,8 @@
     bool isCallerDisconnected { false };
     /// True after two objectives, from when on an answer with the minimum coverage is sent at once.
     bool acceptsMinimumCoverage { false };
+    /// True while further hedges wait for the first reply of any leaf.
+    bool doHedgesAwaitReply { false };
     /// True when many shards had not replied by the objective, which means that their leafs do not keep up.
     bool wasCongested { false };
 
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -5,6 +5,7 @@
 #include "Libraries/zinnialedge/limits/hedge_hold.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace zinnialedge::forwarding {
 
@@ -14,6 +15,9 @@
 static constexpr double hedgeDelayFactor = 1.5;
 static constexpr double minimumHedgeDelayShare = 0.06;
 static constexpr double maximumHedgeDelayShare = 0.4;
+/// Hedges of a query over more shards than twice this number before any leaf has replied. Leafs that are all silent may be held up, or
+/// about to be ended, by the request itself, and hedges for all shards would take the second leafs too.
+static constexpr std::size_t hedgesBeforeFirstReply = 2;
 /// Maximum number of parts that are queued for a connection to one service.
 static constexpr std::size_t maximumQueuedParts = 64;
 /// Weight of one extra call in the moving average of the share of denied extra calls.
@@ -187,7 +191,10 @@
         m_timers.push({ now + delay, timer_kind::hedge, request.token });
         return;
     }
-    auto const hold = limits::hedgeHoldTime(request.callProgress(now - dueAt, now), longestHedgeHold(*request.matchedRoute));
+    bool const hasNoReply = request.lastReplyAt == request.startedAt && request.parts.size() > 2 * hedgesBeforeFirstReply;
+    // Hedges that have waited for the first reply are late already.
+    bool const haveHedgesWaited = std::exchange(request.doHedgesAwaitReply, false) && !hasNoReply;
+    auto const hold = haveHedgesWaited ? kernel::duration::zero() : limits::hedgeHoldTime(request.callProgress(now - dueAt, now), longestHedgeHold(*request.matchedRoute));
     if (hold > kernel::duration::zero()) {
         m_timers.push({ now + hold, timer_kind::hedge, request.token });
         return;
@@ -197,6 +204,10 @@
     std::optional<time_point> next;
     for (std::size_t partIndex = 0; partIndex < request.parts.size(); ++partIndex) {
         auto& part = request.parts[partIndex];
+        if (hasNoReply && request.hedgeCount >= hedgesBeforeFirstReply) {
+            request.doHedgesAwaitReply = true;
+            return;
+        }
         if (part.isSettled() || part.isHedged || part.calls.size() != 1 || part.attemptCount() >= request.maximumAttempts())
             continue;
         auto dueAt = part.calls.front().sentAt + delay;
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -180,6 +180,8 @@
     } else {
         if (result)
             request->lastReplyAt = now;
+        if (result && request->doHedgesAwaitReply)
+            m_timers.push({ now, timer_kind::hedge, request->token });
         if (result && result->isSuccess())
             stateOf(*request->matchedRoute).callDurationQuantile.add(std::chrono::duration_cast<std::chrono::microseconds>(now - context.sentAt));
         std::erase_if(request->parts[context.partIndex].calls, [&](auto const& call) { return call.number == number; });
--- a/Tests/Unit/suspect_request_test.cpp
+++ b/Tests/Unit/suspect_request_test.cpp
@@ -162,6 +162,18 @@
     LONGS_EQUAL(0, sendPoison("/gather/poison"));
 }
 
+// Guards against a query that ends both leafs of each shard because its hedges are sent before any leaf has ended.
+TEST(SuspectRequest, QueryWithoutAnyReplyIsHedgedForFewShards)
+{
+    daemon.arrive("/gather/poison");
+    daemon.pass(80ms);
+    LONGS_EQUAL(shardCount + 2, daemon.openCalls().size());
+    // One reply shows that leafs survive the query, so that the slow shards are hedged at once.
+    daemon.succeed(daemon.openCalls().front().number);
+    daemon.pass(1ms);
+    CHECK(daemon.openCalls().size() >= 2 * shardCount - 4);
+}
+
 // Guards against answers that lack shards because an outage took leafs under a query that had no reply yet.
 TEST(SuspectRequest, FirstReplyReleasesTheCallsThatWaited)
 {
