--- a/Libraries/zinnialedge/forwarding/active_request.h
+++ b/Libraries/zinnialedge/forwarding/active_request.h
@@ -70,6 +70,8 @@
     std::uint32_t attemptsUsed { 0 };
     /// True when this daemon has counted the request for the budget of extra calls.
     bool isCounted { false };
+    /// True when the daemon was asked because only it tries the quarantined request again.
+    bool isTrial { false };
 };
 
 /// A request in flight.
@@ -108,6 +110,8 @@
     bool isCallerDisconnected { false };
     /// True after two objectives, from when on an answer with the minimum coverage is sent at once.
     bool acceptsMinimumCoverage { false };
+    /// True while further hedges wait for the first reply of any leaf.
+    bool doHedgesAwaitReply { false };
     /// True when many shards had not replied by the objective, which means that their leafs do not keep up.
     bool wasCongested { false };
 
