Fleet: Prefer strong daemons for the serving group

The serving group is chosen by the hash of the daemons' names, so that in a data centre of 6 daemons with half a core and 85 with 0.12 of a core the weak ones carry nearly all traffic. Daemons now tell their processor share (setting capacity, from the platform's limits) in their membership updates, and those with at least half the share of the strongest daemon of their data centre come first. Without the share of any one daemon the choice is the former one, so that builds choose the same group side by side.

The bound of the encoded size covers the new field. Values that are no processor share are read as unknown.

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -70,6 +70,8 @@
         .seeds = m_settings.seeds,
         .directoryValidity = directoryValidity,
     };
+    if (m_settings.capacity)
+        fleet.strength = m_settings.capacity->processor;
     auto const fleetService = TRY(fleet_service::create(std::move(fleet), std::move(protocols.store), *trafficService));
     boost::json::object const daemonInfo { { "daemon", m_settings.name }, { "callers", toString(m_settings.callers) }, { "data_centre", m_settings.dataCentre }, { "incarnation", m_incarnation }, { "version", ZINNIALEDGE_VERSION } };
     auto const operators = TRY(operator_service::create(m_settings.operators, boost::json::serialize(daemonInfo), TRY(configuration::partner_keys::load({})), m_registry));
--- a/Libraries/zinnialedge/configuration/edge_settings.cpp
+++ b/Libraries/zinnialedge/configuration/edge_settings.cpp
@@ -10,6 +10,10 @@
 static constexpr double maximumStoreRate = 1e6;
 static constexpr double maximumStopSeconds = 600;
 static constexpr double maximumLeafPauseSeconds = 86'400;
+/// A share of zero could not run a daemon.
+static constexpr double minimumProcessorShare = 0.001;
+static constexpr double maximumProcessorShare = 1024;
+static constexpr double maximumLinkMegabits = 1e6;
 
 static void parseExtraCalls(json_reader& reader, edge_settings& settings)
 {
@@ -24,6 +28,11 @@
     settings.storeRates.writesPerSecond = reader.real("writes_per_s", minimumStoreRate, maximumStoreRate);
 }
 
+static void parseCapacity(json_reader& reader, edge_settings& settings)
+{
+    settings.capacity = vm_capacity { reader.real("processor", minimumProcessorShare, maximumProcessorShare), reader.real("link_mbps", 0, maximumLinkMegabits) };
+}
+
 edge_settings_change compareSettings(edge_settings const& before, edge_settings const& after)
 {
     edge_settings_change change;
@@ -48,6 +57,7 @@
     compare(change.appliedAtNextStart, "store", before.store == after.store);
     compare(change.appliedAtNextStart, "leaf_calls_from", before.leafCallSource == after.leafCallSource);
     compare(change.appliedAtNextStart, "maximum_leaf_pause_s", before.maximumLeafPause == after.maximumLeafPause);
+    compare(change.appliedAtNextStart, "capacity", before.capacity == after.capacity);
     return change;
 }
 
@@ -81,6 +91,7 @@
     settings.stopTimeLimit = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("stop_time_s", 1, maximumStopSeconds) * 1000) };
     if (reader.has("maximum_leaf_pause_s"))
         settings.maximumLeafPause = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("maximum_leaf_pause_s", 1, maximumLeafPauseSeconds) * 1000) };
+    reader.object("capacity", false, [&](json_reader& item) { parseCapacity(item, settings); });
     if (reader.has("leaf_calls_from")) {
         settings.leafCallSource = reader.text("leaf_calls_from");
         if (!model::parseEndpoint(settings.leafCallSource + ":1"))
--- a/Libraries/zinnialedge/configuration/edge_settings.h
+++ b/Libraries/zinnialedge/configuration/edge_settings.h
@@ -4,12 +4,23 @@
 #include "Libraries/zinnialedge/forwarding/extra_call_budget.h"
 #include "Libraries/zinnialedge/model/endpoint.h"
 #include <chrono>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
 
 namespace zinnialedge::configuration {
 
+/// Share of a machine that this VM may use.
+struct vm_capacity {
+    /// Processor share in cores, possibly a fraction.
+    double processor { 0 };
+    /// Bandwidth of the VM's link in Mbit/s.
+    double linkMegabits { 0 };
+
+    bool operator==(vm_capacity const&) const = default;
+};
+
 /// Settings of a daemon that forwards requests by declared routes, as read from the settings file.
 struct edge_settings {
     std::string name;
@@ -34,6 +45,8 @@
     std::chrono::milliseconds maximumLeafPause { std::chrono::hours { 1 } };
     /// Local address of the connections to leafs, for a VM with several; empty when the system chooses it.
     std::string leafCallSource;
+    /// Empty when the deployment does not tell the capacity of the VM.
+    std::optional<vm_capacity> capacity;
     std::string logLevel { "info" };
 
     bool operator==(edge_settings const&) const = default;
--- a/Libraries/zinnialedge/fleet/directory_choice.cpp
+++ b/Libraries/zinnialedge/fleet/directory_choice.cpp
@@ -15,6 +15,10 @@
 /// Maximum number of endpoints in a directory answer.
 static constexpr std::size_t maximumEndpoints = 64;
 
+/// Daemons with at least this fraction of the strength of the strongest daemon of their data centre are preferred. Nearly equal daemons
+/// stay in the order of the hash, so that a small difference between VMs does not decide.
+static constexpr double preferredStrengthFraction = 0.5;
+
 static std::uint64_t nameHashOf(serving_daemon const& entry)
 {
     return XXH3_64bits(entry.name.data(), entry.name.size());
@@ -32,9 +36,17 @@
     std::map<std::string, std::vector<serving_daemon>> byDataCentre;
     for (auto const& daemon : daemons)
         byDataCentre[daemon.dataCentre].push_back(daemon);
+    bool const areStrengthsKnown = std::all_of(daemons.begin(), daemons.end(), [](auto const& each) { return each.strength.has_value(); });
     std::vector<serving_daemon> group;
     for (auto& [dataCentre, members] : byDataCentre) {
-        std::sort(members.begin(), members.end(), [](auto const& left, auto const& right) { return nameHashOf(left) < nameHashOf(right); });
+        double strongest = 0;
+        for (auto const& member : members)
+            strongest = std::max(strongest, member.strength.value_or(0));
+        auto const rankOf = [&](serving_daemon const& member) {
+            bool const isWeak = areStrengthsKnown && *member.strength < preferredStrengthFraction * strongest;
+            return std::pair { isWeak, nameHashOf(member) };
+        };
+        std::sort(members.begin(), members.end(), [&](auto const& left, auto const& right) { return rankOf(left) < rankOf(right); });
         members.resize(std::min(members.size(), daemonsPerDataCentre));
         group.insert(group.end(), members.begin(), members.end());
     }
--- a/Libraries/zinnialedge/fleet/directory_choice.h
+++ b/Libraries/zinnialedge/fleet/directory_choice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Libraries/zinnialedge/model/endpoint.h"
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,8 @@
     model::endpoint place;
     /// False while the daemon has lost its links to all leafs. It passes requests on to other daemons meanwhile.
     bool reachesLeafs { true };
+    /// Processor share of the daemon's VM, in cores. Empty when the daemon does not tell it.
+    std::optional<double> strength {};
 
     auto operator<=>(serving_daemon const&) const = default;
 };
@@ -20,8 +23,9 @@
 /// Returns the daemons that reach leafs, or all of them when none does: a list without any daemon would leave callers nowhere to go.
 std::vector<serving_daemon> daemonsWithLeafs(std::vector<serving_daemon>);
 
-/// Returns the daemons that carry the traffic: a few in each data centre. The result depends only on the set of daemons, so
-/// all daemons that know the same set compute the same group. A small group keeps its connections to leafs in use and has more
+/// Returns the daemons that carry the traffic: a few in each data centre, and there those that are much weaker than the strongest
+/// one only if the others do not suffice. If the strength of any daemon is unknown, strengths are ignored, as daemons of earlier
+/// versions do. The result depends only on the set of daemons, so all daemons that know the same set compute the same group. A small group keeps its connections to leafs in use and has more
 /// information about the leafs' queues.
 std::vector<serving_daemon> chooseServingGroup(std::vector<serving_daemon> const&);
 
--- a/Libraries/zinnialedge/membership/member.cpp
+++ b/Libraries/zinnialedge/membership/member.cpp
@@ -35,10 +35,12 @@
     // Field headers, string lengths and numbers of a record.
     static constexpr std::size_t fixedBytes = 30;
     static constexpr std::size_t fixedEndpointBytes = 32;
+    // Field header and an eight-byte number.
+    static constexpr std::size_t strengthBytes = 9;
     auto const& record = update.record;
     if (!isSelfDeclared(update.status))
         return fixedBytes + record.name.size();
-    return fixedBytes + fixedEndpointBytes + record.name.size() + record.partner.size() + record.region.size()
+    return fixedBytes + fixedEndpointBytes + (update.strength ? strengthBytes : 0) + record.name.size() + record.partner.size() + record.region.size()
         + record.dataCentre.size() + record.callerEndpoint.address.size() + record.peerEndpoint.address.size();
 }
 
--- a/Libraries/zinnialedge/membership/member.h
+++ b/Libraries/zinnialedge/membership/member.h
@@ -2,6 +2,7 @@
 
 #include "Libraries/zinnialedge/membership/daemon_record.h"
 #include <cstdint>
+#include <optional>
 
 namespace zinnialedge::membership {
 
@@ -26,6 +27,8 @@
     member_status status { member_status::joining };
     /// False while the member declares that it has lost its links to all leafs.
     bool reachesLeafs { true };
+    /// Processor share of the member's VM, in cores. Empty when the member does not tell it.
+    std::optional<double> strength {};
 
     auto operator<=>(member_update const&) const = default;
 };
--- a/Libraries/zinnialedge/membership/member_table.cpp
+++ b/Libraries/zinnialedge/membership/member_table.cpp
@@ -60,9 +60,9 @@
     bool const wasLive = isLive(name);
     auto& member = m_members[name];
     auto record = isSelfDeclared(update.status) ? update.record : member.record;
-    // What other members report says nothing about the member's links.
-    bool const reachesLeafs = isSelfDeclared(update.status) ? update.reachesLeafs : member.reachesLeafs;
-    member = { std::move(record), update.version, update.status, reachesLeafs };
+    // What other members report says nothing about the member's links and strength.
+    auto const& declared = isSelfDeclared(update.status) ? update : member;
+    member = { std::move(record), update.version, update.status, declared.reachesLeafs, declared.strength };
     if (update.status == member_status::dead) {
         m_deadNames.insert(name);
         m_namesByDeathTime.emplace(now, name);
--- a/Libraries/zinnialedge/membership/membership_engine.cpp
+++ b/Libraries/zinnialedge/membership/membership_engine.cpp
@@ -30,7 +30,7 @@
 membership_engine::membership_engine(membership_settings settings, kernel::random_hook random)
     : m_settings(std::move(settings))
     , m_random(random)
-    , m_self { m_settings.self, 1, member_status::joining }
+    , m_self { .record = m_settings.self, .version = 1, .status = member_status::joining, .strength = m_settings.strength }
     , m_members(std::move(random))
 {
 }
--- a/Libraries/zinnialedge/membership/membership_engine.h
+++ b/Libraries/zinnialedge/membership/membership_engine.h
@@ -10,6 +10,8 @@
 
 struct membership_settings {
     daemon_record self;
+    /// Processor share of this VM, in cores, if known.
+    std::optional<double> strength {};
     /// Endpoints to contact when few members are known.
     std::vector<model::endpoint> seeds;
     /// Interval in which one member is probed.
--- a/Libraries/zinnialedge/wire/membership_codec.cpp
+++ b/Libraries/zinnialedge/wire/membership_codec.cpp
@@ -4,6 +4,7 @@
 #include "Libraries/zinnialedge/wire/generated/peer_messages_types.h"
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
+#include <cmath>
 
 namespace zinnialedge::wire {
 
@@ -36,6 +37,8 @@
     encoded.__set_callers(toThrift(update.record.callerEndpoint));
     encoded.__set_peers(toThrift(update.record.peerEndpoint));
     encoded.__set_reachesNoLeafs(!update.reachesLeafs);
+    if (update.strength)
+        encoded.__set_strength(*update.strength);
     return encoded;
 }
 
@@ -107,6 +110,9 @@
     update.record.callerEndpoint = *callers;
     update.record.peerEndpoint = *peers;
     update.reachesLeafs = !encoded.reachesNoLeafs;
+    // A value that cannot be a processor share counts as unknown: it must not exclude the other daemons from the group.
+    if (encoded.__isset.strength && std::isfinite(encoded.strength) && encoded.strength > 0)
+        update.strength = encoded.strength;
     update.record.isLeaving = update.status == member_status::leaving;
     return update;
 }
--- a/Libraries/zinnialedge/wire/peer_messages.thrift
+++ b/Libraries/zinnialedge/wire/peer_messages.thrift
@@ -98,6 +98,8 @@
     9: optional Place peers;
     /// True while the member has lost its links to all leafs.
     10: bool reachesNoLeafs;
+    /// Processor share of the member's VM, in cores. Missing when the member does not know it or is of an earlier version.
+    11: optional double strength;
 }
 
 /// Loss of a leaf while it ran a request. Times are ages at the time of sending.
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -56,7 +56,7 @@
         if (auto const era = m_protocol.parseEra(reply))
             handleStoreEra(*era); })
     , m_registrationLink(m_workerThread.context(), m_settings.storeEndpoint, m_protocol, m_storeBudget, [this](std::uint64_t era) { handleStoreEra(era); })
-    , m_membershipLink(m_workerThread.context(), { .self = makeDaemonRecord(), .seeds = m_settings.seeds }, { [this] { handleMembersChanged(); }, [this](model::endpoint const& endpoint) { requestSnapshot(endpoint); }, [this](std::vector<quarantine::suspect> const& suspects) { sendToTraffic(traffic::suspects_told { suspects }); } })
+    , m_membershipLink(m_workerThread.context(), { .self = makeDaemonRecord(), .strength = m_settings.strength, .seeds = m_settings.seeds }, { [this] { handleMembersChanged(); }, [this](model::endpoint const& endpoint) { requestSnapshot(endpoint); }, [this](std::vector<quarantine::suspect> const& suspects) { sendToTraffic(traffic::suspects_told { suspects }); } })
     , m_periodicTimer(m_workerThread.context())
     , m_random(kernel::makeRandom())
 {
@@ -339,12 +339,12 @@
 {
     std::vector<zinnialedge::fleet::serving_daemon> daemons;
     if (m_isServing && !m_isLeaving)
-        daemons.push_back({ m_settings.name, m_settings.dataCentre, m_settings.callerEndpoint, m_reachesLeafs });
+        daemons.push_back({ m_settings.name, m_settings.dataCentre, m_settings.callerEndpoint, m_reachesLeafs, m_settings.strength });
     for (auto const& [name, member] : m_membershipLink.engine().members().members()) {
         // A restarted daemon counts as two members until its earlier incarnation is declared dead.
         bool const isKnown = std::any_of(daemons.begin(), daemons.end(), [&](auto const& each) { return each.place == member.record.callerEndpoint; });
         if (member.status == member_status::serving && !isKnown)
-            daemons.push_back({ name.substr(0, name.rfind('.')), member.record.dataCentre, member.record.callerEndpoint, member.reachesLeafs });
+            daemons.push_back({ name.substr(0, name.rfind('.')), member.record.dataCentre, member.record.callerEndpoint, member.reachesLeafs, member.strength });
     }
     return daemons;
 }
@@ -475,7 +475,7 @@
     return m_workerThread.post([this, receiver = std::move(receiver)] {
         boost::json::array members;
         for (auto const& [name, member] : m_membershipLink.engine().members().members())
-            members.push_back({ { "name", name }, { "status", membership::toString(member.status) }, { "reaches_leafs", member.reachesLeafs }, { "callers", toString(member.record.callerEndpoint) } });
+            members.push_back({ { "name", name }, { "status", membership::toString(member.status) }, { "reaches_leafs", member.reachesLeafs }, { "strength", member.strength.value_or(0) }, { "callers", toString(member.record.callerEndpoint) } });
         boost::json::object const state {
             { "serving", m_isServing },
             { "leaving", m_isLeaving },
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -33,6 +33,8 @@
     std::vector<model::endpoint> seeds;
     /// Time for which callers may use a directory answer.
     std::chrono::milliseconds directoryValidity { 1000 };
+    /// Processor share of this VM in cores, if known. Strong daemons carry the traffic.
+    std::optional<double> strength {};
 };
 
 /// Settings that may change while a daemon runs.
--- a/Tests/Support/membership_network.cpp
+++ b/Tests/Support/membership_network.cpp
@@ -22,10 +22,11 @@
     return static_cast<double>(m_random() >> 11U) * 0x1.0p-53;
 }
 
-membership_network::node& membership_network::start(std::string const& name, std::uint16_t index, std::vector<std::uint16_t> const& seeds, std::string const& dataCentre)
+membership_network::node& membership_network::start(std::string const& name, std::uint16_t index, std::vector<std::uint16_t> const& seeds, std::string const& dataCentre, std::optional<double> strength)
 {
     membership_settings settings;
     settings.self = { name, "suva", "suva", dataCentre, ++m_lastIncarnation, { "10.0.0.1", index }, endpointOf(index), false };
+    settings.strength = strength;
     for (auto const seed : seeds)
         settings.seeds.push_back(endpointOf(seed));
     auto& startedNode = m_nodes[index];
--- a/Tests/Support/membership_network.h
+++ b/Tests/Support/membership_network.h
@@ -28,7 +28,7 @@
     explicit membership_network(std::uint64_t seed);
 
     /// Starts a daemon with that name, at the endpoint that belongs to the index. Replaces an earlier daemon of the index.
-    node& start(std::string const& name, std::uint16_t index, std::vector<std::uint16_t> const& seeds, std::string const& dataCentre = "suva-a");
+    node& start(std::string const& name, std::uint16_t index, std::vector<std::uint16_t> const& seeds, std::string const& dataCentre = "suva-a", std::optional<double> strength = std::nullopt);
     node& at(std::uint16_t index) { return m_nodes.at(index); }
     std::map<std::uint16_t, node>& nodes() { return m_nodes; }
     /// Passes an event to the engine of a node and performs the resulting actions.
--- a/Tests/Unit/directory_choice_test.cpp
+++ b/Tests/Unit/directory_choice_test.cpp
@@ -15,6 +15,14 @@
     return daemons;
 }
 
+static std::vector<model::endpoint> endpointsOf(std::vector<serving_daemon> const& daemons)
+{
+    std::vector<model::endpoint> endpoints;
+    for (auto const& each : daemons)
+        endpoints.push_back(each.place);
+    return endpoints;
+}
+
 TEST_GROUP(DirectoryChoice) {};
 
 TEST(DirectoryChoice, LargeFleetUsesTwoDaemonsPerDataCentre)
@@ -80,6 +88,40 @@
     CHECK(std::all_of(daemons.begin(), daemons.end(), [&](auto const& each) { return each.reachesLeafs || std::find(endpoints.begin(), endpoints.end(), each.place) == endpoints.end(); }));
 }
 
+// Guards against: VMs with a fraction of the others' processor share carry the traffic of a data centre.
+TEST(DirectoryChoice, MuchWeakerDaemonsServeOnlyWithoutEnoughStrongOnes)
+{
+    auto daemons = makeDaemons(16);
+    for (auto& each : daemons)
+        each.strength = 0.12;
+    auto const weakGroup = fleet::chooseServingGroup(daemons);
+    CHECK(endpointsOf(weakGroup) == endpointsOf(fleet::chooseServingGroup(makeDaemons(16))));
+    std::erase_if(daemons, [&](auto const& each) { return each.place == weakGroup.front().place; });
+    // Three strong daemons in "a" of different strength, one in "b".
+    auto const strengthOf = [](std::string const& name) { return name == "a3" || name == "b5" ? 0.5 : name == "a7" ? 0.3
+                                                              : name == "a9"                                       ? 0.25
+                                                                                                                   : 0.12; };
+    for (auto& each : daemons)
+        each.strength = strengthOf(each.name);
+    for (auto const& each : fleet::chooseServingGroup(daemons))
+        CHECK(each.dataCentre == "b" || strengthOf(each.name) > 0.12);
+    auto const group = fleet::chooseServingGroup(daemons);
+    LONGS_EQUAL(4, group.size());
+    CHECK(std::any_of(group.begin(), group.end(), [](auto const& each) { return each.name == "b5"; }));
+}
+
+// Guards against: builds that know strengths and builds that do not choose different groups while VMs are replaced.
+TEST(DirectoryChoice, OneUnknownStrengthMakesAllStrengthsIgnored)
+{
+    auto daemons = makeDaemons(16);
+    auto const group = endpointsOf(fleet::chooseServingGroup(daemons));
+    for (auto& each : daemons)
+        each.strength = std::find(group.begin(), group.end(), each.place) == group.end() ? 0.5 : 0.12;
+    CHECK(endpointsOf(fleet::chooseServingGroup(daemons)) != group);
+    daemons.back().strength.reset();
+    CHECK(endpointsOf(fleet::chooseServingGroup(daemons)) == group);
+}
+
 // Guards against: callers are left without any address when all daemons have lost their leafs.
 TEST(DirectoryChoice, AllDaemonsAreListedWhenNoneReachesLeafs)
 {
--- a/Tests/Unit/edge_settings_test.cpp
+++ b/Tests/Unit/edge_settings_test.cpp
@@ -23,6 +23,26 @@
     CHECK(configuration::compareSettings(after, after) == configuration::edge_settings_change {});
 }
 
+// Guards against: a capacity that no VM can have excludes the other daemons of the data centre from the serving group.
+TEST(EdgeSettings, CapacityIsOptionalAndChecked)
+{
+    auto const problemsOf = [](std::string const& capacity) {
+        std::string joinedProblems;
+        auto const settings = configuration::parseEdgeSettings("{" + capacity + "}");
+        for (auto const& problem : settings.error())
+            joinedProblems += problem + "\n";
+        return joinedProblems;
+    };
+    CHECK(problemsOf("").find("capacity") == std::string::npos);
+    CHECK(problemsOf(R"("capacity": { "processor": 0.12, "link_mbps": 25 })").find("capacity") == std::string::npos);
+    CHECK(problemsOf(R"("capacity": { "processor": 0, "link_mbps": 25 })").find("capacity.processor") != std::string::npos);
+    CHECK(problemsOf(R"("capacity": { "processor": 0.5 })").find("capacity.link_mbps") != std::string::npos);
+    edge_settings const before;
+    edge_settings after;
+    after.capacity = configuration::vm_capacity { 0.5, 200 };
+    CHECK(configuration::compareSettings(before, after).appliedAtNextStart == (std::vector<std::string> { "capacity" }));
+}
+
 TEST(EdgeSettings, AllInvalidFieldsAreReportedTogether)
 {
     auto const settings = configuration::parseEdgeSettings(R"({ "name": 3, "extra_calls": { "ratio": 2, "window_s": 10, "slack": 50 }, "store_rates": { "reads_per_s": 0 } })");
--- a/Tests/Unit/membership_test.cpp
+++ b/Tests/Unit/membership_test.cpp
@@ -2,6 +2,7 @@
 #include "Tests/Support/membership_network.h"
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <limits>
 
 using namespace zinnialedge;
 using namespace zinnialedge::membership;
@@ -193,7 +194,7 @@
 TEST(Membership, DatagramsStayWithinSizeLimit)
 {
     datagram content;
-    content.sender = network.start("d1", 1, {}).engine->self();
+    content.sender = network.start("d1", 1, {}, "suva-a", 0.12).engine->self();
     for (std::uint16_t index = 2; index < 200; ++index) {
         auto update = content.sender;
         update.record.name = "a-daemon-of-a-longer-name-" + std::to_string(index);
@@ -218,6 +219,40 @@
     CHECK(!wire::decodeDatagram({}).has_value());
 }
 
+// Guards against: the size of the strength is missing in the bound, and full datagrams exceed their limit.
+TEST(Membership, BoundOfUpdateSizeCoversTheStrength)
+{
+    member_update update;
+    update.record = { "d", "", "", "", 1, { "::", 65535 }, { "::", 65535 }, false };
+    datagram content { .sender = update, .updates = { update } };
+    auto const bytesWithout = wire::encodeDatagram(content).size();
+    auto const boundWithout = maximumEncodedBytes(update);
+    content.updates.front().strength = 0.12;
+    auto const added = wire::encodeDatagram(content).size() - bytesWithout;
+    CHECK(added > 0);
+    CHECK(added <= maximumEncodedBytes(content.updates.front()) - boundWithout);
+}
+
+// Guards against: an unknown strength is read as zero, and a suspicion makes a known strength unknown, which changes the serving group.
+TEST(Membership, StrengthReachesOthersAndOutlastsSuspicion)
+{
+    for (std::uint16_t index = 1; index <= 3; ++index)
+        network.start(nameOf(index), index, { 1, 2 }, "suva-a", index == 3 ? std::nullopt : std::optional { 0.25 * index });
+    CHECK(network.runUntil([&] { return allServing(); }, 20s).has_value());
+    auto const strengthOf = [&](int index) { return network.at(1).engine->members().find(nameOf(index))->strength; };
+    CHECK(strengthOf(2) == 0.5);
+    CHECK(strengthOf(3) == std::nullopt);
+    network.at(2).isFrozen = true;
+    CHECK(network.runUntil([&] { return network.allNodesReport(nameOf(2), member_status::suspect); }, 10s).has_value());
+    CHECK(strengthOf(2) == 0.5);
+    // A strength that is not a processor share is unknown.
+    for (auto const invalid : { 0.0, -1.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity() }) {
+        auto sender = network.at(2).engine->self();
+        sender.strength = invalid;
+        CHECK(wire::decodeDatagram(wire::encodeDatagram({ .sender = sender })).value().sender.strength == std::nullopt);
+    }
+}
+
 // Guards against daemons that do not hear which requests end leafs: far away ones, and ones that start or come back later.
 TEST(Membership, SuspectsReachEveryDaemonWithinASecond)
 {
