Membership: Test that a suspicion keeps the strength that the member told

The first version of the test let a member be suspected by its observer, whose own record still had the strength, and passed with the strength dropped. It now delivers the suspicion of another daemon. Seen to fail with the strength taken from the suspicion.

--- a/Tests/Unit/membership_test.cpp
+++ b/Tests/Unit/membership_test.cpp
@@ -242,8 +242,11 @@
     auto const strengthOf = [&](int index) { return network.at(1).engine->members().find(nameOf(index))->strength; };
     CHECK(strengthOf(2) == 0.5);
     CHECK(strengthOf(3) == std::nullopt);
-    network.at(2).isFrozen = true;
-    CHECK(network.runUntil([&] { return network.allNodesReport(nameOf(2), member_status::suspect); }, 10s).has_value());
+    auto suspicion = network.at(2).engine->self();
+    suspicion.status = member_status::suspect;
+    suspicion.strength.reset();
+    network.give(1, datagram_received { membership_network::endpointOf(3), { .sender = network.at(3).engine->self(), .updates = { suspicion } } });
+    CHECK(network.at(1).engine->members().find(nameOf(2))->status == member_status::suspect);
     CHECK(strengthOf(2) == 0.5);
     // A strength that is not a processor share is unknown.
     for (auto const invalid : { 0.0, -1.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity() }) {
