Kernel: Escape label values of metrics

Cause: label values were written as they are. Names of tenants come from the configuration and become label values; a quote or a line break in one would have made the whole page of metrics unreadable. Change: backslashes, quotes and line breaks are escaped as the text format requires. Result: MetricsText.LabelValuesAreEscaped passes.

--- a/Kernel/metrics_text.cpp
+++ b/Kernel/metrics_text.cpp
@@ -9,6 +9,22 @@
     m_text << "# TYPE " << prefix << name << " " << type << "\n";
 }
 
+/// Escapes a label value as the text format requires.
+static std::string escapeLabelValue(std::string_view value)
+{
+    std::string escaped;
+    for (auto const character : value) {
+        if (character == '\n') {
+            escaped += "\\n";
+            continue;
+        }
+        if (character == '\\' || character == '"')
+            escaped += '\\';
+        escaped += character;
+    }
+    return escaped;
+}
+
 void metrics_text::counter(std::string_view name, std::uint64_t value)
 {
     writeType(name, "counter");
@@ -19,7 +35,7 @@
 {
     writeType(name, "counter");
     for (auto const& [labelValue, value] : values)
-        m_text << prefix << name << "{" << label << "=\"" << labelValue << "\"} " << value << "\n";
+        m_text << prefix << name << "{" << label << "=\"" << escapeLabelValue(labelValue) << "\"} " << value << "\n";
 }
 
 void metrics_text::gauge(std::string_view name, std::uint64_t value)
--- a/Tests/Unit/metrics_text_test.cpp
+++ b/Tests/Unit/metrics_text_test.cpp
@@ -17,3 +17,11 @@
         "# TYPE zinnialedge_store_calls_total counter\nzinnialedge_store_calls_total{kind=\"routes\"} 1\nzinnialedge_store_calls_total{kind=\"leafs\"} 2\n",
         metrics.text().c_str());
 }
+
+// Guards against: a name from the configuration with a quote or a line break makes all metrics of the daemon unreadable.
+TEST(MetricsText, LabelValuesAreEscaped)
+{
+    kernel::metrics_text metrics;
+    metrics.counter("tenant_requests_total", "tenant", { { "a\"b\\c\nd", 1 } });
+    CHECK(metrics.text().ends_with("{tenant=\"a\\\"b\\\\c\\nd\"} 1\n"));
+}
