Forwarding: Authenticate callers' requests by access key

Cause: configurations may declare tenants with access keys, and the daemon forwarded the key to leafs and served everybody. Change: the platform's header parser keeps the key apart from the forwarded headers and drops a caller's tenant header. When a request arrives, after its route is known and before anything else, request_engine::resolveAccess looks its only key up, sets the tenant's name and drops the key, or answers 401. Without tenants the key goes on as an ordinary header. The name goes to leafs with each call, and to other daemons in X-Relay-Tenant; these ask for no key, and reject a request without a name like one of another version, so that daemons whose configurations differ never answer a caller with 401. The relay port takes keys and tenant headers out as well, since daemons of the previous build, and daemons without tenants, pass them on.

--- a/Libraries/zinnialedge/forwarding/edge_protocol.h
+++ b/Libraries/zinnialedge/forwarding/edge_protocol.h
@@ -15,6 +15,9 @@
     std::function<bool(std::string_view name, std::string_view value, leaf_reply&)> parseReplyHeader;
     /// Appends the header lines that an answer has in addition to those of the leaf's reply.
     std::function<void(final_answer const&, std::string& lines)> writeAnswerHeaders;
+    /// Parses a header that concerns the identity of callers; `parseRequestHeader` does so as well. Returns false when the header must
+    /// not be forwarded to leafs.
+    std::function<bool(std::string_view name, std::string_view value, caller_request&)> parseAccessHeader {};
 };
 
 /// Returns true for hop-by-hop headers, which apply to a single connection.
--- a/Libraries/zinnialedge/forwarding/engine_interface.h
+++ b/Libraries/zinnialedge/forwarding/engine_interface.h
@@ -55,6 +55,8 @@
     std::string detour;
     /// True when another daemon passed on the complete request.
     bool isForOtherDaemon { false };
+    /// Name of the tenant; empty when the request has none.
+    std::string_view tenant {};
 };
 
 /// A change of what this daemon believes of its links to the leafs.
@@ -175,6 +177,8 @@
     std::uint64_t rejectionsForLostLinks { 0 };
     /// Number of requests rejected because of the request limits of leafs.
     std::uint64_t rejectionsForLimits { 0 };
+    /// Number of requests rejected because they had no valid access key.
+    std::uint64_t rejectionsForKey { 0 };
 };
 
 }
--- a/Libraries/zinnialedge/forwarding/relay_protocol.cpp
+++ b/Libraries/zinnialedge/forwarding/relay_protocol.cpp
@@ -15,6 +15,8 @@
 static constexpr std::string_view answerWithinHeader = "X-Relay-Answer-Within-Ms";
 static constexpr std::string_view latestAnswerHeader = "X-Relay-Latest-Answer-Ms";
 static constexpr std::string_view versionHeader = "X-Relay-Version";
+/// Header with the name of the tenant, whose access key the sender has checked.
+static constexpr std::string_view tenantHeader = "X-Relay-Tenant";
 /// Header with comma-separated indices of shards in the route's list of shards.
 static constexpr std::string_view shardsHeader = "X-Relay-Shards";
 static constexpr std::string_view sealsHeader = "X-Relay-Seals";
@@ -169,6 +171,8 @@
         request.attemptId = std::string { value };
     else if (iequals(name, patienceHeader))
         request.timeLimit = std::chrono::milliseconds { parseNumber<std::int64_t>(value) };
+    else if (iequals(name, tenantHeader))
+        request.tenant = std::string { value };
     else if (parseDetourHeader(name, value, detoured))
         request.detoured = detoured;
     else if (parseRelayHeader(name, value, relayed))
@@ -181,6 +185,8 @@
     appendHeader(lines, attemptHeader, call.request->attemptId);
     if (left)
         appendHeader(lines, patienceHeader, std::to_string(left->count()));
+    if (!call.request->tenant.empty())
+        appendHeader(lines, tenantHeader, call.request->tenant);
     if (call.detoured) {
         appendHeader(lines, minimumVersionHeader, std::to_string(call.detoured->minimumVersion));
         appendHeader(lines, objectiveHeader, std::to_string(call.detoured->objectiveLeft.count()));
@@ -270,9 +276,12 @@
         appendHeader(lines, limitsHeader, formatLeafLimits(answer.leafLimits));
 }
 
-edge_protocol makeRelayProtocol()
+edge_protocol makeRelayProtocol(decltype(edge_protocol::parseAccessHeader) parseAccessHeader)
 {
-    return { parseRequestHeader, writeCallHeaders, parseReplyHeader, writeAnswerHeaders };
+    auto const parseAnyRequestHeader = [parseAccessHeader](std::string_view name, std::string_view value, caller_request& request) {
+        return parseRequestHeader(name, value, request) && (!parseAccessHeader || parseAccessHeader(name, value, request));
+    };
+    return { parseAnyRequestHeader, writeCallHeaders, parseReplyHeader, writeAnswerHeaders, parseAccessHeader };
 }
 
 }
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -46,6 +46,7 @@
         return;
     m_routes = std::move(routes);
     m_leafs.setConnectionSharing(m_routes, m_fleetShare.daemonsSharingConnections);
+    m_tenantCounts.removeUndeclared([this](std::string const& name) { return m_routes->tenantNamed(name) != nullptr; });
     dispatchAllQueuedParts(now);
 }
 
@@ -110,17 +111,6 @@
     return answer;
 }
 
-void request_engine::reject(request_token token, caller_request const& request, final_answer answer)
-{
-    ++m_counters.rejections;
-    answer.isForDetour = request.detoured.has_value();
-    answer.attemptId = request.attemptId;
-    static std::string const noRoute;
-    if (m_hooks.reportRequest && !request.relayed)
-        m_hooks.reportRequest({ .attemptId = request.attemptId, .route = noRoute, .version = m_routes ? m_routes->version() : 0, .status = answer.status, .reason = answer.reason, .retryAfter = answer.error->retryAfter });
-    m_hooks.sendAnswer(token, std::move(answer));
-}
-
 static std::string_view requestPath(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -150,8 +140,10 @@
         reject(token, request, makeRejection(errors::error_kind::unknown_route, "no_route", {}));
         return;
     }
+    if (!resolveAccess(token, request, *to))
+        return;
     if (m_requests.size() >= m_settings.capacity) {
-        reject(token, request, makeRejection(errors::error_kind::overloaded, "at_capacity", atCapacityRetryAfter));
+        reject(token, request, makeRejection(errors::error_kind::overloaded, "at_capacity", atCapacityRetryAfter), to);
         return;
     }
     auto* const created = createRequest(token, std::move(request), *to, now);
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Libraries/zinnialedge/access/tenant_counts.h"
 #include "Libraries/zinnialedge/forwarding/active_request.h"
 #include "Libraries/zinnialedge/forwarding/engine_interface.h"
 #include "Libraries/zinnialedge/forwarding/extra_call_budget.h"
@@ -45,6 +46,7 @@
     std::optional<kernel::time_point> nextTimerTime() const;
 
     engine_counters const& counters() const { return m_counters; }
+    access::tenant_counts const& tenantCounts() const { return m_tenantCounts; }
     std::size_t requestsInFlight() const { return m_requests.size(); }
     std::size_t callsInFlight() const { return m_calls.size(); }
     leaf_roster const& leafs() const { return m_leafs; }
@@ -152,7 +154,11 @@
     };
 
     // Arrival.
-    void reject(request_token, caller_request const&, final_answer);
+    /// Rejects a request that has not been created yet. `to` is null when no route is known.
+    void reject(request_token, caller_request const&, final_answer, route const* to = nullptr);
+    /// Sets the tenant of a request by its access key and removes the key. Returns whether the request may go on; otherwise the request
+    /// has been rejected.
+    bool resolveAccess(request_token, caller_request&, route const& to);
     final_answer makeRejection(errors::error_kind, std::string reason, kernel::duration retryAfter);
     std::string const& chooseService(route const&);
     void makeParts(active_request&, kernel::time_point now);
@@ -353,6 +359,7 @@
     /// Moving average of the share of extra calls that the budget denied.
     double m_deniedExtraCallShare { 0 };
     engine_counters m_counters;
+    access::tenant_counts m_tenantCounts;
 };
 
 }
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -493,6 +493,7 @@
         .admissionLimit = admission ? admission->limit() : 0,
         .detour = request.detour ? toString(request.detour->calledDaemons.back()) : std::string {},
         .isForOtherDaemon = request.request->detoured.has_value(),
+        .tenant = request.request->tenant,
     });
 }
 
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -42,7 +42,7 @@
         , m_settings(std::move(settings))
         , m_edgeProtocol(std::move(protocol))
         , m_requestsInFlight(inFlight)
-        , m_relayProtocol(forwarding::makeRelayProtocol())
+        , m_relayProtocol(forwarding::makeRelayProtocol(m_edgeProtocol.parseAccessHeader))
         , m_callerAcceptor(context)
         , m_relayAcceptor(context)
         , m_engineTimer(context)
--- a/Tests/Support/engine_harness.cpp
+++ b/Tests/Support/engine_harness.cpp
@@ -55,9 +55,9 @@
     return declaredRoute;
 }
 
-void engine_harness::declare(std::uint64_t version, std::vector<route> routes)
+void engine_harness::declare(std::uint64_t version, std::vector<route> routes, std::vector<tenant> tenants)
 {
-    engine.setRoutes(std::make_shared<route_table const>(route_declarations { version, std::move(routes), {}, {} }), m_now);
+    engine.setRoutes(std::make_shared<route_table const>(route_declarations { version, std::move(routes), {}, {}, std::move(tenants) }), m_now);
 }
 
 void engine_harness::registerLeafs(std::vector<std::string> const& services, std::size_t perService)
@@ -103,20 +103,21 @@
 
 request_token engine_harness::arrive(std::string const& path, std::chrono::milliseconds timeout)
 {
-    return submitRequest(path, timeout, std::nullopt);
+    return arriveChanged(
+        path, [](auto&) { }, timeout);
 }
 
 request_token engine_harness::sendRelayedRequest(std::string const& path, relayed_request relayed)
 {
-    return submitRequest(path, std::chrono::milliseconds { 1500 }, std::move(relayed));
+    return arriveChanged(path, [&](auto& request) { request.relayed = std::move(relayed); });
 }
 
 request_token engine_harness::sendDetouredRequest(std::string const& path, detoured_request detoured)
 {
-    return submitRequest(path, std::chrono::milliseconds { 1500 }, std::nullopt, detoured);
+    return arriveChanged(path, [&](auto& request) { request.detoured = detoured; });
 }
 
-request_token engine_harness::submitRequest(std::string const& path, std::chrono::milliseconds timeout, std::optional<relayed_request> relayed, std::optional<detoured_request> detoured)
+request_token engine_harness::arriveChanged(std::string const& path, request_change const& change, std::chrono::milliseconds timeout)
 {
     caller_request request;
     request.method = "GET";
@@ -125,8 +126,7 @@
     request.attemptId = "attempt-" + std::to_string(m_lastToken + 1);
     request.timeLimit = timeout;
     request.roundTripTime = m_transitTime;
-    request.relayed = std::move(relayed);
-    request.detoured = detoured;
+    change(request);
     engine.handleRequest(++m_lastToken, std::move(request), m_now);
     return m_lastToken;
 }
--- a/Tests/Support/engine_harness.h
+++ b/Tests/Support/engine_harness.h
@@ -9,6 +9,8 @@
 /// A request engine on virtual time. The test takes the part of the callers and of the leafs.
 class engine_harness {
 public:
+    using request_change = std::function<void(forwarding::caller_request&)>;
+
     explicit engine_harness(forwarding::engine_settings = defaultSettings());
 
     static forwarding::engine_settings defaultSettings();
@@ -17,7 +19,7 @@
     /// Returns a route "/gather/" over `shards` shards with the names shard0, shard1 and so on.
     static forwarding::route gatherRoute(std::size_t shards, double minimumCoverage);
 
-    void declare(std::uint64_t version, std::vector<forwarding::route>);
+    void declare(std::uint64_t version, std::vector<forwarding::route>, std::vector<forwarding::tenant> tenants = {});
     /// Registers `perService` leafs of each service with the names SERVICE/0, SERVICE/1 and so on. Only the first leaf of a
     /// service is in the local data centre.
     void registerLeafs(std::vector<std::string> const& services, std::size_t perService);
@@ -28,6 +30,8 @@
     void setTransitTime(std::optional<kernel::duration> transit) { m_transitTime = transit; }
     /// Passes a GET request to the engine as if a caller had sent the request.
     forwarding::request_token arrive(std::string const& path, std::chrono::milliseconds timeout = std::chrono::milliseconds { 1500 });
+    /// Passes a GET request to the engine after `change` has been applied to it.
+    forwarding::request_token arriveChanged(std::string const& path, request_change const& change, std::chrono::milliseconds timeout = std::chrono::milliseconds { 1500 });
     /// Passes a request to the engine as if another daemon had relayed the request for some of the shards.
     forwarding::request_token sendRelayedRequest(std::string const& path, forwarding::relayed_request);
     /// Passes a request to the engine as if another daemon had passed on the complete request.
@@ -55,7 +59,6 @@
 
 private:
     forwarding::engine_hooks makeHooks();
-    forwarding::request_token submitRequest(std::string const& path, std::chrono::milliseconds timeout, std::optional<forwarding::relayed_request>, std::optional<forwarding::detoured_request> = std::nullopt);
     void answerProbes();
 
     std::optional<kernel::duration> m_transitTime;
