Forwarding: Order requests by the tenant's priority

Cause: a tenant's declared priority had no effect; admission and the queues of parts knew only the route's. Change: active_request::priority() has the tenant's priority, or the route's if it has none, in its upper half and the route's in the lower one; values above 16 bits count as the least urgent. Without tenants the order is the same as before. Result: two more tests of the group Access pass. With the route's priority in admission, or in the queue of parts, RequestsOfUrgentTenantsLeaveTheQueuesFirst fails.

--- a/Libraries/zinnialedge/forwarding/active_request.cpp
+++ b/Libraries/zinnialedge/forwarding/active_request.cpp
@@ -8,6 +8,16 @@
 /// Tolerance for comparisons with a minimum coverage, whose decimal fraction has no exact binary representation.
 static constexpr double coverageTolerance = 1e-9;
 
+std::uint32_t active_request::priority() const
+{
+    static constexpr std::uint32_t bitsPerPriority = 16;
+    // Greater declared values count as the least urgent one.
+    static constexpr std::uint32_t leastUrgent = (1U << bitsPerPriority) - 1;
+    auto const ofRoute = std::min(matchedRoute->priority, leastUrgent);
+    auto const ofTenant = matchedTenant && matchedTenant->priority ? std::min(*matchedTenant->priority, leastUrgent) : ofRoute;
+    return (ofTenant << bitsPerPriority) | ofRoute;
+}
+
 bool active_request::mayHaveRun() const
 {
     return (detour && detour->mayHaveRun) || std::any_of(parts.begin(), parts.end(), [](auto const& part) { return part.mayHaveRun(); });
--- a/Libraries/zinnialedge/forwarding/active_request.h
+++ b/Libraries/zinnialedge/forwarding/active_request.h
@@ -80,6 +80,8 @@
     /// Route table under which the request arrived; owns the route that `matchedRoute` points to.
     route_table_pointer table;
     route const* matchedRoute { nullptr };
+    /// Tenant of the request in `table`, which owns it; null when the request has none or the table does not declare it.
+    tenant const* matchedTenant { nullptr };
     kernel::time_point arrivedAt;
     /// Time at which the first leaf call was sent; later than the arrival when the request was queued.
     kernel::time_point startedAt;
@@ -111,6 +113,9 @@
     /// True when many shards had not replied by the objective, which means that their leafs do not keep up.
     bool wasCongested { false };
 
+    /// Returns the tenant's priority, or the route's if the tenant has none, in the upper 16 bits and the route's in the lower 16 bits;
+    /// 0 is the most urgent.
+    std::uint32_t priority() const;
     bool isRelayed() const { return request->relayed.has_value(); }
     /// Returns whether another daemon has sent the request, for some shards or as a whole.
     bool isFromDaemon() const { return isRelayed() || request->detoured; }
--- a/Libraries/zinnialedge/forwarding/request_admission.cpp
+++ b/Libraries/zinnialedge/forwarding/request_admission.cpp
@@ -90,7 +90,7 @@
     auto& admission = admissionOf(*request.matchedRoute);
     admission.queue.setCapacityShare(unpausedCapacityShare(request, now));
     auto const latestStart = latestStartOf(request, now);
-    switch (admission.queue.arrive(request.token, request.matchedRoute->priority, latestStart, now)) {
+    switch (admission.queue.arrive(request.token, request.priority(), latestStart, now)) {
     case verdict::admit:
         request.admission = admission_state::admitted;
         return true;
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -107,7 +107,7 @@
         return;
     }
     request.parts[partIndex].isQueued = true;
-    auto const priority = request.matchedRoute->priority;
+    auto const priority = request.priority();
     auto const position = std::find_if(queue.begin(), queue.end(), [&](auto const& each) { return each.priority > priority; });
     queue.insert(position, { request.token, partIndex, priority });
     scheduleDispatch(*request.parts[partIndex].service, request.parts[partIndex].calledLeafs, now);
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -215,6 +215,7 @@
     created.token = token;
     created.table = m_routes;
     created.matchedRoute = &to;
+    created.matchedTenant = request.tenant.empty() ? nullptr : m_routes->tenantNamed(request.tenant);
     created.arrivedAt = now;
     created.startedAt = now;
     created.lastReplyAt = now;
--- a/Tests/Unit/access_test.cpp
+++ b/Tests/Unit/access_test.cpp
@@ -234,6 +234,52 @@
     STRCMP_EQUAL("", daemon.onlyCall().request->tenant.c_str());
 }
 
+// Guards against: a route's priority, or a priority of more than 16 bits, comes before the tenant's.
+TEST(Access, TenantsPriorityComesBeforeTheRoutes)
+{
+    forwarding::route matched;
+    matched.priority = 3;
+    forwarding::tenant tenant;
+    forwarding::active_request request;
+    request.matchedRoute = &matched;
+    LONGS_EQUAL(0x0003'0003, request.priority());
+    request.matchedTenant = &tenant;
+    LONGS_EQUAL(0x0003'0003, request.priority());
+    tenant.priority = 1;
+    LONGS_EQUAL(0x0001'0003, request.priority());
+    tenant.priority = 70'000;
+    matched.priority = 70'000;
+    LONGS_EQUAL(0xFFFF'FFFFU, request.priority());
+}
+
+// Guards against: requests of urgent tenants wait behind others for a free leaf, or for admission to all shards.
+TEST(Access, RequestsOfUrgentTenantsLeaveTheQueuesFirst)
+{
+    for (std::string const path : { "/single/a", "/gather/a" }) {
+        daemon_with_tenants daemon;
+        // Queries wait for their admission before the leafs of a shard have no room.
+        daemon.registerLeafs({ "desk", "shard0", "shard1", "shard2" }, path == "/single/a" ? 2 : 8);
+        std::size_t callCount = 0;
+        do {
+            callCount = daemon.openCalls().size();
+            daemon.arriveWithKeys(path, { std::string { keyOfAcme } });
+        } while (daemon.openCalls().size() > callCount);
+        daemon.arriveWithKeys(path, { "key-of-urgent" });
+        LONGS_EQUAL(callCount, daemon.openCalls().size());
+        auto const lastNumber = daemon.openCalls().back().number;
+        auto const attemptId = daemon.openCalls().front().request->attemptId;
+        for (auto const& call : daemon.openCalls()) {
+            if (call.request->attemptId == attemptId)
+                daemon.succeed(call.number);
+        }
+        daemon.pass(1ms);
+        auto const calls = daemon.openCalls();
+        auto const next = std::find_if(calls.begin(), calls.end(), [&](auto const& call) { return call.number > lastNumber; });
+        CHECK(next != calls.end());
+        STRCMP_EQUAL("urgent", next->request->tenant.c_str());
+    }
+}
+
 // Guards against: equal requests of different tenants count as different ones when they end leafs, or digests reveal keys.
 TEST(Access, DigestsDoNotDependOnTheKey)
 {
