Traffic: Show tenants in the log and in the metrics

Cause: operators could not see whose requests a daemon serves, nor that it rejects requests for their keys. Change: the outcome line of a request has the field tenant, configuration_in_force has the number of tenants, and the metrics have the requests rejected for their keys and the requests of the 20 tenants with the most requests, the others together.

--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -55,7 +55,7 @@
     if (!tryCountLine(m_requestLineCount, requestLinesPerSecond))
         return;
     logEvent(log_level::info, report.isCallerDisconnected ? "caller_left" : "request_ended",
-        { { "id", report.attemptId }, { "route", report.route }, { "version", report.version }, { "status", report.status }, { "reason", report.reason },
+        { { "id", report.attemptId }, { "route", report.route }, { "tenant", report.tenant }, { "version", report.version }, { "status", report.status }, { "reason", report.reason },
             { "parts", report.parts }, { "missing", report.missingPartCount }, { "left_out", report.skippedPartCount }, { "copies", report.hedgeCount }, { "retries", report.retryCount }, { "denied", report.deniedExtraCallCount },
             { "missing_shards", report.missingShards }, { "elapsed_ms", toMilliseconds(report.elapsed) }, { "objective_ms", report.objective.count() },
             { "retry_after_ms", report.retryAfter.value_or(std::chrono::milliseconds { 0 }).count() }, { "in_flight", report.admittedInFlight }, { "limit", report.admissionLimit }, { "detour", report.detour }, { "for_daemon", report.isForOtherDaemon ? 1 : 0 } });
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -8,6 +8,7 @@
 #include "Services/traffic/caller_connection.h"
 #include "Services/traffic/leaf_pools.h"
 #include "Services/traffic/request_log.h"
+#include "Services/traffic/tenant_metrics.h"
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -149,6 +150,8 @@
         metrics.counter("detours_failed_total", counters.detoursFailed);
         metrics.counter("detoured_requests_total", counters.detouredRequests);
         metrics.counter("refusals_for_lost_links_total", counters.rejectionsForLostLinks);
+        metrics.counter("requests_rejected_for_key_total", counters.rejectionsForKey);
+        describeTenants(m_engine.tenantCounts(), metrics);
         metrics.gauge("leaf_links_lost", m_engine.linkState() == reachability::link_state::lost ? 1 : 0);
         metrics.gauge("suspect_requests", m_engine.quarantined().size());
         metrics.gauge("quarantined_requests", m_engine.quarantined().quarantinedCount());
@@ -403,7 +406,7 @@
         m_engine.setRoutes(std::move(routes), now());
         auto const after = m_engine.routes()->version();
         if (after != before)
-            logEvent(log_level::info, "configuration_in_force", { { "version", after }, { "before", before }, { "routes", m_engine.routes()->routes().size() } });
+            logEvent(log_level::info, "configuration_in_force", { { "version", after }, { "before", before }, { "routes", m_engine.routes()->routes().size() }, { "tenants", m_engine.routes()->tenants().size() } });
     }
 
     void apply(leafs_changed&& changed) { m_engine.setLeafs(changed.leafs, now()); }
