Forwarding: Find access keys by their hashes

Cause: the table of keys was an unordered_map by the keys themselves. That of GCC 12 searches such a table key by key while it has no more than 20 entries, which is up to 20 comparisons in place of one hash, and lets the time of a lookup depend on how much of a wrong key is right. Change: keys are found by their 64-bit hashes and compared only when the hashes are equal. A key that two tenants declare belongs to the first of them; it belonged to the last before. Result: the unit tests (342) and the group EdgeAccess pass. The time of lookups was not measured.

--- a/Libraries/zinnialedge/forwarding/route_table.cpp
+++ b/Libraries/zinnialedge/forwarding/route_table.cpp
@@ -16,7 +16,7 @@
     for (auto const& each : m_declarations.tenants) {
         m_tenantsByName[each.name] = &each;
         for (auto const& key : each.accessKeys)
-            m_tenantsByKey[key] = &each;
+            m_keysByHash[std::hash<std::string_view> {}(key)].push_back({ key, &each });
     }
 }
 
@@ -49,8 +49,11 @@
 
 tenant const* route_table::findTenant(std::string_view accessKey) const
 {
-    auto const found = m_tenantsByKey.find(accessKey);
-    return found == m_tenantsByKey.end() ? nullptr : found->second;
+    auto const sameHash = m_keysByHash.find(std::hash<std::string_view> {}(accessKey));
+    if (sameHash == m_keysByHash.end())
+        return nullptr;
+    auto const found = std::find_if(sameHash->second.begin(), sameHash->second.end(), [&](auto const& each) { return each.key == accessKey; });
+    return found == sameHash->second.end() ? nullptr : found->holder;
 }
 
 tenant const* route_table::tenantNamed(std::string_view name) const
--- a/Libraries/zinnialedge/forwarding/route_table.h
+++ b/Libraries/zinnialedge/forwarding/route_table.h
@@ -47,11 +47,18 @@
     tenant const* tenantNamed(std::string_view name) const;
 
 private:
+    struct held_key {
+        std::string_view key;
+        tenant const* holder { nullptr };
+    };
+
     route_declarations m_declarations;
     /// Routes of each host, ordered by descending prefix length.
     std::unordered_map<std::string_view, std::vector<route const*>> m_routesByHost;
     std::unordered_map<std::string_view, service_rules const*> m_services;
-    std::unordered_map<std::string_view, tenant const*> m_tenantsByKey;
+    /// Access keys by their hashes. A key is compared only with keys of the same hash, so that the time of a lookup says nothing of how
+    /// much of a wrong key is right. A table by the keys themselves is searched key by key while it is small.
+    std::unordered_map<std::size_t, std::vector<held_key>> m_keysByHash;
     std::unordered_map<std::string_view, tenant const*> m_tenantsByName;
 };
 
