Fleet: Keep evacuations while the store is away and pass them on

Cause: evacuations are to be kept as last known while the store is away, to come from other daemons then, and to survive a return of the store from an older copy. A mirror merged what another daemon told, but never removed anything by it and did not take over its position, so that it could not pass it on.

Change: a mirror of objects that do not expire takes over a later state of another daemon completely. Replies of the store that are older than that state do not undo it.

--- a/Libraries/zinnialedge/fleet/object_mirror.cpp
+++ b/Libraries/zinnialedge/fleet/object_mirror.cpp
@@ -111,6 +111,17 @@
     ++m_generation;
 }
 
+void object_mirror::removeOthers(std::set<std::string> const& names, std::optional<store_position> latest, time_point now)
+{
+    std::vector<std::string> removedNames;
+    for (auto const& [name, object] : m_objects) {
+        if (!names.contains(name) && (!latest || object.position() <= *latest))
+            removedNames.push_back(name);
+    }
+    for (auto const& name : removedNames)
+        remove(name, now);
+}
+
 void object_mirror::handlePage(object_page const& page, time_point now)
 {
     recordReply(now);
@@ -138,20 +149,17 @@
 
 void object_mirror::finishListing(time_point now)
 {
-    std::vector<std::string> removedNames;
-    for (auto const& [name, object] : m_objects) {
-        if (!m_listedNames.contains(name))
-            removedNames.push_back(name);
-    }
-    for (auto const& name : removedNames)
-        remove(name, now);
+    store_position const listed { m_era, m_listAsOf };
+    // An object that another daemon has read at a later position is not missing from the store.
+    removeOthers(m_listedNames, m_settings.adoptsCompletely ? std::optional { listed } : std::nullopt, now);
     std::erase_if(m_heldObjects, [this](auto const& entry) { return !m_listedNames.contains(entry.first); });
     m_listCursor.clear();
     m_isListing = false;
     m_hasCompletedListing = true;
     // Pages may show different revisions, so the watch starts at the revision of the first page. A change that a later page
-    // already contains is harmless when the watch delivers the change again.
-    m_position = std::max(m_position, store_position { m_era, m_listAsOf });
+    // already contains is harmless when the watch delivers the change again. A listing that is older than what another daemon has read
+    // may have brought back objects, whose removal the watch then delivers.
+    m_position = m_settings.adoptsCompletely ? listed : std::max(m_position, listed);
     if (!m_settings.relistInterval)
         return;
     // The delay is random between 0.5 and 1.5 times the interval, so that daemons that started together do not list together.
@@ -165,6 +173,12 @@
     // While a listing is due, the watch began at a revision of an earlier era.
     if (!isCurrentReply(page.era, now) || m_isListing)
         return;
+    if (m_settings.adoptsCompletely && store_position { m_era, page.asOf } < m_position) {
+        // The changes lead to a state before the one that was adopted while the watch waited.
+        m_isListing = true;
+        m_nextRequestAt = now;
+        return;
+    }
     for (auto const& change : page.changes) {
         if (change.isRemoved) {
             remove(change.object.name, now);
@@ -214,6 +228,11 @@
         if (!holdIfRestored(object, true, now))
             put(object);
     }
+    if (m_settings.adoptsCompletely) {
+        removeOthers(names, std::nullopt, now);
+        m_position = position;
+        return m_generation != previousGeneration;
+    }
     for (auto const& [name, object] : m_objects) {
         if (!names.contains(name))
             m_deferredRemovals.insert(name);
--- a/Libraries/zinnialedge/fleet/object_mirror.h
+++ b/Libraries/zinnialedge/fleet/object_mirror.h
@@ -27,6 +27,9 @@
     /// Time after a return of the store for which an object that had been removed before is ignored, unless the object changes.
     /// Its process may have ended after the store's copy was made; an ended process does not renew the object.
     std::chrono::milliseconds restoredObjectHold { 0 };
+    /// Whether what another daemon has read up to a later position replaces the local objects completely, removals included. Suits
+    /// objects that do not expire, so that an object that the other daemon lacks has been removed.
+    bool adoptsCompletely { false };
 };
 
 /// Next request to the store.
@@ -58,7 +61,8 @@
     /// Schedules a retry after a missing reply or a reply that asks for a retry later.
     void handleFailure(kernel::time_point now);
     /// Merges objects that another daemon has read from the store up to `position`. Does nothing unless `position` is later than
-    /// the local position; otherwise also schedules a new listing. Returns true when an object changed.
+    /// the local position; otherwise also schedules a new listing, unless the settings say that the objects are complete. Returns true
+    /// when an object changed.
     bool adopt(std::vector<store_object> const&, store_position position, kernel::time_point now);
     /// Restarts with a listing when the store has begun a later era. The objects of the earlier era are kept until the listing
     /// has replaced or removed them. Returns false when the era is not later or when nothing has been read before.
@@ -102,6 +106,8 @@
     /// sent before the store returned and causes a new request.
     bool isCurrentReply(std::optional<std::uint64_t> era, kernel::time_point now);
     void remove(std::string const& name, kernel::time_point now);
+    /// Removes the objects without one of the names, and of these only those up to the position `latest`, if it is given.
+    void removeOthers(std::set<std::string> const& names, std::optional<store_position> latest, kernel::time_point now);
     void put(store_object);
     /// Returns whether the object must be ignored for now. `isListed` is false for a change that a watch reported.
     bool holdIfRestored(store_object const&, bool isListed, kernel::time_point now);
--- a/Services/fleet/snapshot_codec.cpp
+++ b/Services/fleet/snapshot_codec.cpp
@@ -16,7 +16,10 @@
 
 std::string formatSnapshot(fleet_snapshot const& snapshot)
 {
-    return json::serialize(json::object { { "routes", format(snapshot.routes) }, { "leafs", format(snapshot.leafs) } });
+    json::object parts { { "routes", format(snapshot.routes) }, { "leafs", format(snapshot.leafs) } };
+    if (snapshot.evacuations)
+        parts["evacuations"] = format(*snapshot.evacuations);
+    return json::serialize(parts);
 }
 
 /// Returns the number in a field that daemons of earlier versions do not send, or zero.
@@ -38,11 +41,22 @@
     return part;
 }
 
+/// Returns a part that older daemons do not send. A malformed part counts as missing, so that the other parts can be used.
+static std::optional<object_snapshot> parseOptional(json::value const& value, std::string_view name)
+{
+    auto const* const part = value.as_object().if_contains(name);
+    try {
+        return part ? std::optional { parse(*part) } : std::nullopt;
+    } catch (std::exception const&) {
+        return std::nullopt;
+    }
+}
+
 errors::error_or<fleet_snapshot> parseSnapshot(std::string_view text)
 {
     try {
         auto const value = json::parse({ text.data(), text.size() });
-        return fleet_snapshot { parse(value.at("routes")), parse(value.at("leafs")) };
+        return fleet_snapshot { parse(value.at("routes")), parse(value.at("leafs")), parseOptional(value, "evacuations") };
     } catch (std::exception const& failure) {
         return errors::makeError(errors::error_kind::malformed_request, std::string { "malformed snapshot: " } + failure.what());
     }
--- a/Services/fleet/snapshot_codec.h
+++ b/Services/fleet/snapshot_codec.h
@@ -3,6 +3,7 @@
 #include "Libraries/zinnialedge/errors/error_kind.h"
 #include "Libraries/zinnialedge/fleet/store_objects.h"
 #include <map>
+#include <optional>
 
 namespace zinnialedge::services::fleet {
 
@@ -12,11 +13,13 @@
     std::map<std::string, zinnialedge::fleet::store_object> objects;
 };
 
-/// Configuration and leafs that a daemon sends to a peer that cannot read the store.
+/// What a daemon sends to a peer that cannot read the store.
 struct fleet_snapshot {
     /// The configuration in force, which may be newer than the store's after the store returned from an older copy.
     object_snapshot routes;
     object_snapshot leafs;
+    /// Empty when the sender does not read evacuations or has not read them yet.
+    std::optional<object_snapshot> evacuations {};
 };
 
 std::string formatSnapshot(fleet_snapshot const&);
