Forwarding: Reject waiting requests whose leafs have gone

Cause: a request was checked for leafs that accept calls on its arrival only. When leafs that it needs had gone while it waited for admission, its other parts were called and it failed with 502; a part without a leaf was queued although no end of a call could free a leaf for it, and the caller got an answer only at the end of its time.

Change: an admitted request is checked again before any call, and a part without any leaf that accepts calls counts as missing in place of being queued.

Result: RequestThatWaitedForLeafsThatAreGoneIsRejectedWhenAdmitted is new and fails without the check on admission.

--- a/Libraries/zinnialedge/forwarding/request_admission.cpp
+++ b/Libraries/zinnialedge/forwarding/request_admission.cpp
@@ -47,6 +47,21 @@
     return now + std::chrono::duration_cast<kernel::duration>((request.objectiveAt - now) * latestStartShare);
 }
 
+bool request_engine::skipPartsWithoutLeafs(active_request& request, time_point now)
+{
+    for (auto& part : request.parts) {
+        if (part.isMissing || m_leafs.hasAcceptingLeaf(*part.service, {}, now))
+            continue;
+        part.isMissing = true;
+        ++request.missingPartCount;
+    }
+    // Parts without a leaf are detected before any call is sent, so a request rejected here is known not to have run.
+    if (request.matchedRoute->isGather() ? request.canReachMinimumCoverage() : request.missingPartCount == 0)
+        return true;
+    settleUnavailable(request, errors::error_kind::no_live_target, "no_leaf", now);
+    return false;
+}
+
 bool request_engine::skipLimitedShards(active_request& request, time_point now)
 {
     struct late_part {
@@ -145,7 +160,7 @@
         request->admission = admission_state::admitted;
         request->startedAt = now;
         request->lastReplyAt = now;
-        if (skipLimitedShards(*request, now))
+        if (skipPartsWithoutLeafs(*request, now) && skipLimitedShards(*request, now))
             startCalls(*request, now);
     }
 }
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -56,10 +56,15 @@
         return;
     }
     auto const pick = m_leafs.pickLeaf(*request.parts[partIndex].service, request.parts[partIndex].calledLeafs, hedgeDelayOf(*request.matchedRoute), now);
-    if (pick)
+    if (pick) {
         sendCall(request, partIndex, pick->leaf, now);
-    else
+    } else if (m_leafs.hasAcceptingLeaf(*request.parts[partIndex].service, request.parts[partIndex].calledLeafs, now)) {
         enqueuePart(request, partIndex, now);
+    } else {
+        // No end of a call can free a leaf for the part.
+        request.parts[partIndex].isMissing = true;
+        ++request.missingPartCount;
+    }
 }
 
 void request_engine::sendCall(active_request& request, std::size_t partIndex, leaf_handle handle, time_point now)
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -165,19 +165,7 @@
     if (areLinksLost() && handleWithoutLinks(*created, now))
         return;
     countRequest(*created, now);
-    for (auto& part : created->parts) {
-        if (m_leafs.hasAcceptingLeaf(*part.service, {}, now))
-            continue;
-        part.isMissing = true;
-        ++created->missingPartCount;
-    }
-    // Parts without a leaf are detected before any call is sent, so a request rejected here is known not to have run.
-    bool const isServable = to->isGather() ? created->canReachMinimumCoverage() : created->missingPartCount == 0;
-    if (!isServable) {
-        settleUnavailable(*created, errors::error_kind::no_live_target, "no_leaf", now);
-        return;
-    }
-    if (!skipLimitedShards(*created, now))
+    if (!skipPartsWithoutLeafs(*created, now) || !skipLimitedShards(*created, now))
         return;
     if (!to->isGather() || created->isRelayed() || admitOrEnqueue(*created, now))
         startCalls(*created, now);
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -162,6 +162,9 @@
     void callSkippedShards(active_request&, kernel::time_point now);
     /// Leaves out the shards whose leafs' request limits allow no call in time, up to the number of shards that may be missing from
     /// the answer. Rejects the request and returns false when more shards would be missing.
+    /// Marks the parts as missing whose services have no leaf that accepts calls. Rejects the request and returns false when it can't be
+    /// served without them.
+    bool skipPartsWithoutLeafs(active_request&, kernel::time_point now);
     bool skipLimitedShards(active_request&, kernel::time_point now);
     /// Sends the first calls of a request.
     void startCalls(active_request&, kernel::time_point now);
--- a/Tests/Unit/request_engine_test.cpp
+++ b/Tests/Unit/request_engine_test.cpp
@@ -317,3 +317,24 @@
     }
     CHECK(localCallCount > 250);
 }
+
+// Guards against: a request that waits for admission calls some leafs and fails, or is answered only at its end, when others that it
+// needs have gone meanwhile.
+TEST(RequestEngine, RequestThatWaitedForLeafsThatAreGoneIsRejectedWhenAdmitted)
+{
+    engine_harness fleet;
+    fleet.declare(1, { engine_harness::gatherRoute(2, 1) });
+    fleet.registerLeafs(shardNames(2), 2);
+    forwarding::request_token waiting = 0;
+    for (int count = 0; count < 9; ++count)
+        waiting = fleet.arrive("/gather/" + std::to_string(count));
+    CHECK(fleet.answerOf(waiting) == nullptr);
+    fleet.registerLeafs(shardNames(1), 2);
+    for (auto const& call : fleet.openCalls())
+        fleet.succeed(call.number);
+    fleet.pass(1ms);
+    auto const* const answer = fleet.answerOf(waiting);
+    CHECK(answer != nullptr);
+    CHECK(answer->error && answer->error->kind == error_kind::no_live_target && answer->error->retryAfter);
+    LONGS_EQUAL(0, fleet.openCalls().size());
+}
