Forwarding: Send nothing to the leafs of evacuated data centres

Cause: operators want to evacuate a data centre; the engine knew only leafs that drain by themselves.

Change: request_engine::setEvacuations marks the leafs of these data centres as not available, which every path asks before it sends. Calls and probes whose connections are opening are withheld, queued parts move or are rejected, silence and failures there say nothing about the links, and admission follows the slots that remain. Rejections have a reason and a counter of their own. At the end each leaf counts as cold for its service's warm-up; a registration that is passed in again unchanged no longer ends or extends that.

--- a/Libraries/zinnialedge/forwarding/engine_interface.h
+++ b/Libraries/zinnialedge/forwarding/engine_interface.h
@@ -65,6 +65,18 @@
     std::size_t detouredRequestCount { 0 };
 };
 
+/// An evacuation of a data centre has begun or ended.
+struct evacuation_report {
+    std::string const& dataCentre;
+    bool hasBegun { false };
+    /// Number of registered leafs in the data centre; zero for a data centre that this daemon does not know.
+    std::size_t leafCount { 0 };
+    /// Number of calls to these leafs that were sent before.
+    std::size_t callsInFlight { 0 };
+    /// Number of data centres under evacuation after the change.
+    std::size_t evacuatedDataCentreCount { 0 };
+};
+
 /// Reason in the rejections of a daemon that reaches no leafs, by which other daemons recognize them.
 inline constexpr std::string_view linksLostReason = "links_lost";
 /// Back-off after a call to another daemon failed: about the time in which the membership detects a dead daemon.
@@ -120,6 +132,8 @@
     std::function<void(bool)> shareLeafReach;
     /// Logs that a leaf has named a limit or names none any more.
     std::function<void(std::string const& leafId, std::string_view event, leaf_rate_limit const&)> logLeafLimit;
+    /// Logs that an evacuation of a data centre has begun or ended.
+    std::function<void(evacuation_report const&)> logEvacuation;
 };
 
 /// Event counts since the start of the process.
@@ -175,6 +189,10 @@
     std::uint64_t rejectionsForLostLinks { 0 };
     /// Number of requests rejected because of the request limits of leafs.
     std::uint64_t rejectionsForLimits { 0 };
+    /// Number of evacuations of data centres that have begun.
+    std::uint64_t evacuations { 0 };
+    /// Number of requests rejected because the leafs that they need are in evacuated data centres.
+    std::uint64_t rejectionsForEvacuations { 0 };
 };
 
 }
--- a/Libraries/zinnialedge/forwarding/leaf_record.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_record.cpp
@@ -36,8 +36,10 @@
 void leaf_record::updateRegistration(leaf_registration registration, time_point now)
 {
     registration.isDraining = registration.isDraining || m_registration.isDraining;
+    // All registrations are passed in again when one of them changes. An unchanged one is old and says nothing new.
+    if (registration.warmupLeft != m_registration.warmupLeft)
+        m_warmupEndsAt = now + registration.warmupLeft;
     m_registration = std::move(registration);
-    m_warmupEndsAt = now + m_registration.warmupLeft;
     m_isDeregistered = false;
 }
 
--- a/Libraries/zinnialedge/forwarding/leaf_record.h
+++ b/Libraries/zinnialedge/forwarding/leaf_record.h
@@ -24,6 +24,9 @@
     /// Records that the leaf is cold for at least the given time, unless a later registration says otherwise.
     void becomeCold(kernel::duration remaining, kernel::time_point now) { m_warmupEndsAt = std::max(m_warmupEndsAt, now + remaining); }
     bool isCold(kernel::time_point now) const { return now < m_warmupEndsAt; }
+    /// Records whether the leaf's data centre is evacuated, so that nothing may be sent to the leaf.
+    void setEvacuated(bool isEvacuated) { m_isEvacuated = isEvacuated; }
+    bool isEvacuated() const { return m_isEvacuated; }
     /// Records that another leaf answers at this leaf's endpoint.
     void markMisdirected() { m_isMisdirected = true; }
     /// Records that the leaf has said that it is leaving. Returns false when this was known.
@@ -58,7 +61,9 @@
     /// Returns whether a call may be sent now. A leaf that accepts calls may have no free connection, or no room under its limit.
     bool hasRoom(kernel::time_point now) const { return acceptsCalls(now) && hasFreeConnection(now) && m_rateLimit.allowsCall(now); }
     /// Returns whether the leaf accepts calls, except during a pause.
-    bool isAvailable() const { return !m_isDeregistered && !m_isMisdirected && !m_isLeaving && !m_registration.isDraining; }
+    bool isAvailable() const { return wouldBeAvailable() && !m_isEvacuated; }
+    /// Returns whether the leaf would accept calls if its data centre were not evacuated, except during a pause.
+    bool wouldBeAvailable() const { return !m_isDeregistered && !m_isMisdirected && !m_isLeaving && !m_registration.isDraining; }
     leaf_pause const& currentPause() const { return m_pause; }
     leaf_rate_limit const& rateLimit() const { return m_rateLimit; }
     bool hasFreeConnection(kernel::time_point now) const { return m_inFlightSentAt.size() < m_pause.inFlightLimit(m_connectionLimit, now); }
@@ -98,6 +103,7 @@
     bool m_isDeregistered { false };
     bool m_isMisdirected { false };
     bool m_isLeaving { false };
+    bool m_isEvacuated { false };
     leaf_pause m_pause;
     leaf_rate_limit m_rateLimit;
 };
--- a/Libraries/zinnialedge/forwarding/leaf_roster.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.cpp
@@ -67,6 +67,8 @@
             at(handle).updateRegistration(each, now);
         else
             m_leafs.emplace(handle, leaf_record { each, connectionLimitOf(each.service), now });
+        auto& record = at(handle);
+        record.setEvacuated(isInEvacuatedDataCentre(record));
         kept[each.id] = handle;
         m_handlesByService[each.service].push_back(handle);
     }
@@ -252,7 +254,7 @@
     return earliest;
 }
 
-double leaf_roster::unpausedShare(std::string const& service, time_point now) const
+double leaf_roster::acceptingShare(std::string const& service, time_point now) const
 {
     auto const leafs = m_handlesByService.find(service);
     if (leafs == m_handlesByService.end())
@@ -261,12 +263,46 @@
     std::size_t accepting = 0;
     for (auto const handle : leafs->second) {
         auto const& record = at(handle);
-        available += record.isAvailable() ? record.registration().slots : 0;
+        available += record.wouldBeAvailable() ? record.registration().slots : 0;
         accepting += record.acceptsCalls(now) ? record.registration().slots : 0;
     }
     return available == 0 ? 1 : static_cast<double>(accepting) / static_cast<double>(available);
 }
 
+std::chrono::milliseconds leaf_roster::warmupTimeOf(std::string const& service) const
+{
+    auto const* const rules = m_routes ? m_routes->rulesOf(service) : nullptr;
+    return rules ? rules->warmupTime.value_or(std::chrono::milliseconds { 0 }) : std::chrono::milliseconds { 0 };
+}
+
+void leaf_roster::setEvacuations(std::set<std::string> dataCentres, time_point now)
+{
+    m_evacuatedDataCentres = std::move(dataCentres);
+    // Leafs that are not registered at the moment may return as the same incarnation.
+    for (auto& [handle, record] : m_leafs) {
+        bool const wasEvacuated = record.isEvacuated();
+        record.setEvacuated(isInEvacuatedDataCentre(record));
+        if (wasEvacuated && !record.isEvacuated())
+            record.becomeCold(warmupTimeOf(record.registration().service), now);
+    }
+}
+
+std::size_t leaf_roster::evacuatedCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_handleById.begin(), m_handleById.end(), [&](auto const& entry) { return at(entry.second).isEvacuated(); }));
+}
+
+std::size_t leaf_roster::registeredCountIn(std::string const& dataCentre) const
+{
+    return static_cast<std::size_t>(std::count_if(m_handleById.begin(), m_handleById.end(), [&](auto const& entry) { return at(entry.second).registration().dataCentre == dataCentre; }));
+}
+
+bool leaf_roster::hasEvacuatedLeaf(std::string const& service) const
+{
+    auto const leafs = m_handlesByService.find(service);
+    return leafs != m_handlesByService.end() && std::any_of(leafs->second.begin(), leafs->second.end(), [&](auto handle) { return at(handle).isEvacuated() && at(handle).wouldBeAvailable(); });
+}
+
 std::size_t leaf_roster::slotCount(std::string const& service) const
 {
     std::size_t count = 0;
--- a/Libraries/zinnialedge/forwarding/leaf_roster.h
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.h
@@ -5,6 +5,7 @@
 #include "Libraries/zinnialedge/limits/held_maximum.h"
 #include <functional>
 #include <optional>
+#include <set>
 #include <span>
 #include <unordered_map>
 
@@ -32,6 +33,16 @@
     /// Sets the number of daemons that share the request limit of a leaf. A smaller number counts only after a hold time.
     void setLimitSharers(double sharers, kernel::time_point now);
 
+    /// Sets the data centres to whose leafs nothing may be sent. A leaf whose data centre is no longer among them counts as cold, because
+    /// it may have become cold unnoticed.
+    void setEvacuations(std::set<std::string>, kernel::time_point now);
+    std::set<std::string> const& evacuatedDataCentres() const { return m_evacuatedDataCentres; }
+    /// Returns the number of registered leafs in evacuated data centres.
+    std::size_t evacuatedCount() const;
+    std::size_t registeredCountIn(std::string const& dataCentre) const;
+    /// Returns whether the service has a leaf to which calls could be sent if its data centre were not evacuated.
+    bool hasEvacuatedLeaf(std::string const& service) const;
+
     /// Adds the duration of a successful call to the typical latency over all leafs.
     void recordCallDuration(kernel::duration callDuration);
 
@@ -52,10 +63,11 @@
     /// Returns the time at which the first leaf of the service ends its pause, if the service has no leaf that accepts calls but
     /// has leafs that will accept calls after their pauses.
     std::optional<kernel::time_point> firstPauseEnd(std::string const& service, kernel::time_point now) const;
-    /// Returns the share of the service's slots that belong to leafs without a pause.
-    double unpausedShare(std::string const& service, kernel::time_point now) const;
+    /// Returns the share of the service's slots that belong to leafs without a pause and outside evacuated data centres.
+    double acceptingShare(std::string const& service, kernel::time_point now) const;
     /// Returns whether any leaf of any service is paused.
     bool hasPausedLeafs(kernel::time_point now) const { return now < m_lastPauseEnd; }
+    bool hasEvacuations() const { return !m_evacuatedDataCentres.empty(); }
     /// Returns the number of calls that the service's available leafs can run at the same time.
     std::size_t slotCount(std::string const& service) const;
     void pauseLeaf(leaf_handle, kernel::duration length, kernel::time_point now);
@@ -94,6 +106,10 @@
     /// Returns the known leaf of the same incarnation, whether it is still registered or not.
     std::optional<leaf_handle> findIncarnation(leaf_registration const&) const;
 
+    bool isInEvacuatedDataCentre(leaf_record const& record) const { return m_evacuatedDataCentres.contains(record.registration().dataCentre); }
+    /// Returns the time for which the service's leafs are cold after a start; zero when the service declares none.
+    std::chrono::milliseconds warmupTimeOf(std::string const& service) const;
+
     std::string m_localDataCentre;
     kernel::random_hook m_random;
     route_table_pointer m_routes;
@@ -105,6 +121,7 @@
     /// Leafs that are no longer registered. An incarnation that is registered again keeps its state.
     std::unordered_map<std::string, former_leaf> m_formerLeafs;
     kernel::time_point m_lastPauseEnd;
+    std::set<std::string> m_evacuatedDataCentres;
     std::unordered_map<std::string, std::vector<leaf_handle>> m_handlesByService;
     leaf_handle m_lastHandle { 0 };
     limits::held_maximum m_limitSharers;
--- a/Libraries/zinnialedge/forwarding/request_admission.cpp
+++ b/Libraries/zinnialedge/forwarding/request_admission.cpp
@@ -24,15 +24,15 @@
     return found->second;
 }
 
-double request_engine::unpausedCapacityShare(active_request const& request, time_point now) const
+double request_engine::acceptingCapacityShare(active_request const& request, time_point now) const
 {
-    if (!m_leafs.hasPausedLeafs(now))
+    if (!m_leafs.hasPausedLeafs(now) && !m_leafs.hasEvacuations())
         return 1;
     std::vector<double> shares;
     shares.reserve(request.parts.size());
     for (auto const& part : request.parts) {
         if (!part.isMissing)
-            shares.push_back(m_leafs.unpausedShare(*part.service, now));
+            shares.push_back(m_leafs.acceptingShare(*part.service, now));
     }
     // The request does without its weakest shards, so the weakest shard that it needs decides.
     auto const skipped = std::min(request.allowedMissingParts(), shares.empty() ? 0 : shares.size() - 1);
@@ -103,7 +103,7 @@
 bool request_engine::admitOrEnqueue(active_request& request, time_point now)
 {
     auto& admission = admissionOf(*request.matchedRoute);
-    admission.queue.setCapacityShare(unpausedCapacityShare(request, now));
+    admission.queue.setCapacityShare(acceptingCapacityShare(request, now));
     auto const latestStart = latestStartOf(request, now);
     switch (admission.queue.arrive(request.token, request.matchedRoute->priority, latestStart, now)) {
     case verdict::admit:
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -91,6 +91,8 @@
 
 bool request_engine::isCallWanted(call_number number, time_point now) const
 {
+    if (auto const probe = m_probes.find(number); probe != m_probes.end())
+        return !isEvacuated(probe->second.leaf);
     auto const found = m_calls.find(number);
     if (found == m_calls.end())
         return true;
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -26,6 +26,8 @@
 
     void setRoutes(route_table_pointer, kernel::time_point now);
     void setLeafs(std::vector<leaf_registration> const&, kernel::time_point now);
+    /// Sets the data centres to whose leafs nothing may be sent. Calls and probes that are not sent yet are withheld.
+    void setEvacuations(std::set<std::string> dataCentres, kernel::time_point now);
     void setFleetShare(fleet_share, kernel::time_point now);
     void setExtraCalls(extra_call_limits, kernel::time_point now);
     /// Takes what other daemons know of requests under which leafs were lost.
@@ -160,16 +162,16 @@
     void skipSlowShards(active_request&, kernel::time_point now);
     /// Queries skipped shards until the minimum coverage can be reached again.
     void callSkippedShards(active_request&, kernel::time_point now);
-    /// Leaves out the shards whose leafs' request limits allow no call in time, up to the number of shards that may be missing from
-    /// the answer. Rejects the request and returns false when more shards would be missing.
     /// Marks the parts as missing whose services have no leaf that accepts calls. Rejects the request and returns false when it can't be
     /// served without them.
     bool skipPartsWithoutLeafs(active_request&, kernel::time_point now);
+    /// Leaves out the shards whose leafs' request limits allow no call in time, up to the number of shards that may be missing from
+    /// the answer. Rejects the request and returns false when more shards would be missing.
     bool skipLimitedShards(active_request&, kernel::time_point now);
     /// Sends the first calls of a request.
     void startCalls(active_request&, kernel::time_point now);
-    /// Returns the share of the leafs' capacity that remains for the request while leafs are paused, from 0 to 1.
-    double unpausedCapacityShare(active_request const&, kernel::time_point now) const;
+    /// Returns the share of the leafs' capacity that remains for the request while leafs are paused or evacuated, from 0 to 1.
+    double acceptingCapacityShare(active_request const&, kernel::time_point now) const;
     /// Admits, enqueues or rejects a request over shards. Returns true when the request is admitted.
     bool admitOrEnqueue(active_request&, kernel::time_point now);
     /// Releases the slot or the queue entry of a request that ends or whose caller has disconnected.
@@ -181,6 +183,14 @@
     /// Counts the request for the budget of extra calls of its services, unless another daemon has counted it.
     void countRequest(active_request const&, kernel::time_point now);
 
+    // Evacuations.
+    /// Withholds calls and probes to leafs of evacuated data centres whose connections have not opened.
+    void withholdUnsentCalls();
+    /// Returns whether the request could be served if no data centre were evacuated.
+    bool isPreventedByEvacuation(active_request const&, kernel::time_point now) const;
+    void settleEvacuated(active_request&, kernel::time_point now);
+    bool isEvacuated(leaf_handle leaf) const { return m_leafs.contains(leaf) && m_leafs.at(leaf).isEvacuated(); }
+
     // Links to the leafs.
     bool areLinksLost() const { return m_links.state() == reachability::link_state::lost; }
     /// Records what the end of a call tells about the links.
--- a/Libraries/zinnialedge/forwarding/request_links.cpp
+++ b/Libraries/zinnialedge/forwarding/request_links.cpp
@@ -12,7 +12,10 @@
 
 void request_engine::recordLinkSign(leaf_handle leaf, call_result const& result, time_point now)
 {
-    if (result)
+    // An evacuated data centre may be shut down, which says nothing about the links to the other leafs.
+    if (!result && isEvacuated(leaf))
+        m_links.forgetLeaf(leaf);
+    else if (result)
         m_links.recordReply(leaf, result->isOnNewConnection, now);
     else if (result.error() == call_failure::malformed)
         m_links.recordReply(leaf, false, now);
@@ -103,6 +106,8 @@
     // Whatever bytes came, they came over the link.
     if (result || result.error() == call_failure::malformed)
         m_links.recordReply(context.leaf, true, now);
+    else if (result.error() == call_failure::withheld || isEvacuated(context.leaf))
+        m_links.recordProbeWithdrawn(context.leaf, now);
     else
         m_links.recordProbeFailure(context.leaf, result.error() == call_failure::timed_out, now);
     static std::string const noRequest;
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -437,6 +437,10 @@
 void request_engine::settleUnavailable(active_request& request, errors::error_kind kind, std::string reason, time_point now)
 {
     auto const wait = findPauseWait(request, now);
+    if (!wait && isPreventedByEvacuation(request, now)) {
+        settleEvacuated(request, now);
+        return;
+    }
     if (!wait) {
         settleWithError(request, kind, std::move(reason), now);
         return;
--- a/Libraries/zinnialedge/reachability/link_monitor.cpp
+++ b/Libraries/zinnialedge/reachability/link_monitor.cpp
@@ -117,6 +117,23 @@
         declareLost(now);
 }
 
+void link_monitor::forgetLeaf(leaf_key leaf)
+{
+    m_unansweredSince.erase(leaf);
+    m_failedLeafs.erase(leaf);
+    m_provingReplies.erase(leaf);
+}
+
+void link_monitor::recordProbeWithdrawn(leaf_key leaf, time_point now)
+{
+    forgetLeaf(leaf);
+    m_probesInFlight -= std::min<std::size_t>(m_probesInFlight, 1);
+    if (m_state != link_state::suspected)
+        return;
+    m_dueProbes = std::min(m_dueProbes + 1, m_leafCount);
+    m_probesDecideAt = std::max(*m_probesDecideAt, now + handshakeTimeout);
+}
+
 std::size_t link_monitor::countSilentLeafs(time_point now) const
 {
     return static_cast<std::size_t>(std::count_if(m_unansweredSince.begin(), m_unansweredSince.end(), [&](auto const& entry) { return entry.second >= m_lastReplyAt && now - entry.second >= silenceLimit; }));
--- a/Libraries/zinnialedge/reachability/link_monitor.h
+++ b/Libraries/zinnialedge/reachability/link_monitor.h
@@ -49,6 +49,11 @@
     /// Records the end of a probe without a reply. A leaf that is only busy keeps the connection open.
     void recordProbeFailure(leaf_key, bool hasTimedOut, kernel::time_point now);
 
+    /// Takes that nothing is sent to the leaf any more, so that its silence and failures say nothing about the links.
+    void forgetLeaf(leaf_key);
+    /// Records that a probe was given up because its leaf must not be called any more; another leaf is probed in its place.
+    void recordProbeWithdrawn(leaf_key, kernel::time_point now);
+
     /// Updates the state, and returns the number of probes to send now; the number is returned once.
     std::size_t takeDueProbes(kernel::time_point now);
     /// Returns the time at which takeDueProbes() must be called next, if no record is made before.
--- a/Tests/Support/engine_harness.cpp
+++ b/Tests/Support/engine_harness.cpp
@@ -82,6 +82,7 @@
     engine_hooks hooks;
     hooks.sendCall = [this](leaf_call const& call) {
         if (call.isProbe) {
+            m_probes.push_back(call);
             m_openProbes.push_back(call.number);
             if (m_areProbesConnected)
                 m_connectedProbes.push_back(call.number);
--- a/Tests/Support/engine_harness.h
+++ b/Tests/Support/engine_harness.h
@@ -50,6 +50,8 @@
 
     /// Returns the open calls to a service, or to all services when the name is empty, oldest first.
     std::vector<forwarding::leaf_call> openCalls(std::string const& service = {}) const;
+    /// Returns all probes that were sent, oldest first.
+    std::vector<forwarding::leaf_call> const& probes() const { return m_probes; }
     std::vector<forwarding::call_number> const& cancelled() const { return m_cancelledCalls; }
     forwarding::final_answer const* answerOf(forwarding::request_token) const;
 
@@ -63,6 +65,7 @@
     kernel::time_point m_now { std::chrono::hours { 1 } };
     std::map<forwarding::call_number, forwarding::leaf_call> m_openCalls;
     std::vector<forwarding::call_number> m_cancelledCalls;
+    std::vector<forwarding::leaf_call> m_probes;
     std::vector<forwarding::call_number> m_openProbes;
     std::vector<forwarding::call_number> m_connectedProbes;
     std::vector<forwarding::call_number> m_failedProbes;
