Fleet: Read evacuations from the store and from other daemons

Cause: the daemon did not read the objects by which operators evacuate data centres.

Change: with the setting `evacuations`, which the template fills in where the platform has the bound, the fleet service watches these objects over a link of their own. What another daemon knows is taken if it is later, whether the own link seems connected or not. Leafs are passed to the engine only when the evacuations are known, or after 2 s. Begin and end are logged with the data centre; state and metrics show them.

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -69,6 +69,7 @@
         .storeRates = m_settings.storeRates,
         .seeds = m_settings.seeds,
         .directoryValidity = directoryValidity,
+        .readsEvacuations = m_settings.readsEvacuations,
     };
     auto const fleetService = TRY(fleet_service::create(std::move(fleet), std::move(protocols.store), *trafficService));
     boost::json::object const daemonInfo { { "daemon", m_settings.name }, { "callers", toString(m_settings.callers) }, { "data_centre", m_settings.dataCentre }, { "incarnation", m_incarnation }, { "version", ZINNIALEDGE_VERSION } };
--- a/Libraries/zinnialedge/configuration/edge_settings.cpp
+++ b/Libraries/zinnialedge/configuration/edge_settings.cpp
@@ -48,6 +48,7 @@
     compare(change.appliedAtNextStart, "store", before.store == after.store);
     compare(change.appliedAtNextStart, "leaf_calls_from", before.leafCallSource == after.leafCallSource);
     compare(change.appliedAtNextStart, "maximum_leaf_pause_s", before.maximumLeafPause == after.maximumLeafPause);
+    compare(change.appliedAtNextStart, "evacuations", before.readsEvacuations == after.readsEvacuations);
     return change;
 }
 
@@ -86,6 +87,7 @@
         if (!model::parseEndpoint(settings.leafCallSource + ":1"))
             reader.report("leaf_calls_from", "an address like \"10.0.0.1\"");
     }
+    settings.readsEvacuations = reader.flag("evacuations", false);
     static std::vector<std::string_view> const levels { "trace", "debug", "info", "warn", "error" };
     settings.logLevel = std::string { levels[reader.choice("log_level", levels, 2)] };
     reader.finish();
--- a/Libraries/zinnialedge/configuration/edge_settings.h
+++ b/Libraries/zinnialedge/configuration/edge_settings.h
@@ -34,6 +34,8 @@
     std::chrono::milliseconds maximumLeafPause { std::chrono::hours { 1 } };
     /// Local address of the connections to leafs, for a VM with several; empty when the system chooses it.
     std::string leafCallSource;
+    /// Whether the daemon reads evacuations of data centres from the store.
+    bool readsEvacuations { false };
     std::string logLevel { "info" };
 
     bool operator==(edge_settings const&) const = default;
--- a/Libraries/zinnialedge/fleet/store_protocol.h
+++ b/Libraries/zinnialedge/fleet/store_protocol.h
@@ -15,6 +15,8 @@
     routes,
     leafs,
     daemons,
+    /// Requests to send nothing to the leafs of a data centre, which is the name of the object. The content says nothing.
+    evacuations,
 };
 
 /// Encoders and parsers for the requests and replies of the platform's store, its objects and the directory.
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -2,6 +2,7 @@
 
 #include "Kernel/event_log.h"
 #include "Kernel/metrics_text.h"
+#include "Libraries/zinnialedge/fleet/evacuations.h"
 #include "Libraries/zinnialedge/fleet/limit_shares.h"
 #include "Services/fleet/snapshot_codec.h"
 #include <algorithm>
@@ -50,8 +51,9 @@
     , m_routeLink(m_workerThread.context(), m_settings.storeEndpoint, object_kind::routes, m_protocol, m_storeBudget, mirror_settings { .batchDelay = routesBatchPause, .renewalPeriod = std::chrono::milliseconds { 0 } }, watchHoldTime, makeLinkHooks([this] { handleRoutesChanged(); }))
     , m_leafLink(m_workerThread.context(), m_settings.storeEndpoint, object_kind::leafs, m_protocol, m_storeBudget, mirror_settings { .batchDelay = leafsBatchPause, .restoredObjectHold = restoredLeafHold }, watchHoldTime, makeLinkHooks([this] { handleLeafsChanged(); }))
     , m_daemonLink(m_workerThread.context(), m_settings.storeEndpoint, object_kind::daemons, m_protocol, m_storeBudget, mirror_settings { .renewalPeriod = std::chrono::milliseconds { 0 }, .relistInterval = daemonsRelistInterval, .returnSpread = daemonsReturnSpread }, watchHoldTime, makeLinkHooks([this] { handleDaemonsChanged(); }))
+    , m_evacuationLink(m_workerThread.context(), m_settings.storeEndpoint, m_settings.readsEvacuations, m_protocol, m_storeBudget, makeLinkHooks([this] { handleEvacuationsChanged(); }))
     , m_storeProbe(m_workerThread.context(), m_settings.storeEndpoint, m_protocol.probe(m_settings.name), m_storeBudget, [this] {
-        for (auto* const link : { &m_routeLink, &m_leafLink, &m_daemonLink })
+        for (auto* const link : storeLinks())
             link->reconnect(); }, [this](wire::http_response const& reply) {
         if (auto const era = m_protocol.parseEra(reply))
             handleStoreEra(*era); })
@@ -132,9 +134,8 @@
 {
     m_workerThread.start();
     bool const isPosted = m_workerThread.post([this] {
-        m_routeLink.start();
-        m_leafLink.start();
-        m_daemonLink.start();
+        for (auto* const link : storeLinks())
+            link->start();
         m_storeProbe.start();
         m_registrationLink.registerDaemon(m_settings.name, boost::json::parse(membership::formatDaemonRecord(makeDaemonRecord())));
         m_membershipLink.step(membership::membership_timer_due {});
@@ -148,6 +149,14 @@
     return { std::move(changed), [this](std::uint64_t era) { handleStoreEra(era); } };
 }
 
+std::vector<store_link*> fleet_service::storeLinks()
+{
+    std::vector<store_link*> links { &m_routeLink, &m_leafLink, &m_daemonLink };
+    if (auto* const link = m_evacuationLink.link())
+        links.push_back(link);
+    return links;
+}
+
 void fleet_service::handleStoreEra(std::uint64_t era)
 {
     if (era <= m_storeEra)
@@ -157,7 +166,7 @@
         logEvent(log_level::warn, "store_returned", { { "era", era }, { "era_before", m_storeEra }, { "leafs_as_of", m_leafLink.mirror().asOf() }, { "version_kept", m_routeTable ? m_routeTable->version() : 0 } });
     }
     m_storeEra = era;
-    for (auto* const link : { &m_routeLink, &m_leafLink, &m_daemonLink })
+    for (auto* const link : storeLinks())
         link->enterEra(era);
     m_registrationLink.enterEra(era);
 }
@@ -191,10 +200,31 @@
     m_configurationInForce = object;
     logEvent(log_level::info, "configuration_read", { { "version", m_routeTable->version() }, { "era", object.era }, { "revision", object.revision } });
     sendToTraffic(m_routeTable);
-    m_membershipLink.step(membership::configuration_changed { m_routeTable->version() });
+    shareDigest();
     return true;
 }
 
+void fleet_service::shareDigest()
+{
+    m_membershipLink.step(membership::configuration_changed { zinnialedge::fleet::digestOf(m_routeTable ? m_routeTable->version() : 0, m_evacuationLink.dataCentres()) });
+}
+
+void fleet_service::handleEvacuationsChanged()
+{
+    sendToTraffic(traffic::evacuations_changed { m_evacuationLink.dataCentres() });
+    shareDigest();
+    sendLeafsToTraffic();
+}
+
+void fleet_service::sendLeafsToTraffic()
+{
+    if (!m_areLeafsHeldBack || !m_evacuationLink.mayCallLeafs(std::chrono::steady_clock::now()))
+        return;
+    m_areLeafsHeldBack = false;
+    sendToTraffic(traffic::leafs_changed { m_leafRegistrations });
+    startServingWhenReady();
+}
+
 void fleet_service::handleLeafsChanged()
 {
     m_leafRegistrations.clear();
@@ -212,8 +242,8 @@
         m_leafRegistrations.push_back(std::move(*registration));
     }
     logEvent(log_level::info, "leafs_read", { { "leafs", m_leafRegistrations.size() }, { "draining", draining }, { "unusable", unusable }, { "as_of", m_leafLink.mirror().asOf() } });
-    sendToTraffic(traffic::leafs_changed { m_leafRegistrations });
-    startServingWhenReady();
+    m_areLeafsHeldBack = true;
+    sendLeafsToTraffic();
 }
 
 void fleet_service::handleDaemonsChanged()
@@ -313,7 +343,7 @@
 
 void fleet_service::startServingWhenReady()
 {
-    if (m_isServing || m_isLeaving || !m_routeTable || m_leafRegistrations.empty())
+    if (m_isServing || m_isLeaving || !m_routeTable || m_leafRegistrations.empty() || m_areLeafsHeldBack)
         return;
     m_isServing = true;
     logEvent(log_level::info, "ready", { { "version", m_routeTable->version() }, { "leafs", m_leafRegistrations.size() } });
@@ -323,8 +353,9 @@
 
 void fleet_service::runPeriodicTasks()
 {
-    if (!m_routeLink.mirror().isConnected() || !m_leafLink.mirror().isConnected())
+    if (!m_routeLink.mirror().isConnected() || !m_leafLink.mirror().isConnected() || !m_evacuationLink.isConnected())
         requestSnapshotFromRandomPeer();
+    sendLeafsToTraffic();
     reconcileRegistrations();
     m_periodicTimer.expires_after(periodicInterval);
     m_periodicTimer.async_wait([this](boost::system::error_code failure) {
@@ -379,7 +410,7 @@
         return;
     }
     object_snapshot const routes { m_configurationInForce->position(), { { m_configurationInForce->name, *m_configurationInForce } } };
-    respond({ statusOk, formatSnapshot({ routes, { m_leafLink.mirror().position(), m_leafLink.mirror().objects() } }), {} });
+    respond({ statusOk, formatSnapshot({ routes, { m_leafLink.mirror().position(), m_leafLink.mirror().objects() }, m_evacuationLink.snapshot() }), {} });
 }
 
 void fleet_service::requestSnapshotFromRandomPeer()
@@ -424,6 +455,8 @@
         if (adoptIfNewer(object))
             logEvent(log_level::info, "configuration_from_peer", { { "peer", toString(origin) }, { "version", m_routeTable->version() } });
     }
+    // Evacuations are adopted before the leafs, to which they apply.
+    m_evacuationLink.adopt(snapshot->evacuations, origin);
     std::vector<zinnialedge::fleet::store_object> leafs;
     leafs.reserve(snapshot->leafs.objects.size());
     for (auto const& [name, object] : snapshot->leafs.objects)
@@ -476,6 +509,12 @@
         boost::json::array members;
         for (auto const& [name, member] : m_membershipLink.engine().members().members())
             members.push_back({ { "name", name }, { "status", membership::toString(member.status) }, { "reaches_leafs", member.reachesLeafs }, { "callers", toString(member.record.callerEndpoint) } });
+        std::uint64_t storeCalls = m_registrationLink.callCount() + m_storeProbe.callCount();
+        for (auto const* const link : storeLinks())
+            storeCalls += link->counters().callCount;
+        boost::json::array evacuations;
+        for (auto const& each : m_evacuationLink.dataCentres())
+            evacuations.emplace_back(each);
         boost::json::object const state {
             { "serving", m_isServing },
             { "leaving", m_isLeaving },
@@ -484,7 +523,8 @@
             { "leafs", m_leafRegistrations.size() },
             { "store_reached", m_routeLink.mirror().isConnected() && m_leafLink.mirror().isConnected() },
             { "store_era", m_storeEra },
-            { "store_calls", m_routeLink.counters().callCount + m_leafLink.counters().callCount + m_daemonLink.counters().callCount + m_registrationLink.callCount() + m_storeProbe.callCount() },
+            { "evacuations", std::move(evacuations) },
+            { "store_calls", storeCalls },
             { "store_reads_paid", m_storeBudget.reads().taken() },
             { "store_writes_paid", m_storeBudget.writes().taken() },
             { "store_calls_put_off", m_storeBudget.reads().refused() + m_storeBudget.writes().refused() },
@@ -500,9 +540,9 @@
         kernel::metrics_text metrics;
         std::vector<std::pair<std::string_view, std::uint64_t>> calls;
         std::vector<std::pair<std::string_view, std::uint64_t>> failures;
-        for (auto const& [kind, link] : { std::pair { object_kind::routes, &m_routeLink }, std::pair { object_kind::leafs, &m_leafLink }, std::pair { object_kind::daemons, &m_daemonLink } }) {
-            calls.emplace_back(objectKindName(kind), link->counters().callCount);
-            failures.emplace_back(objectKindName(kind), link->counters().failureCount);
+        for (auto const* const link : storeLinks()) {
+            calls.emplace_back(objectKindName(link->kind()), link->counters().callCount);
+            failures.emplace_back(objectKindName(link->kind()), link->counters().failureCount);
         }
         metrics.counter("store_calls_total", "kind", calls);
         metrics.counter("store_call_failures_total", "kind", failures);
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -6,6 +6,7 @@
 #include "Libraries/zinnialedge/fleet/lost_daemons.h"
 #include "Libraries/zinnialedge/fleet/store_budget.h"
 #include "Libraries/zinnialedge/wire/http_server.h"
+#include "Services/fleet/evacuation_link.h"
 #include "Services/fleet/membership_link.h"
 #include "Services/fleet/registration_link.h"
 #include "Services/fleet/store_link.h"
@@ -33,6 +34,8 @@
     std::vector<model::endpoint> seeds;
     /// Time for which callers may use a directory answer.
     std::chrono::milliseconds directoryValidity { 1000 };
+    /// Whether evacuations of data centres are read from the store.
+    bool readsEvacuations { false };
 };
 
 /// Settings that may change while a daemon runs.
@@ -74,6 +77,13 @@
     /// Puts a configuration object in force if its version is higher than the version in force. Returns whether it did.
     bool adoptIfNewer(zinnialedge::fleet::store_object const&);
     void handleLeafsChanged();
+    void handleEvacuationsChanged();
+    /// Passes the leafs on, unless leafs must not be called before the evacuations are known.
+    void sendLeafsToTraffic();
+    /// Tells the other daemons by a digest which configuration and evacuations this daemon knows.
+    void shareDigest();
+    /// Returns the links to the store.
+    std::vector<store_link*> storeLinks();
     void handleDaemonsChanged();
     void handleMembersChanged();
     /// Tells the other daemons whether this daemon reaches leafs, and leaves or enters the directory.
@@ -105,6 +115,7 @@
     store_link m_routeLink;
     store_link m_leafLink;
     store_link m_daemonLink;
+    evacuation_link m_evacuationLink;
     store_probe m_storeProbe;
     registration_link m_registrationLink;
     membership_link m_membershipLink;
@@ -128,6 +139,8 @@
     std::uint64_t m_malformedObjectCount { 0 };
     std::uint64_t m_directoryAnswerCount { 0 };
     bool m_isServing { false };
+    /// True when the leafs are known and have not been passed on yet.
+    bool m_areLeafsHeldBack { false };
     bool m_isLeaving { false };
     bool m_reachesLeafs { true };
     bool m_isSnapshotRequestInFlight { false };
--- a/Services/fleet/store_link.cpp
+++ b/Services/fleet/store_link.cpp
@@ -28,6 +28,8 @@
         return "leafs";
     case object_kind::daemons:
         return "daemons";
+    case object_kind::evacuations:
+        return "evacuations";
     }
     return "unknown";
 }
--- a/Services/fleet/store_link.h
+++ b/Services/fleet/store_link.h
@@ -35,6 +35,7 @@
     /// Lists the objects again because the store has begun a later era, and ignores the reply to the call in flight.
     void enterEra(std::uint64_t era);
 
+    zinnialedge::fleet::object_kind kind() const { return m_kind; }
     zinnialedge::fleet::object_mirror const& mirror() const { return m_mirror; }
     store_link_counters const& counters() const { return m_counters; }
 
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -92,6 +92,11 @@
     logEvent(level, events.at(static_cast<std::size_t>(report.state)), { { "leafs", leafCount }, { "silent", report.evidence.silentLeafs }, { "failed", report.evidence.failedLeafs }, { "since_reply_ms", toMilliseconds(report.evidence.sinceLastReply) }, { "requests_detoured", report.detouredRequestCount } });
 }
 
+void request_log::logEvacuation(forwarding::evacuation_report const& report)
+{
+    logEvent(log_level::warn, report.hasBegun ? "evacuation_began" : "evacuation_ended", { { "data_centre", report.dataCentre }, { "leafs", report.leafCount }, { "calls_in_flight", report.callsInFlight }, { "evacuated_data_centres", report.evacuatedDataCentreCount } });
+}
+
 void request_log::logLeafLimit(std::string const& leafId, std::string_view event, forwarding::leaf_rate_limit const& limit)
 {
     if (!tryCountLine(m_callLineCount, callLinesPerSecond))
--- a/Services/traffic/request_log.h
+++ b/Services/traffic/request_log.h
@@ -14,6 +14,7 @@
     void logConnectFailure(std::string const& leafId, std::string_view reason, std::size_t leafsRepliedLately);
     void logBrokenCall(forwarding::broken_call_report const&);
     void logQuarantine(forwarding::quarantine_report const&);
+    void logEvacuation(forwarding::evacuation_report const&);
     void logLinks(forwarding::link_report const&, std::size_t leafCount);
     void logLeafLimit(std::string const& leafId, std::string_view event, forwarding::leaf_rate_limit const&);
 
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -149,6 +149,10 @@
         metrics.counter("detours_failed_total", counters.detoursFailed);
         metrics.counter("detoured_requests_total", counters.detouredRequests);
         metrics.counter("refusals_for_lost_links_total", counters.rejectionsForLostLinks);
+        metrics.counter("evacuations_total", counters.evacuations);
+        metrics.counter("refusals_for_evacuations_total", counters.rejectionsForEvacuations);
+        metrics.gauge("evacuated_data_centres", m_engine.leafs().evacuatedDataCentres().size());
+        metrics.gauge("leafs_evacuated", m_engine.leafs().evacuatedCount());
         metrics.gauge("leaf_links_lost", m_engine.linkState() == reachability::link_state::lost ? 1 : 0);
         metrics.gauge("suspect_requests", m_engine.quarantined().size());
         metrics.gauge("quarantined_requests", m_engine.quarantined().quarantinedCount());
@@ -201,6 +205,7 @@
                 m_leafReachReceiver(reachesLeafs);
         };
         hooks.logLeafLimit = [this](std::string const& leaf, std::string_view event, forwarding::leaf_rate_limit const& limit) { m_requestLog.logLeafLimit(leaf, event, limit); };
+        hooks.logEvacuation = [this](forwarding::evacuation_report const& report) { m_requestLog.logEvacuation(report); };
         return hooks;
     }
 
@@ -407,6 +412,7 @@
     }
 
     void apply(leafs_changed&& changed) { m_engine.setLeafs(changed.leafs, now()); }
+    void apply(evacuations_changed&& changed) { m_engine.setEvacuations(std::move(changed.dataCentres), now()); }
     void apply(fleet_share_changed&& changed)
     {
         logEvent(log_level::info, "fleet_share_changed", { { "connection_holders", changed.share.daemonsSharingConnections }, { "slack_holders", changed.share.daemonsSharingSlack }, { "limit_shares", changed.share.daemonsSharingLeafLimits }, { "relays", changed.share.relays.size() }, { "detours", changed.share.detours.size() } });
--- a/Services/traffic/traffic_service.h
+++ b/Services/traffic/traffic_service.h
@@ -6,6 +6,7 @@
 #include "Libraries/zinnialedge/forwarding/request_engine.h"
 #include <atomic>
 #include <memory>
+#include <set>
 #include <variant>
 
 namespace zinnialedge::services::traffic {
@@ -26,6 +27,11 @@
     std::vector<forwarding::leaf_registration> leafs;
 };
 
+/// The set of data centres to whose leafs nothing may be sent has changed.
+struct evacuations_changed {
+    std::set<std::string> dataCentres;
+};
+
 struct fleet_share_changed {
     forwarding::fleet_share share;
 };
@@ -42,7 +48,7 @@
 /// Makes all further answers ask callers to close their connections.
 struct leaving_started { };
 
-using traffic_event = std::variant<forwarding::route_table_pointer, leafs_changed, fleet_share_changed, extra_calls_changed, suspects_told, leaving_started>;
+using traffic_event = std::variant<forwarding::route_table_pointer, leafs_changed, evacuations_changed, fleet_share_changed, extra_calls_changed, suspects_told, leaving_started>;
 
 /// Receives requests from callers and calls leafs, all on one event loop: a leaf's reply costs one wake-up and no hand-over between
 /// threads.
--- a/Tests/Unit/edge_settings_test.cpp
+++ b/Tests/Unit/edge_settings_test.cpp
@@ -48,3 +48,38 @@
     std::filesystem::remove(path);
     CHECK(!watch.readIfChanged());
 }
+
+/// Fills in the platform's template like the platform: a section is left out when its field is missing.
+static std::string fillTemplate(bool hasEvacuations)
+{
+    std::ifstream file { std::string { TESTS_FOLDER } + "/../platform/settings.template" };
+    std::string const text { std::istreambuf_iterator<char> { file }, {} };
+    std::string filled;
+    std::size_t position = 0;
+    for (auto start = text.find("{{"); start != std::string::npos; start = text.find("{{", position)) {
+        filled += text.substr(position, start - position);
+        position = text.find("}}", start) + 2;
+        auto const field = text.substr(start + 2, position - start - 4);
+        if (field.starts_with("#") && (field != "#bounds.evacuate_ms" || !hasEvacuations))
+            position = text.find("{{/" + field.substr(1) + "}}", position);
+        else if (field == "ip")
+            filled += "10.0.0.1";
+        else if (field.starts_with("listen.") || field == "platform.address|json")
+            filled += R"("10.0.0.1:1")";
+        else if (field == "node_name|json" || field == "region|json" || field == "zone|json")
+            filled += R"("name")";
+        else if (!field.starts_with("#") && !field.starts_with("/"))
+            filled += "1";
+    }
+    return filled + text.substr(position);
+}
+
+// Guards against: the template gives invalid settings on a platform with evacuations, or on one without.
+TEST(EdgeSettings, TemplateIsValidWithAndWithoutEvacuations)
+{
+    for (bool const hasEvacuations : { false, true }) {
+        auto const settings = configuration::parseEdgeSettings(fillTemplate(hasEvacuations));
+        CHECK_TEXT(settings.has_value(), settings ? "" : settings.error().front().c_str());
+        CHECK(settings->readsEvacuations == hasEvacuations);
+    }
+}
