--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -69,6 +69,7 @@
         .storeRates = m_settings.storeRates,
         .seeds = m_settings.seeds,
         .directoryValidity = directoryValidity,
+        .readsEvacuations = m_settings.readsEvacuations,
     };
     if (m_settings.capacity)
         fleet.strength = m_settings.capacity->processor;
--- a/Libraries/zinnialedge/configuration/edge_settings.h
+++ b/Libraries/zinnialedge/configuration/edge_settings.h
@@ -47,6 +47,8 @@
     std::string leafCallSource;
     /// Empty when the deployment does not tell the capacity of the VM.
     std::optional<vm_capacity> capacity;
+    /// Whether the daemon reads evacuations of data centres from the store.
+    bool readsEvacuations { false };
     std::string logLevel { "info" };
 
     bool operator==(edge_settings const&) const = default;
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -60,10 +60,15 @@
         return;
     }
     auto const pick = m_leafs.pickLeaf(*request.parts[partIndex].service, request.parts[partIndex].calledLeafs, hedgeDelayOf(*request.matchedRoute), now);
-    if (pick)
+    if (pick) {
         sendCall(request, partIndex, pick->leaf, now);
-    else
+    } else if (m_leafs.hasAcceptingLeaf(*request.parts[partIndex].service, request.parts[partIndex].calledLeafs, now)) {
         enqueuePart(request, partIndex, now);
+    } else {
+        // No end of a call can free a leaf for the part.
+        request.parts[partIndex].isMissing = true;
+        ++request.missingPartCount;
+    }
 }
 
 void request_engine::sendCall(active_request& request, std::size_t partIndex, leaf_handle handle, time_point now)
@@ -90,6 +95,8 @@
 
 bool request_engine::isCallWanted(call_number number, time_point now) const
 {
+    if (auto const probe = m_probes.find(number); probe != m_probes.end())
+        return !isEvacuated(probe->second.leaf);
     auto const found = m_calls.find(number);
     if (found == m_calls.end())
         return true;
