Allowances: Take the share of a rate out of the limit that a leaf names

Cause: the limit of cold leafs needs the same token bucket as the limit that a leaf names, whose bucket was part of forwarding::leaf_rate_limit. Change: allowances::rate_share holds the bucket; leaf_rate_limit keeps what concerns the named limit.

--- a/Libraries/zinnialedge/forwarding/leaf_rate_limit.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_rate_limit.cpp
@@ -12,8 +12,6 @@
 static constexpr std::chrono::duration<double> burstTime { 1.0 };
 /// Lowest rate that all daemons together use of a limit, since only the replies to calls show that the limit has ended.
 static constexpr double minimumRequestsPerSecond = 0.25;
-/// Tolerance for rounding when the time of the next call is computed.
-static constexpr std::chrono::microseconds roundingTolerance { 1 };
 
 bool leaf_rate_limit::isValid(double requestsPerSecond)
 {
@@ -27,24 +25,20 @@
     if (isNew) {
         m_inForceSince = now;
         m_calls = {};
-        m_countedAt = now;
+        m_share.setAvailableCalls(0, now);
     }
     bool const hasChanged = isNew || *m_requestsPerSecond != requestsPerSecond;
-    auto const available = isNew ? 0 : availableCalls(now);
     m_requestsPerSecond = requestsPerSecond;
     m_sharers = sharers;
-    m_countedAt = now;
-    m_availableCalls = available;
+    updateShare(now);
     return hasChanged;
 }
 
 void leaf_rate_limit::setSharers(double sharers, time_point now)
 {
-    if (m_requestsPerSecond) {
-        m_availableCalls = availableCalls(now);
-        m_countedAt = now;
-    }
     m_sharers = sharers;
+    if (m_requestsPerSecond)
+        updateShare(now);
 }
 
 bool leaf_rate_limit::clear(time_point sentAt)
@@ -56,36 +50,27 @@
     return true;
 }
 
-double leaf_rate_limit::ownRate() const
-{
-    return std::max(m_requestsPerSecond.value_or(0), minimumRequestsPerSecond) / std::max(m_sharers, 1.0);
-}
-
-double leaf_rate_limit::availableCalls(time_point now) const
+void leaf_rate_limit::updateShare(time_point now)
 {
-    auto const burst = std::max(1.0, ownRate() * burstTime.count());
-    return std::min(burst, m_availableCalls + ownRate() * std::chrono::duration<double> { now - m_countedAt }.count());
+    auto const ownRate = std::max(m_requestsPerSecond.value_or(0), minimumRequestsPerSecond) / std::max(m_sharers, 1.0);
+    m_share.setRate(ownRate, std::max(1.0, ownRate * burstTime.count()), now);
 }
 
 time_point leaf_rate_limit::nextCallAt(time_point now) const
 {
-    if (allowsCall(now))
-        return now;
-    auto const missingCalls = 1 - availableCalls(now);
-    return now + std::chrono::ceil<duration>(std::chrono::duration<double> { missingCalls / ownRate() }) + roundingTolerance;
+    return isInForce() ? m_share.nextCallAt(now) : now;
 }
 
 duration leaf_rate_limit::callInterval() const
 {
-    return isInForce() ? std::chrono::ceil<duration>(std::chrono::duration<double> { 1 / ownRate() }) : duration::zero();
+    return isInForce() ? m_share.callInterval() : duration::zero();
 }
 
 void leaf_rate_limit::recordCall(call_origin origin, time_point now)
 {
     if (!m_requestsPerSecond)
         return;
-    m_availableCalls = availableCalls(now) - 1;
-    m_countedAt = now;
+    m_share.consume(now);
     switch (origin) {
     case call_origin::first:
         ++m_calls.first;
--- a/Libraries/zinnialedge/forwarding/leaf_rate_limit.h
+++ b/Libraries/zinnialedge/forwarding/leaf_rate_limit.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Kernel/clock.h"
+#include "Libraries/zinnialedge/allowances/rate_share.h"
 #include <cstdint>
 #include <optional>
 
@@ -46,24 +47,21 @@
     call_counts const& calls() const { return m_calls; }
 
     /// Returns whether this daemon may send a call now.
-    bool allowsCall(kernel::time_point now) const { return !isInForce() || availableCalls(now) >= 1; }
+    bool allowsCall(kernel::time_point now) const { return !isInForce() || m_share.allowsCall(now); }
     /// Returns the time at which this daemon may send its next call: `now` if the limit allows a call.
     kernel::time_point nextCallAt(kernel::time_point now) const;
     /// Returns the time between two calls of this daemon; zero when no limit is in force.
     kernel::duration callInterval() const;
 
 private:
-    /// Returns this daemon's share of the limit in calls per second.
-    double ownRate() const;
-    double availableCalls(kernel::time_point now) const;
+    /// Sets the rate of this daemon's share from the limit and the number of sharers.
+    void updateShare(kernel::time_point now);
 
     std::optional<double> m_requestsPerSecond;
     double m_sharers { 1 };
     kernel::time_point m_inForceSince;
     kernel::time_point m_lastNamedAt;
-    /// Number of calls that were allowed at `m_countedAt`.
-    double m_availableCalls { 0 };
-    kernel::time_point m_countedAt;
+    allowances::rate_share m_share;
     call_counts m_calls;
 };
 
