Platform: Read the warm-up time and the machine time of leafs

Cause: a leaf tells in its replies how long it stays cold, and in a fourth number of its load how long work takes on its machine. A load of four numbers was dropped as malformed. Change: leaf_reply::warmupLeft, leaf_load::machineTime, and the revision of a registration, by which an entry that was read again is told from a known one.

--- a/Libraries/zinnialedge/forwarding/leaf_registration.h
+++ b/Libraries/zinnialedge/forwarding/leaf_registration.h
@@ -19,6 +19,8 @@
     bool isDraining { false };
     /// Remaining warm-up time, during which the leaf is slower.
     std::chrono::milliseconds warmupLeft { 0 };
+    /// Revision of the store's entry, by which an entry that was read again is told from a known one; zero when unknown.
+    std::uint64_t revision { 0 };
 
     auto operator<=>(leaf_registration const&) const = default;
 };
--- a/Libraries/zinnialedge/forwarding/messages.h
+++ b/Libraries/zinnialedge/forwarding/messages.h
@@ -84,6 +84,8 @@
     std::uint32_t running { 0 };
     std::uint32_t waiting { 0 };
     std::uint32_t slots { 0 };
+    /// Time that work currently takes on the leaf's machine, in percent of the usual time; empty when the leaf does not report it.
+    std::optional<std::uint32_t> machineTime {};
 
     auto operator<=>(leaf_load const&) const = default;
 };
@@ -130,6 +132,8 @@
     /// Time in seconds for which the leaf wants no calls from this daemon; not a number when the leaf's value was malformed.
     std::optional<double> pauseSeconds;
     std::optional<leaf_load> load;
+    /// Time for which the leaf stays cold, as it reports; empty when the reply does not tell it.
+    std::optional<std::chrono::milliseconds> warmupLeft;
     /// Ids of leafs that are leaving, as reported by another daemon.
     std::vector<std::string> leavingLeafIds;
     /// Limits that leafs have named, as reported by another daemon.
