--- a/Libraries/zinnialedge/allowances/rate_share.cpp
+++ b/Libraries/zinnialedge/allowances/rate_share.cpp
@@ -33,7 +33,7 @@
 
 double rate_share::availableCalls(time_point now) const
 {
-    auto const calls = m_availableCalls + m_callsPerSecond * std::chrono::duration<double> { now - m_countedAt }.count();
+    auto const calls = m_availableCalls + m_callsPerSecond * std::chrono::duration<double> { now - m_countedAt.value_or(now) }.count();
     if (calls <= m_burst)
         return calls;
     return m_unused == unused_calls::kept ? m_burst : calls - std::ceil(calls - m_burst);
--- a/Libraries/zinnialedge/allowances/rate_share.h
+++ b/Libraries/zinnialedge/allowances/rate_share.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Kernel/clock.h"
+#include <optional>
 
 namespace zinnialedge::allowances {
 
@@ -22,6 +23,7 @@
     }
 
     /// Sets the rate in calls per second, which must be positive, and the greatest number of calls that are saved up, at least one.
+    /// Calls accrue from the first time that the rate or the number of available calls is set.
     void setRate(double callsPerSecond, double burst, kernel::time_point now);
     /// Sets the number of calls that are available now.
     void setAvailableCalls(double calls, kernel::time_point now);
@@ -42,7 +44,8 @@
     double m_burst { 1 };
     /// Number of calls that were available at `m_countedAt`.
     double m_availableCalls { 0 };
-    kernel::time_point m_countedAt;
+    /// Empty until calls accrue.
+    std::optional<kernel::time_point> m_countedAt;
 };
 
 }
