Forwarding: Limit the calls to cold leafs and pace those that start

Cause: all daemons call a leaf that has just started as if it were warm, or leave it idle while the others look faster. Change: leaf_record keeps the limit of a cold leaf beside the named one, and each call needs room in both. The warm-up is taken from registrations that were read again, from replies, and from becomeCold(). The window of calls in flight is in force in the start phase of services that declare a warm-up. An idle leaf in its start gets a call of a request that another leaf can still answer. The machine time that a leaf reports corrects its expected delay.

--- a/Libraries/zinnialedge/forwarding/engine_interface.h
+++ b/Libraries/zinnialedge/forwarding/engine_interface.h
@@ -4,6 +4,7 @@
 
 #include "Libraries/zinnialedge/forwarding/extra_call_budget.h"
 #include "Libraries/zinnialedge/forwarding/leaf_rate_limit.h"
+#include "Libraries/zinnialedge/forwarding/leaf_roster.h"
 #include "Libraries/zinnialedge/forwarding/messages.h"
 #include "Libraries/zinnialedge/quarantine/suspect.h"
 #include "Libraries/zinnialedge/reachability/link_monitor.h"
@@ -23,6 +24,7 @@
     std::chrono::milliseconds maximumLeafPause { std::chrono::hours { 1 } };
     /// Number that differs between daemons.
     std::uint64_t daemonSeed { 0 };
+    leaf_start_settings leafStarts;
 };
 
 /// Outcome of one request, for logs and metrics.
@@ -99,6 +101,16 @@
     kernel::duration nextTrial {};
 };
 
+/// A change of a leaf between phases.
+struct leaf_phase_report {
+    std::string const& leafId;
+    leaf_phase_event event { leaf_phase_event::cold };
+    kernel::duration warmupLeft {};
+    /// Time since the last start phase began, or zero.
+    kernel::duration sinceStart {};
+    std::size_t callsInFlight { 0 };
+};
+
 struct engine_hooks {
     /// Sends a call. The end of the call is reported later through handleCallEnd(), never from within this hook.
     std::function<void(leaf_call)> sendCall;
@@ -120,6 +132,8 @@
     std::function<void(bool)> shareLeafReach;
     /// Logs that a leaf has named a limit or names none any more.
     std::function<void(std::string const& leafId, std::string_view event, leaf_rate_limit const&)> logLeafLimit;
+    /// Logs that a leaf has become cold or warm, or that its start phase has begun or ended.
+    std::function<void(leaf_phase_report const&)> logLeafPhase;
 };
 
 /// Event counts since the start of the process.
@@ -175,6 +189,10 @@
     std::uint64_t rejectionsForLostLinks { 0 };
     /// Number of requests rejected because of the request limits of leafs.
     std::uint64_t rejectionsForLimits { 0 };
+    std::uint64_t leafsBecameCold { 0 };
+    /// Number of times that the limit on calls in flight to a leaf in its start phase was raised, and lowered.
+    std::uint64_t leafPaceRaised { 0 };
+    std::uint64_t leafPaceLowered { 0 };
 };
 
 }
--- a/Libraries/zinnialedge/forwarding/fleet_share.h
+++ b/Libraries/zinnialedge/forwarding/fleet_share.h
@@ -26,6 +26,8 @@
     std::vector<relay> detours;
     /// Number of equal shares into which the request limit of a leaf is divided; this daemon may use one of them.
     double daemonsSharingLeafLimits { 1 };
+    /// Share of the daemons with an equal share that come before this one, from 0 to below 1.
+    double limitPhase { 0 };
 
     bool operator==(fleet_share const&) const = default;
 };
--- a/Libraries/zinnialedge/forwarding/leaf_record.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_record.cpp
@@ -36,14 +36,20 @@
 void leaf_record::updateRegistration(leaf_registration registration, time_point now)
 {
     registration.isDraining = registration.isDraining || m_registration.isDraining;
+    // The list of registrations is passed on again when any of them changes. An entry that was not read again tells nothing new.
+    bool const wasReadAgain = registration.revision == 0 || registration.revision != m_registration.revision;
     m_registration = std::move(registration);
-    m_warmupEndsAt = now + m_registration.warmupLeft;
+    if (wasReadAgain)
+        recordWarmup(m_registration.warmupLeft, now, now);
     m_isDeregistered = false;
 }
 
 void leaf_record::recordSent(call_origin origin, time_point now)
 {
     m_rateLimit.recordCall(origin, now);
+    if (isCold(now))
+        m_coldShare.recordCall(now);
+    m_lastSentAt = now;
     m_inFlightSentAt.push_back(now);
 }
 
@@ -55,6 +61,7 @@
 
 void leaf_record::addSample(double microseconds)
 {
+    m_averageMachineFactor = m_averageLatencyMicroseconds == 0 ? machineFactor() : m_averageMachineFactor + sampleWeight * (machineFactor() - m_averageMachineFactor);
     m_averageLatencyMicroseconds = m_averageLatencyMicroseconds == 0 ? microseconds : m_averageLatencyMicroseconds + sampleWeight * (microseconds - m_averageLatencyMicroseconds);
 }
 
@@ -104,6 +111,7 @@
         return;
     auto const doublings = std::min(m_consecutiveFailures - 1, maximumBackoffDoublings);
     m_backoffUntil = std::max(m_backoffUntil, now + initialFailureBackoff * (1U << doublings));
+    startPace(m_backoffUntil);
 }
 
 kernel::duration leaf_record::unresponsiveTime(time_point now) const
@@ -135,10 +143,12 @@
 {
     auto const slots = static_cast<double>(std::max(m_registration.slots, 1U));
     auto const inFlightPerSlot = static_cast<double>(m_inFlightSentAt.size()) / slots;
-    auto const warmupFactor = now < m_warmupEndsAt ? coldLatencyFactor : 1;
+    // The replies of a cold leaf whose pace follows them show how slow it is.
+    bool const isMeasured = isPaced() && m_averageLatencyMicroseconds > 0;
+    auto const warmupFactor = isCold(now) && !isMeasured ? coldLatencyFactor : 1;
     // Calls from other daemons are visible only through the load that the leaf reports.
     auto const waitingPerSlot = static_cast<double>(m_load.waiting) / slots;
-    return (recentReplyLatency(now, typicalMicroseconds) + 1) * (1 + inFlightPerSlot + waitingPerSlot / 2) * warmupFactor * (1 + errorFactor * m_errorRate);
+    return (recentReplyLatency(now, typicalMicroseconds) * machineFactorSinceReplies(now) + 1) * (1 + inFlightPerSlot + waitingPerSlot / 2) * warmupFactor * (1 + errorFactor * m_errorRate);
 }
 
 }
--- a/Libraries/zinnialedge/forwarding/leaf_roster.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.cpp
@@ -15,19 +15,12 @@
 /// Time for which a leaf that is no longer registered is remembered. The store's entry of a leaf may lapse and return while the
 /// store is away, and a copy of the store may bring back the entry of a leaf that has left.
 static constexpr std::chrono::minutes formerLeafRetention { 10 };
-/// Time for which daemons that seem to have gone still count as sharers of a leaf's limit. A daemon that is cut off from the others
-/// sees them leave, and would otherwise take their shares while they use them.
-static constexpr std::chrono::seconds limitSharersHold { 20 };
+/// Longest time without calls of a leaf that starts while its service has calls. Its replies show how much it bears, and without calls its
+/// start would last for as long as the other leafs look faster.
+static constexpr std::chrono::milliseconds longestIdleStart { 300 };
 /// Weight of one call in the typical latency over all leafs.
 static constexpr double typicalLatencyWeight = 0.01;
 
-leaf_roster::leaf_roster(std::string localDataCentre, kernel::random_hook random)
-    : m_localDataCentre(std::move(localDataCentre))
-    , m_random(std::move(random))
-    , m_limitSharers(1, limitSharersHold)
-{
-}
-
 std::uint32_t leaf_roster::connectionLimitOf(std::string const& service) const
 {
     auto const cap = m_routes ? m_routes->connectionCapOf(service) : service_rules {}.connectionCap;
@@ -35,12 +28,14 @@
     return std::max(1U, static_cast<std::uint32_t>(connectionsPerDaemon));
 }
 
-void leaf_roster::setConnectionSharing(route_table_pointer routes, std::size_t daemonCount)
+void leaf_roster::setConnectionSharing(route_table_pointer routes, std::size_t daemonCount, time_point now)
 {
     m_routes = std::move(routes);
     m_daemonCount = daemonCount;
-    for (auto& [handle, record] : m_leafs)
+    for (auto& [handle, record] : m_leafs) {
         record.setConnectionLimit(connectionLimitOf(record.registration().service));
+        record.setStartRules(startRulesOf(record.registration().service, now), now);
+    }
 }
 
 std::optional<leaf_handle> leaf_roster::findIncarnation(leaf_registration const& registration) const
@@ -62,11 +57,9 @@
     m_handlesByService.clear();
     for (auto const& each : registrations) {
         auto const known = findIncarnation(each);
-        auto const handle = known ? *known : ++m_lastHandle;
+        auto const handle = known ? *known : addLeaf(each, now);
         if (known)
             at(handle).updateRegistration(each, now);
-        else
-            m_leafs.emplace(handle, leaf_record { each, connectionLimitOf(each.service), now });
         kept[each.id] = handle;
         m_handlesByService[each.service].push_back(handle);
     }
@@ -78,6 +71,7 @@
         m_formerLeafs[id] = { handle, now };
     }
     m_handleById = std::move(kept);
+    m_hasRegistrations = m_hasRegistrations || !registrations.empty();
     std::erase_if(m_formerLeafs, [&](auto const& entry) {
         auto const registered = m_handleById.find(entry.first);
         return now - entry.second.deregisteredAt > formerLeafRetention || (registered != m_handleById.end() && registered->second == entry.second.leaf);
@@ -103,21 +97,35 @@
     m_typicalLatencyMicroseconds += weight * (std::chrono::duration<double, std::micro> { callDuration }.count() - m_typicalLatencyMicroseconds);
 }
 
-std::optional<leaf_pick> leaf_roster::pickLeaf(std::string const& service, std::span<leaf_handle const> excluded, kernel::duration timeLimit, time_point now) const
+/// Returns whether the leaf is cold or in its start phase, and has been without calls for too long.
+static bool isIdleStart(leaf_record const& record, time_point now)
+{
+    return record.isPaced() && (record.isStarting() || record.isCold(now)) && record.inFlight() == 0 && now - std::max(record.lastSentAt(), record.paceStartedAt()) >= longestIdleStart;
+}
+
+std::optional<leaf_pick> leaf_roster::pickLeaf(std::string const& service, std::span<leaf_handle const> excluded, kernel::duration timeLimit, time_point now, bool mayTryStarting) const
 {
     auto const leafs = m_handlesByService.find(service);
     if (leafs == m_handlesByService.end())
         return std::nullopt;
     std::optional<leaf_pick> best;
     double bestDelay = 0;
+    // The idle leaf to try, of the local data centre if possible.
+    std::optional<leaf_handle> idle;
     auto const offset = leafs->second.empty() ? 0 : m_random() % leafs->second.size();
     for (std::size_t index = 0; index < leafs->second.size(); ++index) {
         auto const handle = leafs->second[(index + offset) % leafs->second.size()];
         auto const& record = at(handle);
-        if (!record.hasRoom(now) || std::find(excluded.begin(), excluded.end(), handle) != excluded.end())
+        if (std::find(excluded.begin(), excluded.end(), handle) != excluded.end())
             continue;
+        if (!record.hasRoom(now)) {
+            m_heldBackCount += record.hasColdLimit(now) && record.hasRoomExceptCold(now) ? 1 : 0;
+            continue;
+        }
         bool const isSuspect = record.isSuspect(now, timeLimit);
         bool const isRemote = record.registration().dataCentre != m_localDataCentre;
+        if (mayTryStarting && !isSuspect && isIdleStart(record, now) && (!idle || !isRemote))
+            idle = handle;
         auto const delay = record.delayScore(now, m_typicalLatencyMicroseconds) * (isRemote ? remoteDelayFactor : 1);
         bool const isBetter = !best || (best->isSuspect && !isSuspect) || (best->isSuspect == isSuspect && delay < bestDelay);
         if (!isBetter)
@@ -125,6 +133,10 @@
         best = leaf_pick { handle, isSuspect };
         bestDelay = delay;
     }
+    // A leaf of another data centre is tried only where the calls go to other data centres anyway, because their traffic is charged.
+    auto const isLocal = [&](leaf_handle leaf) { return at(leaf).registration().dataCentre == m_localDataCentre; };
+    if (idle && (isLocal(*idle) || !isLocal(best->leaf)))
+        best = leaf_pick { *idle, false };
     return best;
 }
 
@@ -157,7 +169,7 @@
     auto const leafs = m_handlesByService.find(service);
     return leafs != m_handlesByService.end() && std::any_of(leafs->second.begin(), leafs->second.end(), [&](auto handle) {
         auto const& record = at(handle);
-        bool const needsDirectCall = record.rateLimit().isInForce() && dataCentre != m_localDataCentre;
+        bool const needsDirectCall = (record.rateLimit().isInForce() || record.hasColdLimit(now)) && dataCentre != m_localDataCentre;
         return record.registration().dataCentre == dataCentre && record.hasRoom(now) && !needsDirectCall && !record.isSuspect(now, timeLimit);
     });
 }
@@ -168,66 +180,12 @@
     m_lastPauseEnd = std::max(m_lastPauseEnd, at(leaf).currentPause().endsAt());
 }
 
-void leaf_roster::setLimitSharers(double sharers, time_point now)
-{
-    m_limitSharers.set(sharers, now);
-    for (auto& [handle, record] : m_leafs)
-        record.setRateLimitSharers(m_limitSharers.value(now), now);
-}
-
-bool leaf_roster::limitLeaf(leaf_handle leaf, double requestsPerSecond, time_point now)
-{
-    return at(leaf).setRateLimit(requestsPerSecond, m_limitSharers.value(now), now);
-}
-
 std::optional<leaf_handle> leaf_roster::findLeaf(std::string const& leafId) const
 {
     auto const found = m_handleById.find(leafId);
     return found == m_handleById.end() ? std::nullopt : std::optional { found->second };
 }
 
-std::optional<time_point> leaf_roster::nextCallTime(std::string const& service, std::span<leaf_handle const> excluded, std::size_t callsAhead, time_point now) const
-{
-    struct limited_leaf {
-        time_point nextCallAt;
-        kernel::duration interval;
-    };
-    std::vector<limited_leaf> limited;
-    auto const leafs = m_handlesByService.find(service);
-    if (leafs == m_handlesByService.end())
-        return std::nullopt;
-    for (auto const handle : leafs->second) {
-        auto const& record = at(handle);
-        if (!record.acceptsCalls(now) || std::find(excluded.begin(), excluded.end(), handle) != excluded.end())
-            continue;
-        auto const& limit = record.rateLimit();
-        if (!limit.isInForce())
-            return now;
-        limited.push_back({ limit.nextCallAt(now), limit.callInterval() });
-    }
-    if (limited.empty())
-        return std::nullopt;
-    auto const earliest = [&] { return std::min_element(limited.begin(), limited.end(), [](auto const& left, auto const& right) { return left.nextCallAt < right.nextCallAt; }); };
-    for (std::size_t call = 0; call < callsAhead; ++call) {
-        auto const next = earliest();
-        next->nextCallAt += next->interval;
-    }
-    return earliest()->nextCallAt;
-}
-
-kernel::duration leaf_roster::limitedCallInterval(std::string const& service, time_point now) const
-{
-    double callsPerSecond = 0;
-    if (auto const leafs = m_handlesByService.find(service); leafs != m_handlesByService.end()) {
-        for (auto const handle : leafs->second) {
-            auto const& limit = at(handle).rateLimit();
-            if (at(handle).acceptsCalls(now) && limit.isInForce())
-                callsPerSecond += 1 / std::chrono::duration<double> { limit.callInterval() }.count();
-        }
-    }
-    return callsPerSecond == 0 ? kernel::duration::zero() : std::chrono::ceil<kernel::duration>(std::chrono::duration<double> { 1 / callsPerSecond });
-}
-
 bool leaf_roster::markLeaving(std::string const& leafId)
 {
     auto const found = m_handleById.find(leafId);
--- a/Libraries/zinnialedge/forwarding/leaf_roster.h
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.h
@@ -13,6 +13,14 @@
 /// Identifies one incarnation of a leaf in the roster. Handles are never reused.
 using leaf_handle = std::uint32_t;
 
+/// Settings for leafs that are cold, start or recover.
+struct leaf_start_settings {
+    allowances::cold_leaf_tolerance coldLeafs;
+    pacing::pace_scope paceScope { pacing::pace_scope::declared };
+    /// Time that is added to a time point to get the time since the epoch of the wall clock.
+    kernel::duration wallClockOffset {};
+};
+
 struct leaf_pick {
     leaf_handle leaf { 0 };
     /// True when no healthy leaf of the service was available.
@@ -22,15 +30,18 @@
 /// Holds all leafs by service and selects leafs for calls.
 class leaf_roster {
 public:
-    leaf_roster(std::string localDataCentre, kernel::random_hook);
+    leaf_roster(std::string localDataCentre, kernel::random_hook, leaf_start_settings = {});
 
     /// Replaces the list of registered leafs. Records of unchanged incarnations are kept.
     void replaceRegistrations(std::vector<leaf_registration> const&, kernel::time_point now);
     /// Sets the route table with the connection caps, and the number of daemons that share the connections of a leaf.
-    void setConnectionSharing(route_table_pointer, std::size_t daemonCount);
+    void setConnectionSharing(route_table_pointer, std::size_t daemonCount, kernel::time_point now);
 
-    /// Sets the number of daemons that share the request limit of a leaf. A smaller number counts only after a hold time.
-    void setLimitSharers(double sharers, kernel::time_point now);
+    /// Sets the number of daemons that share the request limit of a leaf, and this daemon's place among them. A smaller number counts only
+    /// after a hold time.
+    void setLimitSharers(double sharers, double phase, kernel::time_point now);
+    /// Applies numbers of sharers of cold leafs whose hold time has ended.
+    void refreshStartRules(kernel::time_point now);
 
     /// Adds the duration of a successful call to the typical latency over all leafs.
     void recordCallDuration(kernel::duration callDuration);
@@ -45,8 +56,9 @@
     kernel::duration typicalCallDuration() const { return std::chrono::duration_cast<kernel::duration>(std::chrono::duration<double, std::micro> { m_typicalLatencyMicroseconds }); }
 
     /// Returns the leaf of the service that is expected to reply first, without the excluded leafs. Returns nothing when no leaf
-    /// has a free connection. Leafs of the local data centre are preferred.
-    std::optional<leaf_pick> pickLeaf(std::string const& service, std::span<leaf_handle const> excluded, kernel::duration timeLimit, kernel::time_point now) const;
+    /// has a free connection. Leafs of the local data centre are preferred. With `mayTryStarting`, a leaf that starts and has had no call
+    /// for some time is returned although another leaf is expected to reply first.
+    std::optional<leaf_pick> pickLeaf(std::string const& service, std::span<leaf_handle const> excluded, kernel::duration timeLimit, kernel::time_point now, bool mayTryStarting = false) const;
     /// Returns the recent call duration of the fastest leaf of the service; empty when no leaf accepts calls.
     std::optional<kernel::duration> recentCallDuration(std::string const& service, kernel::time_point now) const;
     /// Returns the time at which the first leaf of the service ends its pause, if the service has no leaf that accepts calls but
@@ -68,10 +80,19 @@
     std::optional<kernel::time_point> nextCallTime(std::string const& service, std::span<leaf_handle const> excluded, std::size_t callsAhead, kernel::time_point now) const;
     /// Returns the mean time between two calls that the request limits of the service's leafs allow.
     kernel::duration limitedCallInterval(std::string const& service, kernel::time_point now) const;
+    /// Returns the latency that a call to the leaf usually has, as the other leafs of the service show that do not start themselves, on a
+    /// machine as fast as the leaf's. Returns nothing when no other leaf shows it.
+    std::optional<kernel::duration> usualLatencyFor(leaf_handle, kernel::time_point now) const;
+    /// Returns whether the pace of the service's leafs is determined after a start.
+    bool isPaced(std::string const& service) const;
+    std::size_t coldCount(kernel::time_point now) const;
+    std::size_t startingCount() const;
+    /// Returns how often a leaf was passed over because of the request limit of cold leafs.
+    std::uint64_t heldBackCount() const { return m_heldBackCount; }
     /// Marks the registered leaf with this id as leaving. Returns false when there is none or when this was known.
     bool markLeaving(std::string const& leafId);
     /// Returns true when the data centre has a healthy leaf of the service with room for a call. In other data centres, leafs
-    /// with a request limit do not count, because a relay would spend its own share of the limit instead of this daemon's.
+    /// with a request limit, named or for cold leafs, do not count, because a relay would spend its own share of the limit instead of this daemon's.
     bool hasHealthyLeafIn(std::string const& service, std::string const& dataCentre, kernel::duration timeLimit, kernel::time_point now) const;
     /// Returns leafs that have room for a call and satisfy the predicate, those that replied last first, or in random order.
     std::vector<leaf_handle> chooseProbeTargets(std::size_t count, bool areLatestFirst, std::function<bool(leaf_handle)> const& isSuitable, kernel::time_point now) const;
@@ -91,6 +112,9 @@
     };
 
     std::uint32_t connectionLimitOf(std::string const& service) const;
+    leaf_start_rules startRulesOf(std::string const& service, kernel::time_point now) const;
+    /// Adds a new incarnation.
+    leaf_handle addLeaf(leaf_registration const&, kernel::time_point now);
     /// Returns the known leaf of the same incarnation, whether it is still registered or not.
     std::optional<leaf_handle> findIncarnation(leaf_registration const&) const;
 
@@ -108,6 +132,12 @@
     std::unordered_map<std::string, std::vector<leaf_handle>> m_handlesByService;
     leaf_handle m_lastHandle { 0 };
     limits::held_maximum m_limitSharers;
+    leaf_start_settings m_startSettings;
+    /// Number of daemons to assume for the limit of cold leafs until this daemon has had time to hear of the others.
+    limits::held_maximum m_assumedSharers;
+    double m_limitPhase { 0 };
+    bool m_hasRegistrations { false };
+    mutable std::uint64_t m_heldBackCount { 0 };
 };
 
 }
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -55,7 +55,7 @@
         holdPart(request, partIndex);
         return;
     }
-    auto const pick = m_leafs.pickLeaf(*request.parts[partIndex].service, request.parts[partIndex].calledLeafs, hedgeDelayOf(*request.matchedRoute), now);
+    auto const pick = m_leafs.pickLeaf(*request.parts[partIndex].service, request.parts[partIndex].calledLeafs, hedgeDelayOf(*request.matchedRoute), now, mayTryIdleLeaf(request, partIndex, now));
     if (pick)
         sendCall(request, partIndex, pick->leaf, now);
     else
@@ -142,7 +142,7 @@
             queue.erase(entry);
             continue;
         }
-        auto const pick = m_leafs.pickLeaf(service, part.calledLeafs, hedgeDelayOf(*request->matchedRoute), now);
+        auto const pick = m_leafs.pickLeaf(service, part.calledLeafs, hedgeDelayOf(*request->matchedRoute), now, mayTryIdleLeaf(*request, next.partIndex, now));
         if (!pick && m_leafs.hasAcceptingLeaf(service, part.calledLeafs, now)) {
             scheduleDispatch(service, part.calledLeafs, now);
             // A part that may use any leaf waits, so the parts behind it wait too.
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -31,7 +31,7 @@
     , m_hooks(std::move(hooks))
     , m_random(random)
     , m_startedAt(startedAt)
-    , m_leafs(m_settings.dataCentre, std::move(random))
+    , m_leafs(m_settings.dataCentre, std::move(random), m_settings.leafStarts)
     // What daemons that leave have consumed counts in each window that contains their calls.
     , m_slackSharers(1, m_settings.extraCalls.window)
     , m_typicalRelayDuration(initialRelayDuration)
@@ -45,13 +45,14 @@
     if (m_routes && routes->version() <= m_routes->version())
         return;
     m_routes = std::move(routes);
-    m_leafs.setConnectionSharing(m_routes, m_fleetShare.daemonsSharingConnections);
+    m_leafs.setConnectionSharing(m_routes, m_fleetShare.daemonsSharingConnections, now);
     dispatchAllQueuedParts(now);
 }
 
 void request_engine::setLeafs(std::vector<leaf_registration> const& registrations, time_point now)
 {
     m_leafs.replaceRegistrations(registrations, now);
+    reviewLeafs(now);
     m_links.setLeafCount(m_leafs.availableCount(), now);
     scheduleLinkCheck(now);
     dispatchAllQueuedParts(now);
@@ -60,10 +61,10 @@
 void request_engine::setFleetShare(fleet_share share, time_point now)
 {
     m_fleetShare = std::move(share);
-    m_leafs.setLimitSharers(m_fleetShare.daemonsSharingLeafLimits, now);
+    m_leafs.setLimitSharers(m_fleetShare.daemonsSharingLeafLimits, m_fleetShare.limitPhase, now);
     if (m_fleetShare.daemonsSharingSlack > 0)
         m_slackSharers.set(static_cast<double>(m_fleetShare.daemonsSharingSlack), now);
-    m_leafs.setConnectionSharing(m_routes, m_fleetShare.daemonsSharingConnections);
+    m_leafs.setConnectionSharing(m_routes, m_fleetShare.daemonsSharingConnections, now);
 }
 
 void request_engine::setExtraCalls(extra_call_limits limits, time_point now)
@@ -129,6 +130,7 @@
 void request_engine::handleRequest(request_token token, caller_request request, time_point now)
 {
     ++m_counters.requests;
+    reviewLeafs(now);
     if (!m_routes) {
         reject(token, request, makeRejection(errors::error_kind::not_configured, "no_configuration", noConfigurationRetryAfter));
         return;
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -283,6 +283,14 @@
     void applyLeafNotices(leaf_handle, leaf_reply const&, std::string const& attemptId, kernel::time_point now);
     /// Applies the limit that the leaf names in a reply, or the end of the limit when a sealed reply names none.
     void applyLeafLimit(leaf_handle, leaf_reply const&, kernel::time_point sentAt, kernel::time_point now);
+    /// Applies the remaining warm-up time that the leaf tells in a reply.
+    void applyLeafWarmup(leaf_handle, leaf_reply const&, kernel::time_point sentAt, kernel::time_point now);
+    /// Adapts the pace of a leaf that starts to the end of a call.
+    void adaptPace(call_context const&, call_result const&, kernel::time_point now);
+    /// Returns whether the request may try an idle leaf in its start phase: another leaf can still answer the request in time.
+    bool mayTryIdleLeaf(active_request&, std::size_t partIndex, kernel::time_point now);
+    /// Logs changes of leafs' phases, at intervals.
+    void reviewLeafs(kernel::time_point now);
     void setLeafLimit(leaf_handle, double requestsPerSecond, kernel::time_point now);
     void logLeafEvent(active_request const&, call_context const&, std::string_view event, kernel::time_point now);
     void handleReply(active_request&, call_context const&, leaf_reply, kernel::time_point now);
@@ -348,6 +356,7 @@
     std::optional<kernel::time_point> m_nextDispatchAt;
     quarantine::quarantine_table m_quarantine;
     kernel::time_point m_nextSharingAt;
+    kernel::time_point m_nextLeafReviewAt;
     bool m_isSharingScheduled { false };
     call_number m_lastCallNumber { 0 };
     /// Moving average of the share of extra calls that the budget denied.
--- a/Libraries/zinnialedge/forwarding/request_links.cpp
+++ b/Libraries/zinnialedge/forwarding/request_links.cpp
@@ -109,6 +109,7 @@
     if (result && !result->isMisdirected && m_leafs.contains(context.leaf)) {
         recordLife(context.leaf, context.sentAt, now);
         applyLeafNotices(context.leaf, *result, noRequest, now);
+        applyLeafWarmup(context.leaf, *result, context.sentAt, now);
     }
     scheduleLinkCheck(now);
 }
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -39,6 +39,9 @@
 void request_engine::recordLeafResult(call_context const& context, call_result const& result, time_point now)
 {
     auto& record = m_leafs.at(context.leaf);
+    if (result && result->load)
+        record.recordLoad(*result->load, now);
+    adaptPace(context, result, now);
     if (!result) {
         record.recordFailure(result.error(), context.sentAt, now);
         if (result.error() == call_failure::broken) {
@@ -49,8 +52,6 @@
         }
         return;
     }
-    if (result->load)
-        record.recordLoad(*result->load);
     if (!result->isMisdirected)
         recordLife(context.leaf, context.sentAt, now);
     if (result->isMisdirected)
@@ -59,6 +60,7 @@
     auto const* const request = findRequest(context.requestToken);
     applyLeafNotices(context.leaf, *result, request ? request->request->attemptId : noRequest, now);
     applyLeafLimit(context.leaf, *result, context.sentAt, now);
+    applyLeafWarmup(context.leaf, *result, context.sentAt, now);
     if (result->wasNotRun || result->isMisdirected) {
         record.recordShed(context.sentAt, now);
     } else if (result->isSuccess()) {
@@ -138,7 +140,8 @@
     if (!m_leafs.contains(leaf))
         return;
     applyLeafNotices(leaf, reply, noRequest, now);
-    // The reply may be old, so a missing limit in it ends none.
+    // The reply may be old, so it can't shorten the warm-up, and a missing limit in it ends none.
+    applyLeafWarmup(leaf, reply, {}, now);
     if (reply.requestLimit)
         applyLeafLimit(leaf, reply, now, now);
     dispatchQueuedParts(m_leafs.at(leaf).registration().service, now);
--- a/Libraries/zinnialedge/pacing/leaf_pace.cpp
+++ b/Libraries/zinnialedge/pacing/leaf_pace.cpp
@@ -17,6 +17,8 @@
 static constexpr std::chrono::milliseconds toleratedLatency { 2 };
 /// The average follows the latest replies, because a leaf that falls behind must be relieved at once.
 static constexpr int latencyWeightDivisor = 2;
+/// Growth of the window for each window of replies after a cut.
+static constexpr double carefulGrowth = 0.5;
 /// Time without calls after a refusal of the only call in flight; doubles with each further one.
 static constexpr std::chrono::milliseconds firstHoldTime { 50 };
 static constexpr std::chrono::milliseconds longestHoldTime { 400 };
@@ -65,8 +67,8 @@
 
 pace_change leaf_pace::raise(std::size_t usualLimit)
 {
-    *m_window += *m_window < m_carefulFrom ? 1 : 1 / *m_window;
-    m_holdTime = firstHoldTime;
+    *m_window += *m_window < m_carefulFrom ? 1 : carefulGrowth / *m_window;
+    m_holdTime = std::max<duration>(m_holdTime / 2, firstHoldTime);
     if (*m_window < std::min(static_cast<double>(usualLimit), lastWindow))
         return pace_change::raised;
     stop();
--- a/Libraries/zinnialedge/pacing/leaf_pace.h
+++ b/Libraries/zinnialedge/pacing/leaf_pace.h
@@ -66,7 +66,7 @@
     std::optional<double> m_window;
     bool m_isAdaptive { false };
     kernel::time_point m_startsAt;
-    /// Window above which the window grows by one for each window of replies; below, by one for each reply.
+    /// Window from which on the window grows slowly, for each window of replies. Below, it grows by one for each reply.
     double m_carefulFrom { 0 };
     /// Time of the last cut. The calls that were sent before it show the load of the larger window.
     kernel::time_point m_loweredAt;
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -295,10 +295,14 @@
         share.daemonsSharingConnections = liveEndpoints.size();
         share.daemonsSharingSlack = liveEndpoints.size();
         share.daemonsSharingLeafLimits = zinnialedge::fleet::countLimitShares(0, liveEndpoints.size(), false);
+        share.limitPhase = zinnialedge::fleet::limitPhaseAmong(liveEndpoints, m_settings.callerEndpoint);
         return share;
     }
     share.daemonsSharingConnections = group.size() + (liveEndpoints.size() - group.size()) / zinnialedge::fleet::outsideDaemonsPerShare;
     share.daemonsSharingLeafLimits = zinnialedge::fleet::countLimitShares(group.size(), liveEndpoints.size(), isInGroup);
+    auto equalEndpoints = liveEndpoints;
+    std::erase_if(equalEndpoints, [&](auto const& endpoint) { return isInGroup != std::any_of(group.begin(), group.end(), [&](auto const& each) { return each.place == endpoint; }); });
+    share.limitPhase = zinnialedge::fleet::limitPhaseAmong(equalEndpoints, m_settings.callerEndpoint);
     // One extra holder is counted: a member that some daemons do not know yet must not make the sum of shares exceed the total.
     share.daemonsSharingSlack = isInGroup ? std::max(group.size(), std::min(liveEndpoints.size(), group.size() + 1)) : 0;
     for (auto const& each : callable) {
