Configuration: Read the tolerance of cold leafs and the scope of the pace

Cause: the tolerances are bounds of the deployment. Change: settings cold_leafs and leaf_pace, both optional, in effect at the next start.

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -54,6 +54,9 @@
     traffic.engine.extraCalls = m_settings.extraCalls;
     traffic.engine.maximumLeafPause = m_settings.maximumLeafPause;
     traffic.engine.daemonSeed = m_incarnation;
+    traffic.engine.leafStarts.coldLeafs = m_settings.coldLeafs;
+    traffic.engine.leafStarts.paceScope = m_settings.leafPace;
+    traffic.engine.leafStarts.wallClockOffset = std::chrono::duration_cast<kernel::duration>(std::chrono::system_clock::now().time_since_epoch() - std::chrono::steady_clock::now().time_since_epoch());
     auto const trafficService = TRY(traffic_service::create(traffic, std::move(protocols.edge), kernel::makeRandom()));
     services::fleet::fleet_settings fleet {
         .name = m_settings.name,
--- a/Libraries/zinnialedge/configuration/edge_settings.cpp
+++ b/Libraries/zinnialedge/configuration/edge_settings.cpp
@@ -10,6 +10,8 @@
 static constexpr double maximumStoreRate = 1e6;
 static constexpr double maximumStopSeconds = 600;
 static constexpr double maximumLeafPauseSeconds = 86'400;
+static constexpr double maximumOverage = 100;
+static constexpr double maximumColdSlack = 1e6;
 
 static void parseExtraCalls(json_reader& reader, edge_settings& settings)
 {
@@ -24,6 +26,12 @@
     settings.storeRates.writesPerSecond = reader.real("writes_per_s", minimumStoreRate, maximumStoreRate);
 }
 
+static void parseColdLeafs(json_reader& reader, edge_settings& settings)
+{
+    settings.coldLeafs.overage = reader.real("overage", 1, maximumOverage);
+    settings.coldLeafs.slack = reader.real("slack", 0, maximumColdSlack);
+}
+
 edge_settings_change compareSettings(edge_settings const& before, edge_settings const& after)
 {
     edge_settings_change change;
@@ -48,6 +56,8 @@
     compare(change.appliedAtNextStart, "store", before.store == after.store);
     compare(change.appliedAtNextStart, "leaf_calls_from", before.leafCallSource == after.leafCallSource);
     compare(change.appliedAtNextStart, "maximum_leaf_pause_s", before.maximumLeafPause == after.maximumLeafPause);
+    compare(change.appliedAtNextStart, "cold_leafs", before.coldLeafs == after.coldLeafs);
+    compare(change.appliedAtNextStart, "leaf_pace", before.leafPace == after.leafPace);
     return change;
 }
 
@@ -86,6 +96,9 @@
         if (!model::parseEndpoint(settings.leafCallSource + ":1"))
             reader.report("leaf_calls_from", "an address like \"10.0.0.1\"");
     }
+    reader.object("cold_leafs", false, [&](json_reader& item) { parseColdLeafs(item, settings); });
+    static std::vector<std::string_view> const paceScopes { "declared", "always", "never" };
+    settings.leafPace = static_cast<pacing::pace_scope>(reader.choice("leaf_pace", paceScopes, 0));
     static std::vector<std::string_view> const levels { "trace", "debug", "info", "warn", "error" };
     settings.logLevel = std::string { levels[reader.choice("log_level", levels, 2)] };
     reader.finish();
--- a/Libraries/zinnialedge/configuration/edge_settings.h
+++ b/Libraries/zinnialedge/configuration/edge_settings.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "Libraries/zinnialedge/allowances/cold_share.h"
 #include "Libraries/zinnialedge/fleet/store_budget.h"
 #include "Libraries/zinnialedge/forwarding/extra_call_budget.h"
 #include "Libraries/zinnialedge/model/endpoint.h"
+#include "Libraries/zinnialedge/pacing/leaf_pace.h"
 #include <chrono>
 #include <string>
 #include <tl/expected.hpp>
@@ -34,6 +36,10 @@
     std::chrono::milliseconds maximumLeafPause { std::chrono::hours { 1 } };
     /// Local address of the connections to leafs, for a VM with several; empty when the system chooses it.
     std::string leafCallSource;
+    /// Tolerance of the request limit of cold leafs.
+    allowances::cold_leaf_tolerance coldLeafs;
+    /// Services for whose leafs the pace is determined after a start.
+    pacing::pace_scope leafPace { pacing::pace_scope::declared };
     std::string logLevel { "info" };
 
     bool operator==(edge_settings const&) const = default;
