Traffic: Show cold and starting leafs in logs and metrics

Cause: an operator must see which leafs are cold or start, and what holds calls back. Change: gauges of cold and starting leafs, counters of raised and lowered limits and of calls held back, a line when a leaf becomes cold or warm and when its start phase begins or ends, and the phase in fleet_share_changed. Result: builds; not run with real processes.

--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -100,4 +100,11 @@
     logEvent(log_level::info, event, { { "leaf", leafId }, { "limit", limit.requestsPerSecond() }, { "age_ms", toMilliseconds(age) }, { "first_calls", limit.calls().first }, { "extra_calls", limit.calls().extra }, { "relayed_calls", limit.calls().relayed } });
 }
 
+void request_log::logLeafPhase(forwarding::leaf_phase_report const& report)
+{
+    static constexpr std::array events { "leaf_cold", "leaf_warm", "leaf_start", "leaf_start_ended" };
+    if (tryCountLine(m_callLineCount, callLinesPerSecond))
+        logEvent(log_level::info, events.at(static_cast<std::size_t>(report.event)), { { "leaf", report.leafId }, { "warmup_left_ms", toMilliseconds(report.warmupLeft) }, { "start_age_ms", toMilliseconds(report.sinceStart) }, { "calls", report.callsInFlight } });
+}
+
 }
--- a/Services/traffic/request_log.h
+++ b/Services/traffic/request_log.h
@@ -16,6 +16,7 @@
     void logQuarantine(forwarding::quarantine_report const&);
     void logLinks(forwarding::link_report const&, std::size_t leafCount);
     void logLeafLimit(std::string const& leafId, std::string_view event, forwarding::leaf_rate_limit const&);
+    void logLeafPhase(forwarding::leaf_phase_report const&);
 
 private:
     /// Returns true and counts a line, unless the current second already has `limit` lines of this type.
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -136,6 +136,12 @@
         metrics.counter("leaf_limits_total", counters.leafLimits);
         metrics.counter("leaf_limits_ended_total", counters.leafLimitsEnded);
         metrics.counter("leaf_limits_ignored_total", counters.leafLimitsIgnored);
+        metrics.counter("leafs_became_cold_total", counters.leafsBecameCold);
+        metrics.counter("leaf_calls_held_back_for_cold_total", m_engine.leafs().heldBackCount());
+        metrics.counter("leaf_pace_raised_total", counters.leafPaceRaised);
+        metrics.counter("leaf_pace_lowered_total", counters.leafPaceLowered);
+        metrics.gauge("leafs_cold", m_engine.leafs().coldCount(now()));
+        metrics.gauge("leafs_starting", m_engine.leafs().startingCount());
         metrics.counter("leaf_calls_withheld_total", counters.callsWithheld);
         metrics.counter("refusals_for_paused_leafs_total", counters.rejectionsForPauses);
         metrics.counter("refusals_for_leaf_limits_total", counters.rejectionsForLimits);
@@ -201,6 +207,7 @@
                 m_leafReachReceiver(reachesLeafs);
         };
         hooks.logLeafLimit = [this](std::string const& leaf, std::string_view event, forwarding::leaf_rate_limit const& limit) { m_requestLog.logLeafLimit(leaf, event, limit); };
+        hooks.logLeafPhase = [this](forwarding::leaf_phase_report const& report) { m_requestLog.logLeafPhase(report); };
         return hooks;
     }
 
@@ -409,7 +416,7 @@
     void apply(leafs_changed&& changed) { m_engine.setLeafs(changed.leafs, now()); }
     void apply(fleet_share_changed&& changed)
     {
-        logEvent(log_level::info, "fleet_share_changed", { { "connection_holders", changed.share.daemonsSharingConnections }, { "slack_holders", changed.share.daemonsSharingSlack }, { "limit_shares", changed.share.daemonsSharingLeafLimits }, { "relays", changed.share.relays.size() }, { "detours", changed.share.detours.size() } });
+        logEvent(log_level::info, "fleet_share_changed", { { "connection_holders", changed.share.daemonsSharingConnections }, { "slack_holders", changed.share.daemonsSharingSlack }, { "limit_shares", changed.share.daemonsSharingLeafLimits }, { "limit_phase", changed.share.limitPhase }, { "relays", changed.share.relays.size() }, { "detours", changed.share.detours.size() } });
         m_engine.setFleetShare(std::move(changed.share), now());
     }
     void apply(extra_calls_changed&& changed) { m_engine.setExtraCalls(changed.limits, now()); }
