Forwarding: Cover recoveries and requests without a second chance

Cause: no test held the start phase after a slow time or an evacuation, nor the rule that a request that may run only once tries no idle leaf. Change: tests of both.

--- a/Tests/Support/cold_fleet.cpp
+++ b/Tests/Support/cold_fleet.cpp
@@ -25,7 +25,7 @@
     forwarding::service_rules desk { .name = "desk" };
     desk.warmupTime = settings.warmupTime;
     desk.coldRequestsPerSecond = settings.coldRequestsPerSecond;
-    engine.setRoutes(std::make_shared<forwarding::route_table const>(forwarding::route_declarations { 1, { singleRoute(true) }, { desk }, {} }), now());
+    engine.setRoutes(std::make_shared<forwarding::route_table const>(forwarding::route_declarations { 1, { singleRoute(settings.areRequestsRepeatable) }, { desk }, {} }), now());
 }
 
 void cold_fleet_daemon::share(double sharers, double phase)
--- a/Tests/Support/cold_fleet.h
+++ b/Tests/Support/cold_fleet.h
@@ -18,6 +18,7 @@
     /// Whether each daemon knows the others from the start.
     bool knowEachOther { true };
     std::chrono::milliseconds requestInterval { 20 };
+    bool areRequestsRepeatable { true };
 };
 
 /// One daemon of the fleet.
--- a/Tests/Unit/leaf_pace_test.cpp
+++ b/Tests/Unit/leaf_pace_test.cpp
@@ -217,8 +217,8 @@
 
 /// One daemon with two leafs, of which the first starts.
 struct paced_desk : cold_fleet {
-    explicit paced_desk(std::optional<std::chrono::milliseconds> warmup = 5s)
-        : cold_fleet({ .daemons = 1, .coldRequestsPerSecond = 0, .warmupTime = warmup })
+    explicit paced_desk(std::optional<std::chrono::milliseconds> warmup = 5s, bool areRepeatable = true)
+        : cold_fleet({ .daemons = 1, .coldRequestsPerSecond = 0, .warmupTime = warmup, .areRequestsRepeatable = areRepeatable })
     {
         registerLeafs({ 0s, 0s });
     }
@@ -293,19 +293,52 @@
     STRCMP_EQUAL("a", pick(true).c_str());
 }
 
-TEST(LeafPace, IdleLeafIsNotTriedByARequestWithLittleTime)
+TEST(LeafPace, IdleLeafIsNotTriedAsTheOnlyHope)
 {
-    for (auto const timeout : { 1500ms, 60ms }) {
-        paced_desk desk;
+    struct request_kind {
+        std::chrono::milliseconds timeout;
+        bool isRepeatable;
+        char const* calledLeaf;
+    };
+    for (auto const& kind : { request_kind { 1500ms, true, "desk/0" }, request_kind { 60ms, true, "desk/1" }, request_kind { 1500ms, false, "desk/1" } }) {
+        paced_desk desk { 5s, kind.isRepeatable };
         for (int count = 0; count < 20; ++count)
             desk.serveOnce(10ms);
         desk.registerLeafs({ 9s, 0s }, 2);
         desk.daemon().pass(400ms);
-        desk.daemon().arrive("/single/1", timeout);
-        STRCMP_EQUAL(timeout == 60ms ? "desk/1" : "desk/0", desk.daemon().openCalls().back().leafId.c_str());
+        desk.daemon().arrive("/single/1", kind.timeout);
+        STRCMP_EQUAL(kind.calledLeaf, desk.daemon().openCalls().back().leafId.c_str());
     }
 }
 
+// Guards against a leaf that was slow or evacuated, is well again, and gets its complete share of the calls at once.
+TEST(LeafPace, RecoveryAndEvacuationBeginAStart)
+{
+    kernel::time_point now { 1h };
+    forwarding::leaf_record record { { "a", 1, "desk", {}, "here", 1, false, 0s }, 10, now };
+    record.setStartRules({ .isPaced = true }, now);
+    auto const serve = [&](std::chrono::milliseconds latency) {
+        now += 1s;
+        record.recordSent(forwarding::call_origin::first, now);
+        record.recordSuccess(now, now + latency);
+        record.recordPace({ call_outcome::served, now, latency, 10ms }, now + latency);
+    };
+    for (int count = 0; count < 20; ++count)
+        serve(15ms);
+    CHECK(!record.isStarting());
+    for (int count = 0; count < 10; ++count)
+        serve(200ms);
+    CHECK(!record.isStarting());
+    for (int count = 0; count < 20; ++count)
+        serve(10ms);
+    CHECK(record.isStarting());
+    for (int count = 0; count < 10; ++count)
+        serve(10ms);
+    CHECK(!record.isStarting());
+    record.becomeCold(5s, now);
+    CHECK(record.isStarting());
+}
+
 // Guards against calls to a leaf whose machine has become slow since its last replies.
 TEST(LeafPace, MachineTimeCountsInTheExpectedDelay)
 {
