--- a/Libraries/zinnialedge/configuration/edge_settings.cpp
+++ b/Libraries/zinnialedge/configuration/edge_settings.cpp
@@ -14,6 +14,8 @@
 static constexpr double minimumProcessorShare = 0.001;
 static constexpr double maximumProcessorShare = 1024;
 static constexpr double maximumLinkMegabits = 1e6;
+static constexpr double maximumOverage = 100;
+static constexpr double maximumColdSlack = 1e6;
 
 static void parseExtraCalls(json_reader& reader, edge_settings& settings)
 {
@@ -33,6 +35,12 @@
     settings.capacity = vm_capacity { reader.real("processor", minimumProcessorShare, maximumProcessorShare), reader.real("link_mbps", 0, maximumLinkMegabits) };
 }
 
+static void parseColdLeafs(json_reader& reader, edge_settings& settings)
+{
+    settings.coldLeafs.overage = reader.real("overage", 1, maximumOverage);
+    settings.coldLeafs.slack = reader.real("slack", 0, maximumColdSlack);
+}
+
 edge_settings_change compareSettings(edge_settings const& before, edge_settings const& after)
 {
     edge_settings_change change;
@@ -59,6 +67,8 @@
     compare(change.appliedAtNextStart, "maximum_leaf_pause_s", before.maximumLeafPause == after.maximumLeafPause);
     compare(change.appliedAtNextStart, "capacity", before.capacity == after.capacity);
     compare(change.appliedAtNextStart, "evacuations", before.readsEvacuations == after.readsEvacuations);
+    compare(change.appliedAtNextStart, "cold_leafs", before.coldLeafs == after.coldLeafs);
+    compare(change.appliedAtNextStart, "leaf_pace", before.leafPace == after.leafPace);
     return change;
 }
 
@@ -99,6 +109,9 @@
             reader.report("leaf_calls_from", "an address like \"10.0.0.1\"");
     }
     settings.readsEvacuations = reader.flag("evacuations", false);
+    reader.object("cold_leafs", false, [&](json_reader& item) { parseColdLeafs(item, settings); });
+    static std::vector<std::string_view> const paceScopes { "declared", "always", "never" };
+    settings.leafPace = static_cast<pacing::pace_scope>(reader.choice("leaf_pace", paceScopes, 0));
     static std::vector<std::string_view> const levels { "trace", "debug", "info", "warn", "error" };
     settings.logLevel = std::string { levels[reader.choice("log_level", levels, 2)] };
     reader.finish();
--- a/Libraries/zinnialedge/configuration/edge_settings.h
+++ b/Libraries/zinnialedge/configuration/edge_settings.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "Libraries/zinnialedge/allowances/cold_share.h"
 #include "Libraries/zinnialedge/fleet/store_budget.h"
 #include "Libraries/zinnialedge/forwarding/extra_call_budget.h"
 #include "Libraries/zinnialedge/model/endpoint.h"
+#include "Libraries/zinnialedge/pacing/leaf_pace.h"
 #include <chrono>
 #include <optional>
 #include <string>
@@ -49,6 +51,10 @@
     std::optional<vm_capacity> capacity;
     /// Whether the daemon reads evacuations of data centres from the store.
     bool readsEvacuations { false };
+    /// Tolerance of the request limit of cold leafs.
+    allowances::cold_leaf_tolerance coldLeafs;
+    /// Services for whose leafs the pace is determined after a start.
+    pacing::pace_scope leafPace { pacing::pace_scope::declared };
     std::string logLevel { "info" };
 
     bool operator==(edge_settings const&) const = default;
