Membership: Carry usage reports in a datagram kind of their own

Reports of requests that count towards quotas go to given daemons at once, in the new kind usage_report at the end of the enumeration; earlier builds drop it. The report is an optional Thrift field, whose parts the sender has already split, so suspects are not attached to it.

--- a/Libraries/zinnialedge/membership/datagram.h
+++ b/Libraries/zinnialedge/membership/datagram.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "Libraries/zinnialedge/allowances/usage_report.h"
 #include "Libraries/zinnialedge/membership/member.h"
 #include "Libraries/zinnialedge/quarantine/suspect_notice.h"
+#include <optional>
 #include <vector>
 
 namespace zinnialedge::membership {
@@ -16,6 +18,8 @@
     members_request,
     /// Carries a page of the member table.
     members_page,
+    /// Carries the sender's report of requests that count towards quotas. Daemons of earlier builds drop it.
+    usage_report,
 };
 
 /// UDP message between daemons.
@@ -36,6 +40,8 @@
     bool isLastPage { false };
     /// Requests under which leafs were lost, as far as they fit.
     std::vector<quarantine::suspect_notice> suspects;
+    /// Set in usage reports only.
+    std::optional<allowances::usage_report> usage;
 
     auto operator<=>(datagram const&) const = default;
 };
--- a/Libraries/zinnialedge/membership/membership_engine.cpp
+++ b/Libraries/zinnialedge/membership/membership_engine.cpp
@@ -124,6 +124,10 @@
     case datagram_kind::members_page:
         handleMembersPage(received, now);
         break;
+    case datagram_kind::usage_report:
+        if (content.usage)
+            m_actions.emplace_back(usage_received { *content.usage });
+        break;
     }
     if (!m_hasReceivedTable && now >= m_pageRequestedAt + pageTimeout)
         requestMembersPage(received.endpoint, now);
@@ -470,7 +474,8 @@
         return;
     for (auto& action : m_actions) {
         auto* const sent = std::get_if<send_datagram>(&action);
-        if (!sent)
+        // Reports are frequent and as large as a datagram may be.
+        if (!sent || sent->content.kind == datagram_kind::usage_report)
             continue;
         auto& content = sent->content;
         auto usedBytes = fixedDatagramBytes + maximumEncodedBytes(content.sender) + content.subject.size();
--- a/Libraries/zinnialedge/membership/membership_engine.h
+++ b/Libraries/zinnialedge/membership/membership_engine.h
@@ -64,13 +64,19 @@
     std::vector<quarantine::suspect> suspects;
 };
 
+/// This daemon reports requests that count towards quotas.
+struct usage_reported {
+    /// Its parts, each of which fits into a datagram.
+    std::vector<allowances::addressed_report> reports;
+};
+
 /// This process is about to exit.
 struct process_stopping { };
 
 /// The time that nextTimerTime() returned has been reached.
 struct membership_timer_due { };
 
-using membership_event = std::variant<datagram_received, daemon_registered, daemon_unregistered, status_declared, leaf_reach_changed, configuration_changed, suspects_changed, process_stopping, membership_timer_due>;
+using membership_event = std::variant<datagram_received, daemon_registered, daemon_unregistered, status_declared, leaf_reach_changed, configuration_changed, suspects_changed, usage_reported, process_stopping, membership_timer_due>;
 
 // Actions.
 
@@ -95,7 +101,12 @@
     std::vector<quarantine::suspect> suspects;
 };
 
-using membership_action = std::variant<send_datagram, member_changed, configuration_difference_found, suspects_received>;
+/// Another daemon has reported requests that count towards quotas.
+struct usage_received {
+    allowances::usage_report report;
+};
+
+using membership_action = std::variant<send_datagram, member_changed, configuration_difference_found, suspects_received, usage_received>;
 using membership_actions = std::vector<membership_action>;
 
 /// Failure detector and membership protocol after SWIM: random probes, indirect probes, suspicion before death, refutation by
@@ -146,6 +157,7 @@
     void handle(leaf_reach_changed const&, kernel::time_point);
     void handle(configuration_changed const&, kernel::time_point);
     void handle(suspects_changed const&, kernel::time_point);
+    void handle(usage_reported const&, kernel::time_point);
     void handle(process_stopping const&, kernel::time_point);
     void handle(membership_timer_due const&, kernel::time_point);
 
--- a/Libraries/zinnialedge/wire/membership_codec.cpp
+++ b/Libraries/zinnialedge/wire/membership_codec.cpp
@@ -4,6 +4,7 @@
 #include "Libraries/zinnialedge/wire/generated/peer_messages_types.h"
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
+#include <cmath>
 
 namespace zinnialedge::wire {
 
@@ -13,6 +14,10 @@
 using membership::member_status;
 using membership::member_update;
 
+/// Greater ages than this one, a year, tell nothing more and could overflow.
+static constexpr std::chrono::milliseconds maximumAge { std::chrono::hours { 24 * 365 } };
+static constexpr std::int64_t maximumCount { 1LL << 53U };
+
 static generated::Place toThrift(model::endpoint const& endpoint)
 {
     generated::Place encoded;
@@ -59,6 +64,31 @@
     return encoded;
 }
 
+static generated::UsageReport toThrift(allowances::usage_report const& report)
+{
+    generated::UsageReport encoded;
+    encoded.__set_sequence(static_cast<std::int64_t>(report.sequence));
+    encoded.__set_ageMs(report.age.count());
+    encoded.__set_isAnswerWanted(report.isAnswerWanted);
+    encoded.__set_areLevelsWanted(report.areLevelsWanted);
+    encoded.__set_isEnding(report.isEnding);
+    for (auto const& each : report.usages) {
+        generated::TenantUsage usage;
+        usage.__set_tenant(each.tenant);
+        usage.__set_count(each.count);
+        usage.__set_level(each.level);
+        encoded.usages.push_back(std::move(usage));
+    }
+    for (auto const& each : report.acknowledgements) {
+        generated::UsageAcknowledgement acknowledgement;
+        acknowledgement.__set_member(static_cast<std::int64_t>(each.member));
+        acknowledgement.__set_sequence(static_cast<std::int64_t>(each.sequence));
+        acknowledgement.__set_earlierReports(static_cast<std::int64_t>(each.earlierReports));
+        encoded.acknowledgements.push_back(acknowledgement);
+    }
+    return encoded;
+}
+
 std::string encodeDatagram(datagram const& content)
 {
     generated::MembershipDatagram encoded;
@@ -74,6 +104,8 @@
     encoded.__set_isLastPage(content.isLastPage);
     for (auto const& notice : content.suspects)
         encoded.suspects.push_back(toThrift(notice));
+    if (content.usage)
+        encoded.__set_usage(toThrift(*content.usage));
     return serializeCompact(encoded);
 }
 
@@ -127,9 +159,31 @@
     return notice;
 }
 
+static errors::error_or<allowances::usage_report> parseUsageReport(generated::UsageReport const& encoded, member_update const& sender)
+{
+    if (!isSelfDeclared(sender.status) || encoded.sequence <= 0 || encoded.ageMs < 0)
+        return errors::makeError(error_kind::malformed_request, "a usage report has no valid sender, sequence number or age");
+    allowances::usage_report report;
+    report.member = sender.record.name;
+    report.endpoint = sender.record.peerEndpoint;
+    report.sequence = static_cast<std::uint64_t>(encoded.sequence);
+    report.age = std::chrono::milliseconds { std::min<std::int64_t>(encoded.ageMs, maximumAge.count()) };
+    report.isAnswerWanted = encoded.isAnswerWanted;
+    report.areLevelsWanted = encoded.areLevelsWanted;
+    report.isEnding = encoded.isEnding;
+    for (auto const& each : encoded.usages) {
+        if (!std::isfinite(each.level) || std::abs(each.count) > maximumCount)
+            return errors::makeError(error_kind::malformed_request, "a usage has no valid count or level");
+        report.usages.push_back({ each.tenant, each.count, each.level });
+    }
+    for (auto const& each : encoded.acknowledgements)
+        report.acknowledgements.push_back({ static_cast<std::uint64_t>(each.member), static_cast<std::uint64_t>(each.sequence), static_cast<std::uint64_t>(each.earlierReports) });
+    return report;
+}
+
 static errors::error_or<datagram> parseDatagram(generated::MembershipDatagram const& decoded)
 {
-    if (decoded.kind < 0 || decoded.kind > static_cast<std::int32_t>(datagram_kind::members_page))
+    if (decoded.kind < 0 || decoded.kind > static_cast<std::int32_t>(datagram_kind::usage_report))
         return errors::makeError(error_kind::malformed_request, "unknown datagram kind");
     auto const sender = parseUpdate(decoded.sender);
     if (!sender)
@@ -159,6 +213,12 @@
             return tl::unexpected(notice.error());
         content.suspects.push_back(std::move(*notice));
     }
+    if (content.kind == datagram_kind::usage_report) {
+        auto report = parseUsageReport(decoded.usage, *sender);
+        if (!report)
+            return tl::unexpected(report.error());
+        content.usage = std::move(*report);
+    }
     return content;
 }
 
--- a/Libraries/zinnialedge/wire/peer_messages.thrift
+++ b/Libraries/zinnialedge/wire/peer_messages.thrift
@@ -119,6 +119,34 @@
     5: i32 unansweredTrialCount;
 }
 
+/// Requests of one tenant that the sender has accepted since its start.
+struct TenantUsage {
+    1: required string tenant;
+    2: required i64 count;
+    /// Number of requests that all daemons together may accept at once, as far as the sender knows.
+    3: required double level;
+}
+
+/// Usage reports of one daemon that the sender has merged.
+struct UsageAcknowledgement {
+    /// Hash of the daemon's name.
+    1: required i64 member;
+    2: required i64 sequence;
+    /// Bit i is set when the report with the sequence number `sequence` - 1 - i was merged.
+    3: i64 earlierReports;
+}
+
+/// Report of the requests that count towards the quotas of tenants.
+struct UsageReport {
+    1: required i64 sequence;
+    2: required i64 ageMs;
+    3: bool isAnswerWanted;
+    4: bool areLevelsWanted;
+    5: bool isEnding;
+    6: list<TenantUsage> usages;
+    7: list<UsageAcknowledgement> acknowledgements;
+}
+
 /// One UDP datagram that a daemon sends to another daemon.
 struct MembershipDatagram {
     1: required i32 kind;
@@ -132,4 +160,5 @@
     7: list<MemberUpdate> updates;
     8: bool isLastPage;
     9: list<SuspectRequest> suspects;
+    10: optional UsageReport usage;
 }
--- a/Services/decisions/decision_service.h
+++ b/Services/decisions/decision_service.h
@@ -70,6 +70,8 @@
     void perform(membership::member_changed const&);
     void perform(membership::configuration_difference_found const&);
     void perform(membership::suspects_received const&);
+    /// Quotas are kept by daemons of the other kind only.
+    void perform(membership::usage_received const&) { }
     void perform(membership::send_datagram&&);
     /// Changes the status of this daemon to serving once the daemon can answer queries.
     void serveWhenReady(kernel::time_point now);
