Forwarding: Reject requests over the quota of their tenant

A request of a caller counts once, when it arrives, before parts are made; one over the quota gets 429 over_quota at once with the time until the bucket has a token, spread by a return schedule. A request that ends without having reached a leaf is taken off the count. Reports pass between the engine and the membership through the traffic and fleet services. The setting quotas names the tolerance; without it there is none.

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -52,6 +52,7 @@
     traffic.leafCallSource = m_settings.leafCallSource;
     traffic.engine.dataCentre = m_settings.dataCentre;
     traffic.engine.extraCalls = m_settings.extraCalls;
+    traffic.engine.quotaTolerance = m_settings.quotaTolerance;
     traffic.engine.maximumLeafPause = m_settings.maximumLeafPause;
     traffic.engine.daemonSeed = m_incarnation;
     auto const trafficService = TRY(traffic_service::create(traffic, std::move(protocols.edge), kernel::makeRandom()));
@@ -93,11 +94,12 @@
     m_settings.seeds = settings.seeds;
     m_settings.extraCalls = settings.extraCalls;
     m_settings.storeRates = settings.storeRates;
+    m_settings.quotaTolerance = settings.quotaTolerance;
     m_settings.stopTimeLimit = settings.stopTimeLimit;
     m_settings.logLevel = settings.logLevel;
     if (!kernel::setLogLevel(settings.logLevel))
         logEvent(log_level::warn, "log_level_unknown", { { "level", settings.logLevel } });
-    if (!m_registry.find<fleet_service>(fleet_service::serviceName).applyRuntimeSettings({ settings.seeds, settings.extraCalls, settings.storeRates }))
+    if (!m_registry.find<fleet_service>(fleet_service::serviceName).applyRuntimeSettings({ settings.seeds, settings.extraCalls, settings.storeRates, settings.quotaTolerance }))
         logEvent(log_level::error, "settings_not_taken", { { "service", fleet_service::serviceName } });
 }
 
--- a/Libraries/zinnialedge/configuration/edge_settings.cpp
+++ b/Libraries/zinnialedge/configuration/edge_settings.cpp
@@ -6,6 +6,8 @@
 
 static constexpr double maximumWindowSeconds = 3600;
 static constexpr double maximumExtraCalls = 1e6;
+static constexpr double maximumQuotaOverage = 10;
+static constexpr double maximumQuotaSlack = 1e6;
 static constexpr double minimumStoreRate = 1;
 static constexpr double maximumStoreRate = 1e6;
 static constexpr double maximumStopSeconds = 600;
@@ -24,6 +26,13 @@
     settings.storeRates.writesPerSecond = reader.real("writes_per_s", minimumStoreRate, maximumStoreRate);
 }
 
+static void parseQuotas(json_reader& reader, edge_settings& settings)
+{
+    settings.quotaTolerance.window = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("window_s", 1, maximumWindowSeconds) * 1000) };
+    settings.quotaTolerance.overage = reader.real("overage", 0, maximumQuotaOverage);
+    settings.quotaTolerance.slack = reader.real("slack", 0, maximumQuotaSlack);
+}
+
 edge_settings_change compareSettings(edge_settings const& before, edge_settings const& after)
 {
     edge_settings_change change;
@@ -34,6 +43,7 @@
     compare(change.appliedAtOnce, "seeds", before.seeds == after.seeds);
     compare(change.appliedAtOnce, "extra_calls", before.extraCalls == after.extraCalls);
     compare(change.appliedAtOnce, "store_rates", before.storeRates == after.storeRates);
+    compare(change.appliedAtOnce, "quotas", before.quotaTolerance == after.quotaTolerance);
     compare(change.appliedAtOnce, "stop_time_s", before.stopTimeLimit == after.stopTimeLimit);
     compare(change.appliedAtOnce, "log_level", before.logLevel == after.logLevel);
     compare(change.appliedAtNextStart, "name", before.name == after.name);
@@ -78,6 +88,7 @@
     }
     reader.object("extra_calls", true, [&](json_reader& item) { parseExtraCalls(item, settings); });
     reader.object("store_rates", true, [&](json_reader& item) { parseStoreRates(item, settings); });
+    reader.object("quotas", false, [&](json_reader& item) { parseQuotas(item, settings); });
     settings.stopTimeLimit = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("stop_time_s", 1, maximumStopSeconds) * 1000) };
     if (reader.has("maximum_leaf_pause_s"))
         settings.maximumLeafPause = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("maximum_leaf_pause_s", 1, maximumLeafPauseSeconds) * 1000) };
--- a/Libraries/zinnialedge/configuration/edge_settings.h
+++ b/Libraries/zinnialedge/configuration/edge_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Libraries/zinnialedge/allowances/tenant_quotas.h"
 #include "Libraries/zinnialedge/fleet/store_budget.h"
 #include "Libraries/zinnialedge/forwarding/extra_call_budget.h"
 #include "Libraries/zinnialedge/model/endpoint.h"
@@ -28,6 +29,8 @@
     std::vector<model::endpoint> seeds;
     forwarding::extra_call_limits extraCalls;
     fleet::store_rates storeRates;
+    /// Requests above the quotas of tenants that all daemons together may let through; none when the setting is missing.
+    allowances::quota_tolerance quotaTolerance;
     /// Time between the request to stop and the kill of the process.
     std::chrono::milliseconds stopTimeLimit { 6000 };
     /// Longest pause that a leaf may ask for; longer pauses are ignored as malformed.
--- a/Libraries/zinnialedge/forwarding/active_request.h
+++ b/Libraries/zinnialedge/forwarding/active_request.h
@@ -106,6 +106,8 @@
     std::size_t deniedExtraCallCount { 0 };
     admission_state admission { admission_state::none };
     bool isCallerDisconnected { false };
+    /// True when the request was counted for the quota of its tenant.
+    bool isCountedForQuota { false };
     /// True after two objectives, from when on an answer with the minimum coverage is sent at once.
     bool acceptsMinimumCoverage { false };
     /// True when many shards had not replied by the objective, which means that their leafs do not keep up.
--- a/Libraries/zinnialedge/forwarding/engine_interface.h
+++ b/Libraries/zinnialedge/forwarding/engine_interface.h
@@ -2,6 +2,7 @@
 
 // What passes between the request engine and the services around it, apart from calls, answers and events.
 
+#include "Libraries/zinnialedge/allowances/tenant_quotas.h"
 #include "Libraries/zinnialedge/forwarding/extra_call_budget.h"
 #include "Libraries/zinnialedge/forwarding/leaf_rate_limit.h"
 #include "Libraries/zinnialedge/forwarding/messages.h"
@@ -21,6 +22,7 @@
     std::chrono::milliseconds defaultRoundTripTime { 6 };
     /// Longest pause that a leaf may ask for; longer pauses are ignored.
     std::chrono::milliseconds maximumLeafPause { std::chrono::hours { 1 } };
+    allowances::quota_tolerance quotaTolerance {};
     /// Number that differs between daemons.
     std::uint64_t daemonSeed { 0 };
 };
@@ -99,6 +101,14 @@
     kernel::duration nextTrial {};
 };
 
+/// What this daemon hears of the others' requests that count towards quotas.
+struct quota_report {
+    /// False while reports of other daemons are missing and this daemon leaves their shares unused.
+    bool isInformed { true };
+    std::size_t memberCount { 0 };
+    std::size_t silentMemberCount { 0 };
+};
+
 struct engine_hooks {
     /// Sends a call. The end of the call is reported later through handleCallEnd(), never from within this hook.
     std::function<void(leaf_call)> sendCall;
@@ -112,6 +122,10 @@
     std::function<void(quarantine_report const&)> logQuarantine;
     /// Tells the other daemons of requests under which leafs were lost.
     std::function<void(std::vector<quarantine::suspect>)> shareSuspects;
+    /// Tells other daemons of the requests that count towards quotas.
+    std::function<void(std::vector<allowances::addressed_report>)> shareUsage;
+    /// Logs that reports of other daemons are missing or arrive again.
+    std::function<void(quota_report const&)> logQuotas;
     /// Logs a change of the state of the links to the leafs.
     std::function<void(link_report const&)> logLinks;
     /// Closes the connections to leafs that carry no call.
@@ -175,6 +189,12 @@
     std::uint64_t rejectionsForLostLinks { 0 };
     /// Number of requests rejected because of the request limits of leafs.
     std::uint64_t rejectionsForLimits { 0 };
+    /// Number of requests rejected because their tenants have exhausted their quotas.
+    std::uint64_t rejectionsForQuotas { 0 };
+    /// Number of requests that were taken off the counts again because they reached no leaf.
+    std::uint64_t quotaRefunds { 0 };
+    std::uint64_t usageReportsSent { 0 };
+    std::uint64_t usageReportsReceived { 0 };
 };
 
 }
--- a/Libraries/zinnialedge/forwarding/fleet_share.h
+++ b/Libraries/zinnialedge/forwarding/fleet_share.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Libraries/zinnialedge/allowances/tenant_quotas.h"
 #include "Libraries/zinnialedge/model/endpoint.h"
 #include <string>
 #include <vector>
@@ -26,6 +27,12 @@
     std::vector<relay> detours;
     /// Number of equal shares into which the request limit of a leaf is divided; this daemon may use one of them.
     double daemonsSharingLeafLimits { 1 };
+    /// Name of this daemon among the daemons that keep quotas together.
+    std::string quotaMemberName {};
+    /// True when this daemon is one of those that serve callers.
+    bool isServingCallers { true };
+    /// Other daemons that serve callers and keep quotas together with this one.
+    std::vector<allowances::quota_member> quotaMembers {};
 
     bool operator==(fleet_share const&) const = default;
 };
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -36,7 +36,9 @@
     , m_slackSharers(1, m_settings.extraCalls.window)
     , m_typicalRelayDuration(initialRelayDuration)
     , m_quarantine(m_settings.daemonSeed)
+    , m_quotas(startedAt)
 {
+    m_quotas.setTolerance(m_settings.quotaTolerance);
 }
 
 void request_engine::setRoutes(route_table_pointer routes, time_point now)
@@ -45,6 +47,7 @@
     if (m_routes && routes->version() <= m_routes->version())
         return;
     m_routes = std::move(routes);
+    setTenantQuotas(now);
     m_leafs.setConnectionSharing(m_routes, m_fleetShare.daemonsSharingConnections);
     dispatchAllQueuedParts(now);
 }
@@ -64,6 +67,8 @@
     if (m_fleetShare.daemonsSharingSlack > 0)
         m_slackSharers.set(static_cast<double>(m_fleetShare.daemonsSharingSlack), now);
     m_leafs.setConnectionSharing(m_routes, m_fleetShare.daemonsSharingConnections);
+    m_quotas.setMembers(m_fleetShare.quotaMemberName, m_fleetShare.isServingCallers, m_fleetShare.quotaMembers, now);
+    scheduleUsageReport();
 }
 
 void request_engine::setExtraCalls(extra_call_limits limits, time_point now)
@@ -154,7 +159,11 @@
         reject(token, request, makeRejection(errors::error_kind::overloaded, "at_capacity", atCapacityRetryAfter));
         return;
     }
+    bool const isCountedForQuota = hasQuota(request);
+    if (isCountedForQuota && !consumeQuota(token, request, now))
+        return;
     auto* const created = createRequest(token, std::move(request), *to, now);
+    created->isCountedForQuota = isCountedForQuota;
     m_quarantine.removeExpired(now);
     auto const verdict = judge(*created->evidence, now);
     if (verdict == quarantine::verdict::quarantined || (verdict == quarantine::verdict::trial && created->isRelayed())) {
@@ -328,6 +337,7 @@
     static std::string const reason = "caller_left";
     reportOutcome(request, 0, reason, std::nullopt, now);
     releaseAdmission(request, now);
+    refundQuota(request, now);
     // Calls of a non-repeatable request continue: the leaf may have started, and cancellation would leave the outcome unknown.
     if (request.matchedRoute->isRepeatable) {
         for (auto const& part : request.parts) {
@@ -374,6 +384,11 @@
             shareSuspects(now);
             continue;
         }
+        if (due.kind == timer_kind::share_usage) {
+            m_nextUsageReportAt.reset();
+            shareUsage(now);
+            continue;
+        }
         if (due.kind == timer_kind::relay_timeout) {
             handleLateRelay(due.subject, now);
             continue;
@@ -424,6 +439,7 @@
         case timer_kind::share_suspects:
         case timer_kind::check_links:
         case timer_kind::detour_timeout:
+        case timer_kind::share_usage:
             break;
         }
     }
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -31,6 +31,10 @@
     /// Takes what other daemons know of requests under which leafs were lost.
     void mergeSuspects(std::vector<quarantine::suspect> const&, kernel::time_point now);
 
+    void setQuotaTolerance(allowances::quota_tolerance);
+    /// Takes another daemon's report of requests that count towards quotas.
+    void mergeUsage(allowances::usage_report const&, kernel::time_point now);
+
     void handleRequest(request_token, caller_request, kernel::time_point now);
     void handleCallerDisconnect(request_token, kernel::time_point now);
     void handleCallEnd(call_number, call_result, kernel::time_point now);
@@ -44,6 +48,8 @@
     void runTimers(kernel::time_point now);
     std::optional<kernel::time_point> nextTimerTime() const;
 
+    /// Returns what this daemon heard lately from those with which it keeps quotas, if there are any.
+    std::optional<quota_report> quotaState() const;
     engine_counters const& counters() const { return m_counters; }
     std::size_t requestsInFlight() const { return m_requests.size(); }
     std::size_t callsInFlight() const { return m_calls.size(); }
@@ -71,6 +77,8 @@
         check_links,
         /// The answer of a daemon to a detoured request is late.
         detour_timeout,
+        /// Other daemons have to be told of requests that count towards quotas.
+        share_usage,
     };
 
     struct timer {
@@ -178,6 +186,18 @@
     /// Counts the request for the budget of extra calls of its services, unless another daemon has counted it.
     void countRequest(active_request const&, kernel::time_point now);
 
+    // Quotas of tenants.
+    /// Returns whether this daemon counts the request for a quota: it comes from a caller, and its tenant has one.
+    bool hasQuota(caller_request const&) const;
+    /// Counts a request for the quota of its tenant. Rejects the request and returns false when the quota is exhausted.
+    bool consumeQuota(request_token, caller_request const&, kernel::time_point now);
+    /// Takes back the count of a request that ends without having reached a leaf.
+    void refundQuota(active_request const&, kernel::time_point now);
+    void setTenantQuotas(kernel::time_point now);
+    void shareUsage(kernel::time_point now);
+    void scheduleUsageReport();
+    void reportQuotaState(kernel::time_point now);
+
     // Links to the leafs.
     bool areLinksLost() const { return m_links.state() == reachability::link_state::lost; }
     /// Records what the end of a call tells about the links.
@@ -349,6 +369,11 @@
     quarantine::quarantine_table m_quarantine;
     kernel::time_point m_nextSharingAt;
     bool m_isSharingScheduled { false };
+    allowances::tenant_quotas m_quotas;
+    std::unordered_map<std::string, limits::return_schedule> m_quotaReturns;
+    std::optional<kernel::time_point> m_nextUsageReportAt;
+    std::optional<kernel::time_point> m_uninformedSince;
+    bool m_isUninformedLogged { false };
     call_number m_lastCallNumber { 0 };
     /// Moving average of the share of extra calls that the budget denied.
     double m_deniedExtraCallShare { 0 };
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -508,6 +508,7 @@
             answer.losses = quarantine::makeNotice(*known, now).losses;
     }
     releaseAdmission(request, now);
+    refundQuota(request, now);
     reportOutcome(request, answer.status, answer.reason, answer.error ? answer.error->retryAfter : std::nullopt, now);
     // Losing calls get a grace time to complete: cancellation forces a new connection to the leaf, which costs more than the
     // rest of the work unless the leaf is slow.
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -56,7 +56,7 @@
         if (auto const era = m_protocol.parseEra(reply))
             handleStoreEra(*era); })
     , m_registrationLink(m_workerThread.context(), m_settings.storeEndpoint, m_protocol, m_storeBudget, [this](std::uint64_t era) { handleStoreEra(era); })
-    , m_membershipLink(m_workerThread.context(), { .self = makeDaemonRecord(), .seeds = m_settings.seeds }, { [this] { handleMembersChanged(); }, [this](model::endpoint const& endpoint) { requestSnapshot(endpoint); }, [this](std::vector<quarantine::suspect> const& suspects) { sendToTraffic(traffic::suspects_told { suspects }); } })
+    , m_membershipLink(m_workerThread.context(), { .self = makeDaemonRecord(), .seeds = m_settings.seeds }, { [this] { handleMembersChanged(); }, [this](model::endpoint const& endpoint) { requestSnapshot(endpoint); }, [this](std::vector<quarantine::suspect> const& suspects) { sendToTraffic(traffic::suspects_told { suspects }); }, [this](allowances::usage_report const& report) { sendToTraffic(traffic::usage_told { report }); } })
     , m_periodicTimer(m_workerThread.context())
     , m_random(kernel::makeRandom())
 {
@@ -71,6 +71,9 @@
         // A service that has stopped tells the other daemons nothing more.
         std::ignore = self->m_workerThread.post([self, suspects = std::move(suspects)] { self->m_membershipLink.step(membership::suspects_changed { suspects }); });
     });
+    traffic.setUsageReceiver([self = created.get()](std::vector<allowances::addressed_report> reports) {
+        std::ignore = self->m_workerThread.post([self, reports = std::move(reports)] { self->m_membershipLink.step(membership::usage_reported { reports }); });
+    });
     traffic.setLeafReachReceiver([self = created.get()](bool reachesLeafs) {
         std::ignore = self->m_workerThread.post([self, reachesLeafs] { self->handleLeafReachChanged(reachesLeafs); });
     });
@@ -290,6 +293,7 @@
     auto group = zinnialedge::fleet::chooseServingGroup(daemons);
     std::copy_if(callable.begin(), callable.end(), std::back_inserter(group), [&](auto const& each) { return std::find(group.begin(), group.end(), each) == group.end(); });
     forwarding::fleet_share share;
+    addQuotaMembers(share, group);
     bool const isInGroup = std::any_of(group.begin(), group.end(), [this](auto const& each) { return each.place == m_settings.callerEndpoint; });
     if (group.empty() || group.size() > liveEndpoints.size()) {
         share.daemonsSharingConnections = liveEndpoints.size();
@@ -311,6 +315,26 @@
     return share;
 }
 
+void fleet_service::addQuotaMembers(forwarding::fleet_share& share, std::vector<zinnialedge::fleet::serving_daemon> const& group) const
+{
+    share.quotaMemberName = memberName(m_settings);
+    share.isServingCallers = false;
+    for (auto const& each : group) {
+        if (each.place == m_settings.callerEndpoint) {
+            share.isServingCallers = true;
+            continue;
+        }
+        // A restarted daemon counts as two members for a time, of which the later one sends reports.
+        membership::daemon_record const* latest = nullptr;
+        for (auto const& [name, member] : m_membershipLink.engine().members().members()) {
+            if (member.record.callerEndpoint == each.place && member.status != member_status::dead && (!latest || member.record.incarnation > latest->incarnation))
+                latest = &member.record;
+        }
+        if (latest)
+            share.quotaMembers.push_back({ latest->name, latest->peerEndpoint });
+    }
+}
+
 void fleet_service::startServingWhenReady()
 {
     if (m_isServing || m_isLeaving || !m_routeTable || m_leafRegistrations.empty())
@@ -444,6 +468,7 @@
         m_membershipLink.setSeeds(settings.seeds);
         m_storeBudget.setRates(settings.storeRates, std::chrono::steady_clock::now());
         sendToTraffic(traffic::extra_calls_changed { settings.extraCalls });
+        sendToTraffic(traffic::quota_tolerance_changed { settings.quotaTolerance });
     });
 }
 
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -40,6 +40,7 @@
     std::vector<model::endpoint> seeds;
     forwarding::extra_call_limits extraCalls;
     zinnialedge::fleet::store_rates storeRates;
+    allowances::quota_tolerance quotaTolerance {};
 
     bool operator==(runtime_fleet_settings const&) const = default;
 };
@@ -79,6 +80,8 @@
     /// Tells the other daemons whether this daemon reaches leafs, and leaves or enters the directory.
     void handleLeafReachChanged(bool reachesLeafs);
     forwarding::fleet_share computeFleetShare();
+    /// Sets the daemons of the group with which this daemon keeps quotas.
+    void addQuotaMembers(forwarding::fleet_share&, std::vector<zinnialedge::fleet::serving_daemon> const& group) const;
     void sendToTraffic(traffic::traffic_event);
     void startServingWhenReady();
     void runPeriodicTasks();
--- a/Services/fleet/membership_link.cpp
+++ b/Services/fleet/membership_link.cpp
@@ -97,4 +97,9 @@
     m_hooks.suspectsReceived(action.suspects);
 }
 
+void membership_link::perform(membership::usage_received const& action)
+{
+    m_hooks.usageReceived(action.report);
+}
+
 }
--- a/Services/fleet/membership_link.h
+++ b/Services/fleet/membership_link.h
@@ -14,6 +14,8 @@
     std::function<void(model::endpoint const&)> configurationDiffers;
     /// Called with what another daemon has told of requests under which leafs were lost.
     std::function<void(std::vector<quarantine::suspect> const&)> suspectsReceived;
+    /// Called with another daemon's report of requests that count towards quotas.
+    std::function<void(allowances::usage_report const&)> usageReceived;
 };
 
 /// Runs the membership protocol over UDP.
@@ -33,6 +35,7 @@
     void perform(membership::member_changed const&);
     void perform(membership::configuration_difference_found const&);
     void perform(membership::suspects_received const&);
+    void perform(membership::usage_received const&);
 
     membership::membership_engine m_engine;
     membership_link_hooks m_hooks;
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -92,6 +92,11 @@
     logEvent(level, events.at(static_cast<std::size_t>(report.state)), { { "leafs", leafCount }, { "silent", report.evidence.silentLeafs }, { "failed", report.evidence.failedLeafs }, { "since_reply_ms", toMilliseconds(report.evidence.sinceLastReply) }, { "requests_detoured", report.detouredRequestCount } });
 }
 
+void request_log::logQuotas(forwarding::quota_report const& report)
+{
+    logEvent(report.isInformed ? log_level::info : log_level::warn, report.isInformed ? "quotas_informed" : "quotas_uninformed", { { "members", report.memberCount }, { "silent", report.silentMemberCount } });
+}
+
 void request_log::logLeafLimit(std::string const& leafId, std::string_view event, forwarding::leaf_rate_limit const& limit)
 {
     if (!tryCountLine(m_callLineCount, callLinesPerSecond))
--- a/Services/traffic/request_log.h
+++ b/Services/traffic/request_log.h
@@ -15,6 +15,7 @@
     void logBrokenCall(forwarding::broken_call_report const&);
     void logQuarantine(forwarding::quarantine_report const&);
     void logLinks(forwarding::link_report const&, std::size_t leafCount);
+    void logQuotas(forwarding::quota_report const&);
     void logLeafLimit(std::string const& leafId, std::string_view event, forwarding::leaf_rate_limit const&);
 
 private:
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -74,6 +74,8 @@
 
     void setSuspectsReceiver(std::function<void(std::vector<quarantine::suspect>)> receiver) { m_suspectsReceiver = std::move(receiver); }
 
+    void setUsageReceiver(std::function<void(std::vector<allowances::addressed_report>)> receiver) { m_usageReceiver = std::move(receiver); }
+
     void setLeafReachReceiver(std::function<void(bool)> receiver) { m_leafReachReceiver = std::move(receiver); }
 
     void handleEvent(traffic_event&& event)
@@ -149,6 +151,14 @@
         metrics.counter("detours_failed_total", counters.detoursFailed);
         metrics.counter("detoured_requests_total", counters.detouredRequests);
         metrics.counter("refusals_for_lost_links_total", counters.rejectionsForLostLinks);
+        metrics.counter("refusals_over_quota_total", counters.rejectionsForQuotas);
+        metrics.counter("quota_refunds_total", counters.quotaRefunds);
+        metrics.counter("usage_reports_sent_total", counters.usageReportsSent);
+        metrics.counter("usage_reports_received_total", counters.usageReportsReceived);
+        auto const quotas = m_engine.quotaState().value_or(forwarding::quota_report {});
+        metrics.gauge("quota_members", quotas.memberCount);
+        metrics.gauge("quota_members_silent", quotas.silentMemberCount);
+        metrics.gauge("quotas_uninformed", quotas.isInformed ? 0 : 1);
         metrics.gauge("leaf_links_lost", m_engine.linkState() == reachability::link_state::lost ? 1 : 0);
         metrics.gauge("suspect_requests", m_engine.quarantined().size());
         metrics.gauge("quarantined_requests", m_engine.quarantined().quarantinedCount());
@@ -194,6 +204,11 @@
             if (m_suspectsReceiver)
                 m_suspectsReceiver(std::move(suspects));
         };
+        hooks.shareUsage = [this](std::vector<allowances::addressed_report> reports) {
+            if (m_usageReceiver)
+                m_usageReceiver(std::move(reports));
+        };
+        hooks.logQuotas = [this](forwarding::quota_report const& report) { m_requestLog.logQuotas(report); };
         hooks.logLinks = [this](forwarding::link_report const& report) { m_requestLog.logLinks(report, m_engine.leafs().size()); };
         hooks.closeIdleConnections = [this] { m_leafConnections.closeIdleConnections(); };
         hooks.shareLeafReach = [this](bool reachesLeafs) {
@@ -418,6 +433,8 @@
         m_engine.mergeSuspects(told.suspects, now());
         armTimer();
     }
+    void apply(quota_tolerance_changed&& changed) { m_engine.setQuotaTolerance(changed.tolerance); }
+    void apply(usage_told&& told) { m_engine.mergeUsage(told.report, now()); }
     void apply(leaving_started&&) { m_isLeaving = true; }
 
     asio::io_context& m_context;
@@ -442,6 +459,7 @@
     callers::latency_metrics m_latencies;
     std::function<void(std::vector<quarantine::suspect>)> m_suspectsReceiver;
     std::function<void(bool)> m_leafReachReceiver;
+    std::function<void(std::vector<allowances::addressed_report>)> m_usageReceiver;
     forwarding::request_engine m_engine;
 };
 
@@ -467,6 +485,11 @@
     m_implementation->setSuspectsReceiver(std::move(receiver));
 }
 
+void traffic_service::setUsageReceiver(std::function<void(std::vector<allowances::addressed_report>)> receiver)
+{
+    m_implementation->setUsageReceiver(std::move(receiver));
+}
+
 void traffic_service::setLeafReachReceiver(std::function<void(bool)> receiver)
 {
     m_implementation->setLeafReachReceiver(std::move(receiver));
--- a/Services/traffic/traffic_service.h
+++ b/Services/traffic/traffic_service.h
@@ -39,10 +39,19 @@
     std::vector<quarantine::suspect> suspects;
 };
 
+struct quota_tolerance_changed {
+    allowances::quota_tolerance tolerance;
+};
+
+/// Another daemon has reported requests that count towards quotas.
+struct usage_told {
+    allowances::usage_report report;
+};
+
 /// Makes all further answers ask callers to close their connections.
 struct leaving_started { };
 
-using traffic_event = std::variant<forwarding::route_table_pointer, leafs_changed, fleet_share_changed, extra_calls_changed, suspects_told, leaving_started>;
+using traffic_event = std::variant<forwarding::route_table_pointer, leafs_changed, fleet_share_changed, extra_calls_changed, suspects_told, quota_tolerance_changed, usage_told, leaving_started>;
 
 /// Receives requests from callers and calls leafs, all on one event loop: a leaf's reply costs one wake-up and no hand-over between
 /// threads.
@@ -61,6 +70,8 @@
     kernel::ring<traffic_event>& inbox() { return *m_inbox; }
     /// Sets the receiver of the requests under which leafs were lost, which is called on the service's thread. Call before start().
     void setSuspectsReceiver(std::function<void(std::vector<quarantine::suspect>)>);
+    /// Sets the receiver of reports of requests that count towards quotas, which is called on the service's thread. Call before start().
+    void setUsageReceiver(std::function<void(std::vector<allowances::addressed_report>)>);
     /// Sets the receiver of whether this daemon reaches leafs, which is called on the service's thread. Call before start().
     void setLeafReachReceiver(std::function<void(bool)>);
     std::uint16_t port() const;
--- a/Tests/Support/engine_harness.cpp
+++ b/Tests/Support/engine_harness.cpp
@@ -97,6 +97,7 @@
         else
             m_cancelledCalls.push_back(number);
     };
+    hooks.shareUsage = [this](std::vector<allowances::addressed_report> const& reports) { m_usageReports.insert(m_usageReports.end(), reports.begin(), reports.end()); };
     hooks.sendAnswer = [this](request_token token, final_answer answer) { m_answers[token] = std::move(answer); };
     return hooks;
 }
--- a/Tests/Support/engine_harness.h
+++ b/Tests/Support/engine_harness.h
@@ -51,6 +51,8 @@
     /// Returns the open calls to a service, or to all services when the name is empty, oldest first.
     std::vector<forwarding::leaf_call> openCalls(std::string const& service = {}) const;
     std::vector<forwarding::call_number> const& cancelled() const { return m_cancelledCalls; }
+    /// Reports for other daemons of requests that count towards quotas, oldest first.
+    std::vector<allowances::addressed_report> const& usageReports() const { return m_usageReports; }
     forwarding::final_answer const* answerOf(forwarding::request_token) const;
 
 private:
@@ -70,6 +72,7 @@
     bool m_areProbesConnected { false };
     bool m_areCallsConnected { true };
     std::map<forwarding::request_token, forwarding::final_answer> m_answers;
+    std::vector<allowances::addressed_report> m_usageReports;
     forwarding::request_token m_lastToken { 0 };
 
 public:
--- a/Tests/Unit/edge_settings_test.cpp
+++ b/Tests/Unit/edge_settings_test.cpp
@@ -34,6 +34,19 @@
         CHECK_TEXT(joinedProblems.find(field) != std::string::npos, field);
 }
 
+// Guards against a tolerance in deployments that name none, and against one that a running daemon ignores.
+TEST(EdgeSettings, ToleranceOfQuotasIsOptional)
+{
+    std::string const text = R"({ "name": "d", "region": "r", "data_centre": "z", "callers": "10.0.0.1:80", "readiness": "10.0.0.1:81", "directory": "10.0.0.1:82", "peers": "10.0.0.1:83", "relays": "10.0.0.1:84", "operators": "10.0.0.1:85", "store": "10.0.0.1:86", "seeds": [], "extra_calls": { "ratio": 0.2, "window_s": 10, "slack": 50 }, "store_rates": { "reads_per_s": 10, "writes_per_s": 10 }, "log_level": "info", "stop_time_s": 6)";
+    auto const without = configuration::parseEdgeSettings(text + "}");
+    auto const with = configuration::parseEdgeSettings(text + R"(, "quotas": { "window_s": 5, "overage": 0.1, "slack": 20 } })");
+    CHECK(without && with);
+    CHECK(without->quotaTolerance == allowances::quota_tolerance {});
+    CHECK((with->quotaTolerance == allowances::quota_tolerance { std::chrono::seconds { 5 }, 0.1, 20 }));
+    CHECK(configuration::compareSettings(*without, *with).appliedAtOnce == (std::vector<std::string> { "quotas" }));
+    CHECK(!configuration::parseEdgeSettings(text + R"(, "quotas": { "window_s": 0, "overage": -1, "slack": 20 } })"));
+}
+
 TEST(EdgeSettings, SettingsWatchReturnsTextOnlyWhenTextChanged)
 {
     auto const path = (std::filesystem::temp_directory_path() / ("zinnialedge-watch-" + std::to_string(::getpid()))).string();
