Allowances: Tell of the last request before a planned stop

A daemon that stopped was silent afterwards, so the others left its share unused for 20 s, although it could accept nothing more. A daemon that leaves now sends a last report 2.5 s after its last request, as a daemon outside the serving group does, and nothing is reserved for it from then on.

RequestQuotas.DaemonThatStopsTellsOfItsLastRequest covers both sides.

--- a/Libraries/zinnialedge/allowances/tenant_quota_reports.cpp
+++ b/Libraries/zinnialedge/allowances/tenant_quota_reports.cpp
@@ -15,8 +15,9 @@
 static constexpr std::chrono::milliseconds urgentReportInterval { 50 };
 /// Minimum interval between answers, which limits the datagrams that the others can cause.
 static constexpr std::chrono::milliseconds answerInterval { 10 };
-/// Time after its last request in which a daemon outside the group reports.
-static constexpr std::chrono::seconds reportHold { 10 };
+/// Time after its last request in which a daemon outside the group reports. A daemon that stops gets requests for 3 s more, and has
+/// to send its last report before it is killed.
+static constexpr std::chrono::milliseconds reportHold { 2500 };
 /// Time for which a member keeps its share after it has left the group: longer than a daemon takes to be silent.
 static constexpr std::chrono::seconds formerShareHold { 5 };
 /// Number of reports for which acknowledgements are accepted.
@@ -205,7 +206,7 @@
     if (m_limitedCount == 0 || m_memberCount == 1)
         return std::nullopt;
     std::optional<time_point> next;
-    if (m_isInGroup || m_lastConsumedAt)
+    if (isReporting())
         next = m_lastReportAt + (m_isReportUrgent ? urgentReportInterval : reportInterval);
     bool const isAnswerDue = std::any_of(m_members.begin(), m_members.end(), [](auto const& each) { return each.second.isAnswerDue; });
     if (isAnswerDue)
@@ -258,8 +259,7 @@
         member.isAcknowledgementDue = false;
         return usage_acknowledgement { hashMember(name), member.lastSequence, member.earlierReports };
     };
-    auto const isReporting = m_isInGroup || m_lastConsumedAt;
-    if (isReporting && now >= m_lastReportAt + (m_isReportUrgent ? urgentReportInterval : reportInterval)) {
+    if (isReporting() && now >= m_lastReportAt + (m_isReportUrgent ? urgentReportInterval : reportInterval)) {
         bool const isUrgent = std::exchange(m_isReportUrgent, false);
         m_lastReportAt = now;
         std::vector<std::size_t> tenants;
@@ -278,7 +278,7 @@
             if (member.isAcknowledgementDue)
                 acknowledgements.push_back(acknowledge(member, name));
         }
-        bool const isEnding = !m_isInGroup && now - *m_lastConsumedAt > reportHold;
+        bool const isEnding = (!m_isInGroup || m_isLeaving) && now - *m_lastConsumedAt > reportHold;
         appendReports(reports, tenants, acknowledgements, receivers(), isUrgent && !isEnding, now);
         if (isEnding) {
             m_lastConsumedAt.reset();
@@ -300,7 +300,7 @@
         // A member that returns has to acknowledge all counts before it counts as informed.
         appendReports(reports, tenants, { acknowledge(member, name) }, { member.endpoint }, member.isReturning, now);
         // The last report to the member may have been lost.
-        reports.back().report.isEnding = !m_isInGroup && !m_lastConsumedAt;
+        reports.back().report.isEnding = !isReporting();
     }
     return reports;
 }
--- a/Libraries/zinnialedge/allowances/tenant_quotas.cpp
+++ b/Libraries/zinnialedge/allowances/tenant_quotas.cpp
@@ -17,9 +17,6 @@
 static constexpr double inFlightShare = 0.5;
 /// Time after which a member is silent: two reports may be missing.
 static constexpr std::chrono::milliseconds silenceTime { 1200 };
-/// Time for which the share of a silent member that no longer serves callers stays reserved. Callers keep addresses for 3 s, and
-/// daemons may be cut off from each other.
-static constexpr std::chrono::seconds silentMemberHold { 20 };
 /// Time in which a daemon acknowledges a report, as seen by a caller that is refused.
 static constexpr std::chrono::milliseconds acknowledgementTime { 100 };
 static constexpr std::chrono::seconds correctionInterval { 2 };
@@ -37,11 +34,6 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double> { seconds });
 }
 
-static double weightOf(bool isInGroup)
-{
-    return isInGroup ? 1 : outsiderWeight;
-}
-
 tenant_quotas::tenant_quotas(time_point startedAt)
     : m_startedAt(startedAt)
     , m_filledAt(startedAt)
@@ -136,114 +128,6 @@
     m_limitedCount = static_cast<std::size_t>(std::count_if(m_tenants.begin(), m_tenants.end(), [](auto const& each) { return each.requestsPerSecond > 0; }));
 }
 
-void tenant_quotas::setMembers(std::string ownName, bool isInGroup, std::vector<quota_member> const& members, time_point now)
-{
-    advance(now);
-    m_ownName = std::move(ownName);
-    m_totalWeight += weightOf(isInGroup) - weightOf(m_isInGroup);
-    m_isInGroup = isInGroup;
-    for (auto& [name, member] : m_members) {
-        bool const isListed = std::any_of(members.begin(), members.end(), [&](auto const& each) { return each.name == name; });
-        // The share of a member that was never heard is kept for as long as that of others after they leave the group.
-        if (member.isInGroup && !isListed && !member.wasHeard)
-            member.heardAt = now;
-        if (member.isInGroup && !isListed)
-            member.leftGroupAt = now;
-        member.isInGroup = isListed;
-        if (isListed)
-            setWeight(member, weightOf(true));
-    }
-    for (auto const& each : members) {
-        auto const found = m_members.find(each.name);
-        if (found != m_members.end()) {
-            if (found->second.hasEnded)
-                addShare(found->second);
-            continue;
-        }
-        removeFormerIncarnation(each.name, each.endpoint);
-        auto& added = m_members[each.name];
-        added.endpoint = each.endpoint;
-        added.isInGroup = true;
-        added.weight = weightOf(true);
-        added.heardAt = now;
-        addShare(added);
-        m_isReportUrgent = true;
-    }
-    removeMembers(now);
-}
-
-void tenant_quotas::addShare(member_state& member)
-{
-    auto const share = member.weight / (m_totalWeight + member.weight);
-    member.usages.resize(m_tenants.size());
-    for (std::size_t index = 0; index < m_tenants.size(); ++index) {
-        auto const part = std::max(0.0, allTokens(index)) * share;
-        for (auto& [name, other] : m_members)
-            other.usages[index].reserve *= 1 - share;
-        // A daemon that starts can accept one request before it hears of the others.
-        auto& level = m_tenants[index].level;
-        if (level > 0)
-            level = std::max(std::min(level, 1.0), level * (1 - share));
-        member.usages[index].reserve = part;
-    }
-    member.hasEnded = false;
-    member.isSilent = true;
-    member.isReturning = false;
-    ++m_memberCount;
-    ++m_silentCount;
-    m_totalWeight += member.weight;
-    m_silentWeight += member.weight;
-}
-
-void tenant_quotas::setWeight(member_state& member, double weight)
-{
-    auto const change = weight - std::exchange(member.weight, weight);
-    m_totalWeight += member.hasEnded ? 0 : change;
-    m_silentWeight += member.hasEnded || !member.isSilent ? 0 : change;
-}
-
-void tenant_quotas::removeShare(member_state& member, bool isReserveUnused)
-{
-    if (member.hasEnded)
-        return;
-    for (std::size_t index = 0; index < m_tenants.size() && member.isSilent; ++index) {
-        m_tenants[index].level += isReserveUnused ? member.usages[index].reserve : 0;
-        member.usages[index].reserve = 0;
-    }
-    m_silentCount -= member.isSilent ? 1 : 0;
-    m_silentWeight -= member.isSilent ? member.weight : 0;
-    --m_memberCount;
-    m_totalWeight -= member.weight;
-    member.hasEnded = true;
-    member.isSilent = true;
-    member.isReturning = false;
-}
-
-void tenant_quotas::removeFormerIncarnation(std::string const& name, model::endpoint const& endpoint)
-{
-    for (auto each = m_members.begin(); each != m_members.end();) {
-        if (each->first != name && each->second.endpoint == endpoint) {
-            removeShare(each->second, false);
-            each = m_members.erase(each);
-        } else {
-            ++each;
-        }
-    }
-}
-
-void tenant_quotas::removeMembers(time_point now)
-{
-    for (auto each = m_members.begin(); each != m_members.end();) {
-        auto& member = each->second;
-        if (!member.isInGroup && !member.hasEnded && now - member.heardAt >= silentMemberHold) {
-            removeShare(member, true);
-            each = m_members.erase(each);
-        } else {
-            ++each;
-        }
-    }
-}
-
 // Time.
 
 void tenant_quotas::fill(std::size_t index, double seconds)
@@ -398,8 +282,8 @@
 bool tenant_quotas::isInformed(time_point now)
 {
     advance(now);
-    // A daemon outside the group that gets no requests exchanges no reports.
-    return (!m_isInGroup && !m_lastConsumedAt) || std::none_of(m_members.begin(), m_members.end(), [](auto const& each) { return each.second.isInGroup && each.second.isSilent; });
+    // A daemon that exchanges no reports leaves nothing unused.
+    return !isReporting() || std::none_of(m_members.begin(), m_members.end(), [](auto const& each) { return each.second.isInGroup && each.second.isSilent; });
 }
 
 }
--- a/Libraries/zinnialedge/allowances/tenant_quotas.h
+++ b/Libraries/zinnialedge/allowances/tenant_quotas.h
@@ -32,6 +32,11 @@
 /// has the weight 1.
 inline constexpr double outsiderWeight = 0.25;
 
+inline double weightOf(bool isInGroup)
+{
+    return isInGroup ? 1 : outsiderWeight;
+}
+
 struct quota_member {
     std::string name;
     model::endpoint endpoint;
@@ -55,6 +60,9 @@
     /// Sets this daemon's name and the daemons that serve callers, with or without this daemon.
     void setMembers(std::string ownName, bool isInGroup, std::vector<quota_member> const&, kernel::time_point now);
 
+    /// Takes that this daemon is about to stop, so that it tells the others when it has accepted its last request.
+    void setLeaving();
+
     /// Counts a request and returns true, or returns false when the tenant's quota is exhausted. Tenants without a quota have no limit.
     [[nodiscard]] bool tryConsume(std::string const& tenant, kernel::time_point now);
     /// Takes back the count of a request that reached no leaf.
@@ -173,6 +181,8 @@
     /// Returns the part of the buckets that is not reserved for silent members, from 0 to 1.
     double activeShare() const;
     std::vector<model::endpoint> receivers() const;
+    /// Returns whether this daemon exchanges reports: it serves callers, or has accepted requests lately.
+    bool isReporting() const { return (m_isInGroup && !m_isLeaving) || m_lastConsumedAt; }
     /// Appends reports with these tenants' counts, as many as datagrams are needed.
     void appendReports(std::vector<addressed_report>&, std::vector<std::size_t> const& tenants, std::vector<usage_acknowledgement> const&, std::vector<model::endpoint> const& receivers, bool isAnswerWanted, kernel::time_point now);
 
@@ -199,6 +209,7 @@
     kernel::time_point m_lastReportAt;
     kernel::time_point m_lastAnswerAt;
     bool m_isReportUrgent { false };
+    bool m_isLeaving { false };
 };
 
 }
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -32,6 +32,8 @@
     void mergeSuspects(std::vector<quarantine::suspect> const&, kernel::time_point now);
 
     void setQuotaTolerance(allowances::quota_tolerance);
+    /// Takes that the daemon gets no further callers and is about to stop.
+    void setLeaving() { m_quotas.setLeaving(); }
     /// Takes another daemon's report of requests that count towards quotas.
     void mergeUsage(allowances::usage_report const&, kernel::time_point now);
 
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -435,7 +435,11 @@
     }
     void apply(quota_tolerance_changed&& changed) { m_engine.setQuotaTolerance(changed.tolerance); }
     void apply(usage_told&& told) { m_engine.mergeUsage(told.report, now()); }
-    void apply(leaving_started&&) { m_isLeaving = true; }
+    void apply(leaving_started&&)
+    {
+        m_isLeaving = true;
+        m_engine.setLeaving();
+    }
 
     asio::io_context& m_context;
     traffic_settings m_settings;
--- a/Tests/Unit/edge_settings_test.cpp
+++ b/Tests/Unit/edge_settings_test.cpp
@@ -1,5 +1,9 @@
 #include "Libraries/zinnialedge/configuration/edge_settings.h"
+#include "Libraries/zinnialedge/configuration/json_reader.h"
 #include "Libraries/zinnialedge/configuration/settings_watch.h"
+// Before the test framework, whose macro replaces operator new.
+#include <regex>
+
 #include <CppUTest/TestHarness.h>
 #include <filesystem>
 #include <fstream>
@@ -34,6 +38,22 @@
         CHECK_TEXT(joinedProblems.find(field) != std::string::npos, field);
 }
 
+// Guards against a template that is no JSON on deployments with or without quotas.
+TEST(EdgeSettings, TemplateIsValidWithAndWithoutQuotas)
+{
+    std::ifstream file { std::string { TESTS_FOLDER } + "/../platform/settings.template" };
+    std::string text { std::istreambuf_iterator<char> { file }, {} };
+    text = std::regex_replace(text, std::regex { "\\{\\{#seeds\\}\\}.*\\{\\{/seeds\\}\\}" }, "\"10.0.0.1:1\"");
+    for (bool const hasQuotas : { true, false }) {
+        auto filled = std::regex_replace(text, std::regex { hasQuotas ? "\\{\\{[#/]bounds\\.quota_window_s\\}\\}" : "\\{\\{#bounds\\.quota_window_s\\}\\}[^]*\\{\\{/bounds\\.quota_window_s\\}\\}" }, "");
+        filled = std::regex_replace(filled, std::regex { "\\{\\{[^}]*\\|json\\}\\}" }, "1");
+        std::vector<std::string> problems;
+        auto const value = configuration::parseJson(filled, problems);
+        CHECK_TEXT(value, filled.c_str());
+        CHECK(value->as_object().contains("quotas") == hasQuotas);
+    }
+}
+
 // Guards against a tolerance in deployments that name none, and against one that a running daemon ignores.
 TEST(EdgeSettings, ToleranceOfQuotasIsOptional)
 {
--- a/Tests/Unit/request_quotas_test.cpp
+++ b/Tests/Unit/request_quotas_test.cpp
@@ -171,6 +171,34 @@
     CHECK(desk.engine.quotaState()->isInformed);
 }
 
+// Guards against a share that stays unused after a planned stop.
+TEST(RequestQuotas, DaemonThatStopsTellsOfItsLastRequest)
+{
+    desk.meetOtherDaemon();
+    desk.pass(50ms);
+    desk.hear(0, 4);
+    desk.engine.setLeaving();
+    CHECK(!desk.isOverQuota(desk.send("paid")));
+    for (int count = 0; count < 8; ++count) {
+        desk.pass(500ms);
+        desk.hear(0, 4);
+    }
+    auto last = desk.usageReports().back().report;
+    CHECK(last.isEnding);
+    allowances::tenant_quotas other { desk.now() };
+    other.setQuotas({ { "paid", 10, 4 } }, desk.now());
+    other.setMembers(otherDaemon.name, true, {}, desk.now());
+    last.member = "self.1";
+    last.isEnding = false;
+    other.merge(last, desk.now());
+    LONGS_EQUAL(2, other.memberCount());
+    ++last.sequence;
+    last.isEnding = true;
+    other.merge(last, desk.now() + 3s);
+    LONGS_EQUAL(1, other.memberCount());
+    LONGS_EQUAL(0, other.silentMemberCount());
+}
+
 // Guards against messages and timers in deployments without quotas.
 TEST(RequestQuotas, NothingIsSentWithoutQuotas)
 {
