--- a/Libraries/zinnialedge/forwarding/engine_interface.h
+++ b/Libraries/zinnialedge/forwarding/engine_interface.h
@@ -2,6 +2,7 @@
 
 // What passes between the request engine and the services around it, apart from calls, answers and events.
 
+#include "Libraries/zinnialedge/allowances/tenant_quotas.h"
 #include "Libraries/zinnialedge/forwarding/extra_call_budget.h"
 #include "Libraries/zinnialedge/forwarding/leaf_rate_limit.h"
 #include "Libraries/zinnialedge/forwarding/leaf_roster.h"
@@ -22,6 +23,7 @@
     std::chrono::milliseconds defaultRoundTripTime { 6 };
     /// Longest pause that a leaf may ask for; longer pauses are ignored.
     std::chrono::milliseconds maximumLeafPause { std::chrono::hours { 1 } };
+    allowances::quota_tolerance quotaTolerance {};
     /// Number that differs between daemons.
     std::uint64_t daemonSeed { 0 };
     leaf_start_settings leafStarts;
@@ -125,6 +127,14 @@
     std::size_t callsInFlight { 0 };
 };
 
+/// What this daemon hears of the others' requests that count towards quotas.
+struct quota_report {
+    /// False while reports of other daemons are missing and this daemon leaves their shares unused.
+    bool isInformed { true };
+    std::size_t memberCount { 0 };
+    std::size_t silentMemberCount { 0 };
+};
+
 struct engine_hooks {
     /// Sends a call. The end of the call is reported later through handleCallEnd(), never from within this hook.
     std::function<void(leaf_call)> sendCall;
@@ -138,6 +148,10 @@
     std::function<void(quarantine_report const&)> logQuarantine;
     /// Tells the other daemons of requests under which leafs were lost.
     std::function<void(std::vector<quarantine::suspect>)> shareSuspects;
+    /// Tells other daemons of the requests that count towards quotas.
+    std::function<void(std::vector<allowances::addressed_report>)> shareUsage;
+    /// Logs that reports of other daemons are missing or arrive again.
+    std::function<void(quota_report const&)> logQuotas;
     /// Logs a change of the state of the links to the leafs.
     std::function<void(link_report const&)> logLinks;
     /// Closes the connections to leafs that carry no call.
@@ -217,6 +231,12 @@
     /// Number of times that the limit on calls in flight to a leaf in its start phase was raised, and lowered.
     std::uint64_t leafPaceRaised { 0 };
     std::uint64_t leafPaceLowered { 0 };
+    /// Number of requests rejected because their tenants have exhausted their quotas.
+    std::uint64_t rejectionsForQuotas { 0 };
+    /// Number of requests that were taken off the counts again because they reached no leaf.
+    std::uint64_t quotaRefunds { 0 };
+    std::uint64_t usageReportsSent { 0 };
+    std::uint64_t usageReportsReceived { 0 };
 };
 
 }
--- a/Libraries/zinnialedge/forwarding/fleet_share.h
+++ b/Libraries/zinnialedge/forwarding/fleet_share.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Libraries/zinnialedge/allowances/tenant_quotas.h"
 #include "Libraries/zinnialedge/model/endpoint.h"
 #include <optional>
 #include <string>
@@ -31,6 +32,12 @@
     double daemonsSharingLeafLimits { 1 };
     /// Share of the daemons with an equal share that come before this one, from 0 to below 1.
     double limitPhase { 0 };
+    /// Name of this daemon among the daemons that keep quotas together.
+    std::string quotaMemberName {};
+    /// True when this daemon is one of those that serve callers.
+    bool isServingCallers { true };
+    /// Other daemons that serve callers and keep quotas together with this one.
+    std::vector<allowances::quota_member> quotaMembers {};
 
     bool operator==(fleet_share const&) const = default;
 };
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -97,6 +97,11 @@
     logEvent(log_level::warn, report.hasBegun ? "evacuation_began" : "evacuation_ended", { { "data_centre", report.dataCentre }, { "leafs", report.leafCount }, { "calls_in_flight", report.callsInFlight }, { "evacuated_data_centres", report.evacuatedDataCentreCount } });
 }
 
+void request_log::logQuotas(forwarding::quota_report const& report)
+{
+    logEvent(report.isInformed ? log_level::info : log_level::warn, report.isInformed ? "quotas_informed" : "quotas_uninformed", { { "members", report.memberCount }, { "silent", report.silentMemberCount } });
+}
+
 void request_log::logLeafLimit(std::string const& leafId, std::string_view event, forwarding::leaf_rate_limit const& limit)
 {
     if (!tryCountLine(m_callLineCount, callLinesPerSecond))
--- a/Services/traffic/request_log.h
+++ b/Services/traffic/request_log.h
@@ -16,6 +16,7 @@
     void logQuarantine(forwarding::quarantine_report const&);
     void logEvacuation(forwarding::evacuation_report const&);
     void logLinks(forwarding::link_report const&, std::size_t leafCount);
+    void logQuotas(forwarding::quota_report const&);
     void logLeafLimit(std::string const& leafId, std::string_view event, forwarding::leaf_rate_limit const&);
     void logLeafPhase(forwarding::leaf_phase_report const&);
 
--- a/Tests/Support/engine_harness.h
+++ b/Tests/Support/engine_harness.h
@@ -57,6 +57,8 @@
     /// Returns all probes that were sent, oldest first.
     std::vector<forwarding::leaf_call> const& probes() const { return m_probes; }
     std::vector<forwarding::call_number> const& cancelled() const { return m_cancelledCalls; }
+    /// Reports for other daemons of requests that count towards quotas, oldest first.
+    std::vector<allowances::addressed_report> const& usageReports() const { return m_usageReports; }
     forwarding::final_answer const* answerOf(forwarding::request_token) const;
 
 private:
@@ -76,6 +78,7 @@
     bool m_areProbesConnected { false };
     bool m_areCallsConnected { true };
     std::map<forwarding::request_token, forwarding::final_answer> m_answers;
+    std::vector<allowances::addressed_report> m_usageReports;
     forwarding::request_token m_lastToken { 0 };
 
 public:
