--- a/Libraries/zinnialedge/fleet/object_mirror.cpp
+++ b/Libraries/zinnialedge/fleet/object_mirror.cpp
@@ -103,6 +103,14 @@
         m_deferredRemovals.insert(name);
         return;
     }
+    forget(name);
+}
+
+void object_mirror::forget(std::string const& name)
+{
+    auto const removed = m_objects.find(name);
+    if (removed == m_objects.end())
+        return;
     if (m_removedObjects.size() >= maximumRemovedObjects)
         m_removedObjects.erase(m_removedObjects.begin());
     m_removedObjects[name] = { removed->second.startedAt, m_era };
@@ -225,6 +233,51 @@
     return m_generation != previousGeneration;
 }
 
+bool object_mirror::replicate(std::map<std::string, store_object> const& objects, std::vector<std::string> const& removed, bool isComplete, store_position position, bool isSettled, time_point now)
+{
+    if (position < m_position || position.era < m_era)
+        return false;
+    enterEra(position.era, now);
+    for (auto const& [name, object] : objects)
+        put(object);
+    std::vector<std::string> absent = removed;
+    if (isComplete) {
+        for (auto const& [name, object] : m_objects) {
+            if (!objects.contains(name))
+                absent.push_back(name);
+        }
+        m_heldObjects.clear();
+        m_deferredRemovals.clear();
+    }
+    for (auto const& name : absent)
+        forget(name);
+    m_position = position;
+    m_hasCompletedListing = true;
+    m_listCursor.clear();
+    // A watch from the position would not report again what the reader has deferred.
+    m_isListing = !isSettled;
+    return true;
+}
+
+void object_mirror::suspend()
+{
+    m_isConnected = false;
+    m_outageBeganAt.reset();
+    m_consecutiveFailures = 0;
+    // Changes that were deferred would be lost; the objects of a reader, or the next listing, contain them.
+    m_isListing |= !isSettled() || !m_listCursor.empty();
+    m_listCursor.clear();
+}
+
+void object_mirror::resume(bool isStoreLost, time_point now)
+{
+    m_nextRequestAt = now;
+    // This daemon cannot know how long the store has been away, so it assumes the duration that defers removals.
+    if (isStoreLost)
+        m_outageBeganAt = now - m_settings.shortOutageLimit;
+    m_isListing |= m_settings.relistInterval.has_value();
+}
+
 bool object_mirror::performDeferredChanges(time_point now)
 {
     bool hasChanges = false;
--- a/Libraries/zinnialedge/fleet/object_mirror.h
+++ b/Libraries/zinnialedge/fleet/object_mirror.h
@@ -60,6 +60,16 @@
     /// Merges objects that another daemon has read from the store up to `position`. Does nothing unless `position` is later than
     /// the local position; otherwise also schedules a new listing. Returns true when an object changed.
     bool adopt(std::vector<store_object> const&, store_position position, kernel::time_point now);
+    /// Takes over the objects as a reader has them, with the removals and delays that the reader has decided on. `objects` has all
+    /// objects when `isComplete` is true, and the changed ones otherwise. `isSettled` is false while the reader defers changes. Does
+    /// nothing when `position` is earlier than the local one. Returns whether the state was taken.
+    bool replicate(std::map<std::string, store_object> const& objects, std::vector<std::string> const& removed, bool isComplete, store_position position, bool isSettled, kernel::time_point now);
+    /// Stops reading the store until resume(). No requests may be sent in between.
+    void suspend();
+    /// Continues reading the store. `isStoreLost` tells that other daemons have lost the store, so that registrations may expire.
+    void resume(bool isStoreLost, kernel::time_point now);
+    /// Returns whether no change is deferred.
+    bool isSettled() const { return m_deferredRemovals.empty() && m_heldObjects.empty(); }
     /// Restarts with a listing when the store has begun a later era. The objects of the earlier era are kept until the listing
     /// has replaced or removed them. Returns false when the era is not later or when nothing has been read before.
     bool enterEra(std::uint64_t era, kernel::time_point now);
@@ -103,6 +113,7 @@
     bool isCurrentReply(std::optional<std::uint64_t> era, kernel::time_point now);
     void remove(std::string const& name, kernel::time_point now);
     void put(store_object);
+    void forget(std::string const& name);
     /// Returns whether the object must be ignored for now. `isListed` is false for a change that a watch reported.
     bool holdIfRestored(store_object const&, bool isListed, kernel::time_point now);
     void finishListing(kernel::time_point now);
--- a/Services/fleet/snapshot_codec.cpp
+++ b/Services/fleet/snapshot_codec.cpp
@@ -6,7 +6,7 @@
 
 namespace json = boost::json;
 
-static json::object format(object_snapshot const& part)
+json::object formatObjects(object_snapshot const& part)
 {
     json::array objects;
     for (auto const& [name, object] : part.objects)
@@ -16,7 +16,7 @@
 
 std::string formatSnapshot(fleet_snapshot const& snapshot)
 {
-    return json::serialize(json::object { { "routes", format(snapshot.routes) }, { "leafs", format(snapshot.leafs) } });
+    return json::serialize(json::object { { "routes", formatObjects(snapshot.routes) }, { "leafs", formatObjects(snapshot.leafs) } });
 }
 
 /// Returns the number in a field that daemons of earlier versions do not send, or zero.
@@ -27,7 +27,7 @@
     return found ? found->to_number<Number>() : Number {};
 }
 
-static object_snapshot parse(json::value const& value)
+object_snapshot parseObjects(json::value const& value)
 {
     object_snapshot part;
     part.position = { readNumberOrZero<std::uint64_t>(value, "era"), value.at("as_of").to_number<std::uint64_t>() };
@@ -42,7 +42,7 @@
 {
     try {
         auto const value = json::parse({ text.data(), text.size() });
-        return fleet_snapshot { parse(value.at("routes")), parse(value.at("leafs")) };
+        return fleet_snapshot { parseObjects(value.at("routes")), parseObjects(value.at("leafs")) };
     } catch (std::exception const& failure) {
         return errors::makeError(errors::error_kind::malformed_request, std::string { "malformed snapshot: " } + failure.what());
     }
--- a/Services/fleet/snapshot_codec.h
+++ b/Services/fleet/snapshot_codec.h
@@ -2,6 +2,7 @@
 
 #include "Libraries/zinnialedge/errors/error_kind.h"
 #include "Libraries/zinnialedge/fleet/store_objects.h"
+#include <boost/json/object.hpp>
 #include <map>
 
 namespace zinnialedge::services::fleet {
@@ -19,6 +20,9 @@
     object_snapshot leafs;
 };
 
+boost::json::object formatObjects(object_snapshot const&);
+/// Throws on malformed input.
+object_snapshot parseObjects(boost::json::value const&);
 std::string formatSnapshot(fleet_snapshot const&);
 errors::error_or<fleet_snapshot> parseSnapshot(std::string_view text);
 
