--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -3,7 +3,6 @@
 #include "Kernel/event_log.h"
 #include "Kernel/metrics_text.h"
 #include "Libraries/zinnialedge/fleet/limit_shares.h"
-#include "Services/fleet/snapshot_codec.h"
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
@@ -35,11 +34,8 @@
 static constexpr std::chrono::milliseconds periodicInterval { 500 };
 /// Interval between comparisons of the registrations with the live daemons.
 static constexpr std::chrono::milliseconds registrationCheckInterval { 5000 };
-static constexpr std::chrono::milliseconds snapshotTimeout { 1000 };
 static constexpr int statusOk = 200;
-static constexpr int statusNoContent = 204;
 static constexpr int statusUnavailable = 503;
-static constexpr char const* snapshotPath = "/fleet/snapshot";
 
 fleet_service::fleet_service(fleet_settings settings, zinnialedge::fleet::store_protocol protocol, traffic::traffic_service& traffic)
     : m_settings(std::move(settings))
@@ -57,6 +53,9 @@
             handleStoreEra(*era); })
     , m_registrationLink(m_workerThread.context(), m_settings.storeEndpoint, m_protocol, m_storeBudget, [this](std::uint64_t era) { handleStoreEra(era); })
     , m_membershipLink(m_workerThread.context(), { .self = makeDaemonRecord(), .strength = m_settings.strength, .seeds = m_settings.seeds }, { [this] { handleMembersChanged(); }, [this](model::endpoint const& endpoint) { requestSnapshot(endpoint); }, [this](std::vector<quarantine::suspect> const& suspects) { sendToTraffic(traffic::suspects_told { suspects }); } })
+    , m_readerLink(m_workerThread.context(), { m_settings.name, m_settings.dataCentre, m_settings.peerEndpoint, m_settings.seeds }, { [this] { return makePoll(); }, [this](poll_answer const& answer, model::endpoint const& origin) { handlePollAnswer(answer, origin); }, [this](bool readsStore) { handleReadingChanged(readsStore); } })
+    , m_pollServer(m_workerThread.context(), { [this] { return currentSnapshotState(); }, [this](zinnialedge::fleet::snapshot_selection const& selection) { return formatPollAnswer(selection); } })
+    , m_storeLossTimer(m_workerThread.context())
     , m_periodicTimer(m_workerThread.context())
     , m_random(kernel::makeRandom())
 {
@@ -132,10 +131,8 @@
 {
     m_workerThread.start();
     bool const isPosted = m_workerThread.post([this] {
-        m_routeLink.start();
-        m_leafLink.start();
-        m_daemonLink.start();
-        m_storeProbe.start();
+        tellReaderLink();
+        m_readerLink.start();
         m_registrationLink.registerDaemon(m_settings.name, boost::json::parse(membership::formatDaemonRecord(makeDaemonRecord())));
         m_membershipLink.step(membership::membership_timer_due {});
         runPeriodicTasks();
@@ -145,7 +142,7 @@
 
 store_link_hooks fleet_service::makeLinkHooks(std::function<void()> changed)
 {
-    return { std::move(changed), [this](std::uint64_t era) { handleStoreEra(era); } };
+    return { std::move(changed), [this](std::uint64_t era) { handleStoreEra(era); }, [this] { handleStoreFailure(); } };
 }
 
 void fleet_service::handleStoreEra(std::uint64_t era)
@@ -160,6 +157,7 @@
     for (auto* const link : { &m_routeLink, &m_leafLink, &m_daemonLink })
         link->enterEra(era);
     m_registrationLink.enterEra(era);
+    m_pollServer.answerDuePolls();
 }
 
 void fleet_service::sendToTraffic(traffic::traffic_event event)
@@ -173,6 +171,7 @@
 {
     for (auto const& [name, object] : m_routeLink.mirror().objects())
         adoptIfNewer(object);
+    handleStoreReached();
     startServingWhenReady();
 }
 
@@ -192,6 +191,7 @@
     logEvent(log_level::info, "configuration_read", { { "version", m_routeTable->version() }, { "era", object.era }, { "revision", object.revision } });
     sendToTraffic(m_routeTable);
     m_membershipLink.step(membership::configuration_changed { m_routeTable->version() });
+    m_pollServer.answerDuePolls();
     return true;
 }
 
@@ -213,6 +213,9 @@
     }
     logEvent(log_level::info, "leafs_read", { { "leafs", m_leafRegistrations.size() }, { "draining", draining }, { "unusable", unusable }, { "as_of", m_leafLink.mirror().asOf() } });
     sendToTraffic(traffic::leafs_changed { m_leafRegistrations });
+    m_leafHistory.update(m_leafLink.mirror().objects());
+    handleStoreReached();
+    m_pollServer.answerDuePolls();
     startServingWhenReady();
 }
 
@@ -234,10 +237,11 @@
 void fleet_service::reconcileRegistrations()
 {
     auto const now = std::chrono::steady_clock::now();
-    if (now - m_registrationsCheckedAt < registrationCheckInterval)
+    auto const& roles = m_readerLink.roles();
+    if (now - m_registrationsCheckedAt < registrationCheckInterval || !roles.readsStore())
         return;
     m_registrationsCheckedAt = now;
-    if (m_daemonLink.mirror().hasCompletedListing() && !m_daemonLink.mirror().objects().contains(m_settings.name))
+    if (m_daemonLink.mirror().hasCompletedListing() && m_daemonLink.mirror().isConnected() && !m_daemonLink.mirror().objects().contains(m_settings.name))
         m_registrationLink.registerAgain(m_daemonLink.mirror().position());
     auto const& members = m_membershipLink.engine().members();
     std::vector<zinnialedge::fleet::registered_daemon> registered;
@@ -249,18 +253,19 @@
         auto const* const member = members.find(memberName);
         bool const isLive = member && member->status != member_status::dead;
         registered.push_back({ name, object->second.position(), isLive });
-        if (isLive)
+        if (isLive && roles.isReader(name))
             firstLiveDaemon = std::min(firstLiveDaemon, name);
     }
     auto const stale = m_staleRegistrations.update(registered, now);
     // A revision of an earlier era may be assigned to a newer registration by now.
     bool const isOfCurrentEra = stale && stale->position.era == m_storeEra;
-    if (isOfCurrentEra && m_daemonLink.mirror().isConnected() && firstLiveDaemon == m_settings.name)
+    if (isOfCurrentEra && roles.role() == zinnialedge::fleet::store_role::reader && m_daemonLink.mirror().isConnected() && firstLiveDaemon == m_settings.name)
         m_registrationLink.removeStaleRegistration(stale->name, stale->position.revision);
 }
 
 void fleet_service::handleMembersChanged()
 {
+    tellReaderLink();
     auto share = computeFleetShare();
     if (share == m_fleetShare)
         return;
@@ -323,7 +328,8 @@
 
 void fleet_service::runPeriodicTasks()
 {
-    if (!m_routeLink.mirror().isConnected() || !m_leafLink.mirror().isConnected())
+    // A subscriber's reader supplies what changes.
+    if (!isStoreConnected() && (m_readerLink.roles().readsStore() || !m_routeTable || m_leafRegistrations.empty()))
         requestSnapshotFromRandomPeer();
     reconcileRegistrations();
     m_periodicTimer.expires_after(periodicInterval);
@@ -366,75 +372,6 @@
     respond({ m_isServing && !m_isLeaving ? statusOk : statusUnavailable, "{}", {} });
 }
 
-// Snapshots between daemons.
-
-void fleet_service::answerSnapshotRequest(wire::http_request const& request, wire::http_responder const& respond)
-{
-    if (wire::requestPath(request) != snapshotPath) {
-        respond({ errors::propertiesOf(errors::error_kind::unknown_route).httpStatus, "{}", {} });
-        return;
-    }
-    if (!m_configurationInForce) {
-        respond({ statusNoContent, {}, {} });
-        return;
-    }
-    object_snapshot const routes { m_configurationInForce->position(), { { m_configurationInForce->name, *m_configurationInForce } } };
-    respond({ statusOk, formatSnapshot({ routes, { m_leafLink.mirror().position(), m_leafLink.mirror().objects() } }), {} });
-}
-
-void fleet_service::requestSnapshotFromRandomPeer()
-{
-    std::vector<model::endpoint> endpoints;
-    for (auto const& [name, member] : m_membershipLink.engine().members().members()) {
-        if (member.status != member_status::dead)
-            endpoints.push_back(member.record.peerEndpoint);
-    }
-    if (endpoints.empty())
-        endpoints = m_settings.seeds;
-    std::erase(endpoints, m_settings.peerEndpoint);
-    if (!endpoints.empty())
-        requestSnapshot(endpoints[m_random() % endpoints.size()]);
-}
-
-void fleet_service::requestSnapshot(model::endpoint const& endpoint)
-{
-    if (m_isSnapshotRequestInFlight)
-        return;
-    m_isSnapshotRequestInFlight = true;
-    auto const client = std::make_shared<wire::http_client>(m_workerThread.context(), endpoint);
-    client->connectAndSend({ "GET", snapshotPath, {}, {}, 0 }, snapshotTimeout, [this, client, endpoint](wire::http_result const& result) {
-        m_isSnapshotRequestInFlight = false;
-        if (result && result->status == statusOk)
-            adoptSnapshot(result->body, endpoint);
-        else if (!result)
-            logEvent(log_level::debug, "peer_not_reached", { { "peer", toString(endpoint) }, { "reason", result.error().reason } });
-    });
-}
-
-void fleet_service::adoptSnapshot(std::string const& body, model::endpoint const& origin)
-{
-    auto const snapshot = parseSnapshot(body);
-    if (!snapshot) {
-        logEvent(log_level::warn, "snapshot_unusable", { { "peer", toString(origin) }, { "reason", snapshot.error().message } });
-        return;
-    }
-    // A configuration takes effect as soon as the store has accepted it, whichever daemon reads it first. Leafs are adopted from a
-    // peer only while this daemon cannot reach the store.
-    for (auto const& [name, object] : snapshot->routes.objects) {
-        if (adoptIfNewer(object))
-            logEvent(log_level::info, "configuration_from_peer", { { "peer", toString(origin) }, { "version", m_routeTable->version() } });
-    }
-    std::vector<zinnialedge::fleet::store_object> leafs;
-    leafs.reserve(snapshot->leafs.objects.size());
-    for (auto const& [name, object] : snapshot->leafs.objects)
-        leafs.push_back(object);
-    if (!m_leafLink.mirror().isConnected() && m_leafLink.adopt(leafs, snapshot->leafs.position)) {
-        logEvent(log_level::info, "leafs_from_peer", { { "peer", toString(origin) }, { "era", snapshot->leafs.position.era }, { "as_of", snapshot->leafs.position.revision } });
-        handleLeafsChanged();
-    }
-    startServingWhenReady();
-}
-
 // Settings that may change at run time.
 
 bool fleet_service::applyRuntimeSettings(runtime_fleet_settings settings)
@@ -442,6 +379,7 @@
     return m_workerThread.post([this, settings = std::move(settings)] {
         m_settings.seeds = settings.seeds;
         m_membershipLink.setSeeds(settings.seeds);
+        m_readerLink.setSeeds(settings.seeds);
         m_storeBudget.setRates(settings.storeRates, std::chrono::steady_clock::now());
         sendToTraffic(traffic::extra_calls_changed { settings.extraCalls });
     });
@@ -456,6 +394,7 @@
         logEvent(log_level::info, "leaving", { { "requests_in_flight", m_trafficService.requestsInFlight() } });
         m_membershipLink.step(membership::status_declared { member_status::leaving });
         m_registrationLink.unregisterDaemon();
+        m_pollServer.answerDuePolls();
         sendToTraffic(traffic::leaving_started {});
     });
 }
@@ -468,54 +407,4 @@
     });
 }
 
-// State.
-
-bool fleet_service::requestState(kernel::text_receiver receiver)
-{
-    return m_workerThread.post([this, receiver = std::move(receiver)] {
-        boost::json::array members;
-        for (auto const& [name, member] : m_membershipLink.engine().members().members())
-            members.push_back({ { "name", name }, { "status", membership::toString(member.status) }, { "reaches_leafs", member.reachesLeafs }, { "strength", member.strength.value_or(0) }, { "callers", toString(member.record.callerEndpoint) } });
-        boost::json::object const state {
-            { "serving", m_isServing },
-            { "leaving", m_isLeaving },
-            { "reaches_leafs", m_reachesLeafs },
-            { "configuration_version", m_routeTable ? m_routeTable->version() : 0 },
-            { "leafs", m_leafRegistrations.size() },
-            { "store_reached", m_routeLink.mirror().isConnected() && m_leafLink.mirror().isConnected() },
-            { "store_era", m_storeEra },
-            { "store_calls", m_routeLink.counters().callCount + m_leafLink.counters().callCount + m_daemonLink.counters().callCount + m_registrationLink.callCount() + m_storeProbe.callCount() },
-            { "store_reads_paid", m_storeBudget.reads().taken() },
-            { "store_writes_paid", m_storeBudget.writes().taken() },
-            { "store_calls_put_off", m_storeBudget.reads().refused() + m_storeBudget.writes().refused() },
-            { "members", std::move(members) },
-        };
-        receiver(boost::json::serialize(state));
-    });
-}
-
-bool fleet_service::requestMetrics(kernel::text_receiver receiver)
-{
-    return m_workerThread.post([this, receiver = std::move(receiver)] {
-        kernel::metrics_text metrics;
-        std::vector<std::pair<std::string_view, std::uint64_t>> calls;
-        std::vector<std::pair<std::string_view, std::uint64_t>> failures;
-        for (auto const& [kind, link] : { std::pair { object_kind::routes, &m_routeLink }, std::pair { object_kind::leafs, &m_leafLink }, std::pair { object_kind::daemons, &m_daemonLink } }) {
-            calls.emplace_back(objectKindName(kind), link->counters().callCount);
-            failures.emplace_back(objectKindName(kind), link->counters().failureCount);
-        }
-        metrics.counter("store_calls_total", "kind", calls);
-        metrics.counter("store_call_failures_total", "kind", failures);
-        metrics.counter("store_calls_put_off_total", m_storeBudget.reads().refused() + m_storeBudget.writes().refused());
-        metrics.gauge("store_era", m_storeEra);
-        metrics.counter("store_returns_total", m_storeReturnCount);
-        metrics.counter("registration_rewrites_total", m_registrationLink.repeatedWriteCount());
-        metrics.gauge("store_reached", m_leafLink.mirror().isConnected() ? 1 : 0);
-        metrics.gauge("members_living", m_liveDaemonCount);
-        metrics.counter("directory_answers_total", m_directoryAnswerCount);
-        metrics.counter("malformed_objects_total", m_malformedObjectCount);
-        receiver(metrics.text());
-    });
-}
-
 }
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -7,6 +7,8 @@
 #include "Libraries/zinnialedge/fleet/store_budget.h"
 #include "Libraries/zinnialedge/wire/http_server.h"
 #include "Services/fleet/membership_link.h"
+#include "Services/fleet/poll_server.h"
+#include "Services/fleet/reader_link.h"
 #include "Services/fleet/registration_link.h"
 #include "Services/fleet/store_link.h"
 #include "Services/fleet/store_probe.h"
@@ -98,6 +100,19 @@
     void requestSnapshotFromRandomPeer();
     void requestSnapshot(model::endpoint const&);
     void adoptSnapshot(std::string const& body, model::endpoint const& origin);
+    void adoptConfiguration(object_snapshot const&, model::endpoint const& origin);
+
+    // Readers of the store and their subscribers.
+    /// Tells the reader link which daemons are live.
+    void tellReaderLink();
+    bool isStoreConnected() const;
+    void handleStoreReached();
+    void handleStoreFailure();
+    void handleReadingChanged(bool readsStore);
+    zinnialedge::fleet::snapshot_poll makePoll() const;
+    zinnialedge::fleet::snapshot_state currentSnapshotState() const;
+    std::string formatPollAnswer(zinnialedge::fleet::snapshot_selection const&) const;
+    void handlePollAnswer(poll_answer const&, model::endpoint const& origin);
 
     fleet_settings m_settings;
     kernel::io_worker_thread m_workerThread;
@@ -110,6 +125,13 @@
     store_probe m_storeProbe;
     registration_link m_registrationLink;
     membership_link m_membershipLink;
+    reader_link m_readerLink;
+    poll_server m_pollServer;
+    zinnialedge::fleet::snapshot_history m_leafHistory;
+    /// Daemon in whose history the generations of the parts count; zero for none.
+    std::uint64_t m_origin { 0 };
+    std::map<std::string, std::uint64_t> m_knownGenerations;
+    boost::asio::steady_timer m_storeLossTimer;
     std::unique_ptr<wire::http_server> m_directoryServer;
     std::unique_ptr<wire::http_server> m_readinessServer;
     std::unique_ptr<wire::http_server> m_peerServer;
@@ -133,6 +155,8 @@
     bool m_isLeaving { false };
     bool m_reachesLeafs { true };
     bool m_isSnapshotRequestInFlight { false };
+    /// Whether this daemon tells its subscribers that it reaches the store.
+    bool m_isStoreReached { false };
 };
 
 }
--- /dev/null
+++ b/Services/fleet/fleet_snapshots.cpp
@@ -0,0 +1,225 @@
+#include "Services/fleet/fleet_service.h"
+
+#include "Kernel/event_log.h"
+#include "Services/fleet/snapshot_codec.h"
+#include <boost/asio/io_context.hpp>
+
+namespace zinnialedge::services::fleet {
+
+using kernel::log_level;
+using kernel::logEvent;
+using membership::member_status;
+using zinnialedge::fleet::snapshot_selection;
+
+static constexpr std::chrono::milliseconds snapshotTimeout { 1000 };
+/// Time for which a reader that has lost the store does not say so. The first retry after a lost connection takes less.
+static constexpr std::chrono::milliseconds storeLossGrace { 300 };
+static constexpr int statusOk = 200;
+static constexpr int statusNoContent = 204;
+static constexpr char const* leafsPart = "leafs";
+
+// Snapshots between daemons.
+
+void fleet_service::answerSnapshotRequest(wire::http_request const& request, wire::http_responder const& respond)
+{
+    if (wire::requestPath(request) != snapshotPath) {
+        respond({ errors::propertiesOf(errors::error_kind::unknown_route).httpStatus, "{}", {} });
+        return;
+    }
+    if (auto const poll = parsePoll(request)) {
+        m_pollServer.handlePoll(*poll, respond);
+        return;
+    }
+    if (!m_configurationInForce) {
+        respond({ statusNoContent, {}, {} });
+        return;
+    }
+    object_snapshot const routes { m_configurationInForce->position(), { { m_configurationInForce->name, *m_configurationInForce } } };
+    respond({ statusOk, formatSnapshot({ routes, { m_leafLink.mirror().position(), m_leafLink.mirror().objects() } }), {} });
+}
+
+void fleet_service::requestSnapshotFromRandomPeer()
+{
+    std::vector<model::endpoint> endpoints;
+    for (auto const& [name, member] : m_membershipLink.engine().members().members()) {
+        if (member.status != member_status::dead)
+            endpoints.push_back(member.record.peerEndpoint);
+    }
+    if (endpoints.empty())
+        endpoints = m_settings.seeds;
+    std::erase(endpoints, m_settings.peerEndpoint);
+    if (!endpoints.empty())
+        requestSnapshot(endpoints[m_random() % endpoints.size()]);
+}
+
+void fleet_service::requestSnapshot(model::endpoint const& endpoint)
+{
+    if (m_isSnapshotRequestInFlight)
+        return;
+    m_isSnapshotRequestInFlight = true;
+    auto const client = std::make_shared<wire::http_client>(m_workerThread.context(), endpoint);
+    client->connectAndSend({ "GET", snapshotPath, {}, {}, 0 }, snapshotTimeout, [this, client, endpoint](wire::http_result const& result) {
+        m_isSnapshotRequestInFlight = false;
+        if (result && result->status == statusOk)
+            adoptSnapshot(result->body, endpoint);
+        else if (!result)
+            logEvent(log_level::debug, "peer_not_reached", { { "peer", toString(endpoint) }, { "reason", result.error().reason } });
+    });
+}
+
+void fleet_service::adoptSnapshot(std::string const& body, model::endpoint const& origin)
+{
+    auto const snapshot = parseSnapshot(body);
+    if (!snapshot) {
+        logEvent(log_level::warn, "snapshot_unusable", { { "peer", toString(origin) }, { "reason", snapshot.error().message } });
+        return;
+    }
+    // Leafs are adopted from a peer only while this daemon cannot reach the store. A subscriber without leafs adopts them as well, but
+    // later ones only from its reader, because the reader's history does not tell what other daemons have seen.
+    adoptConfiguration(snapshot->routes, origin);
+    std::vector<zinnialedge::fleet::store_object> leafs;
+    leafs.reserve(snapshot->leafs.objects.size());
+    for (auto const& [name, object] : snapshot->leafs.objects)
+        leafs.push_back(object);
+    bool const isWanted = !m_leafLink.mirror().isConnected() && (m_readerLink.roles().readsStore() || m_leafRegistrations.empty());
+    if (isWanted && m_leafLink.adopt(leafs, snapshot->leafs.position)) {
+        logEvent(log_level::info, "leafs_from_peer", { { "peer", toString(origin) }, { "era", snapshot->leafs.position.era }, { "as_of", snapshot->leafs.position.revision } });
+        handleLeafsChanged();
+    }
+    startServingWhenReady();
+}
+
+// Readers of the store and their subscribers.
+
+void fleet_service::tellReaderLink()
+{
+    std::vector<zinnialedge::fleet::serving_daemon> daemons;
+    if (!m_isLeaving)
+        daemons.push_back({ m_settings.name, m_settings.dataCentre, m_settings.peerEndpoint, true, m_settings.strength });
+    for (auto const& [name, member] : m_membershipLink.engine().members().members()) {
+        // A restarted daemon counts as two members until its earlier incarnation is declared dead.
+        bool const isKnown = std::any_of(daemons.begin(), daemons.end(), [&](auto const& each) { return each.place == member.record.peerEndpoint; });
+        if (member.status != member_status::dead && member.status != member_status::leaving && !isKnown)
+            daemons.push_back({ name.substr(0, name.rfind('.')), member.record.dataCentre, member.record.peerEndpoint, true, member.strength });
+    }
+    m_readerLink.setDaemons(std::move(daemons));
+}
+
+bool fleet_service::isStoreConnected() const
+{
+    return m_routeLink.mirror().isConnected() && m_leafLink.mirror().isConnected();
+}
+
+void fleet_service::handleStoreReached()
+{
+    if (!isStoreConnected())
+        return;
+    m_storeLossTimer.cancel();
+    if (!std::exchange(m_isStoreReached, true))
+        m_pollServer.answerDuePolls();
+}
+
+void fleet_service::handleStoreFailure()
+{
+    if (!m_isStoreReached || m_storeLossTimer.expiry() > std::chrono::steady_clock::now())
+        return;
+    m_storeLossTimer.expires_after(storeLossGrace);
+    m_storeLossTimer.async_wait([this](boost::system::error_code failure) {
+        if (failure || isStoreConnected())
+            return;
+        m_isStoreReached = false;
+        m_pollServer.answerDuePolls();
+    });
+}
+
+void fleet_service::handleReadingChanged(bool readsStore)
+{
+    m_origin = 0;
+    m_knownGenerations.clear();
+    for (auto* const link : { &m_routeLink, &m_leafLink, &m_daemonLink }) {
+        if (readsStore)
+            link->resume(m_readerLink.roles().hasHeardOfOutage());
+        else
+            link->suspend();
+    }
+    if (readsStore) {
+        m_storeProbe.start();
+    } else {
+        m_storeProbe.stop();
+        m_storeLossTimer.cancel();
+        m_isStoreReached = false;
+    }
+    m_pollServer.answerDuePolls();
+}
+
+zinnialedge::fleet::snapshot_poll fleet_service::makePoll() const
+{
+    zinnialedge::fleet::snapshot_poll poll {
+        .origin = m_origin,
+        .configurationVersion = m_routeTable ? m_routeTable->version() : 0,
+        .storeEra = m_storeEra,
+    };
+    if (m_readerLink.roles().readsStore())
+        return poll;
+    auto const generation = m_knownGenerations.find(leafsPart);
+    poll.parts[leafsPart] = { m_leafLink.mirror().position(), generation == m_knownGenerations.end() ? 0 : generation->second };
+    return poll;
+}
+
+zinnialedge::fleet::snapshot_state fleet_service::currentSnapshotState() const
+{
+    zinnialedge::fleet::snapshot_state state {
+        .incarnation = m_settings.incarnation,
+        .configurationVersion = m_routeTable ? m_routeTable->version() : 0,
+        .storeEra = m_storeEra,
+        .readsStore = m_readerLink.roles().readsStore() && !m_isLeaving,
+        .isStoreReached = m_isStoreReached,
+    };
+    if (m_leafLink.mirror().hasCompletedListing())
+        state.parts[leafsPart] = { m_leafLink.mirror().position(), m_leafHistory.generation() };
+    return state;
+}
+
+std::string fleet_service::formatPollAnswer(snapshot_selection const& selection) const
+{
+    auto const state = currentSnapshotState();
+    poll_answer answer { .incarnation = state.incarnation, .storeEra = state.storeEra, .state = { state.readsStore, state.isStoreReached, m_readerLink.roles().role() == zinnialedge::fleet::store_role::reader } };
+    if (selection.hasConfiguration && m_configurationInForce)
+        answer.routes = object_snapshot { m_configurationInForce->position(), { { m_configurationInForce->name, *m_configurationInForce } } };
+    if (auto const leafs = selection.parts.find(leafsPart); leafs != selection.parts.end())
+        answer.parts[leafsPart] = { state.parts.at(leafsPart), m_leafHistory.changesSince(leafs->second.value_or(0), m_leafLink.mirror().objects()), m_leafLink.mirror().isSettled() };
+    return formatAnswer(answer);
+}
+
+void fleet_service::handlePollAnswer(poll_answer const& answer, model::endpoint const& origin)
+{
+    if (!answer.state.holdsPolls)
+        return;
+    handleStoreEra(answer.storeEra);
+    if (answer.routes)
+        adoptConfiguration(*answer.routes, origin);
+    if (m_readerLink.roles().readsStore())
+        return;
+    if (m_origin != answer.incarnation)
+        m_knownGenerations.clear();
+    m_origin = answer.incarnation;
+    if (auto const leafs = answer.parts.find(leafsPart); leafs != answer.parts.end()) {
+        auto const& [position, changes, isSettled] = leafs->second;
+        bool const hasChanged = m_leafLink.replicate(changes.objects, changes.removed, changes.isComplete, position.position, isSettled);
+        m_knownGenerations[leafsPart] = position.generation;
+        if (hasChanged)
+            handleLeafsChanged();
+    }
+    startServingWhenReady();
+}
+
+void fleet_service::adoptConfiguration(object_snapshot const& routes, model::endpoint const& origin)
+{
+    // A configuration takes effect as soon as the store has accepted it, whichever daemon reads it first.
+    for (auto const& [name, object] : routes.objects) {
+        if (adoptIfNewer(object))
+            logEvent(log_level::info, "configuration_from_peer", { { "peer", toString(origin) }, { "version", m_routeTable->version() } });
+    }
+}
+
+}
--- /dev/null
+++ b/Services/fleet/fleet_state.cpp
@@ -0,0 +1,74 @@
+#include "Services/fleet/fleet_service.h"
+
+#include "Kernel/metrics_text.h"
+#include <boost/json.hpp>
+
+namespace zinnialedge::services::fleet {
+
+using zinnialedge::fleet::object_kind;
+using zinnialedge::fleet::toString;
+
+// State.
+
+bool fleet_service::requestState(kernel::text_receiver receiver)
+{
+    return m_workerThread.post([this, receiver = std::move(receiver)] {
+        auto const& roles = m_readerLink.roles();
+        boost::json::array members;
+        for (auto const& [name, member] : m_membershipLink.engine().members().members())
+            members.push_back({ { "name", name }, { "status", membership::toString(member.status) }, { "reaches_leafs", member.reachesLeafs }, { "strength", member.strength.value_or(0) }, { "callers", toString(member.record.callerEndpoint) } });
+        boost::json::object const state {
+            { "serving", m_isServing },
+            { "leaving", m_isLeaving },
+            { "reaches_leafs", m_reachesLeafs },
+            { "configuration_version", m_routeTable ? m_routeTable->version() : 0 },
+            { "leafs", m_leafRegistrations.size() },
+            { "store_reached", isStoreConnected() || m_readerLink.hasReader() },
+            { "store_role", toString(roles.role()) },
+            { "reads_store", roles.readsStore() },
+            { "reader", roles.reader() ? toString(*roles.reader()) : std::string {} },
+            { "subscribers", m_pollServer.heldPollCount() },
+            { "store_era", m_storeEra },
+            { "store_calls", m_routeLink.counters().callCount + m_leafLink.counters().callCount + m_daemonLink.counters().callCount + m_registrationLink.callCount() + m_storeProbe.callCount() },
+            { "store_reads_paid", m_storeBudget.reads().taken() },
+            { "store_writes_paid", m_storeBudget.writes().taken() },
+            { "store_calls_put_off", m_storeBudget.reads().refused() + m_storeBudget.writes().refused() },
+            { "members", std::move(members) },
+        };
+        receiver(boost::json::serialize(state));
+    });
+}
+
+bool fleet_service::requestMetrics(kernel::text_receiver receiver)
+{
+    return m_workerThread.post([this, receiver = std::move(receiver)] {
+        kernel::metrics_text metrics;
+        std::vector<std::pair<std::string_view, std::uint64_t>> calls;
+        std::vector<std::pair<std::string_view, std::uint64_t>> failures;
+        for (auto const& [kind, link] : { std::pair { object_kind::routes, &m_routeLink }, std::pair { object_kind::leafs, &m_leafLink }, std::pair { object_kind::daemons, &m_daemonLink } }) {
+            calls.emplace_back(objectKindName(kind), link->counters().callCount);
+            failures.emplace_back(objectKindName(kind), link->counters().failureCount);
+        }
+        metrics.counter("store_calls_total", "kind", calls);
+        metrics.counter("store_call_failures_total", "kind", failures);
+        metrics.counter("store_calls_put_off_total", m_storeBudget.reads().refused() + m_storeBudget.writes().refused());
+        metrics.gauge("store_era", m_storeEra);
+        metrics.counter("store_returns_total", m_storeReturnCount);
+        metrics.counter("registration_rewrites_total", m_registrationLink.repeatedWriteCount());
+        metrics.gauge("store_reached", m_leafLink.mirror().isConnected() || m_readerLink.hasReader() ? 1 : 0);
+        auto const& roles = m_readerLink.roles();
+        metrics.gauge("store_reader", roles.readsStore() ? 1 : 0);
+        metrics.gauge("store_subscribers", m_pollServer.heldPollCount());
+        metrics.counter("store_role_changes_total", roles.counters().roleChangeCount);
+        metrics.counter("reader_polls_sent_total", m_readerLink.pollCount());
+        metrics.counter("reader_polls_received_total", m_pollServer.pollCount());
+        metrics.counter("reader_changes_total", roles.counters().readerChangeCount);
+        metrics.counter("reader_substitutions_total", roles.counters().ownReadingCount);
+        metrics.gauge("members_living", m_liveDaemonCount);
+        metrics.counter("directory_answers_total", m_directoryAnswerCount);
+        metrics.counter("malformed_objects_total", m_malformedObjectCount);
+        receiver(metrics.text());
+    });
+}
+
+}
--- a/Services/fleet/store_link.cpp
+++ b/Services/fleet/store_link.cpp
@@ -1,6 +1,7 @@
 #include "Services/fleet/store_link.h"
 
 #include "Kernel/event_log.h"
+#include "Kernel/verify.h"
 #include <boost/asio/io_context.hpp>
 
 namespace zinnialedge::services::fleet {
@@ -57,6 +58,8 @@
 
 void store_link::processNextRequest()
 {
+    if (m_isSuspended)
+        return;
     auto const now = std::chrono::steady_clock::now();
     if (m_mirror.performDeferredChanges(now)) {
         logEvent(log_level::info, "deferred_changes_made", { { "kind", objectKindName(m_kind) }, { "left", m_mirror.objects().size() } });
@@ -101,12 +104,40 @@
     if (m_mirror.isConnected())
         logEvent(log_level::warn, "store_lost", { { "kind", objectKindName(m_kind) }, { "reason", reason }, { "as_of", m_mirror.asOf() } });
     m_mirror.handleFailure(std::chrono::steady_clock::now());
+    m_hooks.failed();
     // A connection on which a reply was lost does not deliver further replies.
     m_client = std::make_unique<wire::http_client>(m_context, m_store);
 }
 
+void store_link::resume(bool isStoreLost)
+{
+    if (!std::exchange(m_isSuspended, false))
+        return;
+    m_mirror.resume(isStoreLost, std::chrono::steady_clock::now());
+    processNextRequest();
+}
+
+void store_link::suspend()
+{
+    if (std::exchange(m_isSuspended, true))
+        return;
+    m_timer.cancel();
+    dropCall();
+    m_mirror.suspend();
+}
+
+bool store_link::replicate(std::map<std::string, zinnialedge::fleet::store_object> const& objects, std::vector<std::string> const& removed, bool isComplete, zinnialedge::fleet::store_position position, bool isSettled)
+{
+    VERIFY(m_isSuspended);
+    auto const generation = m_mirror.generation();
+    m_mirror.replicate(objects, removed, isComplete, position, isSettled, std::chrono::steady_clock::now());
+    return generation != m_mirror.generation();
+}
+
 void store_link::reconnect()
 {
+    if (m_isSuspended)
+        return;
     // Closing the client fails the call in flight, and the call is then repeated. When no call is in flight, the next call uses a new
     // connection.
     if (m_isCallInFlight)
@@ -177,13 +208,18 @@
 
 void store_link::enterEra(std::uint64_t era)
 {
-    if (!m_mirror.enterEra(era, std::chrono::steady_clock::now()))
+    if (!m_mirror.enterEra(era, std::chrono::steady_clock::now()) || m_isSuspended)
         return;
+    dropCall();
+    processNextRequest();
+}
+
+void store_link::dropCall()
+{
     ++m_callNumber;
     m_client->close();
     m_client = std::make_unique<wire::http_client>(m_context, m_store);
     m_isCallInFlight = false;
-    processNextRequest();
 }
 
 }
--- a/Services/fleet/store_link.h
+++ b/Services/fleet/store_link.h
@@ -20,6 +20,8 @@
     std::function<void()> changed;
     /// Called with the era of each reply that tells one.
     std::function<void(std::uint64_t)> eraSeen;
+    /// Called after a call without a usable reply.
+    std::function<void()> failed;
 };
 
 /// Keeps the mirror of one object kind up to date over a dedicated connection to the store.
@@ -27,7 +29,12 @@
 public:
     store_link(boost::asio::io_context&, model::endpoint store, zinnialedge::fleet::object_kind, zinnialedge::fleet::store_protocol const&, zinnialedge::fleet::store_budget&, zinnialedge::fleet::mirror_settings, std::chrono::milliseconds watchHoldTime, store_link_hooks);
 
-    void start() { processNextRequest(); }
+    /// Begins or continues to read the store. `isStoreLost` tells that other daemons have lost the store.
+    void resume(bool isStoreLost);
+    /// Stops reading the store, and closes the connection.
+    void suspend();
+    /// Takes over the objects as a reader has them. Returns whether objects have changed. Must be called only while suspended.
+    bool replicate(std::map<std::string, zinnialedge::fleet::store_object> const& objects, std::vector<std::string> const& removed, bool isComplete, zinnialedge::fleet::store_position, bool isSettled);
     /// Repeats the current call over a new connection, because the store may have dropped the old connection without closing it.
     void reconnect();
     /// Adopts objects that another daemon has read. Returns true when the mirror changed.
@@ -39,6 +46,7 @@
     store_link_counters const& counters() const { return m_counters; }
 
 private:
+    void dropCall();
     void processNextRequest();
     void scheduleNextRequest(kernel::time_point);
     void sendRequest(zinnialedge::fleet::mirror_request const&);
@@ -61,6 +69,7 @@
     /// Number of the current call; replies to earlier calls are ignored.
     std::uint64_t m_callNumber { 0 };
     bool m_isCallInFlight { false };
+    bool m_isSuspended { true };
 };
 
 std::string_view objectKindName(zinnialedge::fleet::object_kind);
--- a/Services/fleet/store_probe.cpp
+++ b/Services/fleet/store_probe.cpp
@@ -21,15 +21,33 @@
 {
 }
 
+void store_probe::start()
+{
+    if (!std::exchange(m_isRunning, true))
+        sendProbe();
+}
+
+void store_probe::stop()
+{
+    m_isRunning = false;
+    ++m_callNumber;
+    m_timer.cancel();
+    m_client = std::make_unique<wire::http_client>(m_context, m_store);
+}
+
 void store_probe::sendProbe()
 {
+    if (!m_isRunning)
+        return;
     // Skips the probe when the budget is exhausted: watches also detect an unresponsive store, but later.
     if (!m_budget.reads().take(std::chrono::steady_clock::now())) {
         scheduleProbe();
         return;
     }
     ++m_callCount;
-    m_client->connectAndSend(m_request, probeTimeout, [this](wire::http_result const& result) {
+    m_client->connectAndSend(m_request, probeTimeout, [this, number = ++m_callNumber](wire::http_result const& result) {
+        if (number != m_callNumber)
+            return;
         if (!result) {
             kernel::logEvent(kernel::log_level::warn, "store_probe_failed", { { "reason", result.error().reason } });
             m_client = std::make_unique<wire::http_client>(m_context, m_store);
--- a/Services/fleet/store_probe.h
+++ b/Services/fleet/store_probe.h
@@ -14,7 +14,8 @@
     /// Calls `onUnresponsive` when a probe gets no reply in time, and `onReply` with each reply.
     store_probe(boost::asio::io_context&, model::endpoint store, wire::http_request, zinnialedge::fleet::store_budget&, std::function<void()> onUnresponsive, std::function<void(wire::http_response const&)> onReply);
 
-    void start() { sendProbe(); }
+    void start();
+    void stop();
     std::uint64_t callCount() const { return m_callCount; }
 
 private:
@@ -30,6 +31,9 @@
     std::unique_ptr<wire::http_client> m_client;
     boost::asio::steady_timer m_timer;
     std::uint64_t m_callCount { 0 };
+    /// Number of the current call; replies to earlier calls are ignored.
+    std::uint64_t m_callNumber { 0 };
+    bool m_isRunning { false };
 };
 
 }
