Fleet: Keep changes that a reader sends while it lists a later era

A reader that lists a later era has objects of that era at a position of the earlier one. The subscriber refused them but recorded the reader's generation, so that it never got them. They are taken now, and the generation only if they are. After a start, one in 16 daemons reads the store at once instead of two in all, and the others begin with another one of them each, because a weak daemon cannot send all objects to 45 others in the time of a poll. A daemon that starts alone finds the readers through its members.

--- a/Libraries/zinnialedge/fleet/object_mirror.cpp
+++ b/Libraries/zinnialedge/fleet/object_mirror.cpp
@@ -235,7 +235,7 @@
 
 bool object_mirror::replicate(std::map<std::string, store_object> const& objects, std::vector<std::string> const& removed, bool isComplete, store_position position, bool isSettled, time_point now)
 {
-    if (position < m_position || position.era < m_era)
+    if (position < m_position)
         return false;
     enterEra(position.era, now);
     for (auto const& [name, object] : objects)
@@ -254,8 +254,9 @@
     m_position = position;
     m_hasCompletedListing = true;
     m_listCursor.clear();
-    // A watch from the position would not report again what the reader has deferred.
-    m_isListing = !isSettled;
+    // A watch from the position would not report again what the reader has deferred, and revisions of an earlier era mean nothing in the
+    // later one that the reader is still listing.
+    m_isListing = !isSettled || position.era < m_era;
     return true;
 }
 
--- a/Libraries/zinnialedge/fleet/store_roles.cpp
+++ b/Libraries/zinnialedge/fleet/store_roles.cpp
@@ -15,8 +15,10 @@
 /// Time per possible daemon over which the daemons that start together begin to read the store, unless they find a reader.
 static constexpr std::chrono::milliseconds startSpreadPerDaemon { 30 };
 static constexpr std::chrono::milliseconds maximumStartSpread { 3000 };
-/// Number of daemons, by the hash of the seeds, that read the store at once when they start: one may be down.
-static constexpr std::size_t firstReaders = 2;
+/// Number of daemons, by the hash of the seeds, that read the store at once when they start: one in `daemonsPerFirstReader`, so that none has
+/// to send all objects to too many others over its link, and at least two, since one may be down.
+static constexpr std::size_t minimumFirstReaders = 2;
+static constexpr std::size_t daemonsPerFirstReader = 16;
 /// Time from the loss of the reader until this daemon reads the store itself, even if candidates have not answered. Together with
 /// `readerTimeout` and the random part it stays below 4 s, so that a configuration still takes effect within 5 s.
 static constexpr std::chrono::milliseconds searchTime { 800 };
@@ -64,6 +66,24 @@
     return seeds;
 }
 
+static std::size_t countFirstReaders(std::size_t daemonCount)
+{
+    return std::min(daemonCount, std::max(minimumFirstReaders, daemonCount / daemonsPerFirstReader));
+}
+
+std::vector<model::endpoint> store_roles::listSeeds() const
+{
+    auto places = m_settings.seeds;
+    places.push_back(m_settings.place);
+    places = orderedSeeds(std::move(places));
+    // Each daemon begins with another one of the first readers.
+    auto const firstCount = static_cast<std::ptrdiff_t>(countFirstReaders(places.size()));
+    auto const offset = static_cast<std::ptrdiff_t>(hashOf(m_settings.name) % static_cast<std::uint64_t>(firstCount));
+    std::rotate(places.begin(), places.begin() + offset, places.begin() + firstCount);
+    std::erase(places, m_settings.place);
+    return places;
+}
+
 void store_roles::start(time_point now)
 {
     auto places = m_settings.seeds;
@@ -72,7 +92,7 @@
     auto const rank = static_cast<std::size_t>(std::find(places.begin(), places.end(), m_settings.place) - places.begin());
     // Daemons start together with the VMs. Without members, all daemons with the same seeds choose the same first readers.
     auto const spread = std::min(startSpreadPerDaemon * static_cast<std::int64_t>(places.size()), maximumStartSpread);
-    m_ownReadingAt = rank < firstReaders ? now : now + spread / 2 + randomDelay(spread / 2);
+    m_ownReadingAt = rank < countFirstReaders(places.size()) ? now : now + spread / 2 + randomDelay(spread / 2);
     m_nextRoundAt = now;
     advance(now);
 }
@@ -178,11 +198,13 @@
     addRotated(m_substitutes);
     addRotated(m_remoteReaders);
     std::erase(candidates, m_settings.place);
-    if (candidates.empty()) {
-        candidates = orderedSeeds(m_settings.seeds);
-        std::erase(candidates, m_settings.place);
-    }
-    return candidates;
+    if (!m_isStarting && !candidates.empty())
+        return candidates;
+    // After a start of all daemons the first of the seeds read the store; after a start of this daemon alone, those that membership tells.
+    auto seeds = listSeeds();
+    auto const firstCount = static_cast<std::ptrdiff_t>(std::min(countFirstReaders(seeds.size() + 1), seeds.size()));
+    seeds.insert(seeds.begin() + firstCount, candidates.begin(), candidates.end());
+    return seeds;
 }
 
 std::optional<model::endpoint> store_roles::takeCandidate(time_point now)
@@ -229,7 +251,7 @@
         return std::nullopt;
     m_polled = takeCandidate(now);
     if (m_polled)
-        return reader_poll { *m_polled };
+        return reader_poll { *m_polled, std::chrono::milliseconds { 0 }, m_isStarting ? startTimeout : searchTimeout };
     finishRound(now);
     return std::nullopt;
 }
--- a/Libraries/zinnialedge/fleet/store_roles.h
+++ b/Libraries/zinnialedge/fleet/store_roles.h
@@ -16,9 +16,12 @@
 inline constexpr std::chrono::milliseconds pollHoldTime { 1000 };
 /// Time after which a poll of the current reader without a reply counts as the loss of the reader.
 inline constexpr std::chrono::milliseconds readerTimeout { 2000 };
-/// Time limit of a first poll to another daemon, which is answered at once. Shorter than `readerTimeout`, because a subscriber
-/// without a reader must find one within the seconds in which a configuration has to take effect.
-inline constexpr std::chrono::milliseconds searchTimeout { 600 };
+/// Time limit of a first poll to another daemon, which is answered at once, with all objects. Shorter than `readerTimeout`, because a
+/// subscriber without a reader must find one within the seconds in which a configuration has to take effect.
+inline constexpr std::chrono::milliseconds searchTimeout { 1000 };
+/// The same after the start of this daemon. Longer, because many daemons may ask a weak one at once, and a repeated poll costs its link
+/// the same bytes again.
+inline constexpr std::chrono::milliseconds startTimeout { 1500 };
 
 enum class store_role {
     /// Lists and watches the store.
@@ -109,6 +112,7 @@
     void finishRound(kernel::time_point now);
     std::optional<model::endpoint> takeCandidate(kernel::time_point now);
     std::vector<model::endpoint> listCandidates() const;
+    std::vector<model::endpoint> listSeeds() const;
     bool isLocalReader(model::endpoint const&) const;
     kernel::duration randomDelay(std::chrono::milliseconds maximum);
 
--- a/Services/fleet/fleet_snapshots.cpp
+++ b/Services/fleet/fleet_snapshots.cpp
@@ -205,9 +205,10 @@
     m_origin = answer.incarnation;
     if (auto const leafs = answer.parts.find(leafsPart); leafs != answer.parts.end()) {
         auto const& [position, changes, isSettled] = leafs->second;
-        bool const hasChanged = m_leafLink.replicate(changes.objects, changes.removed, changes.isComplete, position.position, isSettled);
-        m_knownGenerations[leafsPart] = position.generation;
-        if (hasChanged)
+        auto const mirrorGeneration = m_leafLink.mirror().generation();
+        if (m_leafLink.replicate(changes.objects, changes.removed, changes.isComplete, position.position, isSettled))
+            m_knownGenerations[leafsPart] = position.generation;
+        if (m_leafLink.mirror().generation() != mirrorGeneration)
             handleLeafsChanged();
     }
     startServingWhenReady();
--- a/Services/fleet/store_link.cpp
+++ b/Services/fleet/store_link.cpp
@@ -129,9 +129,7 @@
 bool store_link::replicate(std::map<std::string, zinnialedge::fleet::store_object> const& objects, std::vector<std::string> const& removed, bool isComplete, zinnialedge::fleet::store_position position, bool isSettled)
 {
     VERIFY(m_isSuspended);
-    auto const generation = m_mirror.generation();
-    m_mirror.replicate(objects, removed, isComplete, position, isSettled, std::chrono::steady_clock::now());
-    return generation != m_mirror.generation();
+    return m_mirror.replicate(objects, removed, isComplete, position, isSettled, std::chrono::steady_clock::now());
 }
 
 void store_link::reconnect()
--- a/Services/fleet/store_link.h
+++ b/Services/fleet/store_link.h
@@ -33,7 +33,8 @@
     void resume(bool isStoreLost);
     /// Stops reading the store, and closes the connection.
     void suspend();
-    /// Takes over the objects as a reader has them. Returns whether objects have changed. Must be called only while suspended.
+    /// Takes over the objects as a reader has them. Returns whether they were taken, which they are not if they are older than the local
+    /// ones. Must be called only while suspended.
     bool replicate(std::map<std::string, zinnialedge::fleet::store_object> const& objects, std::vector<std::string> const& removed, bool isComplete, zinnialedge::fleet::store_position, bool isSettled);
     /// Repeats the current call over a new connection, because the store may have dropped the old connection without closing it.
     void reconnect();
--- a/Tests/Unit/snapshot_history_test.cpp
+++ b/Tests/Unit/snapshot_history_test.cpp
@@ -152,6 +152,20 @@
     LONGS_EQUAL(2, mirror.era());
 }
 
+// Guards against: what a reader sends while it lists a later era is lost, or is taken for a position in that era.
+TEST(SnapshotHistory, ChangesBetweenTwoErasAreKept)
+{
+    CHECK(mirror.replicate(objects({ object("a", 5), object("b", 6) }), {}, true, { 1, 7 }, true, now));
+    mirror.enterEra(2, now);
+    CHECK(mirror.replicate(objects({ object("a", 3, 2) }), {}, false, { 1, 7 }, true, now));
+    LONGS_EQUAL(2, mirror.objects().at("a").era);
+    mirror.resume(false, now);
+    CHECK(mirror.nextRequest(now)->isListing);
+    CHECK(mirror.replicate({}, { "b" }, false, { 2, 4 }, true, now));
+    LONGS_EQUAL(1, mirror.objects().size());
+    CHECK(*mirror.nextRequest(now) == (fleet::mirror_request { false, "", 4 }));
+}
+
 // Guards against: messages of subscribers and readers that differ in what they mean, or that end the daemon.
 TEST(SnapshotHistory, PollsAndAnswersAreReadAsWritten)
 {
