--- a/Services/fleet/snapshot_codec.cpp
+++ b/Services/fleet/snapshot_codec.cpp
@@ -6,7 +6,7 @@
 
 namespace json = boost::json;
 
-static json::object format(object_snapshot const& part)
+json::object formatObjects(object_snapshot const& part)
 {
     json::array objects;
     for (auto const& [name, object] : part.objects)
@@ -16,9 +16,9 @@
 
 std::string formatSnapshot(fleet_snapshot const& snapshot)
 {
-    json::object parts { { "routes", format(snapshot.routes) }, { "leafs", format(snapshot.leafs) } };
+    json::object parts { { "routes", formatObjects(snapshot.routes) }, { "leafs", formatObjects(snapshot.leafs) } };
     if (snapshot.evacuations)
-        parts["evacuations"] = format(*snapshot.evacuations);
+        parts["evacuations"] = formatObjects(*snapshot.evacuations);
     return json::serialize(parts);
 }
 
@@ -30,7 +30,7 @@
     return found ? found->to_number<Number>() : Number {};
 }
 
-static object_snapshot parse(json::value const& value)
+object_snapshot parseObjects(json::value const& value)
 {
     object_snapshot part;
     part.position = { readNumberOrZero<std::uint64_t>(value, "era"), value.at("as_of").to_number<std::uint64_t>() };
@@ -46,7 +46,7 @@
 {
     auto const* const part = value.as_object().if_contains(name);
     try {
-        return part ? std::optional { parse(*part) } : std::nullopt;
+        return part ? std::optional { parseObjects(*part) } : std::nullopt;
     } catch (std::exception const&) {
         return std::nullopt;
     }
@@ -56,7 +56,7 @@
 {
     try {
         auto const value = json::parse({ text.data(), text.size() });
-        return fleet_snapshot { parse(value.at("routes")), parse(value.at("leafs")), parseOptional(value, "evacuations") };
+        return fleet_snapshot { parseObjects(value.at("routes")), parseObjects(value.at("leafs")), parseOptional(value, "evacuations") };
     } catch (std::exception const& failure) {
         return errors::makeError(errors::error_kind::malformed_request, std::string { "malformed snapshot: " } + failure.what());
     }
--- a/Services/fleet/snapshot_codec.h
+++ b/Services/fleet/snapshot_codec.h
@@ -2,6 +2,7 @@
 
 #include "Libraries/zinnialedge/errors/error_kind.h"
 #include "Libraries/zinnialedge/fleet/store_objects.h"
+#include <boost/json/object.hpp>
 #include <map>
 #include <optional>
 
@@ -22,6 +23,9 @@
     std::optional<object_snapshot> evacuations {};
 };
 
+boost::json::object formatObjects(object_snapshot const&);
+/// Throws on malformed input.
+object_snapshot parseObjects(boost::json::value const&);
 std::string formatSnapshot(fleet_snapshot const&);
 errors::error_or<fleet_snapshot> parseSnapshot(std::string_view text);
 
--- a/Tests/Unit/request_quotas_test.cpp
+++ b/Tests/Unit/request_quotas_test.cpp
@@ -26,7 +26,7 @@
     void declareTenant(std::uint64_t version, double rate, double burst)
     {
         forwarding::route_declarations declarations { version, { singleRoute(true) }, {}, {} };
-        declarations.tenants = { { .name = "paid", .requestsPerSecond = rate, .burst = burst }, { .name = "free" } };
+        declarations.tenants = { { .name = "paid", .accessKeys = { "key of paid" }, .requestsPerSecond = rate, .burst = burst }, { .name = "free", .accessKeys = { "key of free" } } };
         engine.setRoutes(std::make_shared<forwarding::route_table const>(declarations), now());
     }
 
@@ -51,7 +51,11 @@
         request.method = "GET";
         request.target = "/single/x";
         request.host = "host";
-        request.tenant = tenant;
+        // Another daemon passes the tenant's name on; a caller sends a key.
+        if (detoured)
+            request.tenant = tenant;
+        else
+            request.accessKeys = { { "key", "key of " + tenant } };
         request.detoured = detoured;
         engine.handleRequest(++m_lastOwnToken, std::move(request), now());
         return m_lastOwnToken;
