Forwarding: Give up undelivered calls when an evacuation begins

Cause: a call that was sent into a cut link or to a leaf with full buffers before the evacuation stays in the system's send queue for as long as its request lasts, and could reach the leaf more than 5 s later.

Change: 1 s after the begin of an evacuation, calls to its leafs whose bytes the leaf's machine has not confirmed end as timed out, and their connections are reset.

--- a/Libraries/zinnialedge/forwarding/engine_interface.h
+++ b/Libraries/zinnialedge/forwarding/engine_interface.h
@@ -116,6 +116,8 @@
     std::function<void(leaf_call)> sendCall;
     /// Cancels a call with the given failure. The end of the call is reported through handleCallEnd(), as for other calls.
     std::function<void(call_number, call_failure)> cancelCall;
+    /// Cancels a call as timed out if the leaf's machine has not confirmed all of its bytes, so that they don't arrive later.
+    std::function<void(call_number)> cancelUndeliveredCall;
     std::function<void(request_token, final_answer)> sendAnswer;
     std::function<void(request_report const&)> reportRequest;
     /// Logs a call that did not end with a success.
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -347,6 +347,11 @@
                 m_hooks.cancelCall(due.subject, call_failure::timed_out);
             continue;
         }
+        if (due.kind == timer_kind::end_undelivered_call) {
+            if (auto const call = m_calls.find(due.subject); call != m_calls.end() && isEvacuated(call->second.leaf) && m_hooks.cancelUndeliveredCall)
+                m_hooks.cancelUndeliveredCall(due.subject);
+            continue;
+        }
         if (due.kind == timer_kind::admit) {
             admitQueued(due.subject, now);
             continue;
@@ -412,6 +417,7 @@
         case timer_kind::share_suspects:
         case timer_kind::check_links:
         case timer_kind::detour_timeout:
+        case timer_kind::end_undelivered_call:
             break;
         }
     }
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -73,6 +73,8 @@
         check_links,
         /// The answer of a daemon to a detoured request is late.
         detour_timeout,
+        /// A call to a leaf of an evacuated data centre must have been delivered by now.
+        end_undelivered_call,
     };
 
     struct timer {
@@ -186,6 +188,8 @@
     // Evacuations.
     /// Withholds calls and probes to leafs of evacuated data centres whose connections have not opened.
     void withholdUnsentCalls();
+    /// Schedules the end of calls that were sent to the leafs of the data centre and may not have been delivered.
+    void limitDelivery(std::string const& dataCentre, kernel::time_point now);
     /// Returns whether the request could be served if no data centre were evacuated.
     bool isPreventedByEvacuation(active_request const&, kernel::time_point now) const;
     void settleEvacuated(active_request&, kernel::time_point now);
--- a/Libraries/zinnialedge/forwarding/request_evacuations.cpp
+++ b/Libraries/zinnialedge/forwarding/request_evacuations.cpp
@@ -13,6 +13,10 @@
 /// it within a second or two without asking more often than a service without leafs can reject.
 static constexpr std::chrono::milliseconds evacuationRetryAfter { 1000 };
 
+/// Time after the begin of an evacuation within which calls that were sent before must be delivered. Several round trips; the bytes of a
+/// call that waits longer, because the link is cut or the leaf stands still, could arrive when nothing may reach the leaf any more.
+static constexpr std::chrono::milliseconds deliveryTime { 1000 };
+
 void request_engine::setEvacuations(std::set<std::string> dataCentres, time_point now)
 {
     auto const before = m_leafs.evacuatedDataCentres();
@@ -31,6 +35,7 @@
             continue;
         ++m_counters.evacuations;
         log(each, true);
+        limitDelivery(each, now);
     }
     for (auto const& each : before) {
         if (!after.contains(each))
@@ -59,6 +64,14 @@
     }
 }
 
+void request_engine::limitDelivery(std::string const& dataCentre, time_point now)
+{
+    for (auto const& [number, context] : m_calls) {
+        if (context.isConnected && m_leafs.at(context.leaf).registration().dataCentre == dataCentre)
+            m_timers.push({ now + deliveryTime, timer_kind::end_undelivered_call, number });
+    }
+}
+
 bool request_engine::isPreventedByEvacuation(active_request const& request, time_point now) const
 {
     if (!m_leafs.hasEvacuations())
--- a/Services/traffic/leaf_connection.cpp
+++ b/Services/traffic/leaf_connection.cpp
@@ -5,7 +5,9 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <cerrno>
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -334,6 +336,14 @@
         endCall(tl::unexpected(wasConnected || failure == call_failure::withheld ? failure : call_failure::not_sent));
 }
 
+void leaf_connection::abortIfUndelivered()
+{
+    int unconfirmedBytes = 0;
+    bool const isKnown = ::ioctl(m_socket.native_handle(), SIOCOUTQ, &unconfirmedBytes) == 0;
+    if (m_call && (m_isWritePending || (isKnown && unconfirmedBytes > 0)))
+        abort(call_failure::timed_out);
+}
+
 void leaf_connection::abandonConnect(connect_failure failure)
 {
     if (m_isClosed)
--- a/Services/traffic/leaf_connection.h
+++ b/Services/traffic/leaf_connection.h
@@ -71,6 +71,8 @@
     void send(serialized_call);
     /// Closes the connection and fails its call, if any.
     void abort(forwarding::call_failure);
+    /// Fails the call as timed out if the leaf's machine has not confirmed all of its bytes.
+    void abortIfUndelivered();
     /// Closes a connection that has not opened, and fails its call as not sent.
     void abandonConnect(connect_failure);
 
--- a/Services/traffic/leaf_pools.cpp
+++ b/Services/traffic/leaf_pools.cpp
@@ -98,6 +98,15 @@
         busyConnection->abort(failure);
 }
 
+void leaf_connection_pools::cancelUndelivered(forwarding::call_number number)
+{
+    auto const found = m_busyConnections.find(number);
+    if (found == m_busyConnections.end())
+        return;
+    if (auto const busyConnection = found->second.lock())
+        busyConnection->abortIfUndelivered();
+}
+
 void leaf_connection_pools::closeIdleConnections()
 {
     for (auto const& [leaf, idle] : std::exchange(m_idleConnections, {})) {
--- a/Services/traffic/leaf_pools.h
+++ b/Services/traffic/leaf_pools.h
@@ -37,6 +37,8 @@
     void sendOverNewConnection(std::uint32_t leaf, model::endpoint const&, serialized_call);
     /// Fails a call and closes its connection.
     void cancel(forwarding::call_number, forwarding::call_failure);
+    /// Fails a call as timed out if the leaf's machine has not confirmed all of its bytes.
+    void cancelUndelivered(forwarding::call_number);
     /// Closes connections that were not established in time or have been idle for too long.
     void closeExpiredConnections(kernel::time_point now);
 
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -186,6 +186,9 @@
                 m_relayConnections.cancel(number, failure);
             });
         };
+        hooks.cancelUndeliveredCall = [this](forwarding::call_number number) {
+            asio::post(m_context, [this, number] { m_leafConnections.cancelUndelivered(number); });
+        };
         hooks.sendAnswer = [this](request_token token, forwarding::final_answer const& answer) { deliverAnswer(token, answer); };
         hooks.reportRequest = [this](forwarding::request_report const& report) {
             m_requestLog.logRequest(report);
--- a/Tests/Faults/edge_evacuation_test.cpp
+++ b/Tests/Faults/edge_evacuation_test.cpp
@@ -2,6 +2,7 @@
 
 #include "Tests/Support/small_edge_fleet.h"
 #include <CppUTest/TestHarness.h>
+#include <boost/json/object.hpp>
 
 using namespace zinnialedge;
 using namespace std::chrono_literals;
@@ -11,6 +12,31 @@
 
 TEST_GROUP(EdgeEvacuation) {};
 
+// Guards against: the bytes of a call that a leaf has not taken before the evacuation reach it seconds later.
+TEST(EdgeEvacuation, CallThatIsNotDeliveredIsGivenUp)
+{
+    edge_fleet fleet { 1 };
+    // A leaf that accepts no connection: its machine takes the first bytes of a large body only.
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor standing { context, { boost::asio::ip::make_address("127.0.0.1"), 0 } };
+    standing.set_option(boost::asio::socket_base::receive_buffer_size { 8192 });
+    fleet.registerLeaf("desk0", "desk", { "127.0.0.1", standing.local_endpoint().port() });
+    fleet.declare(1, 1, false);
+    fleet.replaceSetting(0, "evacuations", true);
+    fleet.start(0);
+    CHECK(fleet.waitUntilReady());
+    auto const startedAt = std::chrono::steady_clock::now();
+    std::string const body(200'000, 'x');
+    auto const request = "POST /single/a HTTP/1.1\r\nHost: host\r\nZinnialedge-Attempt-Id: a1\r\nZinnialedge-Deadline-Ms: 6000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    tests::caller_answer answer;
+    std::thread caller { [&] { answer = tests::sendOverNewConnection(fleet.daemon(0).callers, request); } };
+    std::this_thread::sleep_for(300ms);
+    fleet.store().put("evacuations", "here", boost::json::object {});
+    caller.join();
+    LONGS_EQUAL(502, answer.status);
+    CHECK(std::chrono::steady_clock::now() - startedAt < 3s);
+}
+
 // Guards against: a daemon whose store is away calls leafs of a data centre that is evacuated, although another daemon knows of it.
 TEST(EdgeEvacuation, DaemonWithoutTheStoreLearnsOfTheEvacuationFromAnother)
 {
--- a/Tests/Support/engine_harness.cpp
+++ b/Tests/Support/engine_harness.cpp
@@ -98,6 +98,7 @@
         else
             m_cancelledCalls.push_back(number);
     };
+    hooks.cancelUndeliveredCall = [this](call_number number) { m_checkedCalls.push_back(number); };
     hooks.sendAnswer = [this](request_token token, final_answer answer) { m_answers[token] = std::move(answer); };
     return hooks;
 }
--- a/Tests/Support/engine_harness.h
+++ b/Tests/Support/engine_harness.h
@@ -52,6 +52,8 @@
     std::vector<forwarding::leaf_call> openCalls(std::string const& service = {}) const;
     /// Returns all probes that were sent, oldest first.
     std::vector<forwarding::leaf_call> const& probes() const { return m_probes; }
+    /// Returns the calls that were to end unless they had been delivered.
+    std::vector<forwarding::call_number> const& checkedForDelivery() const { return m_checkedCalls; }
     std::vector<forwarding::call_number> const& cancelled() const { return m_cancelledCalls; }
     forwarding::final_answer const* answerOf(forwarding::request_token) const;
 
@@ -65,6 +67,7 @@
     kernel::time_point m_now { std::chrono::hours { 1 } };
     std::map<forwarding::call_number, forwarding::leaf_call> m_openCalls;
     std::vector<forwarding::call_number> m_cancelledCalls;
+    std::vector<forwarding::call_number> m_checkedCalls;
     std::vector<forwarding::leaf_call> m_probes;
     std::vector<forwarding::call_number> m_openProbes;
     std::vector<forwarding::call_number> m_connectedProbes;
--- a/Tests/Unit/evacuation_test.cpp
+++ b/Tests/Unit/evacuation_test.cpp
@@ -129,6 +129,18 @@
     LONGS_EQUAL(200, harness.answerOf(request)->status);
 }
 
+// Guards against: a call that was sent into a cut link before the evacuation arrives when nothing may arrive any more.
+TEST(Evacuation, CallsSentBeforeMustBeDeliveredSoon)
+{
+    harness.arrive("/single/a");
+    auto const number = harness.openCalls("desk").front().number;
+    harness.evacuate({ "here" });
+    harness.pass(900ms);
+    CHECK(harness.checkedForDelivery().empty());
+    harness.pass(100ms);
+    CHECK(harness.checkedForDelivery() == (std::vector { number }));
+}
+
 // Guards against: calls for other daemons, or for whole requests that they pass on, go to an evacuated data centre.
 TEST(Evacuation, CallsForOtherDaemonsGoToOtherDataCentres)
 {
