Tests: Follow the lint in the tests of evacuations

Cause: the lint took a pointer that a check has tested for null for one that may be null, and asked for reserved capacity in loops.

Change: as asked; the checks are the same.

--- a/Tests/Unit/evacuation_test.cpp
+++ b/Tests/Unit/evacuation_test.cpp
@@ -50,10 +50,10 @@
 
     void checkRejectedAtOnce(forwarding::request_token request) const
     {
-        auto const* const answer = answerOf(request);
-        CHECK(answer != nullptr);
-        CHECK(answer->error && answer->error->kind == error_kind::no_live_target && answer->error->retryAfter);
-        STRCMP_EQUAL("leafs_evacuated", answer->reason.c_str());
+        CHECK(answerOf(request) != nullptr);
+        auto const& answer = *answerOf(request);
+        CHECK(answer.error && answer.error->kind == error_kind::no_live_target && answer.error->retryAfter);
+        STRCMP_EQUAL("leafs_evacuated", answer.reason.c_str());
     }
 
     std::vector<std::string> services;
@@ -99,6 +99,7 @@
 TEST(Evacuation, QueuedPartsAreNotSentThereAndDoNotWait)
 {
     std::vector<forwarding::request_token> requests;
+    requests.reserve(3);
     for (int count = 0; count < 3; ++count)
         requests.push_back(harness.arrive("/single/" + std::to_string(count)));
     LONGS_EQUAL(2, harness.openCalls("desk").size());
@@ -151,9 +152,9 @@
     LONGS_EQUAL(3, harness.callsTo('1'));
     LONGS_EQUAL(0, harness.callsTo('0'));
     harness.evacuate({ "here", "there" });
-    auto const* const relayed = harness.answerOf(harness.sendRelayedRequest("/gather/a", { 1, { 0, 1 }, 50ms, 50ms }));
-    CHECK(relayed != nullptr);
-    LONGS_EQUAL(2, relayed->missingParts);
+    auto const relayed = harness.sendRelayedRequest("/gather/a", { 1, { 0, 1 }, 50ms, 50ms });
+    CHECK(harness.answerOf(relayed) != nullptr);
+    LONGS_EQUAL(2, harness.answerOf(relayed)->missingParts);
     harness.checkRejectedAtOnce(harness.sendDetouredRequest("/single/a", { 1, 400ms, 0, false }));
 }
 
@@ -237,6 +238,7 @@
 {
     harness.evacuate({ "there" });
     std::vector<forwarding::request_token> requests;
+    requests.reserve(5);
     for (int count = 0; count < 5; ++count)
         requests.push_back(harness.arrive("/gather/" + std::to_string(count)));
     LONGS_EQUAL(4 * shardCount, harness.callsTo('0'));
@@ -252,6 +254,7 @@
 TEST(Evacuation, AnswerIsPartialWhenCoverageAllows)
 {
     std::vector<forwarding::leaf_registration> leafs;
+    leafs.reserve(shardCount);
     for (std::size_t shard = 0; shard < shardCount; ++shard)
         leafs.push_back({ "leaf" + std::to_string(shard) + "/0", 1, "shard" + std::to_string(shard), { "10.0.0.1", 80 }, shard == 0 ? "there" : "here", 2, false, {} });
     harness.engine.setLeafs(leafs, harness.now());
@@ -259,10 +262,9 @@
     auto const request = harness.arrive("/gather/a");
     for (auto const& call : harness.openCalls())
         harness.succeed(call.number);
-    auto const* const answer = harness.answerOf(request);
-    CHECK(answer != nullptr);
-    LONGS_EQUAL(200, answer->status);
-    LONGS_EQUAL(1, answer->missingParts);
+    CHECK(harness.answerOf(request) != nullptr);
+    LONGS_EQUAL(200, harness.answerOf(request)->status);
+    LONGS_EQUAL(1, harness.answerOf(request)->missingParts);
 }
 
 // Guards against: leafs that were not called for long get all their load at once, or an old registration makes them count as warm.
--- a/Tests/Unit/request_engine_test.cpp
+++ b/Tests/Unit/request_engine_test.cpp
@@ -333,8 +333,8 @@
     for (auto const& call : fleet.openCalls())
         fleet.succeed(call.number);
     fleet.pass(1ms);
-    auto const* const answer = fleet.answerOf(waiting);
-    CHECK(answer != nullptr);
-    CHECK(answer->error && answer->error->kind == error_kind::no_live_target && answer->error->retryAfter);
+    CHECK(fleet.answerOf(waiting) != nullptr);
+    auto const& answer = *fleet.answerOf(waiting);
+    CHECK(answer.error && answer.error->kind == error_kind::no_live_target && answer.error->retryAfter);
     LONGS_EQUAL(0, fleet.openCalls().size());
 }
