--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -85,6 +85,8 @@
         detour_timeout,
         /// Other daemons have to be told of requests that count towards quotas.
         share_usage,
+        /// A call to a leaf of an evacuated data centre must have been delivered by now.
+        end_undelivered_call,
     };
 
     struct timer {
@@ -202,6 +204,8 @@
     // Evacuations.
     /// Withholds calls and probes to leafs of evacuated data centres whose connections have not opened.
     void withholdUnsentCalls();
+    /// Schedules the end of calls that were sent to the leafs of the data centre and may not have been delivered.
+    void limitDelivery(std::string const& dataCentre, kernel::time_point now);
     /// Returns whether the request could be served if no data centre were evacuated.
     bool isPreventedByEvacuation(active_request const&, kernel::time_point now) const;
     void settleEvacuated(active_request&, kernel::time_point now);
--- a/Tests/Support/engine_harness.h
+++ b/Tests/Support/engine_harness.h
@@ -56,6 +56,8 @@
     std::vector<forwarding::leaf_call> openCalls(std::string const& service = {}) const;
     /// Returns all probes that were sent, oldest first.
     std::vector<forwarding::leaf_call> const& probes() const { return m_probes; }
+    /// Returns the calls that were to end unless they had been delivered.
+    std::vector<forwarding::call_number> const& checkedForDelivery() const { return m_checkedCalls; }
     std::vector<forwarding::call_number> const& cancelled() const { return m_cancelledCalls; }
     /// Reports for other daemons of requests that count towards quotas, oldest first.
     std::vector<allowances::addressed_report> const& usageReports() const { return m_usageReports; }
@@ -70,6 +72,7 @@
     kernel::time_point m_now { std::chrono::hours { 1 } };
     std::map<forwarding::call_number, forwarding::leaf_call> m_openCalls;
     std::vector<forwarding::call_number> m_cancelledCalls;
+    std::vector<forwarding::call_number> m_checkedCalls;
     std::vector<forwarding::leaf_call> m_probes;
     std::vector<forwarding::call_number> m_openProbes;
     std::vector<forwarding::call_number> m_connectedProbes;
