Forwarding: Withhold calls that wait for a connection when their leaf becomes cold

Cause: a call that was chosen while the leaf was warm spent nothing from the limit of cold leafs, and reached the leaf when its connection opened later. Change: such a call is withheld and goes to another leaf.

--- a/Libraries/zinnialedge/forwarding/leaf_record.h
+++ b/Libraries/zinnialedge/forwarding/leaf_record.h
@@ -52,6 +52,8 @@
     kernel::time_point warmupEnd() const { return m_warmupEndsAt; }
     /// Returns whether a request limit for cold leafs is in force.
     bool hasColdLimit(kernel::time_point now) const { return isCold(now) && m_coldShare.hasLimit(); }
+    /// Returns whether a call that was chosen at `chosenAt` may still be sent: the leaf has not become cold with a limit since then.
+    bool hasStayedInLimit(kernel::time_point chosenAt, kernel::time_point now) const { return !hasColdLimit(now) || chosenAt >= m_coldSince; }
     /// Begins a start phase if the service's leafs are paced.
     void startPace(kernel::time_point now);
     bool isStarting() const { return m_pause.pace().isActive() && m_pause.isAdaptive(); }
@@ -146,6 +148,8 @@
     leaf_registration m_registration;
     std::uint32_t m_connectionLimit;
     kernel::time_point m_warmupEndsAt;
+    /// Begin of the current or last warm-up.
+    kernel::time_point m_coldSince;
     /// Time at which the end of the warm-up was learnt.
     kernel::time_point m_warmupReadAt;
     std::deque<kernel::time_point> m_inFlightSentAt;
--- a/Libraries/zinnialedge/forwarding/leaf_record_start.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_record_start.cpp
@@ -47,6 +47,7 @@
     m_warmupEndsAt = end;
     if (wasCold || !isCold(now))
         return;
+    m_coldSince = now;
     m_coldShare.restart(now);
     startPace(now);
 }
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -95,7 +95,8 @@
     if (auto& evidence = *found->second.evidence; judge(evidence, now) == quarantine::verdict::quarantined && m_quarantine.isQuarantinedSince(evidence.digests(), found->second.sentAt, now))
         return false;
     bool const isAwaited = request != m_requests.end() && !request->second.isCallerDisconnected && now < request->second.endAt;
-    return isAwaited && m_leafs.at(found->second.leaf).acceptsCalls(now);
+    auto const& record = m_leafs.at(found->second.leaf);
+    return isAwaited && record.acceptsCalls(now) && record.hasStayedInLimit(found->second.sentAt, now);
 }
 
 void request_engine::enqueuePart(active_request& request, std::size_t partIndex, time_point now)
--- a/Tests/Unit/cold_leaf_test.cpp
+++ b/Tests/Unit/cold_leaf_test.cpp
@@ -144,6 +144,25 @@
     CHECK(!record.isCold(daemon.now() + 3s));
 }
 
+// Guards against calls that were chosen while the leaf was warm and reach it, over slow connections, without its limit.
+TEST(ColdLeaf, CallThatWaitsForItsConnectionIsWithheldWhenTheLeafBecomesCold)
+{
+    cold_fleet fleet { { .daemons = 1 } };
+    auto& daemon = *fleet.daemons().front();
+    fleet.registerLeafs({ 0s });
+    daemon.setCallsConnected(false);
+    daemon.arrive("/single/1");
+    auto const call = daemon.openCalls().front();
+    daemon.pass(10ms);
+    CHECK(daemon.engine.isCallWanted(call.number, daemon.now()));
+    fleet.registerLeafs({ 9s });
+    CHECK(!daemon.engine.isCallWanted(call.number, daemon.now()));
+    fleet.registerLeafs({ 0s });
+    daemon.pass(10ms);
+    fleet.registerLeafs({ 0s });
+    CHECK(daemon.engine.isCallWanted(call.number, daemon.now()));
+}
+
 // Guards against a leaf that is called at full rate after an evacuation because an old registration says that it is warm.
 TEST(ColdLeaf, OnlyLaterNewsEndWhatMadeItCold)
 {
