--- a/Tests/Faults/edge_store_readers_test.cpp
+++ b/Tests/Faults/edge_store_readers_test.cpp
@@ -116,17 +116,34 @@
 {
     readers_fleet fleet;
     CHECK(fleet.waitUntilFewRead(15s));
-    auto const readers = fleet.findReaders();
-    // One reader stops answering without closing its connections, the other one is killed.
-    fleet.daemon(readers[0]).process->signal(SIGSTOP);
-    fleet.daemon(readers[1]).process.reset();
+    for (auto const reader : fleet.findReaders())
+        fleet.daemon(reader).process.reset();
     fleet.declare(2, 4, true);
-    auto const frozen = std::move(fleet.daemon(readers[0]).process);
-    CHECK(waitUntil([&] { return fleet.allHave("configuration_version", 2); }, 4s));
+    CHECK(waitUntil([&] { return fleet.allHave("configuration_version", 2); }, 2s));
     CHECK(fleet.waitUntilFewRead(15s));
     CHECK(fleet.countCalls(countedWindow) <= readerCount * callsPerReader);
+    // 18 daemons are left, enough for a few of them to read for the others. A reader that stops answering keeps its connections open.
+    auto const readers = fleet.findReaders();
+    auto const frozen = std::move(fleet.daemon(readers.front()).process);
+    frozen->signal(SIGSTOP);
     fleet.declare(3, 4, true);
-    CHECK(waitUntil([&] { return fleet.allHave("configuration_version", 3); }, 2s));
+    CHECK(waitUntil([&] { return fleet.allHave("configuration_version", 3); }, 4s));
+    frozen->signal(SIGCONT);
+}
+
+// Guards against: after all daemons were killed together, they wait for each other.
+TEST(EdgeStoreReaders, DaemonsKilledTogetherAreReadySoon)
+{
+    readers_fleet fleet;
+    CHECK(fleet.waitUntilFewRead(15s));
+    for (auto const index : fleet.runningDaemons())
+        fleet.daemon(index).process.reset();
+    fleet.declare(2, 4, true);
+    for (std::size_t index = 0; index < manyDaemons; ++index)
+        fleet.start(index);
+    CHECK(waitUntil([&] { return fleet.allHave("configuration_version", 2); }, 4s));
+    CHECK(fleet.waitUntilReady());
+    CHECK(fleet.waitUntilFewRead(15s));
 }
 
 // Guards against: after an outage of the store, and its return from an older copy, subscribers keep what the readers have replaced.
