--- a/Tests/Unit/directory_choice_test.cpp
+++ b/Tests/Unit/directory_choice_test.cpp
@@ -18,6 +18,7 @@
 static std::vector<model::endpoint> endpointsOf(std::vector<serving_daemon> const& daemons)
 {
     std::vector<model::endpoint> endpoints;
+    endpoints.reserve(daemons.size());
     for (auto const& each : daemons)
         endpoints.push_back(each.place);
     return endpoints;
--- a/Tests/Unit/store_roles_test.cpp
+++ b/Tests/Unit/store_roles_test.cpp
@@ -45,6 +45,7 @@
             }
         }
         std::vector<model::endpoint> seeds;
+        seeds.reserve(daemons.size());
         for (auto const& each : daemons)
             seeds.push_back(each.record.place);
         for (auto& each : daemons) {
@@ -174,6 +175,8 @@
     auto& restarted = *std::find_if(daemons.begin(), daemons.end(), [](auto const& each) { return each.roles->role() == store_role::subscriber && each.roles->counters().ownReadingCount == 0; });
     std::vector<model::endpoint> seeds;
     std::vector<serving_daemon> records;
+    seeds.reserve(daemons.size());
+    records.reserve(daemons.size());
     for (auto const& each : daemons) {
         seeds.push_back(each.record.place);
         records.push_back(each.record);
@@ -294,6 +297,18 @@
     CHECK(isInformed(*reader));
 }
 
+// Guards against: two subscribers that read the store for want of a reader stop for each other, and nobody reads it.
+TEST(StoreRoles, OwnReadingEndsOnlyForAReader)
+{
+    startAll({ 30 });
+    tellMembers();
+    auto& reading = *std::find_if(daemons.begin(), daemons.end(), [](auto const& each) { return each.roles->readsStore() && !each.roles->isReader(each.record.name); });
+    reading.roles->handleAnswer({ "10.0.0.99", 7380 }, { .readsStore = true, .isStoreReached = true, .isReader = false }, now);
+    CHECK(reading.roles->readsStore());
+    reading.roles->handleAnswer({ "10.0.0.99", 7380 }, { .readsStore = true, .isStoreReached = true, .isReader = true }, now);
+    CHECK(!reading.roles->readsStore());
+}
+
 // Guards against: a daemon of an earlier version, which answers each poll with everything, is polled without a pause.
 TEST(StoreRoles, DaemonsOfAnEarlierVersionAreNotUsedAsReaders)
 {
