Allowances: Lower the level to that of daemons that hear more

Two daemons that were cut off from each other, while others heard both, each filled their buckets at the rate less one part and did not see the other's requests, so together they could exceed the quota. A daemon with silent members now takes the lower level of one that it hears, up to the difference that reports in flight explain.

--- a/Libraries/zinnialedge/allowances/tenant_quota_reports.cpp
+++ b/Libraries/zinnialedge/allowances/tenant_quota_reports.cpp
@@ -114,6 +114,9 @@
     if (!tenant.isLevelKnown && isAnswer)
         adoptLevel(found->second, member, level);
     auto const excess = level - allTokens(found->second);
+    // Members that are silent here may be heard by the sender, so that its level contains more requests.
+    if (m_silentCount > 0 && !member.isSilent && excess < -normalExcess(tenant))
+        tenant.level = std::max(lowestLevel(tenant), tenant.level + excess + normalExcess(tenant));
     tenant.smallestExcess = std::min(tenant.smallestExcess.value_or(excess), excess);
 }
 
--- a/Libraries/zinnialedge/allowances/tenant_quotas.cpp
+++ b/Libraries/zinnialedge/allowances/tenant_quotas.cpp
@@ -21,7 +21,7 @@
 static constexpr std::chrono::milliseconds acknowledgementTime { 100 };
 static constexpr std::chrono::seconds correctionInterval { 2 };
 /// Differences between the daemons' levels up to this one, and up to the tokens of this time, come from reports in flight.
-static constexpr double normalExcess = 1;
+static constexpr double normalExcessTokens = 1;
 static constexpr double normalExcessSeconds = 0.2;
 
 static double secondsOf(duration elapsed)
@@ -61,6 +61,11 @@
     return -(1 + tenant.requestsPerSecond + inFlightTolerance(tenant));
 }
 
+double tenant_quotas::normalExcess(tenant_state const& tenant)
+{
+    return normalExcessTokens + tenant.requestsPerSecond * normalExcessSeconds;
+}
+
 double tenant_quotas::activeShare() const
 {
     return (m_totalWeight - m_silentWeight) / m_totalWeight;
@@ -213,7 +218,7 @@
     // Buckets drift apart when daemons stop and resume. A bucket that all others exceed for some time refuses requests without need.
     for (std::size_t index = 0; index < m_tenants.size(); ++index) {
         auto& tenant = m_tenants[index];
-        auto const normal = normalExcess + tenant.requestsPerSecond * normalExcessSeconds;
+        auto const normal = normalExcess(tenant);
         if (m_silentCount == 0 && tenant.smallestExcess && *tenant.smallestExcess > normal)
             tenant.level = std::min(capacity(tenant), tenant.level + *tenant.smallestExcess - normal);
         tenant.smallestExcess.reset();
--- a/Libraries/zinnialedge/allowances/tenant_quotas.h
+++ b/Libraries/zinnialedge/allowances/tenant_quotas.h
@@ -178,6 +178,8 @@
     double allowance(std::size_t index, std::int64_t unacknowledgedCount) const;
     /// Returns the number of requests above the level that all daemons together may have in flight between each other.
     double inFlightTolerance(tenant_state const&) const;
+    /// Returns the difference between the levels of two daemons that reports in flight explain.
+    static double normalExcess(tenant_state const&);
     /// Returns the part of the buckets that is not reserved for silent members, from 0 to 1.
     double activeShare() const;
     std::vector<model::endpoint> receivers() const;
