Allowances: Satisfy the linter

Findings of Meta/lint in the quota sources and their tests: a captured structured binding, vectors without reserved capacity, and a division of integers whose truncation is intended. All 347 unit tests pass.

--- a/Libraries/zinnialedge/allowances/tenant_quota_members.cpp
+++ b/Libraries/zinnialedge/allowances/tenant_quota_members.cpp
@@ -20,7 +20,7 @@
     m_totalWeight += weightOf(isInGroup) - weightOf(m_isInGroup);
     m_isInGroup = isInGroup;
     for (auto& [name, member] : m_members) {
-        bool const isListed = std::any_of(members.begin(), members.end(), [&](auto const& each) { return each.name == name; });
+        bool const isListed = std::any_of(members.begin(), members.end(), [&memberName = name](auto const& each) { return each.name == memberName; });
         // The share of a member that was never heard is kept for as long as that of others after they leave the group.
         if (member.isInGroup && !isListed && !member.wasHeard)
             member.heardAt = now;
--- a/Tests/Support/quota_fleet.h
+++ b/Tests/Support/quota_fleet.h
@@ -45,7 +45,7 @@
     {
         // One tenant in seven is large; together they send about 50 requests per second.
         for (std::size_t index = 0; index < tenantCount; ++index)
-            m_usualRates.push_back(index % 7 == 0 ? 2.0 + 0.2 * static_cast<double>(index / 7) : 0.3);
+            m_usualRates.push_back(index % 7 == 0 ? 2.0 + 0.2 * std::floor(static_cast<double>(index) / 7) : 0.3);
         for (auto const rate : m_usualRates)
             m_quotas.push_back({ "tenant" + std::to_string(m_quotas.size()), 1.5 * rate, std::ceil(3 * rate) + 2 });
         chooseDaemon = [this](std::size_t) { return static_cast<std::size_t>(m_random() % groupSize); };
--- a/Tests/Unit/request_quotas_test.cpp
+++ b/Tests/Unit/request_quotas_test.cpp
@@ -101,6 +101,7 @@
 {
     desk.acceptedAtOnce("paid");
     std::vector<std::chrono::milliseconds> returns;
+    returns.reserve(5);
     for (int count = 0; count < 5; ++count)
         returns.push_back(*desk.answerOf(desk.send("paid"))->error->retryAfter);
     CHECK(returns.back() - returns.front() >= 300ms);
@@ -215,6 +216,7 @@
 TEST(RequestQuotas, ReportsOfManyTenantsFitIntoDatagrams)
 {
     std::vector<allowances::tenant_quota> quotas;
+    quotas.reserve(200);
     for (int index = 0; index < 200; ++index)
         quotas.push_back({ "tenant-with-a-rather-long-name-" + std::to_string(index), 0.3, 2 });
     allowances::tenant_quotas sender { desk.now() };
