Allowances: Do not answer reports without news

Change: a last report is answered only if it holds counts, and a daemon is told all levels twice a second at most.

--- a/Libraries/zinnialedge/allowances/tenant_quota_reports.cpp
+++ b/Libraries/zinnialedge/allowances/tenant_quota_reports.cpp
@@ -176,12 +176,14 @@
             mergeUsage(member, report, each, isAnswer, now);
     }
     member.isAcknowledgementDue |= !report.usages.empty();
-    member.isAnswerDue |= report.isAnswerWanted || (report.areLevelsWanted && !areLevelsUnknown(now));
-    member.areLevelsWanted = report.areLevelsWanted;
+    // A daemon that knows no levels asks in each of its answers, too, and each answer with all levels takes several datagrams.
+    member.areLevelsWanted = report.areLevelsWanted && !areLevelsUnknown(now) && now >= member.levelsToldAt + reportInterval;
+    member.isAnswerDue |= report.isAnswerWanted || member.areLevelsWanted;
     if (report.isEnding && !member.isInGroup) {
-        // The answer tells the member that its last counts are known.
         removeShare(member, true);
-        member.isAnswerDue = true;
+        // The answer tells the member that its last counts are known. Two daemons that have both ended would answer each other's empty
+        // reports for ever.
+        member.isAnswerDue = !report.usages.empty();
         return;
     }
     if (member.isSilent)
@@ -300,6 +302,8 @@
             if (member.usages[index].acknowledged != tenant.count || (member.areLevelsWanted && tenant.requestsPerSecond > 0))
                 tenants.push_back(index);
         }
+        if (std::exchange(member.areLevelsWanted, false))
+            member.levelsToldAt = now;
         // A member that returns has to acknowledge all counts before it counts as informed.
         appendReports(reports, tenants, { acknowledge(member, name) }, { member.endpoint }, member.isReturning, now);
         // The last report to the member may have been lost.
--- a/Libraries/zinnialedge/allowances/tenant_quotas.h
+++ b/Libraries/zinnialedge/allowances/tenant_quotas.h
@@ -138,6 +138,7 @@
         bool isAcknowledgementDue { false };
         bool isAnswerDue { false };
         bool areLevelsWanted { false };
+        kernel::time_point levelsToldAt {};
         std::vector<peer_usage> usages;
     };
 
--- a/Tests/Unit/tenant_quotas_test.cpp
+++ b/Tests/Unit/tenant_quotas_test.cpp
@@ -36,6 +36,25 @@
     }
 };
 
+// Guards against daemons outside the group that answer each other's empty last reports, and against requests for levels that are answered again
+// and again: both took most of the traffic between data centres.
+TEST(TenantQuotas, ReportsWithoutNewsAreNotAnswered)
+{
+    kernel::time_point now { 1h };
+    tenant_quotas idle { now };
+    idle.setQuotas({ { "paid", 1, 1 } }, now);
+    idle.setMembers("idle.1", false, { { "other.1", { "10.0.0.2", 7380 } } }, now);
+    now += 20s;
+    idle.merge({ .member = "outside.1", .endpoint = { "10.0.0.3", 7380 }, .sequence = 1, .age = 20s, .isEnding = true }, now);
+    LONGS_EQUAL(0, idle.takeReports(now + 1s).size());
+    std::size_t answers = 0;
+    for (std::uint64_t sequence = 2; sequence < 100; ++sequence, now += 10ms) {
+        idle.merge({ .member = "outside.1", .endpoint = { "10.0.0.3", 7380 }, .sequence = sequence, .age = 20s, .areLevelsWanted = true }, now);
+        answers += idle.takeReports(now).size();
+    }
+    CHECK(answers <= 4);
+}
+
 // Guards against refusals of small tenants whose requests spread over all daemons.
 TEST(TenantQuotas, EvenLoadBelowTheQuotasIsAccepted)
 {
