--- /dev/null
+++ b/Tests/Soak/soak_flags.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <gflags/gflags_declare.h>
+
+DECLARE_uint64(seed);
+DECLARE_uint64(seconds);
+DECLARE_uint64(daemons);
+DECLARE_uint64(shards);
+DECLARE_bool(daemon_faults);
+DECLARE_bool(link_faults);
+DECLARE_bool(leaf_faults);
+DECLARE_bool(marked_requests);
+DECLARE_string(logs);
