--- a/Tests/Soak/soak_checker.cpp
+++ b/Tests/Soak/soak_checker.cpp
@@ -62,11 +62,17 @@
 
 void soak_checker::recordPromise(std::string const& attemptId, caller_answer const& answer)
 {
-    static std::set<int> const notExecutedStatuses { 408, 421, 429, 503 };
+    static std::set<int> const notExecutedStatuses { 401, 408, 421, 429, 503 };
     if (notExecutedStatuses.contains(answer.status))
         m_promisedNotExecuted.insert(attemptId);
 }
 
+void soak_checker::checkUncounted(std::string const& attemptId, caller_answer const& answer)
+{
+    std::lock_guard const lock(m_mutex);
+    recordPromise(attemptId, answer);
+}
+
 void soak_checker::checkMarked(std::string const& attemptId, caller_answer const& answer)
 {
     std::lock_guard const lock(m_mutex);
--- a/Tests/Soak/soak_checker.h
+++ b/Tests/Soak/soak_checker.h
@@ -21,6 +21,8 @@
     void checkGather(std::string const& attemptId, caller_answer const&);
     /// Checks the answer to a request that ends the leafs that run it.
     void checkMarked(std::string const& attemptId, caller_answer const&);
+    /// Checks the answer to a request that may be rejected because of its access key or quota.
+    void checkUncounted(std::string const& attemptId, caller_answer const&);
     /// Runs the checks that are possible only after all requests have ended.
     void checkFinalState();
 
--- a/Tests/Soak/soak_faults.cpp
+++ b/Tests/Soak/soak_faults.cpp
@@ -4,6 +4,15 @@
 
 using namespace std::chrono_literals;
 
+/// The first kinds of faults are those of daemons and of the store.
+static constexpr std::uint64_t lastKindOfStoreOrDaemon = 4;
+
+void soak_run::setStoreFaultMode(store_stand_in::trouble mode)
+{
+    m_fleet.store().setFaultMode(mode);
+    m_watches.faults.recordStore(mode == store_stand_in::trouble::none);
+}
+
 void soak_run::injectFault()
 {
     auto const index = m_random() % FLAGS_daemons;
@@ -14,33 +23,40 @@
     if (isDaemonFault && (m_isStopping[index] || !FLAGS_daemon_faults))
         return;
     auto const name = " daemon" + std::to_string(index);
-    switch (isDaemonFault ? m_random() % 3 : 3 + m_random() % 9) {
+    auto const kind = isDaemonFault ? m_random() % 3 : 3 + m_random() % 9;
+    if (kind <= lastKindOfStoreOrDaemon && std::chrono::steady_clock::now() < m_undisturbedUntil)
+        return;
+    switch (kind) {
     case 0:
         recordEvent("SIGKILL" + name);
+        m_watches.faults.beginDaemonFault(index);
         daemon.process.reset();
         m_fleet.start(index);
+        m_watches.faults.endDaemonFault(index);
         return;
     case 1:
         startPlannedStop(index);
         return;
     case 2:
         recordEvent("pause" + name);
+        m_watches.faults.beginDaemonFault(index);
         daemon.process->pause();
         std::this_thread::sleep_for(std::chrono::milliseconds { 200 + m_random() % 1500 });
         daemon.process->signal(SIGCONT);
+        m_watches.faults.endDaemonFault(index);
         return;
     case 3:
         recordEvent("store unresponsive");
-        m_fleet.store().setFaultMode(store_stand_in::trouble::silent);
+        setStoreFaultMode(store_stand_in::trouble::silent);
         return;
     case 4:
         recordEvent("store busy");
-        m_fleet.store().setFaultMode(store_stand_in::trouble::busy);
+        setStoreFaultMode(store_stand_in::trouble::busy);
         return;
     case 5:
     case 6:
         recordEvent("store healthy, history dropped");
-        m_fleet.store().setFaultMode(store_stand_in::trouble::none);
+        setStoreFaultMode(store_stand_in::trouble::none);
         m_fleet.store().discardHistory();
         return;
     case 7:
@@ -111,6 +127,7 @@
         declareNextVersion();
         for (auto const& each : m_leafs)
             registerInStore(*each);
+        restoreEvacuations();
         return;
     case 3:
         recordEvent("leaf " + leaf.name + " says that it is leaving");
@@ -161,7 +178,7 @@
     for (std::size_t incarnation = 0; incarnation < leaf.leaf.endCount(); ++incarnation)
         m_fleet.removeLeaf(leaf.name + "." + std::to_string(incarnation));
     leaf.registeredId = leaf.id();
-    m_fleet.registerLeaf(leaf.registeredId, leaf.service, leaf.proxy.listenEndpoint(), "ready", m_dataCentres.at(leaf.name), leaf.startedAt);
+    m_fleet.registerLeaf(leaf.registeredId, leaf.service, leaf.proxy.listenEndpoint(), "ready", leaf.dataCentre, leaf.startedAt);
 }
 
 void soak_run::renewEndedLeafs()
@@ -182,11 +199,12 @@
     registerInStore(leaf);
 }
 
-void soak_run::startPlannedStop(std::size_t index)
+void soak_run::startPlannedStop(std::size_t index, std::function<void()> const& beforeStart)
 {
     recordEvent("SIGTERM daemon" + std::to_string(index));
     m_isStopping[index] = true;
-    m_plannedStopThreads.emplace_back([this, index] {
+    m_watches.faults.beginDaemonFault(index);
+    m_plannedStopThreads.emplace_back([this, index, beforeStart] {
         auto& daemon = m_fleet.daemon(index);
         // Until its main function runs, a process has no signal handlers and no requests that could be lost.
         std::ignore = daemon.process->waitForLine("event=started");
@@ -196,7 +214,10 @@
             std::lock_guard const lock(m_plannedStopFindingsMutex);
             m_plannedStopFindings.push_back("LOST: exit code of a planned stop: " + (code ? std::to_string(*code) : std::string { "none within 6 s" }));
         }
+        if (beforeStart)
+            beforeStart();
         m_fleet.start(index);
+        m_watches.faults.endDaemonFault(index);
         m_isStopping[index] = false;
     });
 }
@@ -211,12 +232,17 @@
 void soak_run::removeFaults()
 {
     joinPlannedStops();
+    while (m_replacedCount < FLAGS_old_daemons) {
+        replaceNextOldDaemon();
+        joinPlannedStops();
+    }
     m_areMarkedRequestsSent = false;
     std::this_thread::sleep_for(leafDownTime);
     renewEndedLeafs();
     recordEvent("healed");
     m_linkFaults.restoreAll();
-    m_fleet.store().setFaultMode(store_stand_in::trouble::none);
+    endEvacuations();
+    setStoreFaultMode(store_stand_in::trouble::none);
     for (auto const& leaf : m_leafs) {
         leaf->faultsPerThousand = 0;
         leaf->proxy.setState(link_state::healthy);
--- a/Tests/Soak/soak_leaf.cpp
+++ b/Tests/Soak/soak_leaf.cpp
@@ -2,21 +2,25 @@
 
 namespace zinnialedge::tests::soak {
 
-soak_leaf::soak_leaf(boost::asio::io_context& context, std::string leafId, std::string leafService, soak_checker& checker, watches const& marked, std::uint64_t seed)
+soak_leaf::soak_leaf(boost::asio::io_context& context, std::string leafId, std::string leafService, std::string leafDataCentre, soak_watches& watches, std::uint64_t seed)
     : name(std::move(leafId))
     , service(std::move(leafService))
+    , dataCentre(std::move(leafDataCentre))
     , random(kernel::makeSeededRandom(seed))
-    , leaf([this, &checker, &marked](std::string const& request) { return answer(request, checker, marked); })
+    , leaf([this, &watches](std::string const& request, std::string const& source) { return answer(request, source, watches); })
     , proxy(context, leaf.place())
 {
 }
 
-scripted_reply soak_leaf::answer(std::string const& request, soak_checker& checker, watches const& marked)
+scripted_reply soak_leaf::answer(std::string const& request, std::string const& source, soak_watches& watches)
 {
     auto const limit = limits.recordArrival();
     auto const attempt = rawHeaderValue(request, "Zinnialedge-Attempt-Id");
+    watches.tenants.checkArrival(request, attempt);
     if (rawHeaderValue(request, "Zinnialedge-Target-Instance") != id())
         return { "HTTP/1.1 421 Misdirected Request\r\nZinnialedge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false, false };
+    auto const daemon = watches.daemonsByAddress.find(source);
+    watches.evacuations.checkArrival(dataCentre, daemon == watches.daemonsByAddress.end() ? std::nullopt : std::optional { daemon->second }, id(), request.substr(0, request.find("\r\n")));
     if (request.starts_with("GET /health "))
         return { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false, false };
     bool const shouldInjectFault = random() % 1000 < faultsPerThousand;
@@ -25,8 +29,9 @@
         return { "HTTP/1.1 503 Service Unavailable\r\nZinnialedge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false, false };
     if (pauseLength.load().count() > 0 && random() % 2 == 0)
         return { "HTTP/1.1 503 Service Unavailable\r\nZinnialedge-Not-Executed: 1\r\nRetry-After: " + std::to_string(std::chrono::duration<double> { pauseLength.load() }.count()) + "\r\nContent-Length: 0\r\n\r\n", false, false };
-    checker.recordExecution(attempt);
-    for (auto const& each : marked) {
+    watches.checker.recordExecution(attempt);
+    watches.quotas.recordExecution(rawHeaderValue(request, "Zinnialedge-Tenant"), attempt);
+    for (auto const& each : watches.marked) {
         if (request.find(" " + each->target()) == std::string::npos)
             continue;
         if (hasHealthyLink)
--- a/Tests/Soak/soak_leaf.h
+++ b/Tests/Soak/soak_leaf.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "Tests/Soak/limit_watch.h"
-#include "Tests/Soak/marked_request_watch.h"
-#include "Tests/Soak/soak_checker.h"
+#include "Tests/Soak/soak_watches.h"
 #include "Tests/Support/edge_fleet.h"
 #include "Tests/Support/loopback_proxy.h"
 
@@ -12,17 +11,16 @@
 
 /// A leaf with the proxy through which the daemons reach it.
 struct soak_leaf {
-    using watches = std::vector<std::unique_ptr<marked_request_watch>>;
-
-    soak_leaf(boost::asio::io_context&, std::string leafId, std::string leafService, soak_checker&, watches const& marked, std::uint64_t seed);
+    soak_leaf(boost::asio::io_context&, std::string leafId, std::string leafService, std::string leafDataCentre, soak_watches&, std::uint64_t seed);
 
     /// Returns the id of the current incarnation: a leaf that has ended comes back under another id.
     std::string id() const { return name + "." + std::to_string(leaf.endCount()); }
 
-    scripted_reply answer(std::string const& request, soak_checker&, watches const& marked);
+    scripted_reply answer(std::string const& request, std::string const& source, soak_watches&);
 
     std::string name;
     std::string service;
+    std::string dataCentre;
     kernel::random_hook random;
     std::string registeredId;
     std::atomic<bool> hasHealthyLink { true };
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -10,6 +10,9 @@
 
 constexpr std::size_t maxDaemons = 250;
 
+/// Adds the settings of the parts that this run asks for. Other builds may not know them.
+void completeSettings(edge_fleet&, std::size_t index);
+
 /// One run: daemons, leafs and callers, the random faults, and the checks at the end.
 class soak_run {
 public:
@@ -26,6 +29,7 @@
     void declareNextVersion();
     void recordEvent(std::string const& description);
 
+    void setStoreFaultMode(store_stand_in::trouble);
     void injectFault();
     /// Changes settings of a daemon, sometimes to an invalid value and sometimes with a SIGHUP.
     void changeSettings();
@@ -40,11 +44,27 @@
     void renewEndedLeafs();
     void restartLeaf(soak_leaf&);
     /// Stops the daemon with SIGTERM and restarts it, on a separate thread, so that other faults continue to be injected.
-    void startPlannedStop(std::size_t index);
+    void startPlannedStop(std::size_t index, std::function<void()> const& beforeStart = {});
     void joinPlannedStops();
     void removeFaults();
 
+    /// Removes the faults of the store and lets neither it nor the daemons have faults for a time.
+    void keepUndisturbed();
+    /// Adds and withdraws tenants and keys.
+    void changeTenants();
+    /// Begins and ends evacuations of data centres.
+    void changeEvacuations();
+    void endEvacuations();
+    /// Writes the evacuations again that the store lacks, and removes those that have ended, after it came back from a copy.
+    void restoreEvacuations();
+    /// Replaces the daemons of the other build one after the other.
+    void replaceOldDaemons();
+    void replaceNextOldDaemon();
+    bool areDaemonsUpgraded() const { return m_upgradedCount == FLAGS_old_daemons; }
+
     void callLoop(std::size_t number);
+    /// Sends far more requests of the tenant with a quota than the quota allows.
+    void pressLoop(std::size_t number);
 
     int report();
     void writeLogs();
@@ -57,11 +77,11 @@
     kernel::random_hook m_limitRandom { kernel::makeSeededRandom(FLAGS_seed + 3000) };
     link_faults m_linkFaults { FLAGS_seed + 4000, FLAGS_daemons, [this](std::size_t daemon, std::optional<link_state> state) { setLinks(daemon, state); } };
     kernel::random_hook m_returnRandom { kernel::makeSeededRandom(FLAGS_seed + 2000) };
-    soak_checker m_checker;
-    soak_leaf::watches m_markedRequests;
+    soak_watches m_watches { FLAGS_seed + 5000, FLAGS_daemons };
+    kernel::random_hook m_tenantRandom { kernel::makeSeededRandom(FLAGS_seed + 6000) };
+    kernel::random_hook m_evacuationRandom { kernel::makeSeededRandom(FLAGS_seed + 7000) };
     std::atomic<bool> m_areMarkedRequestsSent { FLAGS_marked_requests };
     std::vector<std::unique_ptr<soak_leaf>> m_leafs;
-    std::map<std::string, std::string> m_dataCentres;
     edge_fleet m_fleet;
     std::thread m_proxyThread;
     std::vector<std::thread> m_callerThreads;
@@ -71,6 +91,11 @@
     std::array<std::atomic<bool>, maxDaemons> m_isStopping {};
     std::mutex m_plannedStopFindingsMutex;
     std::vector<std::string> m_plannedStopFindings;
+    /// Number of daemons whose replacement has begun, and of those that have been started again from this build.
+    std::size_t m_replacedCount { 0 };
+    std::atomic<std::size_t> m_upgradedCount { 0 };
+    /// Time until which the store and the daemons get no faults, so that a change must be applied within the platform's bound.
+    kernel::time_point m_undisturbedUntil;
     std::vector<std::string> m_events;
     std::chrono::steady_clock::time_point m_startTime { std::chrono::steady_clock::now() };
 };
--- a/Tests/Support/child_process.cpp
+++ b/Tests/Support/child_process.cpp
@@ -12,13 +12,15 @@
 
 namespace zinnialedge::tests {
 
-static std::string programPath(std::string const& program)
+static std::string programPath(std::string const& program, std::string const& folder)
 {
+    if (!folder.empty())
+        return folder + "/" + program;
     auto const* programFolder = std::getenv("ZINNIALEDGE_PROGRAMS");
     return (programFolder ? std::string { programFolder } : std::string { "build" }) + "/" + program;
 }
 
-child_process::child_process(std::string const& program, std::vector<std::string> const& arguments)
+child_process::child_process(std::string const& program, std::vector<std::string> const& arguments, std::string const& folder)
 {
     int pipeEnds[2] = { -1, -1 };
     auto const pipeResult = ::pipe2(pipeEnds, O_CLOEXEC);
@@ -29,7 +31,7 @@
     posix_spawn_file_actions_adddup2(&actions, pipeEnds[1], STDERR_FILENO);
     // Sockets of the test that the process inherited would stay open when the test closes them.
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-    auto const path = programPath(program);
+    auto const path = programPath(program, folder);
     std::vector<char*> argumentPointers { const_cast<char*>(path.c_str()) };
     for (auto const& argument : arguments)
         argumentPointers.push_back(const_cast<char*>(argument.c_str()));
--- a/Tests/Support/child_process.h
+++ b/Tests/Support/child_process.h
@@ -15,8 +15,9 @@
 /// A child process of a test. The destructor sends SIGKILL to the process id if the process still runs.
 class child_process {
 public:
-    /// Starts `program` from the folder that the environment variable ZINNIALEDGE_PROGRAMS names, by default `build`.
-    child_process(std::string const& program, std::vector<std::string> const& arguments);
+    /// Starts `program` from `folder`. If that is empty, the environment variable ZINNIALEDGE_PROGRAMS names the folder, by default
+    /// `build`.
+    child_process(std::string const& program, std::vector<std::string> const& arguments, std::string const& folder = {});
     ~child_process();
     child_process(child_process const&) = delete;
     child_process& operator=(child_process const&) = delete;
--- a/Tests/Support/edge_fleet.cpp
+++ b/Tests/Support/edge_fleet.cpp
@@ -98,7 +98,10 @@
         { { "name", "single" }, { "host", "host" }, { "path_prefix", "/single/" }, { "kind", isSingleRepeatable ? "idempotent" : "non_idempotent" }, { "timeout_ms", 6000 }, { "target_latency_ms", 400 }, { "priority", 2 }, { "service", desk }, { "attempts", 2 } },
         { { "name", "gather" }, { "host", "host" }, { "path_prefix", "/gather/" }, { "kind", "idempotent" }, { "timeout_ms", 1500 }, { "target_latency_ms", 100 }, { "priority", 1 }, { "gather", std::move(gather) }, { "attempts", 2 }, { "top_k", 5 }, { "min_success_ratio", 0.75 } },
     };
-    m_store.put("config", "main", { { "version", version }, { "routes", routes }, { "services", services }, { "limits", { { "max_header_bytes", 16384 }, { "max_body_bytes", 262144 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } });
+    json::object configuration { { "version", version }, { "routes", routes }, { "services", services }, { "limits", { { "max_header_bytes", 16384 }, { "max_body_bytes", 262144 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } };
+    if (m_completeConfiguration)
+        m_completeConfiguration(configuration);
+    m_store.put("config", "main", std::move(configuration));
 }
 
 void edge_fleet::registerLeaf(std::string const& id, std::string const& service, model::endpoint const& endpoint, std::string const& state, std::string const& dataCentre, std::int64_t startedAt)
@@ -109,7 +112,7 @@
 void edge_fleet::start(std::size_t index)
 {
     auto& each = daemon(index);
-    each.process = std::make_unique<child_process>("zinnialedge-edge", std::vector<std::string> { "--settings", each.settingsFile });
+    each.process = std::make_unique<child_process>("zinnialedge-edge", std::vector<std::string> { "--settings", each.settingsFile }, each.programFolder);
 }
 
 void edge_fleet::replaceSetting(std::size_t index, std::string const& field, json::value value)
--- a/Tests/Support/edge_fleet.h
+++ b/Tests/Support/edge_fleet.h
@@ -5,6 +5,7 @@
 #include "Tests/Support/store_stand_in.h"
 #include <boost/json/value.hpp>
 #include <filesystem>
+#include <functional>
 #include <map>
 
 namespace zinnialedge::tests {
@@ -17,6 +18,8 @@
     model::endpoint operators;
     std::string dataCentre { "here" };
     std::string settingsFile;
+    /// Folder of the build whose program is started; empty for this build.
+    std::string programFolder;
     std::unique_ptr<child_process> process;
 };
 
@@ -34,6 +37,8 @@
 
     /// Declares a single route "/single/" to the service `desk` and a gather route "/gather/" over `shards` shards.
     void declare(std::uint64_t version, std::size_t shards, bool isSingleRepeatable, std::string const& desk = "desk");
+    /// Sets a hook that completes each configuration before declare() writes it.
+    void setConfigurationHook(std::function<void(boost::json::object&)> hook) { m_completeConfiguration = std::move(hook); }
     /// Start time of a leaf's first incarnation, in Unix milliseconds.
     static constexpr std::int64_t firstStartTime = 1'700'000'000'000;
 
@@ -62,6 +67,7 @@
 
     std::filesystem::path m_folder;
     store_stand_in m_store;
+    std::function<void(boost::json::object&)> m_completeConfiguration;
     std::vector<std::unique_ptr<edge_daemon_process>> m_daemons;
 };
 
--- a/Tests/Support/loopback_proxy.cpp
+++ b/Tests/Support/loopback_proxy.cpp
@@ -117,6 +117,9 @@
             accept();
             return;
         }
+        // The target sees the address of the source.
+        connection->target.open(tcp::v4(), gone);
+        connection->target.bind({ asio::ip::make_address(connection->source, gone), 0 }, gone);
         connection->target.async_connect({ asio::ip::make_address(m_target.address), m_target.port }, [this, connection](boost::system::error_code refused) {
             if (refused) {
                 closeConnection(connection);
--- a/Tests/Support/loopback_proxy.h
+++ b/Tests/Support/loopback_proxy.h
@@ -29,7 +29,8 @@
     old_connections_silent,
 };
 
-/// Proxies TCP connections to a target on loopback and injects faults. All proxies share one event loop.
+/// Proxies TCP connections to a target on loopback and injects faults. The target sees the address from which a connection came. All
+/// proxies share one event loop.
 class loopback_proxy {
 public:
     loopback_proxy(boost::asio::io_context&, model::endpoint target);
--- a/Tests/Support/scripted_leaf.cpp
+++ b/Tests/Support/scripted_leaf.cpp
@@ -14,14 +14,22 @@
     explicit connection(tcp::socket accepted)
         : socket(std::move(accepted))
     {
+        boost::system::error_code gone;
+        source = socket.remote_endpoint(gone).address().to_string();
     }
 
     tcp::socket socket;
+    std::string source;
     std::string received;
     std::array<char, 8192> buffer {};
 };
 
 scripted_leaf::scripted_leaf(std::function<scripted_reply(std::string const&)> makeReply)
+    : scripted_leaf([makeReply = std::move(makeReply)](std::string const& request, std::string const& /*source*/) { return makeReply(request); })
+{
+}
+
+scripted_leaf::scripted_leaf(std::function<scripted_reply(std::string const&, std::string const&)> makeReply)
     : m_makeReply(std::move(makeReply))
     , m_acceptor(m_context, tcp::endpoint { asio::ip::make_address("127.0.0.1"), 0 })
     , m_endpoint(m_acceptor.local_endpoint())
@@ -102,7 +110,7 @@
             std::lock_guard const lock(m_mutex);
             m_requests.push_back(request);
         }
-        auto const reply = m_makeReply(request);
+        auto const reply = m_makeReply(request, client->source);
         if (reply.runTime.count() > 0) {
             auto const timer = std::make_shared<asio::steady_timer>(m_context, reply.runTime);
             timer->async_wait([this, client, reply, timer](boost::system::error_code) {
--- a/Tests/Support/scripted_leaf.h
+++ b/Tests/Support/scripted_leaf.h
@@ -35,6 +35,8 @@
 public:
     /// `makeReply` receives the complete request and runs on the leaf's thread.
     explicit scripted_leaf(std::function<scripted_reply(std::string const& request)> makeReply);
+    /// `makeReply` also receives the address from which the request came.
+    explicit scripted_leaf(std::function<scripted_reply(std::string const& request, std::string const& source)> makeReply);
     ~scripted_leaf();
     scripted_leaf(scripted_leaf const&) = delete;
     scripted_leaf& operator=(scripted_leaf const&) = delete;
@@ -63,7 +65,7 @@
     void endNow(std::chrono::milliseconds downTime);
     void repeatBytes(std::shared_ptr<connection> const&, std::shared_ptr<std::string const> const& bytes);
 
-    std::function<scripted_reply(std::string const&)> m_makeReply;
+    std::function<scripted_reply(std::string const&, std::string const&)> m_makeReply;
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::ip::tcp::endpoint m_endpoint;
