--- a/Libraries/zinnialedge/configuration/edge_settings.cpp
+++ b/Libraries/zinnialedge/configuration/edge_settings.cpp
@@ -6,6 +6,8 @@
 
 static constexpr double maximumWindowSeconds = 3600;
 static constexpr double maximumExtraCalls = 1e6;
+static constexpr double maximumQuotaOverage = 10;
+static constexpr double maximumQuotaSlack = 1e6;
 static constexpr double minimumStoreRate = 1;
 static constexpr double maximumStoreRate = 1e6;
 static constexpr double maximumStopSeconds = 600;
@@ -14,6 +16,8 @@
 static constexpr double minimumProcessorShare = 0.001;
 static constexpr double maximumProcessorShare = 1024;
 static constexpr double maximumLinkMegabits = 1e6;
+static constexpr double maximumOverage = 100;
+static constexpr double maximumColdSlack = 1e6;
 
 static void parseExtraCalls(json_reader& reader, edge_settings& settings)
 {
@@ -33,6 +37,19 @@
     settings.capacity = vm_capacity { reader.real("processor", minimumProcessorShare, maximumProcessorShare), reader.real("link_mbps", 0, maximumLinkMegabits) };
 }
 
+static void parseColdLeafs(json_reader& reader, edge_settings& settings)
+{
+    settings.coldLeafs.overage = reader.real("overage", 1, maximumOverage);
+    settings.coldLeafs.slack = reader.real("slack", 0, maximumColdSlack);
+}
+
+static void parseQuotas(json_reader& reader, edge_settings& settings)
+{
+    settings.quotaTolerance.window = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("window_s", 1, maximumWindowSeconds) * 1000) };
+    settings.quotaTolerance.overage = reader.real("overage", 0, maximumQuotaOverage);
+    settings.quotaTolerance.slack = reader.real("slack", 0, maximumQuotaSlack);
+}
+
 edge_settings_change compareSettings(edge_settings const& before, edge_settings const& after)
 {
     edge_settings_change change;
@@ -43,6 +60,7 @@
     compare(change.appliedAtOnce, "seeds", before.seeds == after.seeds);
     compare(change.appliedAtOnce, "extra_calls", before.extraCalls == after.extraCalls);
     compare(change.appliedAtOnce, "store_rates", before.storeRates == after.storeRates);
+    compare(change.appliedAtOnce, "quotas", before.quotaTolerance == after.quotaTolerance);
     compare(change.appliedAtOnce, "stop_time_s", before.stopTimeLimit == after.stopTimeLimit);
     compare(change.appliedAtOnce, "log_level", before.logLevel == after.logLevel);
     compare(change.appliedAtNextStart, "name", before.name == after.name);
@@ -58,6 +76,9 @@
     compare(change.appliedAtNextStart, "leaf_calls_from", before.leafCallSource == after.leafCallSource);
     compare(change.appliedAtNextStart, "maximum_leaf_pause_s", before.maximumLeafPause == after.maximumLeafPause);
     compare(change.appliedAtNextStart, "capacity", before.capacity == after.capacity);
+    compare(change.appliedAtNextStart, "evacuations", before.readsEvacuations == after.readsEvacuations);
+    compare(change.appliedAtNextStart, "cold_leafs", before.coldLeafs == after.coldLeafs);
+    compare(change.appliedAtNextStart, "leaf_pace", before.leafPace == after.leafPace);
     return change;
 }
 
@@ -88,6 +109,7 @@
     }
     reader.object("extra_calls", true, [&](json_reader& item) { parseExtraCalls(item, settings); });
     reader.object("store_rates", true, [&](json_reader& item) { parseStoreRates(item, settings); });
+    reader.object("quotas", false, [&](json_reader& item) { parseQuotas(item, settings); });
     settings.stopTimeLimit = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("stop_time_s", 1, maximumStopSeconds) * 1000) };
     if (reader.has("maximum_leaf_pause_s"))
         settings.maximumLeafPause = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("maximum_leaf_pause_s", 1, maximumLeafPauseSeconds) * 1000) };
@@ -97,6 +119,10 @@
         if (!model::parseEndpoint(settings.leafCallSource + ":1"))
             reader.report("leaf_calls_from", "an address like \"10.0.0.1\"");
     }
+    settings.readsEvacuations = reader.flag("evacuations", false);
+    reader.object("cold_leafs", false, [&](json_reader& item) { parseColdLeafs(item, settings); });
+    static std::vector<std::string_view> const paceScopes { "declared", "always", "never" };
+    settings.leafPace = static_cast<pacing::pace_scope>(reader.choice("leaf_pace", paceScopes, 0));
     static std::vector<std::string_view> const levels { "trace", "debug", "info", "warn", "error" };
     settings.logLevel = std::string { levels[reader.choice("log_level", levels, 2)] };
     reader.finish();
--- a/Libraries/zinnialedge/configuration/edge_settings.h
+++ b/Libraries/zinnialedge/configuration/edge_settings.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "Libraries/zinnialedge/allowances/cold_share.h"
+#include "Libraries/zinnialedge/allowances/tenant_quotas.h"
 #include "Libraries/zinnialedge/fleet/store_budget.h"
 #include "Libraries/zinnialedge/forwarding/extra_call_budget.h"
 #include "Libraries/zinnialedge/model/endpoint.h"
+#include "Libraries/zinnialedge/pacing/leaf_pace.h"
 #include <chrono>
 #include <optional>
 #include <string>
@@ -39,6 +42,8 @@
     std::vector<model::endpoint> seeds;
     forwarding::extra_call_limits extraCalls;
     fleet::store_rates storeRates;
+    /// Requests above the quotas of tenants that all daemons together may let through; none when the setting is missing.
+    allowances::quota_tolerance quotaTolerance;
     /// Time between the request to stop and the kill of the process.
     std::chrono::milliseconds stopTimeLimit { 6000 };
     /// Longest pause that a leaf may ask for; longer pauses are ignored as malformed.
@@ -47,6 +52,12 @@
     std::string leafCallSource;
     /// Empty when the deployment does not tell the capacity of the VM.
     std::optional<vm_capacity> capacity;
+    /// Whether the daemon reads evacuations of data centres from the store.
+    bool readsEvacuations { false };
+    /// Tolerance of the request limit of cold leafs.
+    allowances::cold_leaf_tolerance coldLeafs;
+    /// Services for whose leafs the pace is determined after a start.
+    pacing::pace_scope leafPace { pacing::pace_scope::declared };
     std::string logLevel { "info" };
 
     bool operator==(edge_settings const&) const = default;
--- a/Libraries/zinnialedge/forwarding/engine_interface.h
+++ b/Libraries/zinnialedge/forwarding/engine_interface.h
@@ -2,8 +2,10 @@
 
 // What passes between the request engine and the services around it, apart from calls, answers and events.
 
+#include "Libraries/zinnialedge/allowances/tenant_quotas.h"
 #include "Libraries/zinnialedge/forwarding/extra_call_budget.h"
 #include "Libraries/zinnialedge/forwarding/leaf_rate_limit.h"
+#include "Libraries/zinnialedge/forwarding/leaf_roster.h"
 #include "Libraries/zinnialedge/forwarding/messages.h"
 #include "Libraries/zinnialedge/quarantine/suspect.h"
 #include "Libraries/zinnialedge/reachability/link_monitor.h"
@@ -21,8 +23,10 @@
     std::chrono::milliseconds defaultRoundTripTime { 6 };
     /// Longest pause that a leaf may ask for; longer pauses are ignored.
     std::chrono::milliseconds maximumLeafPause { std::chrono::hours { 1 } };
+    allowances::quota_tolerance quotaTolerance {};
     /// Number that differs between daemons.
     std::uint64_t daemonSeed { 0 };
+    leaf_start_settings leafStarts;
 };
 
 /// Outcome of one request, for logs and metrics.
@@ -67,6 +71,18 @@
     std::size_t detouredRequestCount { 0 };
 };
 
+/// An evacuation of a data centre has begun or ended.
+struct evacuation_report {
+    std::string const& dataCentre;
+    bool hasBegun { false };
+    /// Number of registered leafs in the data centre; zero for a data centre that this daemon does not know.
+    std::size_t leafCount { 0 };
+    /// Number of calls to these leafs that were sent before.
+    std::size_t callsInFlight { 0 };
+    /// Number of data centres under evacuation after the change.
+    std::size_t evacuatedDataCentreCount { 0 };
+};
+
 /// Reason in the rejections of a daemon that reaches no leafs, by which other daemons recognize them.
 inline constexpr std::string_view linksLostReason = "links_lost";
 /// Back-off after a call to another daemon failed: about the time in which the membership detects a dead daemon.
@@ -101,6 +117,24 @@
     kernel::duration nextTrial {};
 };
 
+/// A change of a leaf between phases.
+struct leaf_phase_report {
+    std::string const& leafId;
+    leaf_phase_event event { leaf_phase_event::cold };
+    kernel::duration warmupLeft {};
+    /// Time since the last start phase began, or zero.
+    kernel::duration sinceStart {};
+    std::size_t callsInFlight { 0 };
+};
+
+/// What this daemon hears of the others' requests that count towards quotas.
+struct quota_report {
+    /// False while reports of other daemons are missing and this daemon leaves their shares unused.
+    bool isInformed { true };
+    std::size_t memberCount { 0 };
+    std::size_t silentMemberCount { 0 };
+};
+
 struct engine_hooks {
     /// Sends a call. The end of the call is reported later through handleCallEnd(), never from within this hook.
     std::function<void(leaf_call)> sendCall;
@@ -114,6 +148,10 @@
     std::function<void(quarantine_report const&)> logQuarantine;
     /// Tells the other daemons of requests under which leafs were lost.
     std::function<void(std::vector<quarantine::suspect>)> shareSuspects;
+    /// Tells other daemons of the requests that count towards quotas.
+    std::function<void(std::vector<allowances::addressed_report>)> shareUsage;
+    /// Logs that reports of other daemons are missing or arrive again.
+    std::function<void(quota_report const&)> logQuotas;
     /// Logs a change of the state of the links to the leafs.
     std::function<void(link_report const&)> logLinks;
     /// Closes the connections to leafs that carry no call.
@@ -122,6 +160,10 @@
     std::function<void(bool)> shareLeafReach;
     /// Logs that a leaf has named a limit or names none any more.
     std::function<void(std::string const& leafId, std::string_view event, leaf_rate_limit const&)> logLeafLimit;
+    /// Logs that an evacuation of a data centre has begun or ended.
+    std::function<void(evacuation_report const&)> logEvacuation;
+    /// Logs that a leaf has become cold or warm, or that its start phase has begun or ended.
+    std::function<void(leaf_phase_report const&)> logLeafPhase;
 };
 
 /// Event counts since the start of the process.
@@ -181,6 +223,20 @@
     std::uint64_t rejectionsForLimits { 0 };
     /// Number of requests rejected because they had no valid access key.
     std::uint64_t rejectionsForKey { 0 };
+    /// Number of evacuations of data centres that have begun.
+    std::uint64_t evacuations { 0 };
+    /// Number of requests rejected because the leafs that they need are in evacuated data centres.
+    std::uint64_t rejectionsForEvacuations { 0 };
+    std::uint64_t leafsBecameCold { 0 };
+    /// Number of times that the limit on calls in flight to a leaf in its start phase was raised, and lowered.
+    std::uint64_t leafPaceRaised { 0 };
+    std::uint64_t leafPaceLowered { 0 };
+    /// Number of requests rejected because their tenants have exhausted their quotas.
+    std::uint64_t rejectionsForQuotas { 0 };
+    /// Number of requests that were taken off the counts again because they reached no leaf.
+    std::uint64_t quotaRefunds { 0 };
+    std::uint64_t usageReportsSent { 0 };
+    std::uint64_t usageReportsReceived { 0 };
 };
 
 }
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -59,11 +59,16 @@
         holdPart(request, partIndex);
         return;
     }
-    auto const pick = m_leafs.pickLeaf(*request.parts[partIndex].service, request.parts[partIndex].calledLeafs, hedgeDelayOf(*request.matchedRoute), now);
-    if (pick)
+    auto const pick = m_leafs.pickLeaf(*request.parts[partIndex].service, request.parts[partIndex].calledLeafs, hedgeDelayOf(*request.matchedRoute), now, mayTryIdleLeaf(request, partIndex, now));
+    if (pick) {
         sendCall(request, partIndex, pick->leaf, now);
-    else
+    } else if (m_leafs.hasAcceptingLeaf(*request.parts[partIndex].service, request.parts[partIndex].calledLeafs, now)) {
         enqueuePart(request, partIndex, now);
+    } else {
+        // No end of a call can free a leaf for the part.
+        request.parts[partIndex].isMissing = true;
+        ++request.missingPartCount;
+    }
 }
 
 void request_engine::sendCall(active_request& request, std::size_t partIndex, leaf_handle handle, time_point now)
@@ -90,6 +95,8 @@
 
 bool request_engine::isCallWanted(call_number number, time_point now) const
 {
+    if (auto const probe = m_probes.find(number); probe != m_probes.end())
+        return !isEvacuated(probe->second.leaf);
     auto const found = m_calls.find(number);
     if (found == m_calls.end())
         return true;
@@ -146,7 +153,7 @@
             queue.erase(entry);
             continue;
         }
-        auto const pick = m_leafs.pickLeaf(service, part.calledLeafs, hedgeDelayOf(*request->matchedRoute), now);
+        auto const pick = m_leafs.pickLeaf(service, part.calledLeafs, hedgeDelayOf(*request->matchedRoute), now, mayTryIdleLeaf(*request, next.partIndex, now));
         if (!pick && m_leafs.hasAcceptingLeaf(service, part.calledLeafs, now)) {
             scheduleDispatch(service, part.calledLeafs, now);
             // A part that may use any leaf waits, so the parts behind it wait too.
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -31,12 +31,14 @@
     , m_hooks(std::move(hooks))
     , m_random(random)
     , m_startedAt(startedAt)
-    , m_leafs(m_settings.dataCentre, std::move(random))
+    , m_leafs(m_settings.dataCentre, std::move(random), m_settings.leafStarts)
     // What daemons that leave have consumed counts in each window that contains their calls.
     , m_slackSharers(1, m_settings.extraCalls.window)
     , m_typicalRelayDuration(initialRelayDuration)
     , m_quarantine(m_settings.daemonSeed)
+    , m_quotas(startedAt)
 {
+    m_quotas.setTolerance(m_settings.quotaTolerance);
 }
 
 void request_engine::setRoutes(route_table_pointer routes, time_point now)
@@ -45,7 +47,8 @@
     if (m_routes && routes->version() <= m_routes->version())
         return;
     m_routes = std::move(routes);
-    m_leafs.setConnectionSharing(m_routes, m_fleetShare.daemonsSharingConnections);
+    setTenantQuotas(now);
+    m_leafs.setConnectionSharing(m_routes, m_fleetShare.daemonsSharingConnections, now);
     m_tenantCounts.removeUndeclared([this](std::string const& name) { return m_routes->tenantNamed(name) != nullptr; });
     dispatchAllQueuedParts(now);
 }
@@ -53,6 +56,7 @@
 void request_engine::setLeafs(std::vector<leaf_registration> const& registrations, time_point now)
 {
     m_leafs.replaceRegistrations(registrations, now);
+    reviewLeafs(now);
     m_links.setLeafCount(m_leafs.availableCount(), now);
     scheduleLinkCheck(now);
     dispatchAllQueuedParts(now);
@@ -61,10 +65,12 @@
 void request_engine::setFleetShare(fleet_share share, time_point now)
 {
     m_fleetShare = std::move(share);
-    m_leafs.setLimitSharers(m_fleetShare.daemonsSharingLeafLimits, now);
+    m_leafs.setLimitSharers(m_fleetShare.daemonsSharingLeafLimits, m_fleetShare.limitPhase, now);
     if (m_fleetShare.daemonsSharingSlack > 0)
         m_slackSharers.set(static_cast<double>(m_fleetShare.daemonsSharingSlack), now);
-    m_leafs.setConnectionSharing(m_routes, m_fleetShare.daemonsSharingConnections);
+    m_leafs.setConnectionSharing(m_routes, m_fleetShare.daemonsSharingConnections, now);
+    m_quotas.setMembers(m_fleetShare.quotaMemberName, m_fleetShare.isServingCallers, m_fleetShare.quotaMembers, now);
+    scheduleUsageReport();
 }
 
 void request_engine::setExtraCalls(extra_call_limits limits, time_point now)
@@ -119,6 +125,7 @@
 void request_engine::handleRequest(request_token token, caller_request request, time_point now)
 {
     ++m_counters.requests;
+    reviewLeafs(now);
     if (!m_routes) {
         reject(token, request, makeRejection(errors::error_kind::not_configured, "no_configuration", noConfigurationRetryAfter));
         return;
@@ -146,7 +153,11 @@
         reject(token, request, makeRejection(errors::error_kind::overloaded, "at_capacity", atCapacityRetryAfter), to);
         return;
     }
+    bool const isCountedForQuota = hasQuota(request);
+    if (isCountedForQuota && !consumeQuota(token, request, *to, now))
+        return;
     auto* const created = createRequest(token, std::move(request), *to, now);
+    created->isCountedForQuota = isCountedForQuota;
     m_quarantine.removeExpired(now);
     mergeDetouredKnowledge(*created, now);
     auto const verdict = judge(*created->evidence, now);
@@ -160,19 +171,7 @@
     if (areLinksLost() && handleWithoutLinks(*created, now))
         return;
     countRequest(*created, now);
-    for (auto& part : created->parts) {
-        if (m_leafs.hasAcceptingLeaf(*part.service, {}, now))
-            continue;
-        part.isMissing = true;
-        ++created->missingPartCount;
-    }
-    // Parts without a leaf are detected before any call is sent, so a request rejected here is known not to have run.
-    bool const isServable = to->isGather() ? created->canReachMinimumCoverage() : created->missingPartCount == 0;
-    if (!isServable) {
-        settleUnavailable(*created, errors::error_kind::no_live_target, "no_leaf", now);
-        return;
-    }
-    if (!skipLimitedShards(*created, now))
+    if (!skipPartsWithoutLeafs(*created, now) || !skipLimitedShards(*created, now))
         return;
     if (!to->isGather() || created->isRelayed() || admitOrEnqueue(*created, now))
         startCalls(*created, now);
@@ -324,6 +323,7 @@
     static std::string const reason = "caller_left";
     reportOutcome(request, 0, reason, std::nullopt, now);
     releaseAdmission(request, now);
+    refundQuota(request, now);
     // Calls of a non-repeatable request continue: the leaf may have started, and cancellation would leave the outcome unknown.
     if (request.matchedRoute->isRepeatable) {
         for (auto const& part : request.parts) {
@@ -370,6 +370,11 @@
             shareSuspects(now);
             continue;
         }
+        if (due.kind == timer_kind::share_usage) {
+            m_nextUsageReportAt.reset();
+            shareUsage(now);
+            continue;
+        }
         if (due.kind == timer_kind::relay_timeout) {
             handleLateRelay(due.subject, now);
             continue;
@@ -420,6 +425,7 @@
         case timer_kind::share_suspects:
         case timer_kind::check_links:
         case timer_kind::detour_timeout:
+        case timer_kind::share_usage:
             break;
         }
     }
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -27,11 +27,19 @@
 
     void setRoutes(route_table_pointer, kernel::time_point now);
     void setLeafs(std::vector<leaf_registration> const&, kernel::time_point now);
+    /// Sets the data centres to whose leafs nothing may be sent. Calls and probes that are not sent yet are withheld.
+    void setEvacuations(std::set<std::string> dataCentres, kernel::time_point now);
     void setFleetShare(fleet_share, kernel::time_point now);
     void setExtraCalls(extra_call_limits, kernel::time_point now);
     /// Takes what other daemons know of requests under which leafs were lost.
     void mergeSuspects(std::vector<quarantine::suspect> const&, kernel::time_point now);
 
+    void setQuotaTolerance(allowances::quota_tolerance);
+    /// Takes that the daemon gets no further callers and is about to stop.
+    void setLeaving() { m_quotas.setLeaving(); }
+    /// Takes another daemon's report of requests that count towards quotas.
+    void mergeUsage(allowances::usage_report const&, kernel::time_point now);
+
     void handleRequest(request_token, caller_request, kernel::time_point now);
     void handleCallerDisconnect(request_token, kernel::time_point now);
     void handleCallEnd(call_number, call_result, kernel::time_point now);
@@ -45,6 +53,8 @@
     void runTimers(kernel::time_point now);
     std::optional<kernel::time_point> nextTimerTime() const;
 
+    /// Returns what this daemon heard lately from those with which it keeps quotas, if there are any.
+    std::optional<quota_report> quotaState() const;
     engine_counters const& counters() const { return m_counters; }
     access::tenant_counts const& tenantCounts() const { return m_tenantCounts; }
     std::size_t requestsInFlight() const { return m_requests.size(); }
@@ -73,6 +83,8 @@
         check_links,
         /// The answer of a daemon to a detoured request is late.
         detour_timeout,
+        /// Other daemons have to be told of requests that count towards quotas.
+        share_usage,
     };
 
     struct timer {
@@ -166,13 +178,16 @@
     void skipSlowShards(active_request&, kernel::time_point now);
     /// Queries skipped shards until the minimum coverage can be reached again.
     void callSkippedShards(active_request&, kernel::time_point now);
+    /// Marks the parts as missing whose services have no leaf that accepts calls. Rejects the request and returns false when it can't be
+    /// served without them.
+    bool skipPartsWithoutLeafs(active_request&, kernel::time_point now);
     /// Leaves out the shards whose leafs' request limits allow no call in time, up to the number of shards that may be missing from
     /// the answer. Rejects the request and returns false when more shards would be missing.
     bool skipLimitedShards(active_request&, kernel::time_point now);
     /// Sends the first calls of a request.
     void startCalls(active_request&, kernel::time_point now);
-    /// Returns the share of the leafs' capacity that remains for the request while leafs are paused, from 0 to 1.
-    double unpausedCapacityShare(active_request const&, kernel::time_point now) const;
+    /// Returns the share of the leafs' capacity that remains for the request while leafs are paused or evacuated, from 0 to 1.
+    double acceptingCapacityShare(active_request const&, kernel::time_point now) const;
     /// Admits, enqueues or rejects a request over shards. Returns true when the request is admitted.
     bool admitOrEnqueue(active_request&, kernel::time_point now);
     /// Releases the slot or the queue entry of a request that ends or whose caller has disconnected.
@@ -184,6 +199,25 @@
     /// Counts the request for the budget of extra calls of its services, unless another daemon has counted it.
     void countRequest(active_request const&, kernel::time_point now);
 
+    // Evacuations.
+    /// Withholds calls and probes to leafs of evacuated data centres whose connections have not opened.
+    void withholdUnsentCalls();
+    /// Returns whether the request could be served if no data centre were evacuated.
+    bool isPreventedByEvacuation(active_request const&, kernel::time_point now) const;
+    void settleEvacuated(active_request&, kernel::time_point now);
+    bool isEvacuated(leaf_handle leaf) const { return m_leafs.contains(leaf) && m_leafs.at(leaf).isEvacuated(); }
+    // Quotas of tenants.
+    /// Returns whether this daemon counts the request for a quota: it comes from a caller, and its tenant has one.
+    bool hasQuota(caller_request const&) const;
+    /// Counts a request for the quota of its tenant. Rejects the request and returns false when the quota is exhausted.
+    bool consumeQuota(request_token, caller_request const&, route const&, kernel::time_point now);
+    /// Takes back the count of a request that ends without having reached a leaf.
+    void refundQuota(active_request const&, kernel::time_point now);
+    void setTenantQuotas(kernel::time_point now);
+    void shareUsage(kernel::time_point now);
+    void scheduleUsageReport();
+    void reportQuotaState(kernel::time_point now);
+
     // Links to the leafs.
     bool areLinksLost() const { return m_links.state() == reachability::link_state::lost; }
     /// Records what the end of a call tells about the links.
@@ -296,6 +330,14 @@
     void applyLeafNotices(leaf_handle, leaf_reply const&, std::string const& attemptId, kernel::time_point now);
     /// Applies the limit that the leaf names in a reply, or the end of the limit when a sealed reply names none.
     void applyLeafLimit(leaf_handle, leaf_reply const&, kernel::time_point sentAt, kernel::time_point now);
+    /// Applies the remaining warm-up time that the leaf tells in a reply.
+    void applyLeafWarmup(leaf_handle, leaf_reply const&, kernel::time_point sentAt, kernel::time_point now);
+    /// Adapts the pace of a leaf that starts to the end of a call.
+    void adaptPace(call_context const&, call_result const&, kernel::time_point now);
+    /// Returns whether the request may try an idle leaf in its start phase: another leaf can still answer the request in time.
+    bool mayTryIdleLeaf(active_request&, std::size_t partIndex, kernel::time_point now);
+    /// Logs changes of leafs' phases, at intervals.
+    void reviewLeafs(kernel::time_point now);
     void setLeafLimit(leaf_handle, double requestsPerSecond, kernel::time_point now);
     void logLeafEvent(active_request const&, call_context const&, std::string_view event, kernel::time_point now);
     void handleReply(active_request&, call_context const&, leaf_reply, kernel::time_point now);
@@ -361,7 +403,13 @@
     std::optional<kernel::time_point> m_nextDispatchAt;
     quarantine::quarantine_table m_quarantine;
     kernel::time_point m_nextSharingAt;
+    kernel::time_point m_nextLeafReviewAt;
     bool m_isSharingScheduled { false };
+    allowances::tenant_quotas m_quotas;
+    std::unordered_map<std::string, limits::return_schedule> m_quotaReturns;
+    std::optional<kernel::time_point> m_nextUsageReportAt;
+    std::optional<kernel::time_point> m_uninformedSince;
+    bool m_isUninformedLogged { false };
     call_number m_lastCallNumber { 0 };
     /// Moving average of the share of extra calls that the budget denied.
     double m_deniedExtraCallShare { 0 };
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -2,6 +2,7 @@
 
 #include "Kernel/event_log.h"
 #include "Kernel/metrics_text.h"
+#include "Libraries/zinnialedge/fleet/evacuations.h"
 #include "Libraries/zinnialedge/fleet/limit_shares.h"
 #include "Services/fleet/snapshot_codec.h"
 #include <algorithm>
@@ -50,13 +51,14 @@
     , m_routeLink(m_workerThread.context(), m_settings.storeEndpoint, object_kind::routes, m_protocol, m_storeBudget, mirror_settings { .batchDelay = routesBatchPause, .renewalPeriod = std::chrono::milliseconds { 0 } }, watchHoldTime, makeLinkHooks([this] { handleRoutesChanged(); }))
     , m_leafLink(m_workerThread.context(), m_settings.storeEndpoint, object_kind::leafs, m_protocol, m_storeBudget, mirror_settings { .batchDelay = leafsBatchPause, .restoredObjectHold = restoredLeafHold }, watchHoldTime, makeLinkHooks([this] { handleLeafsChanged(); }))
     , m_daemonLink(m_workerThread.context(), m_settings.storeEndpoint, object_kind::daemons, m_protocol, m_storeBudget, mirror_settings { .renewalPeriod = std::chrono::milliseconds { 0 }, .relistInterval = daemonsRelistInterval, .returnSpread = daemonsReturnSpread }, watchHoldTime, makeLinkHooks([this] { handleDaemonsChanged(); }))
+    , m_evacuationLink(m_workerThread.context(), m_settings.storeEndpoint, m_settings.readsEvacuations, m_protocol, m_storeBudget, makeLinkHooks([this] { handleEvacuationsChanged(); }))
     , m_storeProbe(m_workerThread.context(), m_settings.storeEndpoint, m_protocol.probe(m_settings.name), m_storeBudget, [this] {
-        for (auto* const link : { &m_routeLink, &m_leafLink, &m_daemonLink })
+        for (auto* const link : storeLinks())
             link->reconnect(); }, [this](wire::http_response const& reply) {
         if (auto const era = m_protocol.parseEra(reply))
             handleStoreEra(*era); })
     , m_registrationLink(m_workerThread.context(), m_settings.storeEndpoint, m_protocol, m_storeBudget, [this](std::uint64_t era) { handleStoreEra(era); })
-    , m_membershipLink(m_workerThread.context(), { .self = makeDaemonRecord(), .strength = m_settings.strength, .seeds = m_settings.seeds }, { [this] { handleMembersChanged(); }, [this](model::endpoint const& endpoint) { requestSnapshot(endpoint); }, [this](std::vector<quarantine::suspect> const& suspects) { sendToTraffic(traffic::suspects_told { suspects }); } })
+    , m_membershipLink(m_workerThread.context(), { .self = makeDaemonRecord(), .strength = m_settings.strength, .seeds = m_settings.seeds }, { [this] { handleMembersChanged(); }, [this](model::endpoint const& endpoint) { requestSnapshot(endpoint); }, [this](std::vector<quarantine::suspect> const& suspects) { sendToTraffic(traffic::suspects_told { suspects }); }, [this](allowances::usage_report const& report) { sendToTraffic(traffic::usage_told { report }); } })
     , m_periodicTimer(m_workerThread.context())
     , m_random(kernel::makeRandom())
 {
@@ -71,6 +73,9 @@
         // A service that has stopped tells the other daemons nothing more.
         std::ignore = self->m_workerThread.post([self, suspects = std::move(suspects)] { self->m_membershipLink.step(membership::suspects_changed { suspects }); });
     });
+    traffic.setUsageReceiver([self = created.get()](std::vector<allowances::addressed_report> reports) {
+        std::ignore = self->m_workerThread.post([self, reports = std::move(reports)] { self->m_membershipLink.step(membership::usage_reported { reports }); });
+    });
     traffic.setLeafReachReceiver([self = created.get()](bool reachesLeafs) {
         std::ignore = self->m_workerThread.post([self, reachesLeafs] { self->handleLeafReachChanged(reachesLeafs); });
     });
@@ -132,9 +137,8 @@
 {
     m_workerThread.start();
     bool const isPosted = m_workerThread.post([this] {
-        m_routeLink.start();
-        m_leafLink.start();
-        m_daemonLink.start();
+        for (auto* const link : storeLinks())
+            link->start();
         m_storeProbe.start();
         m_registrationLink.registerDaemon(m_settings.name, boost::json::parse(membership::formatDaemonRecord(makeDaemonRecord())));
         m_membershipLink.step(membership::membership_timer_due {});
@@ -148,6 +152,14 @@
     return { std::move(changed), [this](std::uint64_t era) { handleStoreEra(era); } };
 }
 
+std::vector<store_link*> fleet_service::storeLinks()
+{
+    std::vector<store_link*> links { &m_routeLink, &m_leafLink, &m_daemonLink };
+    if (auto* const link = m_evacuationLink.link())
+        links.push_back(link);
+    return links;
+}
+
 void fleet_service::handleStoreEra(std::uint64_t era)
 {
     if (era <= m_storeEra)
@@ -157,7 +169,7 @@
         logEvent(log_level::warn, "store_returned", { { "era", era }, { "era_before", m_storeEra }, { "leafs_as_of", m_leafLink.mirror().asOf() }, { "version_kept", m_routeTable ? m_routeTable->version() : 0 } });
     }
     m_storeEra = era;
-    for (auto* const link : { &m_routeLink, &m_leafLink, &m_daemonLink })
+    for (auto* const link : storeLinks())
         link->enterEra(era);
     m_registrationLink.enterEra(era);
 }
@@ -191,10 +203,31 @@
     m_configurationInForce = object;
     logEvent(log_level::info, "configuration_read", { { "version", m_routeTable->version() }, { "era", object.era }, { "revision", object.revision } });
     sendToTraffic(m_routeTable);
-    m_membershipLink.step(membership::configuration_changed { m_routeTable->version() });
+    shareDigest();
     return true;
 }
 
+void fleet_service::shareDigest()
+{
+    m_membershipLink.step(membership::configuration_changed { zinnialedge::fleet::digestOf(m_routeTable ? m_routeTable->version() : 0, m_evacuationLink.dataCentres()) });
+}
+
+void fleet_service::handleEvacuationsChanged()
+{
+    sendToTraffic(traffic::evacuations_changed { m_evacuationLink.dataCentres() });
+    shareDigest();
+    sendLeafsToTraffic();
+}
+
+void fleet_service::sendLeafsToTraffic()
+{
+    if (!m_areLeafsHeldBack || !m_evacuationLink.mayCallLeafs(std::chrono::steady_clock::now()))
+        return;
+    m_areLeafsHeldBack = false;
+    sendToTraffic(traffic::leafs_changed { m_leafRegistrations });
+    startServingWhenReady();
+}
+
 void fleet_service::handleLeafsChanged()
 {
     m_leafRegistrations.clear();
@@ -212,8 +245,8 @@
         m_leafRegistrations.push_back(std::move(*registration));
     }
     logEvent(log_level::info, "leafs_read", { { "leafs", m_leafRegistrations.size() }, { "draining", draining }, { "unusable", unusable }, { "as_of", m_leafLink.mirror().asOf() } });
-    sendToTraffic(traffic::leafs_changed { m_leafRegistrations });
-    startServingWhenReady();
+    m_areLeafsHeldBack = true;
+    sendLeafsToTraffic();
 }
 
 void fleet_service::handleDaemonsChanged()
@@ -290,15 +323,20 @@
     auto group = zinnialedge::fleet::chooseServingGroup(daemons);
     std::copy_if(callable.begin(), callable.end(), std::back_inserter(group), [&](auto const& each) { return std::find(group.begin(), group.end(), each) == group.end(); });
     forwarding::fleet_share share;
+    addQuotaMembers(share, group);
     bool const isInGroup = std::any_of(group.begin(), group.end(), [this](auto const& each) { return each.place == m_settings.callerEndpoint; });
     if (group.empty() || group.size() > liveEndpoints.size()) {
         share.daemonsSharingConnections = liveEndpoints.size();
         share.daemonsSharingSlack = liveEndpoints.size();
         share.daemonsSharingLeafLimits = zinnialedge::fleet::countLimitShares(0, liveEndpoints.size(), false);
+        share.limitPhase = zinnialedge::fleet::limitPhaseAmong(liveEndpoints, m_settings.callerEndpoint);
         return share;
     }
     share.daemonsSharingConnections = group.size() + (liveEndpoints.size() - group.size()) / zinnialedge::fleet::outsideDaemonsPerShare;
     share.daemonsSharingLeafLimits = zinnialedge::fleet::countLimitShares(group.size(), liveEndpoints.size(), isInGroup);
+    auto equalEndpoints = liveEndpoints;
+    std::erase_if(equalEndpoints, [&](auto const& endpoint) { return isInGroup != std::any_of(group.begin(), group.end(), [&](auto const& each) { return each.place == endpoint; }); });
+    share.limitPhase = zinnialedge::fleet::limitPhaseAmong(equalEndpoints, m_settings.callerEndpoint);
     // One extra holder is counted: a member that some daemons do not know yet must not make the sum of shares exceed the total.
     share.daemonsSharingSlack = isInGroup ? std::max(group.size(), std::min(liveEndpoints.size(), group.size() + 1)) : 0;
     for (auto const& each : callable) {
@@ -313,9 +351,29 @@
     return share;
 }
 
+void fleet_service::addQuotaMembers(forwarding::fleet_share& share, std::vector<zinnialedge::fleet::serving_daemon> const& group) const
+{
+    share.quotaMemberName = memberName(m_settings);
+    share.isServingCallers = false;
+    for (auto const& each : group) {
+        if (each.place == m_settings.callerEndpoint) {
+            share.isServingCallers = true;
+            continue;
+        }
+        // A restarted daemon counts as two members for a time, of which the later one sends reports.
+        membership::daemon_record const* latest = nullptr;
+        for (auto const& [name, member] : m_membershipLink.engine().members().members()) {
+            if (member.record.callerEndpoint == each.place && member.status != member_status::dead && (!latest || member.record.incarnation > latest->incarnation))
+                latest = &member.record;
+        }
+        if (latest)
+            share.quotaMembers.push_back({ latest->name, latest->peerEndpoint });
+    }
+}
+
 void fleet_service::startServingWhenReady()
 {
-    if (m_isServing || m_isLeaving || !m_routeTable || m_leafRegistrations.empty())
+    if (m_isServing || m_isLeaving || !m_routeTable || m_leafRegistrations.empty() || m_areLeafsHeldBack)
         return;
     m_isServing = true;
     logEvent(log_level::info, "ready", { { "version", m_routeTable->version() }, { "leafs", m_leafRegistrations.size() } });
@@ -325,8 +383,9 @@
 
 void fleet_service::runPeriodicTasks()
 {
-    if (!m_routeLink.mirror().isConnected() || !m_leafLink.mirror().isConnected())
+    if (!m_routeLink.mirror().isConnected() || !m_leafLink.mirror().isConnected() || !m_evacuationLink.isConnected())
         requestSnapshotFromRandomPeer();
+    sendLeafsToTraffic();
     reconcileRegistrations();
     m_periodicTimer.expires_after(periodicInterval);
     m_periodicTimer.async_wait([this](boost::system::error_code failure) {
@@ -381,7 +440,7 @@
         return;
     }
     object_snapshot const routes { m_configurationInForce->position(), { { m_configurationInForce->name, *m_configurationInForce } } };
-    respond({ statusOk, formatSnapshot({ routes, { m_leafLink.mirror().position(), m_leafLink.mirror().objects() } }), {} });
+    respond({ statusOk, formatSnapshot({ routes, { m_leafLink.mirror().position(), m_leafLink.mirror().objects() }, m_evacuationLink.snapshot() }), {} });
 }
 
 void fleet_service::requestSnapshotFromRandomPeer()
@@ -426,6 +485,8 @@
         if (adoptIfNewer(object))
             logEvent(log_level::info, "configuration_from_peer", { { "peer", toString(origin) }, { "version", m_routeTable->version() } });
     }
+    // Evacuations are adopted before the leafs, to which they apply.
+    m_evacuationLink.adopt(snapshot->evacuations, origin);
     std::vector<zinnialedge::fleet::store_object> leafs;
     leafs.reserve(snapshot->leafs.objects.size());
     for (auto const& [name, object] : snapshot->leafs.objects)
@@ -446,6 +507,7 @@
         m_membershipLink.setSeeds(settings.seeds);
         m_storeBudget.setRates(settings.storeRates, std::chrono::steady_clock::now());
         sendToTraffic(traffic::extra_calls_changed { settings.extraCalls });
+        sendToTraffic(traffic::quota_tolerance_changed { settings.quotaTolerance });
     });
 }
 
@@ -478,6 +540,12 @@
         boost::json::array members;
         for (auto const& [name, member] : m_membershipLink.engine().members().members())
             members.push_back({ { "name", name }, { "status", membership::toString(member.status) }, { "reaches_leafs", member.reachesLeafs }, { "strength", member.strength.value_or(0) }, { "callers", toString(member.record.callerEndpoint) } });
+        std::uint64_t storeCalls = m_registrationLink.callCount() + m_storeProbe.callCount();
+        for (auto const* const link : storeLinks())
+            storeCalls += link->counters().callCount;
+        boost::json::array evacuations;
+        for (auto const& each : m_evacuationLink.dataCentres())
+            evacuations.emplace_back(each);
         boost::json::object const state {
             { "serving", m_isServing },
             { "leaving", m_isLeaving },
@@ -486,7 +554,8 @@
             { "leafs", m_leafRegistrations.size() },
             { "store_reached", m_routeLink.mirror().isConnected() && m_leafLink.mirror().isConnected() },
             { "store_era", m_storeEra },
-            { "store_calls", m_routeLink.counters().callCount + m_leafLink.counters().callCount + m_daemonLink.counters().callCount + m_registrationLink.callCount() + m_storeProbe.callCount() },
+            { "evacuations", std::move(evacuations) },
+            { "store_calls", storeCalls },
             { "store_reads_paid", m_storeBudget.reads().taken() },
             { "store_writes_paid", m_storeBudget.writes().taken() },
             { "store_calls_put_off", m_storeBudget.reads().refused() + m_storeBudget.writes().refused() },
@@ -502,9 +571,9 @@
         kernel::metrics_text metrics;
         std::vector<std::pair<std::string_view, std::uint64_t>> calls;
         std::vector<std::pair<std::string_view, std::uint64_t>> failures;
-        for (auto const& [kind, link] : { std::pair { object_kind::routes, &m_routeLink }, std::pair { object_kind::leafs, &m_leafLink }, std::pair { object_kind::daemons, &m_daemonLink } }) {
-            calls.emplace_back(objectKindName(kind), link->counters().callCount);
-            failures.emplace_back(objectKindName(kind), link->counters().failureCount);
+        for (auto const* const link : storeLinks()) {
+            calls.emplace_back(objectKindName(link->kind()), link->counters().callCount);
+            failures.emplace_back(objectKindName(link->kind()), link->counters().failureCount);
         }
         metrics.counter("store_calls_total", "kind", calls);
         metrics.counter("store_call_failures_total", "kind", failures);
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -92,6 +92,16 @@
     logEvent(level, events.at(static_cast<std::size_t>(report.state)), { { "leafs", leafCount }, { "silent", report.evidence.silentLeafs }, { "failed", report.evidence.failedLeafs }, { "since_reply_ms", toMilliseconds(report.evidence.sinceLastReply) }, { "requests_detoured", report.detouredRequestCount } });
 }
 
+void request_log::logEvacuation(forwarding::evacuation_report const& report)
+{
+    logEvent(log_level::warn, report.hasBegun ? "evacuation_began" : "evacuation_ended", { { "data_centre", report.dataCentre }, { "leafs", report.leafCount }, { "calls_in_flight", report.callsInFlight }, { "evacuated_data_centres", report.evacuatedDataCentreCount } });
+}
+
+void request_log::logQuotas(forwarding::quota_report const& report)
+{
+    logEvent(report.isInformed ? log_level::info : log_level::warn, report.isInformed ? "quotas_informed" : "quotas_uninformed", { { "members", report.memberCount }, { "silent", report.silentMemberCount } });
+}
+
 void request_log::logLeafLimit(std::string const& leafId, std::string_view event, forwarding::leaf_rate_limit const& limit)
 {
     if (!tryCountLine(m_callLineCount, callLinesPerSecond))
@@ -100,4 +110,11 @@
     logEvent(log_level::info, event, { { "leaf", leafId }, { "limit", limit.requestsPerSecond() }, { "age_ms", toMilliseconds(age) }, { "first_calls", limit.calls().first }, { "extra_calls", limit.calls().extra }, { "relayed_calls", limit.calls().relayed } });
 }
 
+void request_log::logLeafPhase(forwarding::leaf_phase_report const& report)
+{
+    static constexpr std::array events { "leaf_cold", "leaf_warm", "leaf_start", "leaf_start_ended" };
+    if (tryCountLine(m_callLineCount, callLinesPerSecond))
+        logEvent(log_level::info, events.at(static_cast<std::size_t>(report.event)), { { "leaf", report.leafId }, { "warmup_left_ms", toMilliseconds(report.warmupLeft) }, { "start_age_ms", toMilliseconds(report.sinceStart) }, { "calls", report.callsInFlight } });
+}
+
 }
--- a/Tests/Support/engine_harness.cpp
+++ b/Tests/Support/engine_harness.cpp
@@ -82,6 +82,7 @@
     engine_hooks hooks;
     hooks.sendCall = [this](leaf_call const& call) {
         if (call.isProbe) {
+            m_probes.push_back(call);
             m_openProbes.push_back(call.number);
             if (m_areProbesConnected)
                 m_connectedProbes.push_back(call.number);
@@ -97,6 +98,7 @@
         else
             m_cancelledCalls.push_back(number);
     };
+    hooks.shareUsage = [this](std::vector<allowances::addressed_report> const& reports) { m_usageReports.insert(m_usageReports.end(), reports.begin(), reports.end()); };
     hooks.sendAnswer = [this](request_token token, final_answer answer) { m_answers[token] = std::move(answer); };
     return hooks;
 }
--- a/Tests/Support/engine_harness.h
+++ b/Tests/Support/engine_harness.h
@@ -54,7 +54,11 @@
 
     /// Returns the open calls to a service, or to all services when the name is empty, oldest first.
     std::vector<forwarding::leaf_call> openCalls(std::string const& service = {}) const;
+    /// Returns all probes that were sent, oldest first.
+    std::vector<forwarding::leaf_call> const& probes() const { return m_probes; }
     std::vector<forwarding::call_number> const& cancelled() const { return m_cancelledCalls; }
+    /// Reports for other daemons of requests that count towards quotas, oldest first.
+    std::vector<allowances::addressed_report> const& usageReports() const { return m_usageReports; }
     forwarding::final_answer const* answerOf(forwarding::request_token) const;
 
 private:
@@ -66,6 +70,7 @@
     kernel::time_point m_now { std::chrono::hours { 1 } };
     std::map<forwarding::call_number, forwarding::leaf_call> m_openCalls;
     std::vector<forwarding::call_number> m_cancelledCalls;
+    std::vector<forwarding::leaf_call> m_probes;
     std::vector<forwarding::call_number> m_openProbes;
     std::vector<forwarding::call_number> m_connectedProbes;
     std::vector<forwarding::call_number> m_failedProbes;
@@ -73,6 +78,7 @@
     bool m_areProbesConnected { false };
     bool m_areCallsConnected { true };
     std::map<forwarding::request_token, forwarding::final_answer> m_answers;
+    std::vector<allowances::addressed_report> m_usageReports;
     forwarding::request_token m_lastToken { 0 };
 
 public:
--- a/Tests/Unit/edge_settings_test.cpp
+++ b/Tests/Unit/edge_settings_test.cpp
@@ -1,5 +1,9 @@
 #include "Libraries/zinnialedge/configuration/edge_settings.h"
+#include "Libraries/zinnialedge/configuration/json_reader.h"
 #include "Libraries/zinnialedge/configuration/settings_watch.h"
+// Before the test framework, whose macro replaces operator new.
+#include <regex>
+
 #include <CppUTest/TestHarness.h>
 #include <filesystem>
 #include <fstream>
@@ -54,6 +58,48 @@
         CHECK_TEXT(joinedProblems.find(field) != std::string::npos, field);
 }
 
+TEST(EdgeSettings, TolerancesOfColdLeafsAndTheScopeOfThePaceAreOptional)
+{
+    static std::string const required = R"({ "name": "n", "region": "r", "data_centre": "z", "callers": "10.0.0.1:80", "readiness": "10.0.0.1:81", "directory": "10.0.0.1:82", "peers": "10.0.0.1:83", "relays": "10.0.0.1:84", "operators": "10.0.0.1:85", "store": "10.0.0.2:80", "seeds": [], "extra_calls": { "ratio": 0.1, "window_s": 10, "slack": 50 }, "store_rates": { "reads_per_s": 10, "writes_per_s": 10 }, "stop_time_s": 6)";
+    auto const without = configuration::parseEdgeSettings(required + " }");
+    CHECK(without && without->leafPace == pacing::pace_scope::declared && without->coldLeafs == (allowances::cold_leaf_tolerance { 1.5, 5 }));
+    auto const with = configuration::parseEdgeSettings(required + R"(, "cold_leafs": { "overage": 2, "slack": 3 }, "leaf_pace": "never" })");
+    CHECK(with && with->leafPace == pacing::pace_scope::never && with->coldLeafs == (allowances::cold_leaf_tolerance { 2, 3 }));
+    CHECK(configuration::compareSettings(*without, *with).appliedAtNextStart == (std::vector<std::string> { "cold_leafs", "leaf_pace" }));
+    CHECK(!configuration::parseEdgeSettings(required + R"(, "cold_leafs": { "overage": 0.5, "slack": 3 } })"));
+    CHECK(!configuration::parseEdgeSettings(required + R"(, "leaf_pace": "sometimes" })"));
+}
+
+// Guards against a template that is no JSON on deployments with or without the bounds that only some have.
+TEST(EdgeSettings, TemplateIsValidWithAndWithoutOptionalBounds)
+{
+    std::ifstream file { std::string { TESTS_FOLDER } + "/../platform/settings.template" };
+    std::string text { std::istreambuf_iterator<char> { file }, {} };
+    text = std::regex_replace(text, std::regex { "\\{\\{#seeds\\}\\}.*\\{\\{/seeds\\}\\}" }, "\"10.0.0.1:1\"");
+    for (bool const hasBounds : { true, false }) {
+        auto filled = std::regex_replace(text, std::regex { hasBounds ? "\\{\\{[#/]bounds\\.[a-z_]*\\}\\}" : "\\{\\{#bounds\\.[^\n]*\\{\\{/bounds\\.[a-z_]*\\}\\}" }, "");
+        filled = std::regex_replace(filled, std::regex { "\\{\\{[^}]*\\|json\\}\\}" }, "1");
+        std::vector<std::string> problems;
+        auto const value = configuration::parseJson(filled, problems);
+        CHECK_TEXT(value, filled.c_str());
+        for (auto const* const name : { "quotas", "evacuations", "cold_leafs" })
+            CHECK(value->as_object().contains(name) == hasBounds);
+    }
+}
+
+// Guards against a tolerance in deployments that name none, and against one that a running daemon ignores.
+TEST(EdgeSettings, ToleranceOfQuotasIsOptional)
+{
+    std::string const text = R"({ "name": "d", "region": "r", "data_centre": "z", "callers": "10.0.0.1:80", "readiness": "10.0.0.1:81", "directory": "10.0.0.1:82", "peers": "10.0.0.1:83", "relays": "10.0.0.1:84", "operators": "10.0.0.1:85", "store": "10.0.0.1:86", "seeds": [], "extra_calls": { "ratio": 0.2, "window_s": 10, "slack": 50 }, "store_rates": { "reads_per_s": 10, "writes_per_s": 10 }, "log_level": "info", "stop_time_s": 6)";
+    auto const without = configuration::parseEdgeSettings(text + "}");
+    auto const with = configuration::parseEdgeSettings(text + R"(, "quotas": { "window_s": 5, "overage": 0.1, "slack": 20 } })");
+    CHECK(without && with);
+    CHECK(without->quotaTolerance == allowances::quota_tolerance {});
+    CHECK((with->quotaTolerance == allowances::quota_tolerance { std::chrono::seconds { 5 }, 0.1, 20 }));
+    CHECK(configuration::compareSettings(*without, *with).appliedAtOnce == (std::vector<std::string> { "quotas" }));
+    CHECK(!configuration::parseEdgeSettings(text + R"(, "quotas": { "window_s": 0, "overage": -1, "slack": 20 } })"));
+}
+
 TEST(EdgeSettings, SettingsWatchReturnsTextOnlyWhenTextChanged)
 {
     auto const path = (std::filesystem::temp_directory_path() / ("zinnialedge-watch-" + std::to_string(::getpid()))).string();
@@ -68,3 +114,38 @@
     std::filesystem::remove(path);
     CHECK(!watch.readIfChanged());
 }
+
+/// Fills in the platform's template like the platform: a section is left out when its field is missing.
+static std::string fillTemplate(bool hasEvacuations)
+{
+    std::ifstream file { std::string { TESTS_FOLDER } + "/../platform/settings.template" };
+    std::string const text { std::istreambuf_iterator<char> { file }, {} };
+    std::string filled;
+    std::size_t position = 0;
+    for (auto start = text.find("{{"); start != std::string::npos; start = text.find("{{", position)) {
+        filled += text.substr(position, start - position);
+        position = text.find("}}", start) + 2;
+        auto const field = text.substr(start + 2, position - start - 4);
+        if (field.starts_with("#") && (field != "#bounds.evacuate_ms" || !hasEvacuations))
+            position = text.find("{{/" + field.substr(1) + "}}", position);
+        else if (field == "ip")
+            filled += "10.0.0.1";
+        else if (field.starts_with("listen.") || field == "platform.address|json")
+            filled += R"("10.0.0.1:1")";
+        else if (field == "node_name|json" || field == "region|json" || field == "zone|json")
+            filled += R"("name")";
+        else if (!field.starts_with("#") && !field.starts_with("/"))
+            filled += "1";
+    }
+    return filled + text.substr(position);
+}
+
+// Guards against: the template gives invalid settings on a platform with evacuations, or on one without.
+TEST(EdgeSettings, TemplateIsValidWithAndWithoutEvacuations)
+{
+    for (bool const hasEvacuations : { false, true }) {
+        auto const settings = configuration::parseEdgeSettings(fillTemplate(hasEvacuations));
+        CHECK_TEXT(settings.has_value(), settings ? "" : settings.error().front().c_str());
+        CHECK(settings->readsEvacuations == hasEvacuations);
+    }
+}
