--- a/Tests/Soak/tenant_watch.cpp
+++ b/Tests/Soak/tenant_watch.cpp
@@ -45,7 +45,7 @@
     keys.erase(keys.begin() + static_cast<std::ptrdiff_t>(index));
 }
 
-void tenant_watch::addLasting(json::object tenant, std::string key)
+void tenant_watch::addLasting(json::object tenant, std::string const& key)
 {
     std::scoped_lock const lock { m_mutex };
     m_keys[key].tenant = std::string { tenant.at("name").as_string() };
--- a/Tests/Soak/tenant_watch.h
+++ b/Tests/Soak/tenant_watch.h
@@ -28,7 +28,7 @@
     bool areDeclared() const;
 
     /// Adds a tenant that remains, with one key.
-    void addLasting(boost::json::object tenant, std::string key);
+    void addLasting(boost::json::object tenant, std::string const& key);
     /// Chooses the headers of a request that is about to be sent, with the key if there is one.
     request_access chooseAccess(std::string const& attemptId, std::size_t daemon, bool isPublicRoute, kernel::random_hook const&, std::optional<std::string> const& key = {});
     void checkAnswer(std::string const& attemptId, int status);
