--- a/Libraries/zinnialedge/forwarding/relay_protocol.cpp
+++ b/Libraries/zinnialedge/forwarding/relay_protocol.cpp
@@ -294,7 +294,7 @@
         appendHeader(lines, limitsHeader, formatLeafLimits(answer.leafLimits));
 }
 
-edge_protocol makeRelayProtocol(decltype(edge_protocol::parseAccessHeader) parseAccessHeader)
+edge_protocol makeRelayProtocol(decltype(edge_protocol::parseAccessHeader) const& parseAccessHeader)
 {
     auto const parseAnyRequestHeader = [parseAccessHeader](std::string_view name, std::string_view value, caller_request& request) {
         return parseRequestHeader(name, value, request) && (!parseAccessHeader || parseAccessHeader(name, value, request));
