Fleet: End an evacuation at once that the returned store has shown

Change: a removal of an object without expiry that was read in the present era takes effect at once. Leafs, which lapse, are treated as before.

--- a/Libraries/zinnialedge/fleet/object_mirror.cpp
+++ b/Libraries/zinnialedge/fleet/object_mirror.cpp
@@ -99,7 +99,9 @@
     auto const removed = m_objects.find(name);
     if (removed == m_objects.end())
         return;
-    if (m_removalsDeferredUntil && now < *m_removalsDeferredUntil) {
+    // An object without expiry that the store has shown in this era was removed by its writer.
+    bool const isCertain = m_settings.adoptsCompletely && removed->second.era == m_era;
+    if (!isCertain && m_removalsDeferredUntil && now < *m_removalsDeferredUntil) {
         m_deferredRemovals.insert(name);
         return;
     }
--- a/Tests/Unit/evacuation_store_test.cpp
+++ b/Tests/Unit/evacuation_store_test.cpp
@@ -57,6 +57,18 @@
     CHECK(mirror.nextRequest(now)->isListing);
 }
 
+// Guards against: an evacuation that its writer ends soon after a return of the store stays in force for ten seconds more.
+TEST(EvacuationStore, EvacuationThatTheReturnedStoreHasShownEndsAtOnce)
+{
+    list({ make("a", 5), make("b", 6) }, 9);
+    mirror.enterEra(4, now);
+    now += 300ms;
+    list({ make("a", 2) }, 3, 4);
+    now += 1s;
+    change(make("a", 4), true, 4, 4);
+    CHECK(!isEvacuated("a") && isEvacuated("b"));
+}
+
 // Guards against: an evacuation is forgotten because the store has come back from a copy that lacks it.
 TEST(EvacuationStore, EvacuationThatTheCopyLacksStaysInForceUntilItIsWrittenAgain)
 {
