--- a/Tests/Unit/request_quotas_test.cpp
+++ b/Tests/Unit/request_quotas_test.cpp
@@ -45,7 +45,7 @@
         engine.mergeUsage(report, now());
     }
 
-    forwarding::request_token send(std::string const& tenant, std::optional<forwarding::detoured_request> detoured = std::nullopt)
+    forwarding::request_token send(std::string const& tenant, std::optional<forwarding::detoured_request> const& detoured = std::nullopt)
     {
         forwarding::caller_request request;
         request.method = "GET";
