Fleet: Let the strongest daemons of a data centre carry the traffic

Cause: daemons with half of the strength of the strongest one counted as equal to it. On deployments with VMs of 0.28 to 0.32 cores and 48 Mbit/s beside VMs of 0.5 cores and 200 Mbit/s the hash put mostly weak ones into the serving group, where sending and reading a query over 135 shards takes most of an objective of 50 ms.

Change: strengths are ranked in steps of 0.75; equal ranks are ordered by the hash as before.

--- a/Libraries/zinnialedge/fleet/directory_choice.cpp
+++ b/Libraries/zinnialedge/fleet/directory_choice.cpp
@@ -15,15 +15,26 @@
 /// Maximum number of endpoints in a directory answer.
 static constexpr std::size_t maximumEndpoints = 64;
 
-/// Daemons with at least this fraction of the strength of the strongest daemon of their data centre are preferred. Nearly equal daemons
-/// stay in the order of the hash, so that a small difference between VMs does not decide.
-static constexpr double preferredStrengthFraction = 0.5;
+/// Daemons whose strength differs by less than this fraction are equal, so that a small difference between VMs does not decide. The time of
+/// a query on a VM grows with the inverse of its strength: at half of the strength, queries over many shards missed objectives of 50 ms.
+static constexpr double equalStrengthFraction = 0.75;
+/// Daemons that are weaker than this number of steps are equal.
+static constexpr int maximumStrengthRank = 16;
 
 static std::uint64_t nameHashOf(serving_daemon const& entry)
 {
     return XXH3_64bits(entry.name.data(), entry.name.size());
 }
 
+/// Returns zero for a daemon that is about as strong as the strongest one, and more for a weaker daemon.
+static int strengthRankOf(double strength, double strongest)
+{
+    int rank = 0;
+    for (auto least = strongest * equalStrengthFraction; strength < least && rank < maximumStrengthRank; least *= equalStrengthFraction)
+        ++rank;
+    return rank;
+}
+
 std::vector<serving_daemon> daemonsWithLeafs(std::vector<serving_daemon> daemons)
 {
     if (std::any_of(daemons.begin(), daemons.end(), [](auto const& each) { return each.reachesLeafs; }))
@@ -43,8 +54,7 @@
         for (auto const& member : members)
             strongest = std::max(strongest, member.strength.value_or(0));
         auto const rankOf = [&](serving_daemon const& member) {
-            bool const isWeak = areStrengthsKnown && *member.strength < preferredStrengthFraction * strongest;
-            return std::pair { isWeak, nameHashOf(member) };
+            return std::pair { areStrengthsKnown ? strengthRankOf(*member.strength, strongest) : 0, nameHashOf(member) };
         };
         std::sort(members.begin(), members.end(), [&](auto const& left, auto const& right) { return rankOf(left) < rankOf(right); });
         members.resize(std::min(members.size(), daemonsPerDataCentre));
--- a/Libraries/zinnialedge/fleet/directory_choice.h
+++ b/Libraries/zinnialedge/fleet/directory_choice.h
@@ -23,10 +23,10 @@
 /// Returns the daemons that reach leafs, or all of them when none does: a list without any daemon would leave callers nowhere to go.
 std::vector<serving_daemon> daemonsWithLeafs(std::vector<serving_daemon>);
 
-/// Returns the daemons that carry the traffic: a few in each data centre, and there those that are much weaker than the strongest
-/// one only if the others do not suffice. If the strength of any daemon is unknown, strengths are ignored, as daemons of earlier
-/// versions do. The result depends only on the set of daemons, so all daemons that know the same set compute the same group. A small group keeps its connections to leafs in use and has more
-/// information about the leafs' queues.
+/// Returns the daemons that carry the traffic: the strongest few of each data centre, equally strong ones by the hash of their names. If
+/// the strength of any daemon is unknown, strengths are ignored, as daemons of earlier versions do. The result depends only on the set
+/// of daemons, so all daemons that know the same set compute the same group. A small group keeps its connections to leafs in use and
+/// has more information about the leafs' queues.
 std::vector<serving_daemon> chooseServingGroup(std::vector<serving_daemon> const&);
 
 /// Returns the endpoints for a caller in the given data centre: the group's endpoints in that data centre, or those of the
--- a/Tests/Unit/directory_choice_test.cpp
+++ b/Tests/Unit/directory_choice_test.cpp
@@ -111,6 +111,37 @@
     CHECK(std::any_of(group.begin(), group.end(), [](auto const& each) { return each.name == "b5"; }));
 }
 
+// Load: queries over many shards whose objective is a few times the processor time that they take on a weak VM.
+// Guards against: VMs of 0.28 to 0.33 cores carry queries that the VMs of 0.5 cores beside them answer in time.
+TEST(DirectoryChoice, StrongestDaemonsServeAndTheNextStrongestReplaceThem)
+{
+    auto daemons = makeDaemons(8);
+    for (auto& each : daemons)
+        each.strength = 0.12;
+    auto const setStrength = [&](std::string const& name, double strength) {
+        std::find_if(daemons.begin(), daemons.end(), [&](auto const& each) { return each.name == name; })->strength = strength;
+    };
+    auto const namesIn = [&](std::string const& dataCentre) {
+        std::vector<std::string> names;
+        for (auto const& each : fleet::chooseServingGroup(daemons)) {
+            if (each.dataCentre == dataCentre)
+                names.push_back(each.name);
+        }
+        std::sort(names.begin(), names.end());
+        return names;
+    };
+    for (auto const* const name : { "a1", "a3", "a4", "a6" })
+        setStrength(name, 0.31);
+    setStrength("a2", 0.5);
+    setStrength("a5", 0.45);
+    CHECK(namesIn("a") == (std::vector<std::string> { "a2", "a5" }));
+    std::erase_if(daemons, [](auto const& each) { return each.name == "a2"; });
+    auto const names = namesIn("a");
+    LONGS_EQUAL(2, names.size());
+    CHECK(std::find(names.begin(), names.end(), "a5") != names.end());
+    CHECK(std::none_of(names.begin(), names.end(), [](auto const& name) { return name == "a0" || name == "a7"; }));
+}
+
 // Guards against: builds that know strengths and builds that do not choose different groups while VMs are replaced.
 TEST(DirectoryChoice, OneUnknownStrengthMakesAllStrengthsIgnored)
 {
