--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -54,9 +54,10 @@
         if (auto const era = m_protocol.parseEra(reply))
             handleStoreEra(*era); })
     , m_registrationLink(m_workerThread.context(), m_settings.storeEndpoint, m_protocol, m_storeBudget, [this](std::uint64_t era) { handleStoreEra(era); })
-    , m_membershipLink(m_workerThread.context(), { .self = makeDaemonRecord(), .strength = m_settings.strength, .seeds = m_settings.seeds }, { [this] { handleMembersChanged(); }, [this](model::endpoint const& endpoint) { requestSnapshot(endpoint); }, [this](std::vector<quarantine::suspect> const& suspects) { sendToTraffic(traffic::suspects_told { suspects }); }, [this](allowances::usage_report const& report) { sendToTraffic(traffic::usage_told { report }); } })
+    , m_membershipLink(m_workerThread.context(), { .self = makeDaemonRecord(), .strength = m_settings.strength, .seeds = m_settings.seeds }, { [this] { handleMembersChanged(); }, [this](model::endpoint const& endpoint) { handleDifference(endpoint); }, [this](std::vector<quarantine::suspect> const& suspects) { sendToTraffic(traffic::suspects_told { suspects }); }, [this](allowances::usage_report const& report) { sendToTraffic(traffic::usage_told { report }); } })
     , m_readerLink(m_workerThread.context(), { m_settings.name, m_settings.dataCentre, m_settings.peerEndpoint, m_settings.seeds }, { [this] { return makePoll(); }, [this](poll_answer const& answer, model::endpoint const& origin) { handlePollAnswer(answer, origin); }, [this](bool readsStore) { handleReadingChanged(readsStore); } })
     , m_pollServer(m_workerThread.context(), { [this] { return currentSnapshotState(); }, [this](zinnialedge::fleet::snapshot_selection const& selection) { return formatPollAnswer(selection); } })
+    , m_differenceTimer(m_workerThread.context())
     , m_storeLossTimer(m_workerThread.context())
     , m_periodicTimer(m_workerThread.context())
     , m_random(kernel::makeRandom())
@@ -213,13 +214,17 @@
 
 void fleet_service::shareDigest()
 {
-    m_membershipLink.step(membership::configuration_changed { zinnialedge::fleet::digestOf(m_routeTable ? m_routeTable->version() : 0, m_evacuationLink.dataCentres()) });
+    auto const digest = zinnialedge::fleet::digestOf(m_routeTable ? m_routeTable->version() : 0, m_evacuationLink.dataCentres());
+    if (std::exchange(m_digest, digest) != digest)
+        m_differences.recordOwnChange();
+    m_membershipLink.step(membership::configuration_changed { digest });
 }
 
 void fleet_service::handleEvacuationsChanged()
 {
     sendToTraffic(traffic::evacuations_changed { m_evacuationLink.dataCentres() });
     shareDigest();
+    m_pollServer.answerDuePolls();
     sendLeafsToTraffic();
 }
 
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -2,6 +2,7 @@
 
 #include "Kernel/service_registry.h"
 #include "Kernel/worker_thread.h"
+#include "Libraries/zinnialedge/fleet/difference_exchange.h"
 #include "Libraries/zinnialedge/fleet/directory_choice.h"
 #include "Libraries/zinnialedge/fleet/lost_daemons.h"
 #include "Libraries/zinnialedge/fleet/store_budget.h"
@@ -112,6 +113,12 @@
     void answerSnapshotRequest(wire::http_request const&, wire::http_responder const&);
     void requestSnapshotFromRandomPeer();
     void requestSnapshot(model::endpoint const&);
+    /// Notes that another daemon knows another configuration or other evacuations.
+    void handleDifference(model::endpoint const&);
+    /// Asks another daemon for the configuration and the evacuations, when that is due.
+    void requestDueDifference();
+    void requestDifference(model::endpoint const&);
+    bool isInThisDataCentre(model::endpoint const& peer) const;
     void adoptSnapshot(std::string const& body, model::endpoint const& origin);
     void adoptConfiguration(object_snapshot const&, model::endpoint const& origin);
 
@@ -145,6 +152,9 @@
     /// Daemon in whose history the generations of the parts count; zero for none.
     std::uint64_t m_origin { 0 };
     std::map<std::string, std::uint64_t> m_knownGenerations;
+    zinnialedge::fleet::difference_exchange m_differences;
+    boost::asio::steady_timer m_differenceTimer;
+    std::uint64_t m_digest { 0 };
     boost::asio::steady_timer m_storeLossTimer;
     std::unique_ptr<wire::http_server> m_directoryServer;
     std::unique_ptr<wire::http_server> m_readinessServer;
--- a/Services/fleet/fleet_snapshots.cpp
+++ b/Services/fleet/fleet_snapshots.cpp
@@ -14,9 +14,12 @@
 static constexpr std::chrono::milliseconds snapshotTimeout { 1000 };
 /// Time for which a reader that has lost the store does not say so. The first retry after a lost connection takes less.
 static constexpr std::chrono::milliseconds storeLossGrace { 300 };
+/// One in this many requests goes to any data centre, since all daemons of this one may have lost the store.
+static constexpr std::uint64_t localRequestShare = 4;
 static constexpr int statusOk = 200;
 static constexpr int statusNoContent = 204;
 static constexpr char const* leafsPart = "leafs";
+static constexpr char const* evacuationsPart = "evacuations";
 
 // Snapshots between daemons.
 
@@ -48,6 +51,9 @@
     if (endpoints.empty())
         endpoints = m_settings.seeds;
     std::erase(endpoints, m_settings.peerEndpoint);
+    // Traffic between data centres is charged.
+    if (std::any_of(endpoints.begin(), endpoints.end(), [this](auto const& each) { return isInThisDataCentre(each); }) && m_random() % localRequestShare != 0)
+        std::erase_if(endpoints, [this](auto const& each) { return !isInThisDataCentre(each); });
     if (!endpoints.empty())
         requestSnapshot(endpoints[m_random() % endpoints.size()]);
 }
@@ -67,6 +73,60 @@
     });
 }
 
+bool fleet_service::isInThisDataCentre(model::endpoint const& peer) const
+{
+    auto const& members = m_membershipLink.engine().members().members();
+    return std::any_of(members.begin(), members.end(), [&](auto const& each) { return each.second.record.peerEndpoint == peer && each.second.record.dataCentre == m_settings.dataCentre; });
+}
+
+// Differences of the configuration and the evacuations.
+
+void fleet_service::handleDifference(model::endpoint const& endpoint)
+{
+    bool const hasOwnSource = (isStoreConnected() && m_evacuationLink.isConnected()) || (m_readerLink.hasReader() && m_evacuationLink.isConnected());
+    m_differences.recordDifference(endpoint, isInThisDataCentre(endpoint), hasOwnSource, std::chrono::steady_clock::now());
+    requestDueDifference();
+}
+
+void fleet_service::requestDueDifference()
+{
+    if (auto const endpoint = m_differences.takeDueRequest(std::chrono::steady_clock::now()))
+        requestDifference(*endpoint);
+    auto const dueAt = m_differences.dueTime();
+    if (!dueAt)
+        return;
+    m_differenceTimer.expires_at(*dueAt);
+    m_differenceTimer.async_wait([this](boost::system::error_code failure) {
+        if (!failure)
+            requestDueDifference();
+    });
+}
+
+void fleet_service::requestDifference(model::endpoint const& endpoint)
+{
+    zinnialedge::fleet::snapshot_poll poll { .configurationVersion = m_routeTable ? m_routeTable->version() : 0, .storeEra = m_storeEra };
+    if (auto const known = m_evacuationLink.snapshot())
+        poll.parts[evacuationsPart] = { known->position, 0 };
+    else if (m_settings.readsEvacuations)
+        poll.parts[evacuationsPart] = {};
+    auto const client = std::make_shared<wire::http_client>(m_workerThread.context(), endpoint);
+    client->connectAndSend({ "GET", formatPoll(poll), {}, {}, 0 }, snapshotTimeout, [this, client, endpoint](wire::http_result const& result) {
+        if (!result || result->status != statusOk)
+            return;
+        auto const answer = parseAnswer(result->body);
+        // A daemon of an earlier version answers with a complete snapshot.
+        if (!answer || !answer->state.holdsPolls) {
+            adoptSnapshot(result->body, endpoint);
+            return;
+        }
+        if (answer->routes)
+            adoptConfiguration(*answer->routes, endpoint);
+        if (auto const told = answer->parts.find(evacuationsPart); told != answer->parts.end())
+            m_evacuationLink.adopt(object_snapshot { told->second.position.position, told->second.changes.objects }, endpoint);
+        startServingWhenReady();
+    });
+}
+
 void fleet_service::adoptSnapshot(std::string const& body, model::endpoint const& origin)
 {
     auto const snapshot = parseSnapshot(body);
@@ -179,6 +239,8 @@
     };
     if (m_leafLink.mirror().hasCompletedListing())
         state.parts[leafsPart] = { m_leafLink.mirror().position(), m_leafHistory.generation() };
+    if (auto const known = m_evacuationLink.snapshot())
+        state.parts[evacuationsPart] = { known->position, 0 };
     return state;
 }
 
@@ -190,6 +252,10 @@
         answer.routes = object_snapshot { m_configurationInForce->position(), { { m_configurationInForce->name, *m_configurationInForce } } };
     if (auto const leafs = selection.parts.find(leafsPart); leafs != selection.parts.end())
         answer.parts[leafsPart] = { state.parts.at(leafsPart), m_leafHistory.changesSince(leafs->second.value_or(0), m_leafLink.mirror().objects()), m_leafLink.mirror().isSettled() };
+    if (selection.parts.contains(evacuationsPart)) {
+        if (auto const known = m_evacuationLink.snapshot())
+            answer.parts[evacuationsPart] = { state.parts.at(evacuationsPart), { true, known->objects, {} }, true };
+    }
     return formatAnswer(answer);
 }
 
