Fleet: Read the store with two daemons of each data centre of four and more

Each call to the store has a price, and with up to 16 daemons in a data centre all of them listed and watched it. Now all read only with up to three daemons; with more, the two of the serving group read and the others subscribe to them.

The unit test of small data centres now checks 3, 4 and 1 daemons in place of 16, 17 and 1; it asserts the same. EdgeStoreReaders, EdgeFleet, EdgeStoreReturn and EdgeEvacuation pass (28 tests).

--- a/Libraries/zinnialedge/fleet/store_roles.h
+++ b/Libraries/zinnialedge/fleet/store_roles.h
@@ -8,9 +8,9 @@
 
 namespace zinnialedge::fleet {
 
-/// Number of live daemons in a data centre up to which each of them reads the store. Up to here, the calls that subscribers would
-/// save are few, and a deployment of this size is served as before.
-inline constexpr std::size_t maximumReadersPerDataCentre = 16;
+/// Number of live daemons in a data centre up to which each of them reads the store. Each call to the store has a price. Up to here, two
+/// readers and their subscribers would save too few calls for the longer way of a change.
+inline constexpr std::size_t maximumReadersPerDataCentre = 3;
 
 /// Time for which a reader may hold a poll without news.
 inline constexpr std::chrono::milliseconds pollHoldTime { 1000 };
