Traffic: Divide the service by subject

The class of the event loop's side is declared in traffic_implementation.h; its functions are moved unchanged to sources for connections, calls and timers, hooks, and state and metrics.

--- /dev/null
+++ b/Services/traffic/traffic_connections.cpp
@@ -0,0 +1,147 @@
+// Connections of callers and of daemons that relay calls: accepting, requests, answers, draining.
+
+#include "Services/traffic/traffic_implementation.h"
+
+#include "Kernel/event_log.h"
+#include "Libraries/zinnialedge/wire/tcp_listener.h"
+
+namespace zinnialedge::services::traffic {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using forwarding::request_token;
+using kernel::log_level;
+using kernel::logEvent;
+
+/// Delay before the next accept after a failed accept.
+static constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
+/// Time in which the first request of a new connection arrives.
+static constexpr std::chrono::milliseconds firstRequestTime { 100 };
+/// Longer than the keep-alive timeout that the relay protocol announces.
+static constexpr std::chrono::milliseconds relayIdleTimeout { 60'000 };
+
+errors::error_or<void> traffic_service::implementation::listen()
+{
+    if (auto opened = wire::startListening(m_callerAcceptor, m_settings.callers); !opened)
+        return opened;
+    if (auto opened = wire::startListening(m_relayAcceptor, m_settings.relays); !opened)
+        return opened;
+    acceptNext(m_callerAcceptor, m_edgeProtocol);
+    acceptNext(m_relayAcceptor, m_relayProtocol);
+    scheduleSweep();
+    return {};
+}
+
+std::size_t traffic_service::implementation::drainConnections()
+{
+    stopAccepting(m_callerAcceptor, m_edgeProtocol);
+    stopAccepting(m_relayAcceptor, m_relayProtocol);
+    auto const at = now();
+    std::size_t remaining = 0;
+    for (auto const& each : callerConnections()) {
+        each->closeIfIdle(firstRequestTime, at);
+        remaining += each->isDrained() ? 0 : 1;
+    }
+    return remaining;
+}
+
+void traffic_service::implementation::acceptNext(tcp::acceptor& acceptor, forwarding::edge_protocol const& protocol)
+{
+    acceptor.async_accept([this, &acceptor, &protocol](boost::system::error_code failure, tcp::socket accepted) {
+        if (failure == asio::error::operation_aborted)
+            return;
+        if (failure) {
+            // The process is out of file descriptors, for example; open connections will release theirs.
+            logEvent(log_level::warn, "accept_failed", { { "reason", failure.message() } });
+            auto const pause = std::make_shared<asio::steady_timer>(m_context, acceptRetryDelay);
+            pause->async_wait([this, pause, &acceptor, &protocol](boost::system::error_code) { acceptNext(acceptor, protocol); });
+            return;
+        }
+        addConnection(std::move(accepted), protocol);
+        acceptNext(acceptor, protocol);
+    });
+}
+
+void traffic_service::implementation::stopAccepting(tcp::acceptor& acceptor, forwarding::edge_protocol const& protocol)
+{
+    boost::system::error_code failure;
+    if (!acceptor.is_open())
+        return;
+    acceptor.non_blocking(true, failure);
+    while (!failure) {
+        tcp::socket accepted { m_context };
+        acceptor.accept(accepted, failure);
+        if (!failure)
+            addConnection(std::move(accepted), protocol);
+    }
+    acceptor.close(failure);
+}
+
+std::vector<std::shared_ptr<caller_connection>> traffic_service::implementation::callerConnections() const
+{
+    std::vector<std::shared_ptr<caller_connection>> connections;
+    connections.reserve(m_callerConnections.size());
+    for (auto const& [pointer, each] : m_callerConnections)
+        connections.push_back(each);
+    return connections;
+}
+
+forwarding::caller_limits traffic_service::implementation::relayLimits(forwarding::caller_limits limits)
+{
+    limits.headerBytes *= 2;
+    limits.idleTimeout = relayIdleTimeout;
+    return limits;
+}
+
+void traffic_service::implementation::addConnection(tcp::socket accepted, forwarding::edge_protocol const& protocol)
+{
+    if (m_callerConnections.size() >= m_settings.maximumCallerConnections) {
+        logEvent(log_level::warn, "caller_connection_refused", { { "open", m_callerConnections.size() } });
+        return;
+    }
+    boost::system::error_code ignored;
+    accepted.set_option(tcp::no_delay(true), ignored);
+    accepted.non_blocking(true, ignored);
+    caller_connection_hooks hooks;
+    hooks.protocol = &protocol;
+    hooks.limits = [this, isRelay = &protocol == &m_relayProtocol] {
+        auto const limits = m_engine.routes() ? m_engine.routes()->limits() : forwarding::caller_limits {};
+        return isRelay ? relayLimits(limits) : limits;
+    };
+    hooks.requestReceived = [this](std::shared_ptr<caller_connection> const& origin, forwarding::caller_request request) { handleRequest(origin, std::move(request)); };
+    hooks.callerDisconnected = [this](request_token token) {
+        m_connectionsByRequest.erase(token);
+        m_requestsInFlight = m_connectionsByRequest.size();
+        m_engine.handleCallerDisconnect(token, now());
+        armTimer();
+    };
+    hooks.connectionClosed = [this](caller_connection* closed) { m_callerConnections.erase(closed); };
+    hooks.isLeaving = [this] { return m_isLeaving; };
+    hooks.requestRejected = [](errors::error const& error) { logEvent(log_level::info, "request_rejected", { { "reason", errors::propertiesOf(error.kind).name } }); };
+    auto const created = std::make_shared<caller_connection>(std::move(accepted), std::move(hooks));
+    m_callerConnections[created.get()] = created;
+    created->start();
+}
+
+void traffic_service::implementation::handleRequest(std::shared_ptr<caller_connection> const& origin, forwarding::caller_request request)
+{
+    auto const token = ++m_lastRequestToken;
+    origin->setRequestToken(token);
+    m_connectionsByRequest[token] = origin;
+    m_requestsInFlight = m_connectionsByRequest.size();
+    m_engine.handleRequest(token, std::move(request), now());
+    armTimer();
+}
+
+void traffic_service::implementation::deliverAnswer(request_token token, forwarding::final_answer const& answer)
+{
+    auto const found = m_connectionsByRequest.find(token);
+    if (found == m_connectionsByRequest.end())
+        return;
+    auto const origin = found->second;
+    m_connectionsByRequest.erase(found);
+    origin->sendAnswer(answer);
+    m_requestsInFlight = m_connectionsByRequest.size();
+}
+
+}
--- /dev/null
+++ b/Services/traffic/traffic_implementation.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "Libraries/zinnialedge/forwarding/relay_protocol.h"
+#include "Services/callers/latency_metrics.h"
+#include "Services/traffic/caller_connection.h"
+#include "Services/traffic/leaf_pools.h"
+#include "Services/traffic/request_log.h"
+#include "Services/traffic/traffic_service.h"
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+
+namespace zinnialedge::services::traffic {
+
+/// Time within which a reply counts as recent in the metrics and in the log.
+inline constexpr std::chrono::seconds recentReplyTime { 1 };
+
+/// The event loop's side of the traffic service. Its sources are traffic_service.cpp (events and timers) and traffic_*.cpp.
+class traffic_service::implementation {
+public:
+    implementation(boost::asio::io_context& context, traffic_settings settings, forwarding::edge_protocol protocol, kernel::random_hook random, std::atomic<std::size_t>& inFlight)
+        : m_context(context)
+        , m_settings(std::move(settings))
+        , m_edgeProtocol(std::move(protocol))
+        , m_requestsInFlight(inFlight)
+        , m_relayProtocol(forwarding::makeRelayProtocol(m_edgeProtocol.parseAccessHeader))
+        , m_callerAcceptor(context)
+        , m_relayAcceptor(context)
+        , m_engineTimer(context)
+        , m_sweepTimer(context)
+        , m_leafConnections(context, m_edgeProtocol, makeLeafPoolHooks(), m_settings.leafCallSource)
+        , m_relayConnections(context, m_relayProtocol, { .handleCallEnd = [this](forwarding::call_number number, forwarding::call_result result) { endCall(number, std::move(result)); } })
+        , m_requestLog(kernel::makeSteadyClock())
+        , m_engine(m_settings.engine, makeHooks(), std::move(random), now())
+    {
+    }
+
+    errors::error_or<void> listen();
+
+    std::uint16_t port() const
+    {
+        boost::system::error_code ignored;
+        return m_callerAcceptor.local_endpoint(ignored).port();
+    }
+
+    void setSuspectsReceiver(std::function<void(std::vector<quarantine::suspect>)> receiver) { m_suspectsReceiver = std::move(receiver); }
+    void setUsageReceiver(std::function<void(std::vector<allowances::addressed_report>)> receiver) { m_usageReceiver = std::move(receiver); }
+    void setLeafReachReceiver(std::function<void(bool)> receiver) { m_leafReachReceiver = std::move(receiver); }
+
+    void handleEvent(traffic_event&& event);
+    std::size_t drainConnections();
+    std::string describeState() const;
+    std::string describeMetrics() const;
+
+private:
+    static kernel::time_point now() { return std::chrono::steady_clock::now(); }
+
+    forwarding::engine_hooks makeHooks();
+    leaf_pool_hooks makeLeafPoolHooks();
+    void acceptNext(boost::asio::ip::tcp::acceptor& acceptor, forwarding::edge_protocol const& protocol);
+    /// Accepts the connections that callers have already opened, and closes the acceptor.
+    void stopAccepting(boost::asio::ip::tcp::acceptor& acceptor, forwarding::edge_protocol const& protocol);
+    std::vector<std::shared_ptr<caller_connection>> callerConnections() const;
+    /// Peers relay requests within the callers' limits, plus the headers of the relay protocol.
+    static forwarding::caller_limits relayLimits(forwarding::caller_limits limits);
+    void addConnection(boost::asio::ip::tcp::socket accepted, forwarding::edge_protocol const& protocol);
+    void handleRequest(std::shared_ptr<caller_connection> const& origin, forwarding::caller_request request);
+    void deliverAnswer(forwarding::request_token token, forwarding::final_answer const& answer);
+    void sendCall(forwarding::leaf_call const& call);
+    std::uint32_t relayPoolKey(model::endpoint const& endpoint);
+    void endCall(forwarding::call_number number, forwarding::call_result result);
+    void armTimer();
+    void scheduleSweep();
+
+    void apply(forwarding::route_table_pointer&& routes);
+    void apply(leafs_changed&& changed);
+    void apply(evacuations_changed&& changed);
+    void apply(fleet_share_changed&& changed);
+    void apply(extra_calls_changed&& changed);
+    void apply(suspects_told&& told);
+    void apply(quota_tolerance_changed&& changed);
+    void apply(usage_told&& told);
+    void apply(leaving_started&&);
+
+    boost::asio::io_context& m_context;
+    traffic_settings m_settings;
+    forwarding::edge_protocol m_edgeProtocol;
+    std::atomic<std::size_t>& m_requestsInFlight;
+    /// Header protocol of calls between daemons.
+    forwarding::edge_protocol m_relayProtocol;
+    boost::asio::ip::tcp::acceptor m_callerAcceptor;
+    boost::asio::ip::tcp::acceptor m_relayAcceptor;
+    boost::asio::steady_timer m_engineTimer;
+    boost::asio::steady_timer m_sweepTimer;
+    std::unordered_map<caller_connection*, std::shared_ptr<caller_connection>> m_callerConnections;
+    std::unordered_map<forwarding::request_token, std::shared_ptr<caller_connection>> m_connectionsByRequest;
+    std::optional<kernel::time_point> m_engineTimerDue;
+    forwarding::request_token m_lastRequestToken { 0 };
+    bool m_isLeaving { false };
+    leaf_connection_pools m_leafConnections;
+    leaf_connection_pools m_relayConnections;
+    std::map<model::endpoint, std::uint32_t> m_relayPoolKeys;
+    request_log m_requestLog;
+    callers::latency_metrics m_latencies;
+    std::function<void(std::vector<quarantine::suspect>)> m_suspectsReceiver;
+    std::function<void(bool)> m_leafReachReceiver;
+    std::function<void(std::vector<allowances::addressed_report>)> m_usageReceiver;
+    forwarding::request_engine m_engine;
+};
+
+}
