Edge: Let directory answers be valid for two seconds

Cause: callers send about one request a second each, and a directory answer was valid for one second, so that nearly every request waited for a lookup of its own: two round trips of 6 ms beside an objective of 60 ms.

Change: two seconds. A daemon that stops is still found by most callers within its stop time; those that keep an answer three times as long may meet a closed port for 1.6 s and go to another address.

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -20,7 +20,9 @@
 using services::traffic::traffic_service;
 
 static constexpr std::chrono::milliseconds idleCheckInterval { 20 };
-static constexpr std::chrono::milliseconds directoryValidity { 1000 };
+/// A caller that sends about one request a second would otherwise look up the directory for nearly each of them, and the lookup is a part of
+/// the time that its request takes. Longer, callers would go on for too long to daemons that are lost or stop.
+static constexpr std::chrono::milliseconds directoryValidity { 2000 };
 /// Some callers use a directory answer for three times its validity.
 static constexpr int callerValidityFactor = 3;
 /// Time for requests that were sent on a directory answer just before that answer expired.
