Quarantine: Refute losses by probes of the leafs that were lost

A reply refuted a loss for one second only, no request could bring a reply while all were rejected, and the loss of a trial 0.5 s before the end of the faults raised the wait to 64 s.

One daemon for each quarantined request probes the leafs that were lost under it, every 500 ms while they are registered. A leaf that goes on replying for 3 s under the same registration has not ended, so that its loss does not count, however old it is. A trial without an answer counts as a loss of its leaf until that leaf replies, in place of a step that only a success takes back. A trial that reached no leaf delays the next one by 2 to 4 s only.

SuspectRequest.InnocentRequestIsServedWithinEightSecondsOfTheFaults and three tests of QuarantineTable fail without the change.

--- a/Libraries/zinnialedge/forwarding/engine_interface.h
+++ b/Libraries/zinnialedge/forwarding/engine_interface.h
@@ -208,6 +208,8 @@
     std::uint64_t quarantineTrials { 0 };
     /// Number of requests that were passed on to the daemon that tries them again.
     std::uint64_t quarantineTrialsPassedOn { 0 };
+    /// Number of probes of leafs that were lost under quarantined requests.
+    std::uint64_t lossProbes { 0 };
     /// Number of parts that waited for a sign that their request does not end leafs.
     std::uint64_t partsHeld { 0 };
     /// Number of times that the links to all leafs were lost.
--- a/Libraries/zinnialedge/forwarding/engine_state.h
+++ b/Libraries/zinnialedge/forwarding/engine_state.h
@@ -26,6 +26,8 @@
     dispatch,
     /// Other daemons have not been told yet of requests under which leafs were lost.
     share_suspects,
+    /// Leafs that were lost under quarantined requests have to be probed.
+    check_losses,
     /// Probes are due, or show the state of the links to the leafs.
     check_links,
     /// The answer of a daemon to a detoured request is late.
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -97,6 +97,8 @@
 {
     if (auto const probe = m_probes.find(number); probe != m_probes.end())
         return !isEvacuated(probe->second.leaf);
+    if (auto const probe = m_lossProbes.find(number); probe != m_lossProbes.end())
+        return !isEvacuated(probe->second.leaf);
     auto const found = m_calls.find(number);
     if (found == m_calls.end())
         return true;
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -148,7 +148,7 @@
         auto const due = m_timers.top();
         m_timers.pop();
         if (due.kind == timer_kind::abandon_call) {
-            if (m_calls.contains(due.subject) || m_relayCalls.contains(due.subject) || m_detourCalls.contains(due.subject) || m_probes.contains(due.subject))
+            if (m_calls.contains(due.subject) || m_relayCalls.contains(due.subject) || m_detourCalls.contains(due.subject) || m_probes.contains(due.subject) || m_lossProbes.contains(due.subject))
                 m_hooks.cancelCall(due.subject, call_failure::timed_out);
             continue;
         }
@@ -185,6 +185,11 @@
             handleLateDetour(due.subject, now);
             continue;
         }
+        if (due.kind == timer_kind::check_losses) {
+            m_nextLossCheckAt.reset();
+            checkLosses(now);
+            continue;
+        }
         if (due.kind == timer_kind::check_links) {
             if (m_nextLinkCheckAt && *m_nextLinkCheckAt <= due.dueAt)
                 m_nextLinkCheckAt.reset();
@@ -225,6 +230,7 @@
         case timer_kind::admit:
         case timer_kind::dispatch:
         case timer_kind::share_suspects:
+        case timer_kind::check_losses:
         case timer_kind::check_links:
         case timer_kind::detour_timeout:
         case timer_kind::share_usage:
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -174,11 +174,15 @@
     quarantine::verdict judge(quarantine::request_evidence&, kernel::time_point now) const;
     /// Returns the other daemon that alone tries the quarantined request again; empty when this daemon does.
     std::optional<relay> trialDaemonOf(quarantine::request_evidence&) const;
+    /// Returns the index of the daemon among the detours that tries requests with this digest again; empty when this daemon does.
+    std::optional<std::size_t> chooseTrialDaemon(quarantine::request_digest const&) const;
     /// Passes a request that is due for a trial on to the daemon that tries it again. Returns whether it did.
     bool passTrialOn(active_request&, kernel::time_point now);
     /// Returns whether a call for the part may be sent now. A part that may not waits for the outcome of the request's open calls.
     bool mayCallLeaf(active_request&, std::size_t partIndex, kernel::time_point now) const;
     void recordLoss(call_context const&, kernel::time_point now);
+    /// Records that a call ended with neither a reply nor a sign of the leaf's end.
+    void recordUnanswered(call_context const&, kernel::time_point now);
     /// Records that the leaf has replied to a call, so that only connections to it were lost, of this daemon or of others.
     void recordLife(leaf_handle, kernel::time_point sentAt, kernel::time_point now);
     /// Records that a leaf ran the request and replied.
@@ -198,6 +202,12 @@
     /// Takes what the daemon that passed the request on knows of it.
     void mergeDetouredKnowledge(active_request const&, kernel::time_point now);
     void shareSuspects(kernel::time_point now);
+    /// Schedules probes of lost leafs while any request is quarantined.
+    void scheduleLossCheck(kernel::time_point now);
+    /// Probes the leafs that were lost under quarantined requests, whose replies show that only connections were lost.
+    void checkLosses(kernel::time_point now);
+    void sendLossProbe(leaf_handle, kernel::time_point now);
+    void handleLossProbeEnd(probe_context const&, call_result const&, kernel::time_point now);
 
     // Calls through other daemons.
     /// Relays shards without a healthy leaf in the local data centre to daemons of other data centres.
@@ -285,6 +295,9 @@
     std::unordered_map<call_number, relay_call_context> m_relayCalls;
     std::unordered_map<call_number, detour_call_context> m_detourCalls;
     std::unordered_map<call_number, probe_context> m_probes;
+    /// Probes of leafs that were lost under quarantined requests.
+    std::unordered_map<call_number, probe_context> m_lossProbes;
+    std::optional<kernel::time_point> m_nextLossCheckAt;
     reachability::link_monitor m_links;
     /// State of the links on which the engine has acted.
     reachability::link_state m_knownLinkState { reachability::link_state::intact };
--- a/Libraries/zinnialedge/forwarding/request_quarantine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_quarantine.cpp
@@ -2,9 +2,9 @@
 
 #include "Libraries/zinnialedge/forwarding/request_engine.h"
 
+#include "Libraries/zinnialedge/quarantine/trial_choice.h"
 #include <algorithm>
 #include <utility>
-#include <xxhash.h>
 
 namespace zinnialedge::forwarding {
 
@@ -21,18 +21,18 @@
 
 std::optional<relay> request_engine::trialDaemonOf(quarantine::request_evidence& evidence) const
 {
-    // Rendezvous hashing: all daemons that know the same serving group choose the same daemon. The digest without the query lets all
-    // variants of a request share their trials.
-    auto const& digest = evidence.digests().back();
-    auto const weightOf = [&](relay const& each) {
-        auto const place = toString(each.endpoint);
-        return XXH3_64bits_withSeed(place.data(), place.size(), XXH3_64bits(digest.bytes.data(), digest.bytes.size()));
-    };
-    auto const& others = m_fleetShare.detours;
-    auto const best = std::max_element(others.begin(), others.end(), [&](auto const& left, auto const& right) { return weightOf(left) < weightOf(right); });
-    if (best == others.end() || (m_fleetShare.self && weightOf(*m_fleetShare.self) > weightOf(*best)))
-        return std::nullopt;
-    return *best;
+    // The digest without the query lets all variants of a request share their trials.
+    auto const index = chooseTrialDaemon(evidence.digests().back());
+    return index ? std::optional { m_fleetShare.detours[*index] } : std::nullopt;
+}
+
+std::optional<std::size_t> request_engine::chooseTrialDaemon(quarantine::request_digest const& digest) const
+{
+    std::vector<std::string> others;
+    others.reserve(m_fleetShare.detours.size());
+    for (auto const& each : m_fleetShare.detours)
+        others.push_back(toString(each.endpoint));
+    return quarantine::chooseTrialDaemon(digest, m_fleetShare.self ? std::optional { toString(m_fleetShare.self->endpoint) } : std::nullopt, others);
 }
 
 bool request_engine::passTrialOn(active_request& request, time_point now)
@@ -75,7 +75,7 @@
 {
     // A call that breaks while no leaf can be reached does not show that its leaf has ended.
     if (areLinksLost()) {
-        m_quarantine.recordUnansweredCall(*context.evidence, now);
+        recordUnanswered(context, now);
         return;
     }
     auto& record = m_leafs.at(context.leaf);
@@ -91,6 +91,13 @@
     shareSuspects(now);
 }
 
+void request_engine::recordUnanswered(call_context const& context, time_point now)
+{
+    auto const& registration = m_leafs.at(context.leaf).registration();
+    m_quarantine.recordUnansweredTrial(*context.evidence, { quarantine::hashLeaf(registration.id, registration.startedAt), context.sentAt, now }, now);
+    shareSuspects(now);
+}
+
 void request_engine::recordLife(leaf_handle leaf, time_point sentAt, time_point now)
 {
     auto& record = m_leafs.at(leaf);
@@ -206,6 +213,7 @@
 
 void request_engine::shareSuspects(time_point now)
 {
+    scheduleLossCheck(now);
     if (now < m_nextSharingAt) {
         if (!std::exchange(m_isSharingScheduled, true))
             m_timers.push({ m_nextSharingAt, timer_kind::share_suspects, 0 });
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -40,7 +40,9 @@
             reportBrokenCall(context, now);
             recordLoss(context, now);
         } else if (result.error() == call_failure::timed_out || result.error() == call_failure::cancelled) {
-            m_quarantine.recordUnansweredCall(*context.evidence, now);
+            recordUnanswered(context, now);
+        } else if (result.error() == call_failure::not_sent || result.error() == call_failure::withheld) {
+            m_quarantine.recordUnsentTrial(*context.evidence);
         }
         return;
     }
@@ -161,6 +163,10 @@
         handleProbeEnd(probe.mapped(), result, now);
         return;
     }
+    if (auto const probe = m_lossProbes.extract(number)) {
+        handleLossProbeEnd(probe.mapped(), result, now);
+        return;
+    }
     auto const found = m_calls.find(number);
     if (found == m_calls.end())
         return;
--- a/Libraries/zinnialedge/quarantine/quarantine_table.cpp
+++ b/Libraries/zinnialedge/quarantine/quarantine_table.cpp
@@ -27,7 +27,10 @@
     auto const spread = [turn](kernel::duration span) { return span + std::chrono::duration_cast<kernel::duration>(span * turn); };
     auto const afterLoss = lastLossTime(of) + spread(length);
     // A call that is trying the request again has not ended yet, or has ended without telling anything.
-    return of.trialAt == time_point {} ? afterLoss : std::max(afterLoss, of.trialAt + spread(std::max<kernel::duration>(length, trialTime)));
+    if (of.trialAt == time_point {})
+        return afterLoss;
+    auto const afterTrial = of.trialAt == of.unsentTrialAt ? kernel::duration { trialTime } : std::max<kernel::duration>(length, trialTime);
+    return std::max(afterLoss, of.trialAt + spread(afterTrial));
 }
 
 suspect const* quarantine_table::find(request_digest const& request) const
@@ -93,29 +96,48 @@
     m_hasChanges = true;
 }
 
+void quarantine_table::forEachQuarantined(request_digests const& digests, std::function<void(entry&)> const& change)
+{
+    for (auto const& digest : digests) {
+        if (auto const found = m_entries.find(digest); found != m_entries.end() && isQuarantined(found->second.known))
+            change(found->second);
+    }
+}
+
 void quarantine_table::recordCall(request_evidence& evidence, time_point now)
 {
     evidence.beginTrial(now);
-    for (auto const& digest : evidence.digests()) {
-        auto const found = m_entries.find(digest);
-        if (found == m_entries.end() || !isQuarantined(found->second.known))
-            continue;
-        found->second.known.trialAt = now;
-        markChanged(found->second, now);
-    }
+    forEachQuarantined(evidence.digests(), [&](auto& tried) {
+        tried.known.trialAt = now;
+        markChanged(tried, now);
+    });
 }
 
 void quarantine_table::recordUnansweredCall(request_evidence& evidence, time_point now)
 {
     if (!evidence.trialBeganAt())
         return;
-    for (auto const& digest : evidence.digests()) {
-        auto const found = m_entries.find(digest);
-        if (found == m_entries.end() || !isQuarantined(found->second.known))
-            continue;
-        ++found->second.known.unansweredTrialCount;
-        markChanged(found->second, now);
-    }
+    forEachQuarantined(evidence.digests(), [&](auto& tried) {
+        ++tried.known.unansweredTrialCount;
+        markChanged(tried, now);
+    });
+}
+
+void quarantine_table::recordUnansweredTrial(request_evidence& evidence, leaf_loss const& possible, time_point now)
+{
+    if (!evidence.trialBeganAt() || possible.sentAt < *evidence.trialBeganAt() || evidence.hasSucceeded())
+        return;
+    forEachQuarantined(evidence.digests(), [&](auto& tried) {
+        if (mergeSuspect(tried.known, { .request = tried.known.request, .losses = { possible } }))
+            markChanged(tried, now);
+    });
+}
+
+void quarantine_table::recordUnsentTrial(request_evidence& evidence)
+{
+    if (!evidence.trialBeganAt())
+        return;
+    forEachQuarantined(evidence.digests(), [](auto& tried) { tried.known.unsentTrialAt = tried.known.trialAt; });
 }
 
 bool quarantine_table::recordLoss(request_digests const& digests, leaf_loss const& loss, time_point now)
@@ -166,8 +188,14 @@
 {
     for (auto& [request, each] : m_entries) {
         for (auto& loss : each.known.losses) {
-            if (loss.leaf != leaf || loss.isRefuted || loss.lostAt > aliveAt || now - loss.lostAt > refutationTime)
+            if (loss.leaf != leaf || loss.isRefuted || loss.lostAt > aliveAt)
                 continue;
+            if (now - loss.lostAt > refutationTime) {
+                // The first replies may come from a new incarnation that has not been registered yet.
+                loss.aliveSince = loss.aliveSince == time_point {} ? now : loss.aliveSince;
+                if (now - loss.aliveSince < lateRefutationTime)
+                    continue;
+            }
             loss.isRefuted = true;
             markChanged(each, now);
         }
@@ -197,6 +225,20 @@
     return quarantined;
 }
 
+std::set<std::uint64_t> quarantine_table::leafsToCheck(std::function<bool(request_digest const&)> const& isOfThisDaemon) const
+{
+    std::set<std::uint64_t> leafs;
+    for (auto const& [request, each] : m_entries) {
+        if (!isQuarantined(each.known) || !isOfThisDaemon(request))
+            continue;
+        for (auto const& loss : each.known.losses) {
+            if (!loss.isRefuted)
+                leafs.insert(loss.leaf);
+        }
+    }
+    return leafs;
+}
+
 std::size_t quarantine_table::quarantinedCount() const
 {
     return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [](auto const& each) { return isQuarantined(each.second.known); }));
--- a/Libraries/zinnialedge/quarantine/quarantine_table.h
+++ b/Libraries/zinnialedge/quarantine/quarantine_table.h
@@ -68,6 +68,11 @@
     void recordCall(request_evidence&, kernel::time_point now);
     /// Records that a call for the request ended with neither a reply nor a loss.
     void recordUnansweredCall(request_evidence&, kernel::time_point now);
+    /// Records that the call that tried the request again ended with neither a reply nor a sign of the leaf's end. The leaf may have ended,
+    /// so that it counts as lost until it replies.
+    void recordUnansweredTrial(request_evidence&, leaf_loss const&, kernel::time_point now);
+    /// Records that the call that was to try the request again has reached no leaf, so that it showed nothing.
+    void recordUnsentTrial(request_evidence&);
     /// Records the loss of a leaf. Returns whether the request is quarantined now and was not before.
     bool recordLoss(request_digests const&, leaf_loss const&, kernel::time_point now);
     /// Records that a leaf ran the request and replied. For some seconds losses do not count against the request, as they have another
@@ -75,12 +80,15 @@
     bool recordSuccess(request_digests const&, kernel::time_point now);
     /// Records that the leaf has sent a reply, so that it was not lost under any request.
     void refuteLosses(std::uint64_t leaf, kernel::time_point now);
-    /// Records that the leaf has replied to a call that was sent at `aliveAt`, which refutes earlier losses of it by any daemon unless they
-    /// are so old that the leaf may have started again.
+    /// Records that the leaf has replied to a call that was sent at `aliveAt`, which refutes earlier losses of it by any daemon. A loss that is
+    /// so old that the leaf may have started again is refuted when the leaf goes on replying for some time.
     void refuteLossesBefore(std::uint64_t leaf, kernel::time_point aliveAt, kernel::time_point now);
     /// Merges what another daemon knows. Returns the requests that are quarantined now and were not before.
     std::vector<request_digest> merge(std::span<suspect const>, kernel::time_point now);
 
+    /// Returns the leafs whose replies would refute losses of quarantined requests. `isOfThisDaemon` chooses the requests.
+    std::set<std::uint64_t> leafsToCheck(std::function<bool(request_digest const&)> const& isOfThisDaemon) const;
+
     suspect const* find(request_digest const&) const;
     bool isEmpty() const { return m_entries.empty(); }
     std::size_t size() const { return m_entries.size(); }
@@ -101,6 +109,8 @@
         kernel::time_point changedAt;
     };
 
+    /// Calls the function for each entry of the digests that is quarantined.
+    void forEachQuarantined(request_digests const&, std::function<void(entry&)> const&);
     verdict judgeDigest(request_digest const&, kernel::time_point now) const;
     static bool isQuarantined(suspect const& known) { return lossCount(known) >= quarantineLossCount; }
     entry& entryOf(request_digest const&, kernel::time_point now);
--- a/Libraries/zinnialedge/quarantine/suspect.h
+++ b/Libraries/zinnialedge/quarantine/suspect.h
@@ -14,6 +14,8 @@
     kernel::time_point lostAt;
     /// True when the leaf has replied since, so that only a connection to it was lost.
     bool isRefuted { false };
+    /// Time of the first reply of the leaf after the time in which one reply refutes the loss; zero for none. Known to this daemon only.
+    kernel::time_point aliveSince {};
 
     auto operator<=>(leaf_loss const&) const = default;
 };
@@ -27,6 +29,8 @@
     kernel::time_point trialAt;
     /// Number of such calls since the last success that ended with neither a reply nor a loss, at a leaf behind a faulty link for example.
     std::uint32_t unansweredTrialCount { 0 };
+    /// Time of the latest such call that reached no leaf; zero for none. Known to this daemon only.
+    kernel::time_point unsentTrialAt {};
     /// Time of the latest success; zero for none. Losses before it do not count.
     kernel::time_point clearedAt;
 
@@ -42,6 +46,9 @@
 
 /// Time after a loss in which a reply shows that the leaf did not end. Leafs that end are back after some seconds.
 inline constexpr std::chrono::milliseconds refutationTime { 1000 };
+/// Time for which a leaf must go on replying under the same registration to refute an older loss. A leaf that has ended registers again soon
+/// after it starts to reply.
+inline constexpr std::chrono::milliseconds lateRefutationTime { 3000 };
 
 /// Returns the number of losses that count.
 std::size_t lossCount(suspect const&);
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -152,6 +152,7 @@
         metrics.counter("refusals_for_quarantine_total", counters.rejectionsForQuarantine);
         metrics.counter("quarantine_trials_total", counters.quarantineTrials);
         metrics.counter("quarantine_trials_passed_on_total", counters.quarantineTrialsPassedOn);
+        metrics.counter("quarantine_loss_probes_total", counters.lossProbes);
         metrics.counter("parts_held_total", counters.partsHeld);
         metrics.counter("leaf_link_losses_total", counters.linkLosses);
         metrics.counter("leaf_probes_total", counters.probes);
--- a/Tests/Unit/quarantine_table_test.cpp
+++ b/Tests/Unit/quarantine_table_test.cpp
@@ -232,3 +232,52 @@
     table.refuteLossesBefore(7, now + 1ms, now + 5ms);
     LONGS_EQUAL(0, lossCount(*table.find(poison)));
 }
+
+// Guards against: an innocent request stays under quarantine because the links to its leafs were cut for longer than a second.
+TEST(QuarantineTable, LeafThatGoesOnReplyingRefutesAnOldLoss)
+{
+    lose(poison, 7);
+    auto const lostAt = now;
+    for (auto const after : { 2s, 3s, 4s }) {
+        table.refuteLossesBefore(7, lostAt + after, lostAt + after);
+        LONGS_EQUAL(1, lossCount(*table.find(poison)));
+    }
+    table.refuteLossesBefore(7, lostAt + 5s, lostAt + 5s);
+    LONGS_EQUAL(0, lossCount(*table.find(poison)));
+}
+
+// Guards against: trials that fell into a fault keep an innocent request under quarantine for a minute after the fault.
+TEST(QuarantineTable, TrialsWithoutAnAnswerCountUntilTheirLeafReplies)
+{
+    for (std::uint64_t leaf = 1; leaf <= 5; ++leaf)
+        lose(poison, leaf);
+    for (std::uint64_t leaf = 6; leaf <= 8; ++leaf) {
+        now = table.nextTrialTime(*table.find(poison));
+        request_evidence evidence { [this] { return request_digests { poison }; } };
+        table.recordCall(evidence, now);
+        table.recordUnansweredTrial(evidence, { leaf, now, now + 1s }, now + 1s);
+        now += 1s;
+    }
+    CHECK(table.judge({ poison }, now + 60s) == verdict::quarantined);
+    for (std::uint64_t leaf = 6; leaf <= 8; ++leaf) {
+        for (auto const after : { 2s, 5s })
+            table.refuteLossesBefore(leaf, now + after, now + after);
+    }
+    CHECK(table.judge({ poison }, now + 5s) == verdict::trial);
+}
+
+// Guards against: a trial whose connection is refused uses up the next turn as well.
+TEST(QuarantineTable, TrialThatReachedNoLeafDelaysTheNextOneLittle)
+{
+    quarantine(poison);
+    for (std::uint64_t leaf = 4; leaf <= 6; ++leaf) {
+        now += 20s;
+        lose(poison, leaf);
+    }
+    now = table.nextTrialTime(*table.find(poison));
+    request_evidence evidence { [this] { return request_digests { poison }; } };
+    table.recordCall(evidence, now);
+    CHECK(table.judge({ poison }, now + 60s) == verdict::quarantined);
+    table.recordUnsentTrial(evidence);
+    CHECK(table.judge({ poison }, now + 4s) == verdict::trial);
+}
--- a/Tests/Unit/suspect_request_test.cpp
+++ b/Tests/Unit/suspect_request_test.cpp
@@ -317,3 +317,45 @@
     }
     CHECK(counted <= 3);
 }
+
+// Guards against: an innocent request is rejected for a minute after a fault of the links in which its calls and trials ended.
+// Load: one request ten times a second, after five of its leafs were cut off one after the other.
+TEST(SuspectRequest, InnocentRequestIsServedWithinEightSecondsOfTheFaults)
+{
+    useDeskLeafs();
+    daemon.arrive("/single/innocent");
+    std::vector<quarantine::suspect> told { { .request = forwarding::digestsOf(*daemon.openCalls("desk").front().request).front() } };
+    while (!daemon.openCalls("desk").empty())
+        daemon.fail(daemon.openCalls("desk").front().number, call_failure::timed_out);
+    for (int leaf = 0; leaf < 5; ++leaf) {
+        auto const lostAt = daemon.now() - (5 - leaf) * 2s;
+        told[0].losses.push_back({ quarantine::hashLeaf("desk/" + std::to_string(leaf), 1), lostAt - 1s, lostAt });
+    }
+    daemon.engine.mergeSuspects(told, daemon.now());
+    int attempts = 0;
+    auto const isServed = [&] {
+        lastToken = daemon.arrive("/single/innocent");
+        for (auto calls = daemon.openCalls("desk"); !calls.empty(); calls = daemon.openCalls("desk"))
+            daemon.succeed(calls.front().number);
+        daemon.pass(100ms);
+        return lastStatus() == 200;
+    };
+    while (attempts < 80 && !isServed())
+        ++attempts;
+    CHECK(attempts > 0 && attempts < 80);
+    CHECK(daemon.engine.counters().lossProbes >= 5);
+}
+
+// Guards against: probes of the leafs that a request has ended load the leafs that start in their place, or refute its losses.
+TEST(SuspectRequest, LeafsThatStartAgainAreNotProbedForTheLossesBefore)
+{
+    useDeskLeafs();
+    while (endCount < 3) {
+        sendPoison("/single/poison");
+        daemon.pass(100ms);
+    }
+    daemon.pass(10s);
+    LONGS_EQUAL(0, daemon.engine.counters().lossProbes);
+    LONGS_EQUAL(1, sendPoison("/single/poison"));
+    LONGS_EQUAL(502, lastStatus());
+}
