--- a/Libraries/zinnialedge/queries/query_engine.h
+++ b/Libraries/zinnialedge/queries/query_engine.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Libraries/zinnialedge/limits/admission.h"
+#include "Libraries/zinnialedge/limits/guaranteed_shares.h"
 #include "Libraries/zinnialedge/limits/moving_quantile.h"
 #include "Libraries/zinnialedge/limits/shard_admission.h"
 #include "Libraries/zinnialedge/limits/token_bucket.h"
@@ -80,7 +80,7 @@
     /// Returns the number of entries in all shard queues.
     std::size_t queuedShardCount() const;
     std::size_t retainedTicketCount() const { return m_tickets.size(); }
-    limits::partner_admission const& admission() const { return m_admission; }
+    limits::guaranteed_shares const& admission() const { return m_admission; }
     quarantine::quarantine_table const& quarantined() const { return m_quarantine; }
 
 private:
@@ -247,7 +247,7 @@
     engine_settings m_settings;
     kernel::random_hook m_random;
     routing::leaf_table m_leafs;
-    limits::partner_admission m_admission;
+    limits::guaranteed_shares m_admission;
     ticket_table m_tickets;
     std::optional<errors::error> m_newTicketError;
     engine_counters m_counters;
--- a/Tests/Unit/admission_test.cpp
+++ b/Tests/Unit/admission_test.cpp
@@ -1,4 +1,4 @@
-#include "Libraries/zinnialedge/limits/admission.h"
+#include "Libraries/zinnialedge/limits/guaranteed_shares.h"
 #include "Libraries/zinnialedge/limits/shard_admission.h"
 #include "Libraries/zinnialedge/queries/query_engine.h"
 #include <CppUTest/TestHarness.h>
@@ -39,7 +39,7 @@
 
 TEST(PartnerAdmission, FloodOfOnePartnerLeavesTheGuaranteeOfTheOther)
 {
-    limits::partner_admission shares { 100 };
+    limits::guaranteed_shares shares { 100 };
     shares.setShares({ { "suva", 50 }, { "amman", 50 } });
     std::uint32_t admittedCount = 0;
     while (shares.tryAdmit("amman"))
