Allowances: Use the in-flight tolerance also after a restart of all

While no daemon knew the level of a bucket, each of them allowed one request that the others had not acknowledged, and none of the tolerance for requests in flight.

--- a/Libraries/zinnialedge/allowances/tenant_quotas.cpp
+++ b/Libraries/zinnialedge/allowances/tenant_quotas.cpp
@@ -94,7 +94,7 @@
     // All daemons together exceed the level by no more than the tolerance, even if each uses its allowance before it hears of the others.
     auto const& tenant = m_tenants[index];
     auto const sharedLevel = std::max(0.0, tenant.level) + static_cast<double>(unacknowledgedCount);
-    auto const tolerance = tenant.isLevelKnown ? inFlightTolerance(tenant) / m_totalWeight : 0;
+    auto const tolerance = inFlightTolerance(tenant) / m_totalWeight;
     return std::max(1.0, weightOf(m_isInGroup) * (sharedLevel / (m_totalWeight - m_silentWeight) + tolerance));
 }
 
--- a/Tests/Unit/tenant_quotas_test.cpp
+++ b/Tests/Unit/tenant_quotas_test.cpp
@@ -224,6 +224,23 @@
     check(fleet, 0.005);
 }
 
+// Guards against refusals of requests below the quotas while the daemons do not know what earlier processes have accepted.
+// Load: 74 tenants at their usual rates, or one of them at nine times its rate, with all daemons restarted every 10 s.
+TEST(TenantQuotas, RestartOfAllDaemonsRefusesFewRequestsBelowTheQuotas)
+{
+    for (bool const isHot : { false, true }) {
+        if (isHot)
+            heat(fleet);
+        fleet.run(10s);
+        fleet.resetCounts();
+        for (int round = 0; round < 10; ++round) {
+            fleet.restart(0, groupSize);
+            fleet.run(10s);
+        }
+        check(fleet, 0.004, 0.9);
+    }
+}
+
 // Guards against a lower limit that takes effect only when the saved up tokens are used.
 TEST(TenantQuotas, HalvedLimitTakesEffectWithinAWindow)
 {
