Tests: Check admission counts and early returns through the engine

The unit tests of the admission queue take the tenant and the early return as given. This one checks that the engine finds both, and that the counts by tenant and by priority class agree.

--- a/Tests/Unit/access_test.cpp
+++ b/Tests/Unit/access_test.cpp
@@ -279,6 +279,29 @@
     }
 }
 
+// Guards against: the engine does not tell the admission queue of tenants and returns, or metrics count the requests of other tenants.
+// Load: one tenant sends equal requests until they are refused, and does not wait as it was told.
+TEST(Access, OverloadedRequestsAreCountedByTenantAndRecognizedWhenTheyReturn)
+{
+    daemon_with_tenants daemon;
+    daemon.registerLeafs({ "shard0", "shard1", "shard2" }, 8);
+    std::uint64_t arrived = 0;
+    while (daemon.engine.counters().rejections == 0 && ++arrived < 1000)
+        daemon.arriveWithKeys("/gather/a", { std::string { keyOfAcme } });
+    LONGS_EQUAL(0, daemon.engine.counters().earlyReturns);
+    daemon.arriveWithKeys("/gather/b", { std::string { keyOfAcme } });
+    LONGS_EQUAL(0, daemon.engine.counters().earlyReturns);
+    daemon.arriveWithKeys("/gather/a", { std::string { keyOfAcme } });
+    LONGS_EQUAL(1, daemon.engine.counters().earlyReturns);
+    auto const counted = daemon.engine.tenantCounts().summarize(1).most.at(0);
+    STRCMP_EQUAL("acme", counted.name.c_str());
+    CHECK(counted.admitted > 0);
+    CHECK(counted.overloaded > 0);
+    LONGS_EQUAL(1, daemon.engine.admissionCounts().all().size());
+    LONGS_EQUAL(counted.admitted, daemon.engine.admissionCounts().all().begin()->second.admitted);
+    LONGS_EQUAL(counted.overloaded, daemon.engine.admissionCounts().all().begin()->second.rejected);
+}
+
 // Guards against: equal requests of different tenants count as different ones when they end leafs, or digests reveal keys.
 TEST(Access, DigestsDoNotDependOnTheKey)
 {
