Quarantine: Refute no old loss while registrations are not delivered

Cause: a leaf that ended under a request and started again under its id replies under its former registration until the new one is read. With the store away that takes as long as the outage, and its replies refuted its own loss after 3 s, so that the request could end another leaf.

Change: the traffic service is told whether the store or a reader delivers registrations; while neither does, and for 5 s afterwards, replies refute no old loss. The time is 5 s in place of 3 s: a heartbeat, the delivery, and the time in which a silent store is noticed. The tests of the table follow and are as strict.

QuarantineTable.RepliesRefuteNoOldLossWhileRegistrationsAreNotDelivered needs the new function, so it was not run without the change.

--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -30,6 +30,8 @@
     void setExtraCalls(extra_call_limits, kernel::time_point now);
     /// Takes what other daemons know of requests under which leafs were lost.
     void mergeSuspects(std::vector<quarantine::suspect> const&, kernel::time_point now);
+    /// Sets whether the leafs that were passed in are up to date. While they are not, replies do not show that a leaf has not ended.
+    void setRegistrationsCurrent(bool areCurrent) { m_quarantine.setRegistrationsCurrent(areCurrent); }
 
     void setQuotaTolerance(allowances::quota_tolerance);
     /// Takes that the daemon gets no further callers and is about to stop.
--- a/Libraries/zinnialedge/quarantine/quarantine_table.cpp
+++ b/Libraries/zinnialedge/quarantine/quarantine_table.cpp
@@ -191,7 +191,10 @@
             if (loss.leaf != leaf || loss.isRefuted || loss.lostAt > aliveAt)
                 continue;
             if (now - loss.lostAt > refutationTime) {
-                // The first replies may come from a new incarnation that has not been registered yet.
+                // The first replies may come from a new incarnation that has not been registered yet, and while registrations are not
+                // delivered all of them may.
+                if (!m_areRegistrationsCurrent)
+                    continue;
                 loss.aliveSince = loss.aliveSince == time_point {} ? now : loss.aliveSince;
                 if (now - loss.aliveSince < lateRefutationTime)
                     continue;
@@ -202,6 +205,15 @@
     }
 }
 
+void quarantine_table::setRegistrationsCurrent(bool isCurrent)
+{
+    m_areRegistrationsCurrent = isCurrent;
+    for (auto& [request, each] : m_entries) {
+        for (auto& loss : each.known.losses)
+            loss.aliveSince = isCurrent ? loss.aliveSince : time_point {};
+    }
+}
+
 std::vector<request_digest> quarantine_table::merge(std::span<suspect const> others, time_point now)
 {
     std::vector<request_digest> quarantined;
--- a/Libraries/zinnialedge/quarantine/quarantine_table.h
+++ b/Libraries/zinnialedge/quarantine/quarantine_table.h
@@ -83,6 +83,8 @@
     /// Records that the leaf has replied to a call that was sent at `aliveAt`, which refutes earlier losses of it by any daemon. A loss that is
     /// so old that the leaf may have started again is refuted when the leaf goes on replying for some time.
     void refuteLossesBefore(std::uint64_t leaf, kernel::time_point aliveAt, kernel::time_point now);
+    /// Sets whether the registrations of leafs are up to date. A leaf that has ended and started again under its id is recognized by them.
+    void setRegistrationsCurrent(bool isCurrent);
     /// Merges what another daemon knows. Returns the requests that are quarantined now and were not before.
     std::vector<request_digest> merge(std::span<suspect const>, kernel::time_point now);
 
@@ -121,6 +123,7 @@
     std::uint64_t m_daemonSeed;
     std::map<request_digest, entry> m_entries;
     recent_digests m_successes;
+    bool m_areRegistrationsCurrent { true };
     bool m_hasChanges { false };
 };
 
--- a/Libraries/zinnialedge/quarantine/suspect.h
+++ b/Libraries/zinnialedge/quarantine/suspect.h
@@ -46,9 +46,9 @@
 
 /// Time after a loss in which a reply shows that the leaf did not end. Leafs that end are back after some seconds.
 inline constexpr std::chrono::milliseconds refutationTime { 1000 };
-/// Time for which a leaf must go on replying under the same registration to refute an older loss. A leaf that has ended registers again soon
-/// after it starts to reply.
-inline constexpr std::chrono::milliseconds lateRefutationTime { 3000 };
+/// Time for which a leaf must go on replying under the same registration to refute an older loss. A leaf that has ended and started again
+/// registers within a heartbeat of 1.2 s, and daemons read that within 2 s; a store that does not answer is noticed within 3 s.
+inline constexpr std::chrono::milliseconds lateRefutationTime { 5000 };
 
 /// Returns the number of losses that count.
 std::size_t lossCount(suspect const&);
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -402,6 +402,7 @@
     if (lacksStore || !m_evacuationLink.isConnected())
         requestSnapshotFromRandomPeer();
     sendLeafsToTraffic();
+    reportDelivery();
     reconcileRegistrations();
     m_periodicTimer.expires_after(periodicInterval);
     m_periodicTimer.async_wait([this](boost::system::error_code failure) {
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -126,6 +126,8 @@
     /// Tells the reader link which daemons are live.
     void tellReaderLink();
     bool isStoreConnected() const;
+    /// Tells the traffic service when it changes whether registrations of leafs are delivered, by the store or by a reader.
+    void reportDelivery();
     void handleStoreReached();
     void handleStoreFailure();
     void handleReadingChanged(bool readsStore);
@@ -181,6 +183,7 @@
     bool m_isLeaving { false };
     bool m_reachesLeafs { true };
     bool m_isSnapshotRequestInFlight { false };
+    bool m_areRegistrationsDelivered { true };
     /// Whether this daemon tells its subscribers that it reaches the store.
     bool m_isStoreReached { false };
 };
--- a/Services/fleet/fleet_snapshots.cpp
+++ b/Services/fleet/fleet_snapshots.cpp
@@ -172,6 +172,13 @@
     return m_routeLink.mirror().isConnected() && m_leafLink.mirror().isConnected();
 }
 
+void fleet_service::reportDelivery()
+{
+    bool const areDelivered = isStoreConnected() || m_readerLink.hasReader();
+    if (std::exchange(m_areRegistrationsDelivered, areDelivered) != areDelivered)
+        sendToTraffic(traffic::registrations_delivered { areDelivered });
+}
+
 void fleet_service::handleStoreReached()
 {
     if (!isStoreConnected())
--- a/Services/traffic/traffic_implementation.h
+++ b/Services/traffic/traffic_implementation.h
@@ -80,6 +80,7 @@
     void apply(quota_tolerance_changed&& changed);
     void apply(usage_told&& told);
     void apply(leaving_started&&);
+    void apply(registrations_delivered&& changed) { m_engine.setRegistrationsCurrent(changed.areDelivered); }
 
     boost::asio::io_context& m_context;
     traffic_settings m_settings;
--- a/Services/traffic/traffic_service.h
+++ b/Services/traffic/traffic_service.h
@@ -57,7 +57,12 @@
 /// Makes all further answers ask callers to close their connections.
 struct leaving_started { };
 
-using traffic_event = std::variant<forwarding::route_table_pointer, leafs_changed, evacuations_changed, fleet_share_changed, extra_calls_changed, suspects_told, quota_tolerance_changed, usage_told, leaving_started>;
+/// Whether changes of the leafs' registrations are delivered at the moment.
+struct registrations_delivered {
+    bool areDelivered { false };
+};
+
+using traffic_event = std::variant<forwarding::route_table_pointer, leafs_changed, evacuations_changed, fleet_share_changed, extra_calls_changed, suspects_told, quota_tolerance_changed, usage_told, leaving_started, registrations_delivered>;
 
 /// Receives requests from callers and calls leafs, all on one event loop: a leaf's reply costs one wake-up and no hand-over between
 /// threads.
--- a/Tests/Unit/quarantine_table_test.cpp
+++ b/Tests/Unit/quarantine_table_test.cpp
@@ -238,11 +238,29 @@
 {
     lose(poison, 7);
     auto const lostAt = now;
-    for (auto const after : { 2s, 3s, 4s }) {
+    for (auto const after : { 2s, 3s, 4s, 5s, 6s }) {
         table.refuteLossesBefore(7, lostAt + after, lostAt + after);
         LONGS_EQUAL(1, lossCount(*table.find(poison)));
     }
-    table.refuteLossesBefore(7, lostAt + 5s, lostAt + 5s);
+    table.refuteLossesBefore(7, lostAt + 7s, lostAt + 7s);
+    LONGS_EQUAL(0, lossCount(*table.find(poison)));
+}
+
+// Guards against: a leaf that has ended under the request, and has started again under its id while the store is away, counts as one that
+// has not ended, so that the request may end more leafs than allowed.
+TEST(QuarantineTable, RepliesRefuteNoOldLossWhileRegistrationsAreNotDelivered)
+{
+    lose(poison, 7);
+    auto const lostAt = now;
+    table.refuteLossesBefore(7, lostAt + 2s, lostAt + 2s);
+    table.setRegistrationsCurrent(false);
+    for (auto const after : { 4s, 8s, 12s })
+        table.refuteLossesBefore(7, lostAt + after, lostAt + after);
+    LONGS_EQUAL(1, lossCount(*table.find(poison)));
+    table.setRegistrationsCurrent(true);
+    table.refuteLossesBefore(7, lostAt + 13s, lostAt + 13s);
+    LONGS_EQUAL(1, lossCount(*table.find(poison)));
+    table.refuteLossesBefore(7, lostAt + 13s + lateRefutationTime, lostAt + 13s + lateRefutationTime);
     LONGS_EQUAL(0, lossCount(*table.find(poison)));
 }
 
@@ -260,10 +278,10 @@
     }
     CHECK(table.judge({ poison }, now + 60s) == verdict::quarantined);
     for (std::uint64_t leaf = 6; leaf <= 8; ++leaf) {
-        for (auto const after : { 2s, 5s })
+        for (auto const after : { 2s, 7s })
             table.refuteLossesBefore(leaf, now + after, now + after);
     }
-    CHECK(table.judge({ poison }, now + 5s) == verdict::trial);
+    CHECK(table.judge({ poison }, now + 7s) == verdict::trial);
 }
 
 // Guards against: a trial whose connection is refused uses up the next turn as well.
