Forwarding: Separate decisions on requests from what they consume

An explanation of a request must take the engine's decisions without drawing random numbers, counting or creating state. The decisions on leafs, detours, relays, left out shards and the hedge delay were parts of functions that do. Their const parts are functions of their own now, which the former functions call; the shortest retry-after times are in retry_after.h. The number and order of random numbers is unchanged.

--- a/Libraries/zinnialedge/forwarding/engine_state.h
+++ b/Libraries/zinnialedge/forwarding/engine_state.h
@@ -114,4 +114,17 @@
     limits::admission_queue queue;
 };
 
+/// What admission would decide on a request now.
+struct admission_preview {
+    std::size_t inFlight { 0 };
+    std::uint32_t limit { 0 };
+    std::size_t queuedCount { 0 };
+    /// True for a short time after a request was rejected; no hedges are sent then.
+    bool isOverloaded { false };
+    limits::admission_queue::verdict verdict { limits::admission_queue::verdict::admit };
+    std::optional<std::chrono::milliseconds> retryAfter;
+
+    bool operator==(admission_preview const&) const = default;
+};
+
 }
--- a/Libraries/zinnialedge/forwarding/leaf_record.h
+++ b/Libraries/zinnialedge/forwarding/leaf_record.h
@@ -118,6 +118,17 @@
     leaf_pause const& currentPause() const { return m_pause; }
     leaf_rate_limit const& rateLimit() const { return m_rateLimit; }
     bool hasFreeConnection(kernel::time_point now) const { return m_inFlightSentAt.size() < m_pause.inFlightLimit(m_connectionLimit, now); }
+    /// Returns the number of calls that may be in flight now.
+    std::size_t inFlightLimit(kernel::time_point now) const { return m_pause.inFlightLimit(m_connectionLimit, now); }
+    leaf_load const& load() const { return m_load; }
+    /// Returns the time at which the leaf last reported its load, or the epoch of the clock.
+    kernel::time_point loadReadAt() const { return m_loadReadAt; }
+    double errorRate() const { return m_errorRate; }
+    kernel::time_point backoffEnd() const { return m_backoffUntil; }
+    /// Returns the average latency of recent replies in microseconds, or zero before the first reply.
+    double averageLatency() const { return m_averageLatencyMicroseconds; }
+    bool isLeaving() const { return m_isLeaving; }
+    bool isMisdirected() const { return m_isMisdirected; }
     kernel::time_point lastReplyAt() const { return m_lastReplyAt; }
     kernel::time_point lastSentAt() const { return m_lastSentAt; }
     /// Returns the average latency of recent replies in microseconds on a machine of the usual speed; empty before the first reply.
--- a/Libraries/zinnialedge/forwarding/leaf_roster.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.cpp
@@ -110,25 +110,40 @@
     auto const leafs = m_handlesByService.find(service);
     if (leafs == m_handlesByService.end())
         return std::nullopt;
+    auto const choice = chooseLeaf(service, excluded, timeLimit, leafs->second.empty() ? 0 : m_random() % leafs->second.size(), now, mayTryStarting);
+    m_heldBackCount += choice.heldBackCount;
+    return choice.pick;
+}
+
+double leaf_roster::expectedDelay(leaf_record const& record, time_point now) const
+{
+    return record.delayScore(now, m_typicalLatencyMicroseconds) * (record.registration().dataCentre != m_localDataCentre ? remoteDelayFactor : 1);
+}
+
+leaf_choice leaf_roster::chooseLeaf(std::string const& service, std::span<leaf_handle const> excluded, kernel::duration timeLimit, std::size_t offset, time_point now, bool mayTryStarting) const
+{
+    auto const leafs = m_handlesByService.find(service);
+    if (leafs == m_handlesByService.end())
+        return {};
+    std::uint64_t heldBackCount = 0;
     std::optional<leaf_pick> best;
     double bestDelay = 0;
     // The idle leaf to try, of the local data centre if possible.
     std::optional<leaf_handle> idle;
-    auto const offset = leafs->second.empty() ? 0 : m_random() % leafs->second.size();
     for (std::size_t index = 0; index < leafs->second.size(); ++index) {
         auto const handle = leafs->second[(index + offset) % leafs->second.size()];
         auto const& record = at(handle);
         if (std::find(excluded.begin(), excluded.end(), handle) != excluded.end())
             continue;
         if (!record.hasRoom(now)) {
-            m_heldBackCount += record.hasColdLimit(now) && record.hasRoomExceptCold(now) ? 1 : 0;
+            heldBackCount += record.hasColdLimit(now) && record.hasRoomExceptCold(now) ? 1 : 0;
             continue;
         }
         bool const isSuspect = record.isSuspect(now, timeLimit);
         bool const isRemote = record.registration().dataCentre != m_localDataCentre;
         if (mayTryStarting && !isSuspect && isIdleStart(record, now) && (!idle || !isRemote))
             idle = handle;
-        auto const delay = record.delayScore(now, m_typicalLatencyMicroseconds) * (isRemote ? remoteDelayFactor : 1);
+        auto const delay = expectedDelay(record, now);
         bool const isBetter = !best || (best->isSuspect && !isSuspect) || (best->isSuspect == isSuspect && delay < bestDelay);
         if (!isBetter)
             continue;
@@ -139,7 +154,7 @@
     auto const isLocal = [&](leaf_handle leaf) { return at(leaf).registration().dataCentre == m_localDataCentre; };
     if (idle && (isLocal(*idle) || !isLocal(best->leaf)))
         best = leaf_pick { *idle, false };
-    return best;
+    return { best, heldBackCount };
 }
 
 std::optional<kernel::duration> leaf_roster::recentCallDuration(std::string const& service, time_point now) const
@@ -297,6 +312,12 @@
     return chosen;
 }
 
+std::vector<leaf_handle> leaf_roster::leafsOf(std::string const& service) const
+{
+    auto const leafs = m_handlesByService.find(service);
+    return leafs == m_handlesByService.end() ? std::vector<leaf_handle> {} : leafs->second;
+}
+
 std::vector<leaf_handle> leaf_roster::leafsIn(std::string const& service, std::string const& dataCentre) const
 {
     std::vector<leaf_handle> found;
--- a/Libraries/zinnialedge/forwarding/leaf_roster.h
+++ b/Libraries/zinnialedge/forwarding/leaf_roster.h
@@ -28,6 +28,12 @@
     bool isSuspect { false };
 };
 
+struct leaf_choice {
+    std::optional<leaf_pick> pick;
+    /// Number of leafs that were passed over because of the request limit of cold leafs.
+    std::uint64_t heldBackCount { 0 };
+};
+
 /// Holds all leafs by service and selects leafs for calls.
 class leaf_roster {
 public:
@@ -70,6 +76,11 @@
     /// has a free connection. Leafs of the local data centre are preferred. With `mayTryStarting`, a leaf that starts and has had no call
     /// for some time is returned although another leaf is expected to reply first.
     std::optional<leaf_pick> pickLeaf(std::string const& service, std::span<leaf_handle const> excluded, kernel::duration timeLimit, kernel::time_point now, bool mayTryStarting = false) const;
+    /// Returns what pickLeaf() decides, and counts nothing. Leafs that are equal are taken in their order from `offset` on, which pickLeaf()
+    /// chooses at random.
+    leaf_choice chooseLeaf(std::string const& service, std::span<leaf_handle const> excluded, kernel::duration timeLimit, std::size_t offset, kernel::time_point now, bool mayTryStarting = false) const;
+    /// Returns the score in microseconds by which leafs are compared; it is higher for leafs of other data centres.
+    double expectedDelay(leaf_record const&, kernel::time_point now) const;
     /// Returns the recent call duration of the fastest leaf of the service; empty when no leaf accepts calls.
     std::optional<kernel::duration> recentCallDuration(std::string const& service, kernel::time_point now) const;
     /// Returns the time at which the first leaf of the service ends its pause, if the service has no leaf that accepts calls but
@@ -112,6 +123,7 @@
     std::size_t availableCount() const;
     /// Returns the handles of all registered leafs.
     std::vector<leaf_handle> registeredLeafs() const;
+    std::vector<leaf_handle> leafsOf(std::string const& service) const;
     std::vector<leaf_handle> leafsIn(std::string const& service, std::string const& dataCentre) const;
     /// Returns true when a leaf of the service accepts calls, without the excluded leafs. Free connections are not checked.
     bool hasAcceptingLeaf(std::string const& service, std::span<leaf_handle const> excluded, kernel::time_point now) const;
--- a/Libraries/zinnialedge/forwarding/request_admission.cpp
+++ b/Libraries/zinnialedge/forwarding/request_admission.cpp
@@ -47,7 +47,7 @@
     return now + std::chrono::duration_cast<kernel::duration>((request.objectiveAt - now) * latestStartShare);
 }
 
-bool request_engine::skipPartsWithoutLeafs(active_request& request, time_point now)
+bool request_engine::leaveOutPartsWithoutLeafs(active_request& request, time_point now) const
 {
     for (auto& part : request.parts) {
         if (part.isMissing || m_leafs.hasAcceptingLeaf(*part.service, {}, now))
@@ -56,13 +56,30 @@
         ++request.missingPartCount;
     }
     // Parts without a leaf are detected before any call is sent, so a request rejected here is known not to have run.
-    if (request.matchedRoute->isGather() ? request.canReachMinimumCoverage() : request.missingPartCount == 0)
+    return request.matchedRoute->isGather() ? request.canReachMinimumCoverage() : request.missingPartCount == 0;
+}
+
+bool request_engine::skipPartsWithoutLeafs(active_request& request, time_point now)
+{
+    if (leaveOutPartsWithoutLeafs(request, now))
         return true;
     settleUnavailable(request, errors::error_kind::no_live_target, "no_leaf", now);
     return false;
 }
 
 bool request_engine::skipLimitedShards(active_request& request, time_point now)
+{
+    auto const missingBefore = request.missingPartCount;
+    if (auto const wait = leaveOutLimitedShards(request, now)) {
+        ++m_counters.rejectionsForLimits;
+        settleUntil(request, *wait, "leafs_limited", m_leafs.limitedCallInterval(*wait->service, now), now);
+        return false;
+    }
+    m_counters.shardsSkipped += request.missingPartCount - missingBefore;
+    return true;
+}
+
+std::optional<service_wait> request_engine::leaveOutLimitedShards(active_request& request, time_point now) const
 {
     struct late_part {
         std::size_t partIndex { 0 };
@@ -73,31 +90,33 @@
     std::vector<late_part> lateParts;
     for (std::size_t partIndex = 0; partIndex < request.parts.size(); ++partIndex) {
         auto const& part = request.parts[partIndex];
-        auto const startsAt = part.isMissing ? std::nullopt : m_leafs.nextCallTime(*part.service, {}, stateOf(*part.service).queuedParts.size(), now);
+        auto const startsAt = part.isMissing ? std::nullopt : m_leafs.nextCallTime(*part.service, {}, queuedPartCount(*part.service), now);
         if (startsAt && *startsAt > latestStart)
             lateParts.push_back({ partIndex, *startsAt });
     }
     if (lateParts.empty())
-        return true;
+        return std::nullopt;
     std::sort(lateParts.begin(), lateParts.end(), [](auto const& left, auto const& right) { return left.startsAt > right.startsAt; });
     auto allowedCount = lateParts.size();
     if (!request.isRelayed())
         allowedCount = request.matchedRoute->isGather() ? request.allowedMissingParts() : 0;
     if (lateParts.size() > allowedCount) {
         auto const& firstNeeded = lateParts[allowedCount];
-        service_wait const wait { request.parts[firstNeeded.partIndex].service, firstNeeded.startsAt };
-        ++m_counters.rejectionsForLimits;
-        settleUntil(request, wait, "leafs_limited", m_leafs.limitedCallInterval(*wait.service, now), now);
-        return false;
+        return service_wait { request.parts[firstNeeded.partIndex].service, firstNeeded.startsAt };
     }
     for (auto const& late : lateParts) {
         request.parts[late.partIndex].isMissing = true;
         request.parts[late.partIndex].isSkipped = !request.isRelayed();
         ++request.missingPartCount;
         request.skippedPartCount += request.isRelayed() ? 0 : 1;
-        ++m_counters.shardsSkipped;
     }
-    return true;
+    return std::nullopt;
+}
+
+std::size_t request_engine::queuedPartCount(std::string const& service) const
+{
+    auto const found = m_serviceStates.find(service);
+    return found == m_serviceStates.end() ? 0 : found->second.queuedParts.size();
 }
 
 bool request_engine::admitOrEnqueue(active_request& request, time_point now)
@@ -120,6 +139,20 @@
     return false;
 }
 
+admission_preview request_engine::previewAdmission(active_request const& request, time_point now) const
+{
+    auto const found = m_admissions.find(request.matchedRoute->gather.shards.front());
+    // The copy takes the changes that the request would make.
+    auto queue = found == m_admissions.end() ? limits::admission_queue {} : found->second.queue;
+    bool const isOverloaded = queue.isOverloaded(now);
+    queue.setCapacityShare(acceptingCapacityShare(request, now));
+    admission_preview preview { queue.inFlight(), queue.limit(), queue.queuedCount(), isOverloaded, {}, {} };
+    preview.verdict = queue.arrive(request.token, request.priority(), latestStartOf(request, now), now);
+    if (preview.verdict == verdict::reject)
+        preview.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(queue.nextRetryAfter(now));
+    return preview;
+}
+
 void request_engine::releaseAdmission(active_request& request, time_point now)
 {
     auto const state = std::exchange(request.admission, admission_state::none);
--- a/Libraries/zinnialedge/forwarding/request_arrival.cpp
+++ b/Libraries/zinnialedge/forwarding/request_arrival.cpp
@@ -2,6 +2,7 @@
 
 #include "Libraries/zinnialedge/forwarding/request_engine.h"
 
+#include "Libraries/zinnialedge/forwarding/retry_after.h"
 #include "Libraries/zinnialedge/limits/weak_shards.h"
 
 #include <algorithm>
@@ -19,14 +20,10 @@
 static constexpr std::chrono::milliseconds minimumEndMargin { 12 };
 /// Number of objectives after which an answer with the minimum coverage is preferred to a later complete answer.
 static constexpr int objectivesUntilLate = 2;
-/// Retry-after when the daemon is at capacity: about the time in which other requests end.
-static constexpr std::chrono::milliseconds atCapacityRetryAfter { 120 };
-/// Retry-after while no configuration is loaded: about the time in which a starting daemon reads its configuration.
-static constexpr std::chrono::milliseconds noConfigurationRetryAfter { 300 };
 
-static std::string_view requestPath(std::string_view target)
+route const* request_engine::findRoute(caller_request const& request) const
 {
-    return target.substr(0, target.find('?'));
+    return m_routes->find(request.host, std::string_view { request.target }.substr(0, request.target.find('?')));
 }
 
 void request_engine::handleRequest(request_token token, caller_request request, time_point now)
@@ -49,7 +46,7 @@
             return;
         }
     }
-    auto const* const to = m_routes->find(request.host, requestPath(request.target));
+    auto const* const to = findRoute(request);
     if (!to) {
         reject(token, request, makeRejection(errors::error_kind::unknown_route, "no_route", {}));
         return;
@@ -122,6 +119,14 @@
 {
     auto& created = m_requests[token];
     created.token = token;
+    describeRequest(created, std::move(request), to, now);
+    makeParts(created, now);
+    m_timers.push({ created.endAt, timer_kind::end, token });
+    return &created;
+}
+
+void request_engine::describeRequest(active_request& created, caller_request request, route const& to, time_point now) const
+{
     created.table = m_routes;
     created.matchedRoute = &to;
     created.matchedTenant = request.tenant.empty() ? nullptr : m_routes->tenantNamed(request.tenant);
@@ -143,9 +148,6 @@
     created.endAt = now + std::max<kernel::duration>(timeLimit - endMargin, timeLimit / 2);
     created.request = std::make_shared<caller_request const>(std::move(request));
     created.evidence = std::make_shared<quarantine::request_evidence>([request = created.request] { return digestsOf(*request); });
-    makeParts(created, now);
-    m_timers.push({ created.endAt, timer_kind::end, token });
-    return &created;
 }
 
 void request_engine::makeParts(active_request& request, time_point now)
@@ -163,16 +165,19 @@
         m_timers.push({ request.objectiveAt, timer_kind::objective, request.token });
         return;
     } else {
-        request.parts.resize(to.gather.shards.size());
-        for (std::size_t partIndex = 0; partIndex < request.parts.size(); ++partIndex) {
-            request.parts[partIndex].service = &to.gather.shards[partIndex];
-            request.parts[partIndex].shardIndex = partIndex;
-        }
+        addAllShards(request);
         m_timers.push({ request.objectiveAt, timer_kind::objective, request.token });
         m_timers.push({ now + to.objective * objectivesUntilLate, timer_kind::accept_minimum_coverage, request.token });
     }
 }
 
+void request_engine::addAllShards(active_request& request)
+{
+    auto const& shards = request.matchedRoute->gather.shards;
+    for (std::size_t shard = 0; shard < shards.size(); ++shard)
+        request.parts.push_back({ .service = &shards[shard], .shardIndex = shard });
+}
+
 void request_engine::countRequest(active_request const& request, time_point now)
 {
     // The daemon that relays a request counts it, because it also sends the extra calls.
@@ -182,15 +187,20 @@
         stateOf(*part.service).extraCallBudget.recordRequest(now);
 }
 
-void request_engine::skipSlowShards(active_request& request, time_point now)
+limits::shard_skip_input request_engine::describeSlowShards(active_request const& request, time_point now) const
 {
     limits::shard_skip_input skipInput { {}, request.objectiveAt - now, request.allowedMissingParts() };
     if (skipInput.allowedMissingShards == 0)
-        return;
+        return skipInput;
     skipInput.recentCallDurations.reserve(request.parts.size());
     for (auto const& part : request.parts)
         skipInput.recentCallDurations.push_back(part.isMissing ? kernel::duration::zero() : m_leafs.recentCallDuration(*part.service, now).value_or(kernel::duration::zero()));
-    for (auto const partIndex : limits::chooseSkippedShards(skipInput, m_random)) {
+    return skipInput;
+}
+
+void request_engine::skipSlowShards(active_request& request, time_point now)
+{
+    for (auto const partIndex : limits::chooseSkippedShards(describeSlowShards(request, now), m_random)) {
         request.parts[partIndex].isMissing = true;
         request.parts[partIndex].isSkipped = true;
         ++request.missingPartCount;
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -26,9 +26,11 @@
 /// for reuse.
 static constexpr std::chrono::milliseconds abandonedCallGrace { 300 };
 
-kernel::duration request_engine::hedgeDelayOf(route const& to)
+kernel::duration request_engine::hedgeDelayOf(route const& to) const
 {
-    auto const hedgeDelay = std::chrono::duration<double> { stateOf(to).callDurationQuantile.value() } * hedgeDelayFactor;
+    auto const known = m_routeStates.find(to.name);
+    auto const callDuration = known == m_routeStates.end() ? initialCallDuration(to) : known->second.callDurationQuantile.value();
+    auto const hedgeDelay = std::chrono::duration<double> { callDuration } * hedgeDelayFactor;
     auto const objective = std::chrono::duration<double> { to.objective };
     return std::chrono::duration_cast<kernel::duration>(std::clamp(hedgeDelay, objective * minimumHedgeDelayShare, objective * maximumHedgeDelayShare));
 }
@@ -40,14 +42,18 @@
 
 bool request_engine::consumeExtraCall(active_request& request, std::size_t partIndex, time_point now)
 {
-    auto const sharers = m_fleetShare.daemonsSharingSlack == 0 ? 0 : static_cast<std::size_t>(m_slackSharers.value(now));
-    bool const isAllowed = stateOf(*request.parts[partIndex].service).extraCallBudget.tryConsume(now, sharers);
+    bool const isAllowed = stateOf(*request.parts[partIndex].service).extraCallBudget.tryConsume(now, slackSharers(now));
     request.deniedExtraCallCount += isAllowed ? 0 : 1;
     m_counters.extraCallsDenied += isAllowed ? 0 : 1;
     m_deniedExtraCallShare += deniedShareWeight * ((isAllowed ? 0 : 1) - m_deniedExtraCallShare);
     return isAllowed;
 }
 
+std::size_t request_engine::slackSharers(time_point now) const
+{
+    return m_fleetShare.daemonsSharingSlack == 0 ? 0 : static_cast<std::size_t>(m_slackSharers.value(now));
+}
+
 void request_engine::callPart(active_request& request, std::size_t partIndex, time_point now)
 {
     if (now >= request.endAt) {
--- a/Libraries/zinnialedge/forwarding/request_detours.cpp
+++ b/Libraries/zinnialedge/forwarding/request_detours.cpp
@@ -2,6 +2,7 @@
 // like one of its own callers, with its own admission, limits, hedges and budget, and passes it on to no further daemon.
 
 #include "Libraries/zinnialedge/forwarding/request_engine.h"
+#include "Libraries/zinnialedge/forwarding/retry_after.h"
 
 #include <algorithm>
 
@@ -10,8 +11,6 @@
 using errors::error_kind;
 using kernel::time_point;
 
-/// Retry-after when no daemon reaches leafs: about the time in which returned links are noticed.
-static constexpr std::chrono::milliseconds linksLostRetryAfter { 400 };
 /// Minimum remaining time for another detour; with less time left, its answer would be late.
 static constexpr std::chrono::milliseconds minimumDetourTime { 10 };
 /// Minimum time after which an answer of another daemon is late, for requests whose objective is near.
@@ -36,14 +35,18 @@
 }
 
 std::optional<relay> request_engine::chooseDetour(active_request const& request, time_point now)
+{
+    return chooseDetour(request, m_fleetShare.detours.empty() ? 0 : m_random() % m_fleetShare.detours.size(), now);
+}
+
+std::optional<relay> request_engine::chooseDetour(active_request const& request, std::size_t offset, time_point now) const
 {
     std::optional<relay> best;
     std::size_t lowestScore = 0;
     auto const& candidates = m_fleetShare.detours;
-    auto const offset = candidates.empty() ? 0 : m_random() % candidates.size();
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         auto const& each = candidates[(index + offset) % candidates.size()];
-        auto const& state = m_relayStates[each];
+        auto const state = stateOf(each);
         bool const wasCalled = request.detour && std::find(request.detour->calledDaemons.begin(), request.detour->calledDaemons.end(), each.endpoint) != request.detour->calledDaemons.end();
         auto const score = (state.inFlight + 1) * (each.dataCentre == m_leafs.localDataCentre() ? 1 : remoteDetourFactor) * (now < state.backoffUntil ? backoffFactor : 1);
         if (wasCalled || (best && score >= lowestScore))
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -72,8 +72,19 @@
     if (found != m_routeStates.end())
         return found->second;
     static constexpr double typicalQuantile = 0.9;
+    return m_routeStates.emplace(to.name, route_state { limits::moving_quantile { typicalQuantile, initialCallDuration(to) } }).first->second;
+}
+
+std::chrono::microseconds request_engine::initialCallDuration(route const& to)
+{
     static constexpr int initialCallTimeDivisor = 8;
-    return m_routeStates.emplace(to.name, route_state { limits::moving_quantile { typicalQuantile, to.objective / initialCallTimeDivisor } }).first->second;
+    return to.objective / initialCallTimeDivisor;
+}
+
+relay_state request_engine::stateOf(relay const& daemon) const
+{
+    auto const found = m_relayStates.find(daemon);
+    return found == m_relayStates.end() ? relay_state {} : found->second;
 }
 
 service_state& request_engine::stateOf(std::string const& service)
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -5,7 +5,9 @@
 #include "Libraries/zinnialedge/forwarding/engine_state.h"
 #include "Libraries/zinnialedge/forwarding/fleet_share.h"
 #include "Libraries/zinnialedge/forwarding/leaf_roster.h"
+#include "Libraries/zinnialedge/forwarding/relay_plan.h"
 #include "Libraries/zinnialedge/limits/held_maximum.h"
+#include "Libraries/zinnialedge/limits/weak_shards.h"
 #include "Libraries/zinnialedge/quarantine/quarantine_table.h"
 #include "Libraries/zinnialedge/reachability/link_monitor.h"
 #include <functional>
@@ -67,8 +69,13 @@
     /// has been rejected.
     bool resolveAccess(request_token, caller_request&, route const& to);
     final_answer makeRejection(errors::error_kind, std::string reason, kernel::duration retryAfter);
+    route const* findRoute(caller_request const&) const;
+    /// Fills in everything but the token and the parts.
+    void describeRequest(active_request&, caller_request, route const&, kernel::time_point now) const;
+    static void addAllShards(active_request&);
     std::string const& chooseService(route const&);
     void makeParts(active_request&, kernel::time_point now);
+    limits::shard_skip_input describeSlowShards(active_request const&, kernel::time_point now) const;
     /// Skips slow shards, up to the number of shards that may be missing from the answer.
     void skipSlowShards(active_request&, kernel::time_point now);
     /// Queries skipped shards until the minimum coverage can be reached again.
@@ -79,12 +86,18 @@
     /// Leaves out the shards whose leafs' request limits allow no call in time, up to the number of shards that may be missing from
     /// the answer. Rejects the request and returns false when more shards would be missing.
     bool skipLimitedShards(active_request&, kernel::time_point now);
+    /// Marks parts as the functions above do. Returns whether the request can be served without them, or the wait that prevents it.
+    bool leaveOutPartsWithoutLeafs(active_request&, kernel::time_point now) const;
+    std::optional<service_wait> leaveOutLimitedShards(active_request&, kernel::time_point now) const;
+    std::size_t queuedPartCount(std::string const& service) const;
     /// Sends the first calls of a request.
     void startCalls(active_request&, kernel::time_point now);
     /// Returns the share of the leafs' capacity that remains for the request while leafs are paused or evacuated, from 0 to 1.
     double acceptingCapacityShare(active_request const&, kernel::time_point now) const;
     /// Admits, enqueues or rejects a request over shards. Returns true when the request is admitted.
     bool admitOrEnqueue(active_request&, kernel::time_point now);
+    /// Returns what admitOrEnqueue() would decide.
+    admission_preview previewAdmission(active_request const&, kernel::time_point now) const;
     /// Releases the slot or the queue entry of a request that ends or whose caller has disconnected.
     void releaseAdmission(active_request&, kernel::time_point now);
     void admitQueued(std::uint64_t number, kernel::time_point now);
@@ -129,6 +142,8 @@
     /// Handles a request that arrives while the links are lost. Returns false when the request is to be tried directly.
     bool handleWithoutLinks(active_request&, kernel::time_point now);
     std::optional<relay> chooseDetour(active_request const&, kernel::time_point now);
+    /// Daemons that are equal are taken in their order from `offset` on.
+    std::optional<relay> chooseDetour(active_request const&, std::size_t offset, kernel::time_point now) const;
     /// Passes the request on to a daemon that has not had it yet. Returns false when there is none.
     bool sendDetour(active_request&, bool isCounted, kernel::time_point now);
     void sendDetourTo(relay const&, active_request&, bool isCounted, kernel::time_point now);
@@ -164,8 +179,10 @@
     bool sendHedgeTo(active_request&, std::size_t partIndex, leaf_handle, kernel::time_point now);
     /// Consumes an extra call from the budget of the part's service. Returns false when the budget is exhausted.
     [[nodiscard]] bool consumeExtraCall(active_request&, std::size_t partIndex, kernel::time_point now);
+    /// Returns the number of daemons that share the slack of extra calls; zero when this daemon has no slack.
+    std::size_t slackSharers(kernel::time_point now) const;
     /// Returns the time after which a call is hedged and an unresponsive leaf is suspect.
-    kernel::duration hedgeDelayOf(route const&);
+    kernel::duration hedgeDelayOf(route const&) const;
 
     /// Returns the time without a reply after which calls that are slow together are hedged.
     static kernel::duration longestHedgeHold(route const&);
@@ -203,6 +220,9 @@
     /// Relays shards without a healthy leaf in the local data centre to daemons of other data centres.
     void sendRelays(active_request&, kernel::time_point now);
     std::optional<relay> chooseRelay(std::string const& dataCentre, kernel::time_point now);
+    std::optional<relay> chooseRelay(std::string const& dataCentre, std::size_t offset, kernel::time_point now) const;
+    /// Returns the shards to relay by data centre. `hasRelay` tells whether a daemon of a data centre can be asked.
+    std::vector<relayed_shards> planShardRelays(active_request const&, std::function<bool(std::string const&)> const& hasRelay, kernel::time_point now) const;
     /// Returns the time limit that a relay call gives to the other daemon.
     std::chrono::milliseconds relayTimeLimit(active_request const&, kernel::time_point now);
     /// Returns the time after which a relay call is late. The time follows the typical duration of relay calls, which is longer
@@ -232,7 +252,7 @@
     /// Adapts the pace of a leaf that starts to the end of a call.
     void adaptPace(call_context const&, call_result const&, kernel::time_point now);
     /// Returns whether the request may try an idle leaf in its start phase: another leaf can still answer the request in time.
-    bool mayTryIdleLeaf(active_request&, std::size_t partIndex, kernel::time_point now);
+    bool mayTryIdleLeaf(active_request const&, std::size_t partIndex, kernel::time_point now) const;
     /// Logs changes of leafs' phases, at intervals.
     void reviewLeafs(kernel::time_point now);
     void setLeafLimit(leaf_handle, double requestsPerSecond, kernel::time_point now);
@@ -255,6 +275,8 @@
     /// Rejects a request of which nothing has run. If only pauses prevent the request, its retry-after is a time at which a paused
     /// leaf has room for it.
     void settleUnavailable(active_request&, errors::error_kind, std::string reason, kernel::time_point now);
+    /// Returns the time between two requests that this daemon can serve when the pause of the service's leafs ends.
+    kernel::duration pausedCallInterval(std::string const& service) const;
     /// Rejects a request for which no call was sent, with a retry-after from the admission queue.
     void settleOverloaded(active_request&, kernel::time_point now);
     /// Rejects a request that can be served when the wait ends. `interval` is the time between two requests that this daemon can
@@ -265,6 +287,9 @@
     void abandon(active_request&, kernel::time_point now);
 
     route_state& stateOf(route const&);
+    relay_state stateOf(relay const&) const;
+    /// Returns the typical duration of a call before any has ended.
+    static std::chrono::microseconds initialCallDuration(route const&);
     service_state& stateOf(std::string const& service);
     active_request* findRequest(request_token);
 
--- a/Libraries/zinnialedge/forwarding/request_evacuations.cpp
+++ b/Libraries/zinnialedge/forwarding/request_evacuations.cpp
@@ -2,6 +2,7 @@
 // before it is sent; what was decided before and is not sent yet is withheld here.
 
 #include "Libraries/zinnialedge/forwarding/request_engine.h"
+#include "Libraries/zinnialedge/forwarding/retry_after.h"
 
 #include <algorithm>
 
@@ -9,10 +10,6 @@
 
 using kernel::time_point;
 
-/// Retry-after when the leafs that a request needs are in evacuated data centres. The end of an evacuation is unknown; callers learn of
-/// it within a second or two without asking more often than a service without leafs can reject.
-static constexpr std::chrono::milliseconds evacuationRetryAfter { 1000 };
-
 /// Time after the begin of an evacuation within which calls that were sent before must be delivered. Several round trips; the bytes of a
 /// call that waits longer, because the link is cut or the leaf stands still, could arrive when nothing may reach the leaf any more.
 static constexpr std::chrono::milliseconds deliveryTime { 1000 };
--- a/Libraries/zinnialedge/forwarding/request_pace.cpp
+++ b/Libraries/zinnialedge/forwarding/request_pace.cpp
@@ -45,7 +45,7 @@
         m_leafs.at(leaf).recordWarmup(*reply.warmupLeft, sentAt, now);
 }
 
-bool request_engine::mayTryIdleLeaf(active_request& request, std::size_t partIndex, time_point now)
+bool request_engine::mayTryIdleLeaf(active_request const& request, std::size_t partIndex, time_point now) const
 {
     auto const& part = request.parts[partIndex];
     if (!request.matchedRoute->isRepeatable || request.isRelayed() || request.maximumAttempts() < 2 || part.attemptCount() > 0 || !m_leafs.isPaced(*part.service))
--- a/Libraries/zinnialedge/forwarding/request_relays.cpp
+++ b/Libraries/zinnialedge/forwarding/request_relays.cpp
@@ -2,7 +2,6 @@
 // records, which saves most of the traffic between data centres. The remote daemon sends first calls only. Hedges are sent
 // here, so that the number of leafs called for a shard stays within the route's limit even if the remote daemon fails.
 
-#include "Libraries/zinnialedge/forwarding/relay_plan.h"
 #include "Libraries/zinnialedge/forwarding/request_engine.h"
 #include "Libraries/zinnialedge/limits/hedge_hold.h"
 
@@ -23,15 +22,19 @@
 static constexpr int relayLateFactor = 2;
 static constexpr int relayDurationWeightDivisor = 8;
 std::optional<relay> request_engine::chooseRelay(std::string const& dataCentre, time_point now)
+{
+    return chooseRelay(dataCentre, m_fleetShare.relays.empty() ? 0 : m_random() % m_fleetShare.relays.size(), now);
+}
+
+std::optional<relay> request_engine::chooseRelay(std::string const& dataCentre, std::size_t offset, time_point now) const
 {
     std::optional<relay> best;
     std::size_t fewestInFlight = 0;
-    auto const offset = m_fleetShare.relays.empty() ? 0 : m_random() % m_fleetShare.relays.size();
     for (std::size_t index = 0; index < m_fleetShare.relays.size(); ++index) {
         auto const& each = m_fleetShare.relays[(index + offset) % m_fleetShare.relays.size()];
         if (each.dataCentre != dataCentre)
             continue;
-        auto const& state = m_relayStates[each];
+        auto const state = stateOf(each);
         if (now < state.backoffUntil || (best && state.inFlight >= fewestInFlight))
             continue;
         best = each;
@@ -41,9 +44,17 @@
 }
 
 void request_engine::sendRelays(active_request& request, time_point now)
+{
+    for (auto const& each : planShardRelays(request, [&](auto const& dataCentre) { return chooseRelay(dataCentre, now).has_value(); }, now)) {
+        if (auto const to = chooseRelay(each.dataCentre, now))
+            sendRelay(request, *to, each.shardIndices, now);
+    }
+}
+
+std::vector<relayed_shards> request_engine::planShardRelays(active_request const& request, std::function<bool(std::string const&)> const& hasRelay, time_point now) const
 {
     if (m_fleetShare.relays.empty() || !request.matchedRoute->isRepeatable)
-        return;
+        return {};
     auto const timeLimit = hedgeDelayOf(*request.matchedRoute);
     std::vector<std::size_t> remoteShards;
     for (std::size_t partIndex = 0; partIndex < request.parts.size(); ++partIndex) {
@@ -52,19 +63,15 @@
             remoteShards.push_back(partIndex);
     }
     if (remoteShards.size() < minimumRelayedShards)
-        return;
+        return {};
     std::vector<std::string> dataCentres;
     for (auto const& each : m_fleetShare.relays) {
-        if (std::find(dataCentres.begin(), dataCentres.end(), each.dataCentre) == dataCentres.end() && chooseRelay(each.dataCentre, now))
+        if (std::find(dataCentres.begin(), dataCentres.end(), each.dataCentre) == dataCentres.end() && hasRelay(each.dataCentre))
             dataCentres.push_back(each.dataCentre);
     }
-    auto const plan = planRelays(std::move(remoteShards), dataCentres, [&](std::size_t partIndex, std::string const& dataCentre) {
+    return planRelays(std::move(remoteShards), dataCentres, [&](std::size_t partIndex, std::string const& dataCentre) {
         return m_leafs.hasHealthyLeafIn(*request.parts[partIndex].service, dataCentre, timeLimit, now);
     });
-    for (auto const& each : plan) {
-        if (auto const to = chooseRelay(each.dataCentre, now))
-            sendRelay(request, *to, each.shardIndices, now);
-    }
 }
 
 std::chrono::milliseconds request_engine::relayTimeLimit(active_request const& request, time_point now)
--- a/Libraries/zinnialedge/forwarding/request_settling.cpp
+++ b/Libraries/zinnialedge/forwarding/request_settling.cpp
@@ -1,6 +1,7 @@
 // Answers to callers: when a request is decided, and what its caller gets.
 
 #include "Libraries/zinnialedge/forwarding/request_engine.h"
+#include "Libraries/zinnialedge/forwarding/retry_after.h"
 
 #include "Libraries/zinnialedge/forwarding/record_merge.h"
 
@@ -14,8 +15,6 @@
 /// Time after the answer at which losing calls are cancelled. The platform requires that work for a disconnected caller ends
 /// within 0.5 s, and a caller may disconnect as soon as the answer arrives.
 static constexpr std::chrono::milliseconds losingCallGrace { 250 };
-/// Retry-after when no leaf is available: about half a heartbeat, in which the registrations may change.
-static constexpr std::chrono::milliseconds noLeafRetryAfter { 600 };
 /// Retry-after when all leafs are full: about the time in which a full leaf drains its queue.
 static constexpr std::chrono::milliseconds fullLeafRetryAfter { 120 };
 
@@ -153,11 +152,15 @@
         settleWithError(request, kind, std::move(reason), now);
         return;
     }
-    // All daemons that share the leafs send their requests back, each for its share of the leafs' slots.
-    auto const slots = std::max<std::size_t>(m_leafs.slotCount(*wait->service), 1);
-    auto const interval = m_leafs.typicalCallDuration() * static_cast<std::int64_t>(m_fleetShare.daemonsSharingConnections) / static_cast<std::int64_t>(slots);
     ++m_counters.rejectionsForPauses;
-    settleUntil(request, *wait, "leafs_paused", interval, now);
+    settleUntil(request, *wait, "leafs_paused", pausedCallInterval(*wait->service), now);
+}
+
+kernel::duration request_engine::pausedCallInterval(std::string const& service) const
+{
+    // All daemons that share the leafs send their requests back, each for its share of the leafs' slots.
+    auto const slots = std::max<std::size_t>(m_leafs.slotCount(service), 1);
+    return m_leafs.typicalCallDuration() * static_cast<std::int64_t>(m_fleetShare.daemonsSharingConnections) / static_cast<std::int64_t>(slots);
 }
 
 void request_engine::settleUntil(active_request& request, service_wait const& wait, std::string reason, kernel::duration interval, time_point now)
--- a/Libraries/zinnialedge/limits/admission_queue.h
+++ b/Libraries/zinnialedge/limits/admission_queue.h
@@ -47,6 +47,7 @@
     bool isOverloaded(kernel::time_point now) const;
     bool hasQueuedQueries() const { return !m_queue.empty(); }
     std::size_t inFlight() const { return m_inFlight; }
+    std::size_t queuedCount() const { return m_queue.size(); }
     std::uint32_t limit() const;
 
 private:
