Forwarding: Explain where a request would go now

An engineer on call could not see why a request would be refused or sent to a certain leaf without sending it. request_engine::explain() returns an immutable value with the route, the tenant and its quota, the quarantine, the links, admission, the leafs in the order of the calls, the hedge, and the refusal. It takes the engine's own decisions, on copies of the state where they consume something. GET /route of zinnialedge-edge serves it as JSON.

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -80,6 +80,7 @@
     auto const fleetService = TRY(fleet_service::create(std::move(fleet), std::move(protocols.store), *trafficService));
     boost::json::object const daemonInfo { { "daemon", m_settings.name }, { "callers", toString(m_settings.callers) }, { "data_centre", m_settings.dataCentre }, { "incarnation", m_incarnation }, { "version", ZINNIALEDGE_VERSION } };
     auto const operators = TRY(operator_service::create(m_settings.operators, boost::json::serialize(daemonInfo), TRY(configuration::partner_keys::load({})), m_registry));
+    operators->setRouteExplainer([traffic = trafficService](auto const& parameters, auto receiver) { return traffic->requestExplanation(parameters, std::move(receiver)); });
     // Services stop in reverse order: the traffic service last, since the other services send events to its inbox.
     m_registry.add(trafficService);
     m_registry.add(fleetService);
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -16,6 +16,8 @@
 
 namespace zinnialedge::forwarding {
 
+struct request_explanation;
+
 /// Decides for each request which leafs are called, when a hedge is sent, and which answer the caller gets. The engine performs
 /// no I/O: events are passed in together with the current time, and actions are executed through hooks.
 class request_engine {
@@ -38,6 +40,9 @@
     void mergeUsage(allowances::usage_report const&, kernel::time_point now);
 
     void handleRequest(request_token, caller_request, kernel::time_point now);
+    /// Explains what would become of the request now, if a caller sent it. Its tenant is given by name. Changes nothing. Errors: not_configured,
+    /// unknown_route, malformed_request (unknown tenant).
+    errors::error_or<request_explanation> explain(caller_request, kernel::time_point now) const;
     void handleCallerDisconnect(request_token, kernel::time_point now);
     void handleCallEnd(call_number, call_result, kernel::time_point now);
     /// Takes that the connection of a call is open, so that the call is being sent. May be called from within the hook that sends it.
@@ -62,6 +67,8 @@
     reachability::link_state linkState() const { return m_links.state(); }
 
 private:
+    friend class request_explainer;
+
     // Arrival.
     /// Rejects a request that has not been created yet. `to` is null when no route is known.
     void reject(request_token, caller_request const&, final_answer, route const* to = nullptr);
--- a/Services/operators/operator_service.cpp
+++ b/Services/operators/operator_service.cpp
@@ -72,12 +72,14 @@
         collectState(respond);
     } else if (path == "/metrics" && request.method == "GET") {
         collectMetrics(respond);
+    } else if (path == "/route" && request.method == "GET" && m_routeExplainer) {
+        explainRoute(request, respond);
     } else if (path == "/commands" && request.method == "POST") {
         m_commandHandler.handle(request, respond);
     } else if (path == "/log-level" && request.method == "POST") {
         changeLogLevel(request, respond);
     } else {
-        errors::error const reason { error_kind::unknown_route, request.method + " " + path + " is not served; expected GET /state, GET /metrics, POST /log-level or POST /commands", {} };
+        errors::error const reason { error_kind::unknown_route, request.method + " " + path + " is not served; expected GET /state, GET /metrics, " + (m_routeExplainer ? "GET /route, " : "") + "POST /log-level or POST /commands", {} };
         respond({ propertiesOf(reason.kind).httpStatus, wire::formatError(reason), {} });
     }
 }
@@ -137,6 +139,21 @@
     startCollectionTimeout(pendingCollection);
 }
 
+void operator_service::explainRoute(wire::http_request const& request, wire::http_responder const& respond)
+{
+    auto const fail = [respond](errors::error const& reason) { respond({ propertiesOf(reason.kind).httpStatus, wire::formatError(reason), {} }); };
+    bool const isAccepted = m_routeExplainer(wire::parseQueryParameters(request), [this, respond, fail](errors::error_or<std::string> const& explanation) {
+        (void)m_workerThread.post([respond, fail, explanation] {
+            if (explanation)
+                respond({ statusOk, *explanation, {} });
+            else
+                fail(explanation.error());
+        });
+    });
+    if (!isAccepted)
+        fail({ error_kind::leaving, "the daemon is stopping", {} });
+}
+
 void operator_service::changeLogLevel(wire::http_request const& request, wire::http_responder const& respond)
 {
     if (!kernel::setLogLevel(request.body)) {
--- a/Services/traffic/traffic_implementation.h
+++ b/Services/traffic/traffic_implementation.h
@@ -50,6 +50,7 @@
     std::size_t drainConnections();
     std::string describeState() const;
     std::string describeMetrics() const;
+    errors::error_or<std::string> explain(std::map<std::string, std::string> const& parameters) const;
 
 private:
     static kernel::time_point now() { return std::chrono::steady_clock::now(); }
--- a/Services/traffic/traffic_metrics.cpp
+++ b/Services/traffic/traffic_metrics.cpp
@@ -1,9 +1,11 @@
-// State and metrics of the traffic service.
+// State and metrics of the traffic service, and explanations of requests.
 
 #include "Services/traffic/traffic_implementation.h"
 
 #include "Kernel/event_log.h"
 #include "Kernel/metrics_text.h"
+#include "Kernel/try.h"
+#include "Services/traffic/explanation_codec.h"
 #include "Services/traffic/tenant_metrics.h"
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -25,6 +27,12 @@
     return boost::json::serialize(state);
 }
 
+errors::error_or<std::string> traffic_service::implementation::explain(std::map<std::string, std::string> const& parameters) const
+{
+    auto request = TRY(parseExplainedRequest(parameters));
+    return formatExplanation(TRY(m_engine.explain(std::move(request), now())));
+}
+
 std::string traffic_service::implementation::describeMetrics() const
 {
     auto const& counters = m_engine.counters();
--- a/Services/traffic/traffic_service.h
+++ b/Services/traffic/traffic_service.h
@@ -5,6 +5,7 @@
 #include "Libraries/zinnialedge/forwarding/edge_protocol.h"
 #include "Libraries/zinnialedge/forwarding/request_engine.h"
 #include <atomic>
+#include <map>
 #include <memory>
 #include <set>
 #include <variant>
@@ -89,6 +90,10 @@
     /// Returns false when the service has stopped.
     bool drainConnections(std::function<void(std::size_t)> receiver);
 
+    /// Passes an explanation of what would become of the request now, as a JSON object, to the receiver on the service's thread. `parameters`
+    /// are those of GET /route. Returns false when the service has stopped.
+    bool requestExplanation(std::map<std::string, std::string> const& parameters, std::function<void(errors::error_or<std::string>)> receiver);
+
     static constexpr char const* serviceName = "traffic";
 
 private:
