--- a/Utilities/zlctl/daemon_client.cpp
+++ b/Utilities/zlctl/daemon_client.cpp
@@ -1,6 +1,7 @@
 #include "Utilities/zlctl/daemon_client.h"
 
 #include <boost/asio/io_context.hpp>
+#include <cctype>
 
 namespace zinnialedge::utilities::control {
 
@@ -33,6 +34,29 @@
     return call(m_operators, { "GET", "/state", {}, {} });
 }
 
+/// Encodes every byte that has a meaning in a query string.
+static std::string encodePercent(std::string const& text)
+{
+    static constexpr std::string_view digits { "0123456789ABCDEF" };
+    std::string encoded;
+    for (unsigned char const byte : text) {
+        if (std::isalnum(byte) != 0 || byte == '-' || byte == '.' || byte == '_' || byte == '/') {
+            encoded += static_cast<char>(byte);
+            continue;
+        }
+        encoded += { '%', digits[byte / digits.size()], digits[byte % digits.size()] };
+    }
+    return encoded;
+}
+
+wire::http_result daemon_client::route(std::string const& method, std::string const& host, std::string const& path, std::string const& tenant)
+{
+    auto target = "/route?method=" + encodePercent(method) + "&host=" + encodePercent(host) + "&path=" + encodePercent(path);
+    if (!tenant.empty())
+        target += "&tenant=" + encodePercent(tenant);
+    return call(m_operators, { "GET", std::move(target), {}, {} });
+}
+
 wire::http_result daemon_client::query(model::endpoint const& callers, std::string const& body)
 {
     return call(callers, { "POST", "/query", body, {} });
--- a/Utilities/zlctl/daemon_client.h
+++ b/Utilities/zlctl/daemon_client.h
@@ -13,6 +13,8 @@
     /// Sends the statements with POST /commands. A dry run only computes the changes.
     wire::http_result command(std::string const& statements, bool isDryRun);
     wire::http_result state();
+    /// Asks with GET /route what would become of a request. An empty tenant is left out.
+    wire::http_result route(std::string const& method, std::string const& host, std::string const& path, std::string const& tenant);
     /// Sends POST /query to the callers' port.
     wire::http_result query(model::endpoint const& callers, std::string const& body);
 
--- a/Utilities/zlctl/main.cpp
+++ b/Utilities/zlctl/main.cpp
@@ -4,6 +4,7 @@
 #include "Utilities/zlctl/exit_code.h"
 #include "Utilities/zlctl/explain.h"
 #include "Utilities/zlctl/output.h"
+#include "Utilities/zlctl/route_output.h"
 #include <boost/algorithm/string/join.hpp>
 #include <boost/json.hpp>
 #include <fstream>
@@ -15,6 +16,7 @@
 DEFINE_string(daemon, "", "ADDRESS:PORT of a daemon's operators' port");
 DEFINE_string(key_file, "", "file that contains the partner's key");
 DEFINE_bool(json, false, "print the daemon's response unchanged");
+DEFINE_string(tenant, "", "tenant by whose name route explains a request");
 DEFINE_string(as, "table", "output format of show: table or declarations");
 
 using namespace zinnialedge;
@@ -25,6 +27,7 @@
                                      "  apply FILE | diff FILE | show services|daemons|targets of SERVICE [where state = STATE]\n"
                                      "  drain target NAME of SERVICE | undrain target NAME of SERVICE\n"
                                      "  query SERVICE REQUEST [KEY] | state\n"
+                                     "  route METHOD HOST PATH [--tenant NAME] : prints where a request would go now, without sending it\n"
                                      "  explain ID LOG... : prints the log lines of one request in chronological order; needs no daemon\n"
                                      "FILE may be - for standard input. Exit codes: 0 done, 1 rejected, 2 invalid input, 3 daemon unreachable,\n"
                                      "4 conflict, 5 diff found differences, 6 outcome unknown";
@@ -110,6 +113,14 @@
     return printResponse(client.query(*endpoint, wire::formatQuery(request)), printUnchanged);
 }
 
+static exit_code runRoute(daemon_client& client, std::vector<std::string> const& words)
+{
+    static constexpr std::size_t wordCount = 4;
+    if (words.size() != wordCount)
+        return reportInvalidInput("expected route METHOD HOST PATH");
+    return printResponse(client.route(words[1], words[2], words[3], FLAGS_tenant), printRoute);
+}
+
 static exit_code runFile(daemon_client& client, std::vector<std::string> const& words)
 {
     if (words.size() != 2)
@@ -132,6 +143,8 @@
         return printResponse(client.command(boost::algorithm::join(words, " "), false), printResults);
     if (command == "query")
         return runQuery(client, words);
+    if (command == "route")
+        return runRoute(client, words);
     if (command == "state")
         return printResponse(client.state(), printUnchanged);
     return reportInvalidInput("unknown command " + command + "; usage: zlctl " + usage);
