Tests: Require the quarantine and lost links in explanations

The test of the quarantine checked the refusal only if there was one, and lost links without a detour were not checked.

--- a/Tests/Unit/request_explanation_test.cpp
+++ b/Tests/Unit/request_explanation_test.cpp
@@ -199,14 +199,15 @@
         while (!daemon.openCalls("desk").empty())
             daemon.fail(daemon.openCalls("desk").front().number, forwarding::call_failure::broken);
     }
-    if (daemon.explain("/single/deadly").quarantine.verdict == quarantine::verdict::quarantined)
-        daemon.checkRefusal("request_quarantined", "/single/deadly");
-    CHECK(daemon.explain("/single/deadly").quarantine.lossCount >= 1);
+    CHECK(daemon.explain("/single/deadly").quarantine.lossCount >= 3);
+    daemon.checkRefusal("request_quarantined", "/single/deadly");
     explained_daemon cutOff;
     cutOff.setProbesAnswered(false);
     cutOff.send("/gather/lost");
     cutOff.pass(500ms);
     CHECK(cutOff.explain("/gather/a").links == link_state::lost);
+    cutOff.pass(2s);
+    cutOff.checkRefusal("links_lost", "/gather/a");
     forwarding::fleet_share share;
     share.detours = { { "here", { "10.0.1.1", 7395 } } };
     cutOff.engine.setFleetShare(share, cutOff.now());
