--- a/Libraries/zinnialedge/limits/admission_queue.cpp
+++ b/Libraries/zinnialedge/limits/admission_queue.cpp
@@ -39,14 +39,30 @@
     return now - m_lastRejectionAt < overloadHoldTime;
 }
 
-std::uint32_t admission_queue::limit() const
+std::uint32_t admission_queue::limitAt(double capacityShare) const
 {
-    return std::max(1U, static_cast<std::uint32_t>(std::ceil(m_limit.value() * m_capacityShare)));
+    return std::max(1U, static_cast<std::uint32_t>(std::ceil(m_limit.value() * capacityShare)));
 }
 
-duration admission_queue::expectedQueueingDelay(std::size_t queriesAhead) const
+duration admission_queue::expectedQueueingDelay(std::size_t queriesAhead, std::uint32_t limit) const
 {
-    return m_typicalDuration * static_cast<std::int64_t>(queriesAhead + 1) / static_cast<std::int64_t>(limit());
+    return m_typicalDuration * static_cast<std::int64_t>(queriesAhead + 1) / static_cast<std::int64_t>(limit);
+}
+
+admission_queue::verdict admission_queue::preview(std::uint32_t priority, time_point latestStart, double capacityShare, time_point now) const
+{
+    auto const limit = limitAt(capacityShare);
+    auto const queriesAhead = m_waiting.countNotAfter(priority);
+    if (inFlight() < limit && queriesAhead == 0)
+        return verdict::admit;
+    return now + expectedQueueingDelay(queriesAhead, limit) > latestStart ? verdict::reject : verdict::enqueue;
+}
+
+duration admission_queue::previewRetryAfter(time_point now, std::uint32_t priority, double capacityShare) const
+{
+    auto returnTimes = m_returnTimes;
+    auto const limit = limitAt(capacityShare);
+    return returnTimes.next(priority, expectedQueueingDelay(m_waiting.size(), limit), m_typicalDuration / static_cast<std::int64_t>(limit), now);
 }
 
 admission_queue::verdict admission_queue::arrive(std::uint64_t query, std::uint32_t priority, time_point latestStart, time_point now, slot_claim const& claim)
@@ -58,7 +74,7 @@
         m_waiting.review(claim.holder, now);
         return verdict::admit;
     }
-    if (now + expectedQueueingDelay(m_waiting.countAhead(priority, claim, now)) > latestStart) {
+    if (now + expectedQueueingDelay(m_waiting.countAhead(priority, claim, now), limit()) > latestStart) {
         m_lastRejectionAt = now;
         return verdict::reject;
     }
@@ -125,7 +141,7 @@
 
 duration admission_queue::nextRetryAfter(time_point now, std::uint32_t priority)
 {
-    return m_returnTimes.next(priority, expectedQueueingDelay(m_waiting.size()), m_typicalDuration / static_cast<std::int64_t>(limit()), now);
+    return m_returnTimes.next(priority, expectedQueueingDelay(m_waiting.size(), limit()), m_typicalDuration / static_cast<std::int64_t>(limit()), now);
 }
 
 }
--- a/Libraries/zinnialedge/limits/admission_queue.h
+++ b/Libraries/zinnialedge/limits/admission_queue.h
@@ -27,6 +27,10 @@
     /// Admits, enqueues or rejects a query that must start by `latestStart` to meet its objective. Lower values of `priority` are
     /// more urgent. A query whose holder is below its share of the limit comes before those of others.
     verdict arrive(std::uint64_t query, std::uint32_t priority, kernel::time_point latestStart, kernel::time_point now, slot_claim const& = {});
+    /// Returns what arrive() would decide when all queries are within the shares of their holders. Changes nothing.
+    verdict preview(std::uint32_t priority, kernel::time_point latestStart, double capacityShare, kernel::time_point now) const;
+    /// Returns what nextRetryAfter() would return. Changes nothing.
+    kernel::duration previewRetryAfter(kernel::time_point now, std::uint32_t priority, double capacityShare) const;
     /// Releases the slot of an admitted query that ended after `elapsed`. `isCongested` means that its leafs did not keep up.
     void release(kernel::duration elapsed, bool isCongested, kernel::time_point now, std::string const& holder = {});
     /// Releases the slot of an admitted query that ended early because nobody waits for it. Its duration says nothing about the
@@ -52,11 +56,14 @@
     bool isOverloaded(kernel::time_point now) const;
     bool hasQueuedQueries() const { return !m_waiting.empty(); }
     std::size_t inFlight() const { return m_shares.inFlight(); }
-    std::uint32_t limit() const;
+    std::size_t queuedCount() const { return m_waiting.size(); }
+    std::uint32_t limit() const { return limitAt(m_capacityShare); }
+    /// Returns the limit when this share of the leafs' capacity is available.
+    std::uint32_t limitAt(double capacityShare) const;
 
 private:
     /// Returns the expected queueing delay of a query behind `queriesAhead` queued queries.
-    kernel::duration expectedQueueingDelay(std::size_t queriesAhead) const;
+    kernel::duration expectedQueueingDelay(std::size_t queriesAhead, std::uint32_t limit) const;
     /// Adapts the shares to the limit.
     void updateShares();
     void releaseSlot(std::string const& holder, kernel::time_point now);
--- a/Libraries/zinnialedge/limits/waiting_line.h
+++ b/Libraries/zinnialedge/limits/waiting_line.h
@@ -45,6 +45,8 @@
 
     /// Returns the approximate number of queries that get a slot before the given one would.
     std::size_t countAhead(std::uint32_t priority, slot_claim const&, kernel::time_point now);
+    /// Returns the number of queries that are as urgent or more urgent.
+    std::size_t countNotAfter(std::uint32_t priority) const { return countUpTo(m_countByPriority, priority); }
     /// Returns whether the query would come before all that wait.
     bool wouldBeFirst(std::uint32_t priority, kernel::time_point latestStart, slot_claim const&, kernel::time_point now);
     bool empty() const { return m_queries.empty(); }
