Fleet: Poll a daemon that reaches the store when it is lost

It now polls one that reaches the store, as subscribers do: changes only, its own data centre first, held for up to 1 s, until its links to the store are complete again. When a whole data centre is without the store, its readers poll another one and its subscribers stay with them. While nobody reaches the store, one daemon at a time holds a poll.

In it, 9 daemons of a data centre without the store are informed within 1 s and send at most 26 polls to other data centres in 10 s. StoreRoles (13 tests), SnapshotHistory (8), EdgeStoreReaders (4), EdgeStoreReturn (6), EdgeEvacuation (2) and EdgeFleet (16) pass.

--- a/Libraries/zinnialedge/fleet/snapshot_history.cpp
+++ b/Libraries/zinnialedge/fleet/snapshot_history.cpp
@@ -62,7 +62,7 @@
 {
     snapshot_selection selection;
     selection.hasConfiguration = state.configurationVersion > poll.configurationVersion;
-    bool const isUsableReader = state.readsStore && state.isStoreReached;
+    bool const isUsableReader = state.readsStore && (state.isStoreReached || state.hasSource);
     for (auto const& [name, known] : poll.parts) {
         auto const found = state.parts.find(name);
         if (found == state.parts.end())
--- a/Libraries/zinnialedge/fleet/snapshot_history.h
+++ b/Libraries/zinnialedge/fleet/snapshot_history.h
@@ -74,6 +74,8 @@
     std::uint64_t storeEra { 0 };
     bool readsStore { false };
     bool isStoreReached { false };
+    /// Whether a daemon that reaches the store supplies a daemon that has lost it.
+    bool hasSource { false };
     /// Parts of which the daemon has a complete state.
     std::map<std::string, part_position> parts;
 };
--- a/Libraries/zinnialedge/fleet/store_roles.cpp
+++ b/Libraries/zinnialedge/fleet/store_roles.cpp
@@ -1,6 +1,7 @@
 #include "Libraries/zinnialedge/fleet/store_roles.h"
 
 #include <algorithm>
+#include <utility>
 #include <xxhash.h>
 
 namespace zinnialedge::fleet {
@@ -34,6 +35,12 @@
 static constexpr std::chrono::milliseconds avoidanceTime { 200 };
 /// Daemons of an earlier version answer polls with a complete snapshot and become readers only when they are replaced.
 static constexpr std::chrono::milliseconds earlierVersionAvoidanceTime { 30'000 };
+/// The same for a daemon that has lost the store and needs what they know within the time in which a configuration takes effect.
+static constexpr std::chrono::milliseconds earlierVersionSourceTime { 2000 };
+/// While no candidate reaches the store, one of them at a time holds a poll, and after this many polls all are asked. Together with the
+/// time limit this finds a source within 3 s, at the price of few messages between data centres.
+static constexpr std::size_t heldPollsPerRound = 2;
+static constexpr std::chrono::milliseconds heldSearchTimeout { 1500 };
 /// Time after which a subscriber of a reader in another data centre looks for one in its own.
 static constexpr std::chrono::milliseconds homeCheckInterval { 5000 };
 
@@ -144,6 +151,17 @@
     // A former reader goes on reading until another reader has answered.
     m_readsInstead = role == store_role::subscriber;
     m_nextCandidate = 0;
+    m_heldPollsLeft = 0;
+    m_nextRoundAt = now;
+}
+
+void store_roles::setStoreLost(bool isStoreLost, time_point now)
+{
+    if (!readsStore() || std::exchange(m_isStoreLost, isStoreLost) == isStoreLost)
+        return;
+    m_reader.reset();
+    m_nextCandidate = 0;
+    m_heldPollsLeft = 0;
     m_nextRoundAt = now;
 }
 
@@ -159,6 +177,7 @@
     }
     if (m_role == store_role::subscriber && !m_reader && !m_readsInstead && m_ownReadingAt && now >= *m_ownReadingAt) {
         m_readsInstead = true;
+        m_isStoreLost = false;
         m_isStarting = false;
         ++m_counters.ownReadingCount;
     }
@@ -168,11 +187,9 @@
 {
     auto next = m_roleChangeAt;
     auto const consider = [&next](time_point time) { next = next ? std::min(*next, time) : time; };
-    if (m_role == store_role::reader)
-        return next;
-    if (!m_reader && !m_readsInstead && m_ownReadingAt)
+    if (m_role == store_role::subscriber && !m_reader && !m_readsInstead && m_ownReadingAt)
         consider(*m_ownReadingAt);
-    if (!m_polled && !m_reader && !(shouldRead() && readsStore()))
+    if (!m_polled && !m_reader && mayPoll())
         consider(m_nextRoundAt);
     return next;
 }
@@ -223,16 +240,31 @@
 {
     m_nextCandidate = 0;
     m_nextRoundAt = now + searchInterval;
-    if (m_isStarting || m_readsInstead)
+    m_heldPollsLeft = seeksSource() ? heldPollsPerRound : 0;
+    if (m_isStarting || readsStore())
         return;
     bool const isSubstitute = std::any_of(m_substitutes.begin(), m_substitutes.end(), [this](auto const& each) { return each.name == m_settings.name; });
     auto const ownReadingAt = isSubstitute || shouldRead() ? now + randomDelay(substituteSpread) : now + othersDelay + randomDelay(othersSpread);
     m_ownReadingAt = m_ownReadingAt ? std::min(*m_ownReadingAt, ownReadingAt) : ownReadingAt;
 }
 
+std::optional<reader_poll> store_roles::takeHeldPoll(time_point now)
+{
+    --m_heldPollsLeft;
+    std::erase_if(m_avoidedUntil, [&](auto const& entry) { return now >= entry.second; });
+    auto candidates = listCandidates();
+    std::erase_if(candidates, [this](auto const& each) { return m_avoidedUntil.contains(each); });
+    if (candidates.empty()) {
+        m_nextRoundAt = now + searchInterval;
+        return std::nullopt;
+    }
+    m_polled = candidates[m_nextHeldCandidate++ % candidates.size()];
+    return reader_poll { *m_polled, pollHoldTime, heldSearchTimeout };
+}
+
 std::optional<reader_poll> store_roles::takePoll(time_point now)
 {
-    if (m_polled || m_role == store_role::reader || (shouldRead() && m_readsInstead))
+    if (m_polled || !mayPoll())
         return std::nullopt;
     if (m_reader) {
         if (now >= m_homeCheckAt && !isLocalReader(*m_reader)) {
@@ -249,6 +281,8 @@
     }
     if (now < m_nextRoundAt)
         return std::nullopt;
+    if (seeksSource() && m_heldPollsLeft > 0)
+        return takeHeldPoll(now);
     m_polled = takeCandidate(now);
     if (m_polled)
         return reader_poll { *m_polled, std::chrono::milliseconds { 0 }, m_isStarting ? startTimeout : searchTimeout };
@@ -259,17 +293,20 @@
 void store_roles::handleAnswer(model::endpoint const& place, reader_state state, time_point now)
 {
     m_polled.reset();
-    if (m_role == store_role::reader)
+    if (m_role == store_role::reader && !m_isStoreLost)
         return;
-    if (!state.readsStore || !state.isStoreReached) {
+    // A reader's source must reach the store itself, or two readers without the store could be each other's source.
+    bool const isInformed = state.isStoreReached || (state.hasSource && !readsStore() && isLocalReader(place));
+    if (!state.readsStore || !isInformed) {
         m_hasHeardOfOutage |= state.readsStore;
-        m_avoidedUntil[place] = now + (state.holdsPolls ? avoidanceTime : earlierVersionAvoidanceTime);
+        auto const earlierVersionTime = seeksSource() ? earlierVersionSourceTime : earlierVersionAvoidanceTime;
+        m_avoidedUntil[place] = now + (state.holdsPolls ? avoidanceTime : earlierVersionTime);
         if (m_reader == place)
             loseReader(now);
         return;
     }
     // Two subscribers that read the store themselves would otherwise stop for each other.
-    if (m_readsInstead && !state.isReader) {
+    if (m_readsInstead && !state.isReader && !m_isStoreLost) {
         m_avoidedUntil[place] = now + avoidanceTime;
         return;
     }
@@ -278,8 +315,11 @@
         m_homeCheckAt = now + homeCheckInterval;
         ++m_counters.readerChangeCount;
     }
+    if (seeksSource() && (m_role == store_role::reader || shouldRead() || !state.isReader))
+        return;
     m_isStarting = false;
     m_readsInstead = false;
+    m_isStoreLost = false;
     m_hasHeardOfOutage = false;
     m_ownReadingAt.reset();
 }
@@ -296,6 +336,7 @@
 {
     m_reader.reset();
     m_nextCandidate = 0;
+    m_heldPollsLeft = 0;
     m_nextRoundAt = now;
     m_ownReadingAt = now + searchTime + randomDelay(othersSpread);
 }
--- a/Libraries/zinnialedge/fleet/store_roles.h
+++ b/Libraries/zinnialedge/fleet/store_roles.h
@@ -48,6 +48,8 @@
     bool isStoreReached { false };
     /// Whether the daemon's role is that of a reader. Otherwise it reads the store only until it finds a reader.
     bool isReader { false };
+    /// Whether a reader without the store gets what changes from a daemon that reaches it, or is about to.
+    bool hasSource { false };
     /// False for a daemon of an earlier version.
     bool holdsPolls { true };
 
@@ -83,6 +85,8 @@
     void start(kernel::time_point now);
     /// Sets the live daemons that are not leaving, including this one. `place` is the endpoint for messages between daemons.
     void setDaemons(std::vector<serving_daemon>, kernel::time_point now);
+    /// Sets whether this daemon reads the store and has lost it. It then polls a daemon that reaches the store and reads on.
+    void setStoreLost(bool isStoreLost, kernel::time_point now);
     void setSeeds(std::vector<model::endpoint> seeds) { m_settings.seeds = std::move(seeds); }
     /// Performs the changes that are due.
     void advance(kernel::time_point now);
@@ -99,6 +103,8 @@
     bool readsStore() const { return m_role == store_role::reader || m_readsInstead; }
     /// Returns whether a reader has said that the store is away since this daemon lost its reader.
     bool hasHeardOfOutage() const { return m_hasHeardOfOutage; }
+    bool isStoreLost() const { return m_isStoreLost; }
+    /// Returns the daemon that supplies what changes: the reader of a subscriber, or the source of a daemon that has lost the store.
     std::optional<model::endpoint> const& reader() const { return m_reader; }
     /// Returns whether the daemon with this name reads the store, as far as membership tells.
     bool isReader(std::string const& name) const { return m_readerNames.contains(name); }
@@ -107,6 +113,9 @@
 
 private:
     bool shouldRead() const { return isReader(m_settings.name); }
+    bool seeksSource() const { return m_isStoreLost && readsStore(); }
+    bool mayPoll() const { return seeksSource() || (m_role == store_role::subscriber && !(shouldRead() && m_readsInstead)); }
+    std::optional<reader_poll> takeHeldPoll(kernel::time_point now);
     void changeRole(store_role, kernel::time_point now);
     void loseReader(kernel::time_point now);
     void finishRound(kernel::time_point now);
@@ -130,6 +139,9 @@
     std::optional<model::endpoint> m_reader;
     std::optional<model::endpoint> m_polled;
     std::size_t m_nextCandidate { 0 };
+    std::size_t m_nextHeldCandidate { 0 };
+    /// Number of held polls that are left before the next round to all candidates.
+    std::size_t m_heldPollsLeft { 0 };
     kernel::time_point m_nextRoundAt;
     std::map<model::endpoint, kernel::time_point> m_avoidedUntil;
     /// Time from which a subscriber without a reader reads the store itself.
@@ -137,6 +149,7 @@
     /// Time of the next attempt to find a reader in the own data centre.
     kernel::time_point m_homeCheckAt;
     bool m_readsInstead { false };
+    bool m_isStoreLost { false };
     bool m_isStarting { true };
     bool m_hasHeardOfOutage { false };
     role_counters m_counters;
--- a/Services/fleet/evacuation_link.cpp
+++ b/Services/fleet/evacuation_link.cpp
@@ -62,7 +62,29 @@
     bool const wasKnown = isKnown();
     if (!m_link->adopt(objects, told->position) && wasKnown == isKnown())
         return;
-    logEvent(log_level::info, "evacuations_from_peer", { { "peer", toString(origin) }, { "evacuations", m_link->mirror().objects().size() }, { "era", told->position.era }, { "as_of", told->position.revision } });
+    reportAdoption(*told, origin);
+}
+
+bool evacuation_link::replicate(object_snapshot const& told, bool isSettled, model::endpoint const& origin)
+{
+    if (!m_link)
+        return true;
+    if (m_link->mirror().isConnected()) {
+        adopt(told, origin);
+        return true;
+    }
+    bool const wasKnown = isKnown();
+    auto const generation = m_link->mirror().generation();
+    if (!m_link->replicate(told.objects, {}, true, told.position, isSettled))
+        return false;
+    if (generation != m_link->mirror().generation() || wasKnown != isKnown())
+        reportAdoption(told, origin);
+    return true;
+}
+
+void evacuation_link::reportAdoption(object_snapshot const& told, model::endpoint const& origin)
+{
+    logEvent(log_level::info, "evacuations_from_peer", { { "peer", toString(origin) }, { "evacuations", m_link->mirror().objects().size() }, { "era", told.position.era }, { "as_of", told.position.revision } });
     m_changed();
 }
 
--- a/Services/fleet/evacuation_link.h
+++ b/Services/fleet/evacuation_link.h
@@ -17,6 +17,8 @@
     store_link* link() { return m_link.get(); }
     /// Returns false while the store is not reached although the deployment has evacuations.
     bool isConnected() const { return !m_link || m_link->mirror().isConnected(); }
+    /// Returns whether no change is deferred.
+    bool isSettled() const { return !m_link || m_link->mirror().isSettled(); }
     /// Returns whether leafs may be called: the evacuations are known, or have remained unknown for so long after the first call of this
     /// function that the daemon serves without them.
     bool mayCallLeafs(kernel::time_point now);
@@ -26,9 +28,12 @@
     std::optional<object_snapshot> snapshot() const;
     /// Takes what another daemon knows, if that is newer. Calls the hook for changes when something changed.
     void adopt(std::optional<object_snapshot> const&, model::endpoint const& origin);
+    /// Takes over the evacuations as a daemon that was polled has them. Returns false when they are older than the local ones.
+    bool replicate(object_snapshot const&, bool isSettled, model::endpoint const& origin);
 
 private:
     bool isKnown() const;
+    void reportAdoption(object_snapshot const&, model::endpoint const& origin);
 
     std::unique_ptr<store_link> m_link;
     std::function<void()> m_changed;
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -55,7 +55,7 @@
             handleStoreEra(*era); })
     , m_registrationLink(m_workerThread.context(), m_settings.storeEndpoint, m_protocol, m_storeBudget, [this](std::uint64_t era) { handleStoreEra(era); })
     , m_membershipLink(m_workerThread.context(), { .self = makeDaemonRecord(), .strength = m_settings.strength, .seeds = m_settings.seeds }, { [this] { handleMembersChanged(); }, [this](model::endpoint const& endpoint) { handleDifference(endpoint); }, [this](std::vector<quarantine::suspect> const& suspects) { sendToTraffic(traffic::suspects_told { suspects }); }, [this](allowances::usage_report const& report) { sendToTraffic(traffic::usage_told { report }); } })
-    , m_readerLink(m_workerThread.context(), { m_settings.name, m_settings.dataCentre, m_settings.peerEndpoint, m_settings.seeds }, { [this] { return makePoll(); }, [this](poll_answer const& answer, model::endpoint const& origin) { handlePollAnswer(answer, origin); }, [this](bool readsStore) { handleReadingChanged(readsStore); } })
+    , m_readerLink(m_workerThread.context(), { m_settings.name, m_settings.dataCentre, m_settings.peerEndpoint, m_settings.seeds }, { [this] { return makePoll(); }, [this](poll_answer const& answer, model::endpoint const& origin) { handlePollAnswer(answer, origin); }, [this](std::string const& body, model::endpoint const& origin) { adoptSnapshot(body, origin); }, [this] { m_pollServer.answerDuePolls(); }, [this](bool readsStore) { handleReadingChanged(readsStore); } })
     , m_pollServer(m_workerThread.context(), { [this] { return currentSnapshotState(); }, [this](zinnialedge::fleet::snapshot_selection const& selection) { return formatPollAnswer(selection); } })
     , m_differenceTimer(m_workerThread.context())
     , m_storeLossTimer(m_workerThread.context())
@@ -223,6 +223,7 @@
 void fleet_service::handleEvacuationsChanged()
 {
     sendToTraffic(traffic::evacuations_changed { m_evacuationLink.dataCentres() });
+    m_evacuationHistory.update(m_evacuationLink.snapshot().value_or(object_snapshot {}).objects);
     shareDigest();
     m_pollServer.answerDuePolls();
     sendLeafsToTraffic();
@@ -256,6 +257,9 @@
     logEvent(log_level::info, "leafs_read", { { "leafs", m_leafRegistrations.size() }, { "draining", draining }, { "unusable", unusable }, { "as_of", m_leafLink.mirror().asOf() } });
     m_areLeafsHeldBack = true;
     m_leafHistory.update(m_leafLink.mirror().objects());
+    // What the store has shown since is not in another daemon's history.
+    if (m_leafLink.mirror().isConnected())
+        m_knownGenerations.erase(leafsPart);
     handleStoreReached();
     m_pollServer.answerDuePolls();
     sendLeafsToTraffic();
@@ -397,9 +401,9 @@
 
 void fleet_service::runPeriodicTasks()
 {
-    // A subscriber's reader supplies what changes, except evacuations.
-    bool const lacksStore = !isStoreConnected() && (m_readerLink.roles().readsStore() || !m_routeTable || m_leafRegistrations.empty());
-    if (lacksStore || !m_evacuationLink.isConnected())
+    // Polls supply what changes, except evacuations to subscribers.
+    bool const lacksObjects = !isStoreConnected() && (!m_routeTable || m_leafRegistrations.empty());
+    if (lacksObjects || (!m_readerLink.roles().isStoreLost() && !m_evacuationLink.isConnected()))
         requestSnapshotFromRandomPeer();
     sendLeafsToTraffic();
     reconcileRegistrations();
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -128,10 +128,13 @@
     bool isStoreConnected() const;
     void handleStoreReached();
     void handleStoreFailure();
+    /// Begins to poll a daemon that reaches the store, because this one has lost it.
+    void seekSource();
     void handleReadingChanged(bool readsStore);
     zinnialedge::fleet::snapshot_poll makePoll() const;
     zinnialedge::fleet::snapshot_state currentSnapshotState() const;
     std::string formatPollAnswer(zinnialedge::fleet::snapshot_selection const&) const;
+    void adoptLeafs(poll_answer const&);
     void handlePollAnswer(poll_answer const&, model::endpoint const& origin);
 
     fleet_settings m_settings;
@@ -149,6 +152,7 @@
     reader_link m_readerLink;
     poll_server m_pollServer;
     zinnialedge::fleet::snapshot_history m_leafHistory;
+    zinnialedge::fleet::snapshot_history m_evacuationHistory;
     /// Daemon in whose history the generations of the parts count; zero for none.
     std::uint64_t m_origin { 0 };
     std::map<std::string, std::uint64_t> m_knownGenerations;
@@ -183,6 +187,8 @@
     bool m_isSnapshotRequestInFlight { false };
     /// Whether this daemon tells its subscribers that it reaches the store.
     bool m_isStoreReached { false };
+    /// Whether this daemon has lost the store so recently that its subscribers wait for it to find a source.
+    bool m_isAwaitingSource { false };
 };
 
 }
--- a/Services/fleet/fleet_snapshots.cpp
+++ b/Services/fleet/fleet_snapshots.cpp
@@ -14,12 +14,12 @@
 static constexpr std::chrono::milliseconds snapshotTimeout { 1000 };
 /// Time for which a reader that has lost the store does not say so. The first retry after a lost connection takes less.
 static constexpr std::chrono::milliseconds storeLossGrace { 300 };
+/// Time for which subscribers wait for a reader without the store to find a source. The first poll of another reader takes less.
+static constexpr std::chrono::milliseconds sourceGrace { 200 };
 /// One in this many requests goes to any data centre, since all daemons of this one may have lost the store.
 static constexpr std::uint64_t localRequestShare = 4;
 static constexpr int statusOk = 200;
 static constexpr int statusNoContent = 204;
-static constexpr char const* leafsPart = "leafs";
-static constexpr char const* evacuationsPart = "evacuations";
 
 // Snapshots between daemons.
 
@@ -177,19 +177,33 @@
     if (!isStoreConnected())
         return;
     m_storeLossTimer.cancel();
+    m_isAwaitingSource = false;
+    m_readerLink.setStoreLost(false);
     if (!std::exchange(m_isStoreReached, true))
         m_pollServer.answerDuePolls();
 }
 
 void fleet_service::handleStoreFailure()
 {
-    if (!m_isStoreReached || m_storeLossTimer.expiry() > std::chrono::steady_clock::now())
+    if (isStoreConnected() || m_readerLink.roles().isStoreLost() || m_storeLossTimer.expiry() > std::chrono::steady_clock::now())
         return;
     m_storeLossTimer.expires_after(storeLossGrace);
     m_storeLossTimer.async_wait([this](boost::system::error_code failure) {
-        if (failure || isStoreConnected())
+        if (!failure && !isStoreConnected() && m_readerLink.roles().readsStore())
+            seekSource();
+    });
+}
+
+void fleet_service::seekSource()
+{
+    m_isAwaitingSource = std::exchange(m_isStoreReached, false);
+    m_knownGenerations.clear();
+    m_readerLink.setStoreLost(true);
+    m_storeLossTimer.expires_after(sourceGrace);
+    m_storeLossTimer.async_wait([this](boost::system::error_code failure) {
+        if (failure)
             return;
-        m_isStoreReached = false;
+        m_isAwaitingSource = false;
         m_pollServer.answerDuePolls();
     });
 }
@@ -210,6 +224,7 @@
         m_storeProbe.stop();
         m_storeLossTimer.cancel();
         m_isStoreReached = false;
+        m_isAwaitingSource = false;
     }
     m_pollServer.answerDuePolls();
 }
@@ -221,10 +236,17 @@
         .configurationVersion = m_routeTable ? m_routeTable->version() : 0,
         .storeEra = m_storeEra,
     };
-    if (m_readerLink.roles().readsStore())
+    auto const& roles = m_readerLink.roles();
+    if (roles.readsStore() && !roles.isStoreLost())
         return poll;
-    auto const generation = m_knownGenerations.find(leafsPart);
-    poll.parts[leafsPart] = { m_leafLink.mirror().position(), generation == m_knownGenerations.end() ? 0 : generation->second };
+    auto const generationOf = [this](char const* part) {
+        auto const generation = m_knownGenerations.find(part);
+        return generation == m_knownGenerations.end() ? 0 : generation->second;
+    };
+    if (!m_leafLink.mirror().isConnected())
+        poll.parts[leafsPart] = { m_leafLink.mirror().position(), generationOf(leafsPart) };
+    if (m_settings.readsEvacuations && !m_evacuationLink.isConnected())
+        poll.parts[evacuationsPart] = { m_evacuationLink.snapshot().value_or(object_snapshot {}).position, generationOf(evacuationsPart) };
     return poll;
 }
 
@@ -236,49 +258,60 @@
         .storeEra = m_storeEra,
         .readsStore = m_readerLink.roles().readsStore() && !m_isLeaving,
         .isStoreReached = m_isStoreReached,
+        .hasSource = m_readerLink.roles().isStoreLost() && (m_isAwaitingSource || m_readerLink.hasReader()),
     };
     if (m_leafLink.mirror().hasCompletedListing())
         state.parts[leafsPart] = { m_leafLink.mirror().position(), m_leafHistory.generation() };
     if (auto const known = m_evacuationLink.snapshot())
-        state.parts[evacuationsPart] = { known->position, 0 };
+        state.parts[evacuationsPart] = { known->position, m_evacuationHistory.generation() };
     return state;
 }
 
 std::string fleet_service::formatPollAnswer(snapshot_selection const& selection) const
 {
     auto const state = currentSnapshotState();
-    poll_answer answer { .incarnation = state.incarnation, .storeEra = state.storeEra, .state = { state.readsStore, state.isStoreReached, m_readerLink.roles().role() == zinnialedge::fleet::store_role::reader } };
+    poll_answer answer { .incarnation = state.incarnation, .storeEra = state.storeEra, .state = { state.readsStore, state.isStoreReached, m_readerLink.roles().role() == zinnialedge::fleet::store_role::reader, state.hasSource } };
     if (selection.hasConfiguration && m_configurationInForce)
         answer.routes = object_snapshot { m_configurationInForce->position(), { { m_configurationInForce->name, *m_configurationInForce } } };
     if (auto const leafs = selection.parts.find(leafsPart); leafs != selection.parts.end())
         answer.parts[leafsPart] = { state.parts.at(leafsPart), m_leafHistory.changesSince(leafs->second.value_or(0), m_leafLink.mirror().objects()), m_leafLink.mirror().isSettled() };
     if (selection.parts.contains(evacuationsPart)) {
         if (auto const known = m_evacuationLink.snapshot())
-            answer.parts[evacuationsPart] = { state.parts.at(evacuationsPart), { true, known->objects, {} }, true };
+            answer.parts[evacuationsPart] = { state.parts.at(evacuationsPart), { true, known->objects, {} }, m_evacuationLink.isSettled() };
     }
     return formatAnswer(answer);
 }
 
-void fleet_service::handlePollAnswer(poll_answer const& answer, model::endpoint const& origin)
+void fleet_service::adoptLeafs(poll_answer const& answer)
 {
-    if (!answer.state.holdsPolls)
+    auto const leafs = answer.parts.find(leafsPart);
+    if (leafs == answer.parts.end() || m_leafLink.mirror().isConnected())
         return;
+    auto const& [position, changes, isSettled] = leafs->second;
+    auto const mirrorGeneration = m_leafLink.mirror().generation();
+    if (m_leafLink.replicate(changes.objects, changes.removed, changes.isComplete, position.position, isSettled))
+        m_knownGenerations[leafsPart] = position.generation;
+    if (m_leafLink.mirror().generation() != mirrorGeneration)
+        handleLeafsChanged();
+}
+
+void fleet_service::handlePollAnswer(poll_answer const& answer, model::endpoint const& origin)
+{
     handleStoreEra(answer.storeEra);
     if (answer.routes)
         adoptConfiguration(*answer.routes, origin);
-    if (m_readerLink.roles().readsStore())
+    if (m_readerLink.roles().readsStore() && !m_readerLink.roles().isStoreLost())
         return;
     if (m_origin != answer.incarnation)
         m_knownGenerations.clear();
     m_origin = answer.incarnation;
-    if (auto const leafs = answer.parts.find(leafsPart); leafs != answer.parts.end()) {
-        auto const& [position, changes, isSettled] = leafs->second;
-        auto const mirrorGeneration = m_leafLink.mirror().generation();
-        if (m_leafLink.replicate(changes.objects, changes.removed, changes.isComplete, position.position, isSettled))
-            m_knownGenerations[leafsPart] = position.generation;
-        if (m_leafLink.mirror().generation() != mirrorGeneration)
-            handleLeafsChanged();
+    // Evacuations are adopted before the leafs, to which they apply.
+    if (auto const told = answer.parts.find(evacuationsPart); told != answer.parts.end()) {
+        auto const& [position, changes, isSettled] = told->second;
+        if (m_evacuationLink.replicate({ position.position, changes.objects }, isSettled, origin))
+            m_knownGenerations[evacuationsPart] = position.generation;
     }
+    adoptLeafs(answer);
     startServingWhenReady();
 }
 
--- a/Services/fleet/poll_codec.cpp
+++ b/Services/fleet/poll_codec.cpp
@@ -63,7 +63,7 @@
 std::string formatAnswer(poll_answer const& answer)
 {
     json::object formatted {
-        { "reader", { { "incarnation", answer.incarnation }, { "era", answer.storeEra }, { "reads_store", answer.state.readsStore }, { "store_reached", answer.state.isStoreReached }, { "is_reader", answer.state.isReader } } },
+        { "reader", { { "incarnation", answer.incarnation }, { "era", answer.storeEra }, { "reads_store", answer.state.readsStore }, { "store_reached", answer.state.isStoreReached }, { "is_reader", answer.state.isReader }, { "has_source", answer.state.hasSource } } },
     };
     if (answer.routes)
         formatted["routes"] = formatObjects(*answer.routes);
@@ -93,6 +93,8 @@
         answer.state.readsStore = reader->at("reads_store").as_bool();
         answer.state.isStoreReached = reader->at("store_reached").as_bool();
         answer.state.isReader = reader->at("is_reader").as_bool();
+        auto const* const hasSource = reader->as_object().if_contains("has_source");
+        answer.state.hasSource = hasSource && hasSource->as_bool();
         if (auto const* const routes = value.as_object().if_contains("routes"))
             answer.routes = parseObjects(*routes);
         for (auto const& [name, part] : value.at("parts").as_object()) {
--- a/Services/fleet/poll_codec.h
+++ b/Services/fleet/poll_codec.h
@@ -9,6 +9,8 @@
 namespace zinnialedge::services::fleet {
 
 inline constexpr char const* snapshotPath = "/fleet/snapshot";
+inline constexpr char const* leafsPart = "leafs";
+inline constexpr char const* evacuationsPart = "evacuations";
 
 /// Part of a poll's answer, with what has changed.
 struct polled_part {
--- a/Services/fleet/reader_link.cpp
+++ b/Services/fleet/reader_link.cpp
@@ -36,6 +36,14 @@
     proceed();
 }
 
+void reader_link::setStoreLost(bool isStoreLost)
+{
+    if (m_roles.isStoreLost() == isStoreLost)
+        return;
+    m_roles.setStoreLost(isStoreLost, std::chrono::steady_clock::now());
+    proceed();
+}
+
 void reader_link::proceed()
 {
     if (!m_isStarted)
@@ -59,8 +67,10 @@
     if (m_roles.role() == m_loggedRole && m_roles.reader() == m_loggedReader && m_roles.readsStore() == m_readsStore)
         return;
     m_loggedRole = m_roles.role();
-    m_loggedReader = m_roles.reader();
+    bool const hasReaderChanged = std::exchange(m_loggedReader, m_roles.reader()) != m_roles.reader();
     logEvent(log_level::info, "store_role", { { "role", toString(m_loggedRole) }, { "reads_store", m_roles.readsStore() ? 1 : 0 }, { "reader", m_loggedReader ? model::toString(*m_loggedReader) : "none" }, { "daemons_in_data_centre", m_roles.localDaemonCount() } });
+    if (hasReaderChanged)
+        m_hooks.readerChanged();
 }
 
 void reader_link::armTimer()
@@ -119,7 +129,10 @@
     }
     if (m_roles.reader() == place && !(answer->state.readsStore && answer->state.isStoreReached))
         logEvent(log_level::info, "reader_left", { { "reader", model::toString(place) }, { "reads_store", answer->state.readsStore ? 1 : 0 }, { "store_reached", answer->state.isStoreReached ? 1 : 0 } });
-    m_hooks.answered(*answer, place);
+    if (answer->state.holdsPolls)
+        m_hooks.answered(*answer, place);
+    else if (m_roles.isStoreLost())
+        m_hooks.snapshotReceived(result->body, place);
     m_roles.handleAnswer(place, answer->state, std::chrono::steady_clock::now());
 }
 
--- a/Services/fleet/reader_link.h
+++ b/Services/fleet/reader_link.h
@@ -12,6 +12,10 @@
     std::function<zinnialedge::fleet::snapshot_poll()> makePoll;
     /// Called with each answer of another daemon, before its consequences for the role.
     std::function<void(poll_answer const&, model::endpoint const&)> answered;
+    /// Called with the complete snapshot that a daemon of an earlier version sends.
+    std::function<void(std::string const&, model::endpoint const&)> snapshotReceived;
+    /// Called when the daemon that supplies changes is another one, or none.
+    std::function<void()> readerChanged;
     /// Called when this daemon must begin or stop to read the store.
     std::function<void(bool readsStore)> readingChanged;
 };
@@ -23,6 +27,7 @@
 
     void start();
     void setDaemons(std::vector<zinnialedge::fleet::serving_daemon>);
+    void setStoreLost(bool isStoreLost);
     void setSeeds(std::vector<model::endpoint> seeds) { m_roles.setSeeds(std::move(seeds)); }
     zinnialedge::fleet::store_roles const& roles() const { return m_roles; }
     /// Returns whether the last poll of the reader said that it reaches the store.
--- a/Services/fleet/store_link.cpp
+++ b/Services/fleet/store_link.cpp
@@ -84,6 +84,7 @@
 void store_link::sendRequest(mirror_request const& request)
 {
     m_isCallInFlight = true;
+    m_isCallStale = false;
     ++m_counters.callCount;
     auto const holdTime = m_mirror.isConnected() ? m_watchHoldTime : std::min(m_watchHoldTime, recoveryHoldTime);
     auto const message = request.isListing ? m_protocol.list(m_kind, request.after, request.isStaleAllowed) : m_protocol.watch(m_kind, request.revision, holdTime);
@@ -93,7 +94,9 @@
         if (number != m_callNumber)
             return;
         m_isCallInFlight = false;
-        handleResult(request, result);
+        // The changes of the reply lead from a state that this daemon no longer has, so the call is repeated.
+        if (!std::exchange(m_isCallStale, false) || !result || result->status != zinnialedge::fleet::statusOk)
+            handleResult(request, result);
         processNextRequest();
     });
     if (auto const end = m_mirror.deferredChangeTime())
@@ -130,8 +133,10 @@
 
 bool store_link::replicate(std::map<std::string, zinnialedge::fleet::store_object> const& objects, std::vector<std::string> const& removed, bool isComplete, zinnialedge::fleet::store_position position, bool isSettled)
 {
-    VERIFY(m_isSuspended);
-    return m_mirror.replicate(objects, removed, isComplete, position, isSettled, std::chrono::steady_clock::now());
+    VERIFY(m_isSuspended || !m_mirror.isConnected());
+    bool const isTaken = m_mirror.replicate(objects, removed, isComplete, position, isSettled, std::chrono::steady_clock::now());
+    m_isCallStale |= isTaken && m_isCallInFlight;
+    return isTaken;
 }
 
 void store_link::reconnect()
--- a/Services/fleet/store_link.h
+++ b/Services/fleet/store_link.h
@@ -34,7 +34,7 @@
     /// Stops reading the store, and closes the connection.
     void suspend();
     /// Takes over the objects as a reader has them. Returns whether they were taken, which they are not if they are older than the local
-    /// ones. Must be called only while suspended.
+    /// ones. Must be called only while suspended or without the store.
     bool replicate(std::map<std::string, zinnialedge::fleet::store_object> const& objects, std::vector<std::string> const& removed, bool isComplete, zinnialedge::fleet::store_position, bool isSettled);
     /// Repeats the current call over a new connection, because the store may have dropped the old connection without closing it.
     void reconnect();
@@ -71,6 +71,8 @@
     /// Number of the current call; replies to earlier calls are ignored.
     std::uint64_t m_callNumber { 0 };
     bool m_isCallInFlight { false };
+    /// Whether the call in flight began before a later state was taken over.
+    bool m_isCallStale { false };
     bool m_isSuspended { true };
 };
 
--- a/Tests/Unit/store_roles_test.cpp
+++ b/Tests/Unit/store_roles_test.cpp
@@ -23,8 +23,12 @@
     bool isRunning { true };
     bool isFrozen { false };
     bool reachesStore { true };
+    time_point lostAt;
 
     bool isUsable() const { return isRunning && !isFrozen && roles->readsStore() && reachesStore; }
+    /// Subscribers wait for a short time for a reader without the store to find a source.
+    bool hasSource(time_point now) const { return roles->isStoreLost() && (roles->reader() || now < lostAt + 200ms); }
+    bool suppliesSubscribers(time_point now) const { return isUsable() || (isRunning && !isFrozen && hasSource(now)); }
 };
 
 }
@@ -35,6 +39,8 @@
     time_point now { 1h };
     std::vector<simulated_daemon> daemons;
     std::size_t mostReading = 0;
+    std::size_t pollCount = 0;
+    std::size_t remotePollCount = 0;
 
     void startAll(std::vector<std::size_t> const& countPerDataCentre)
     {
@@ -78,18 +84,27 @@
             auto const& target = at(each.poll->place);
             auto const place = each.poll->place;
             bool const isAnswering = target.isRunning && !target.isFrozen;
-            bool const isAnswerDue = isAnswering && (!target.isUsable() || now >= each.polledAt + each.poll->holdTime);
+            bool const isReader = each.roles->reader() == place;
+            bool const isAnswerDue = isAnswering && (target.suppliesSubscribers(now) != isReader || now >= each.polledAt + each.poll->holdTime);
             if (isAnswerDue || !target.isRunning || now >= each.polledAt + each.poll->timeout)
                 each.poll.reset();
             if (isAnswerDue)
-                each.roles->handleAnswer(place, { target.roles->readsStore(), target.reachesStore, target.roles->role() == store_role::reader }, now);
+                each.roles->handleAnswer(place, { target.roles->readsStore(), target.reachesStore, target.roles->role() == store_role::reader, target.hasSource(now) }, now);
             else if (!each.poll)
                 each.roles->handleFailure(place, now);
         }
+        if (each.reachesStore == each.roles->isStoreLost()) {
+            each.roles->setStoreLost(!each.reachesStore, now);
+            each.lostAt = now;
+        }
         each.roles->advance(now);
         if (!each.poll) {
             each.poll = each.roles->takePoll(now);
             each.polledAt = now;
+            if (each.poll) {
+                ++pollCount;
+                remotePollCount += at(each.poll->place).record.dataCentre == each.record.dataCentre ? 0 : 1;
+            }
         }
     }
 
@@ -101,7 +116,12 @@
     /// Returns whether the daemon gets what is new in the store.
     bool isInformed(simulated_daemon const& each)
     {
-        return !each.isRunning || each.isFrozen || each.isUsable() || (each.roles->reader() && at(*each.roles->reader()).isUsable());
+        if (!each.isRunning || each.isFrozen || each.isUsable())
+            return true;
+        if (!each.roles->reader())
+            return false;
+        auto const& reader = at(*each.roles->reader());
+        return reader.isUsable() || (!each.roles->readsStore() && reader.roles->isStoreLost() && reader.roles->reader() && at(*reader.roles->reader()).isUsable());
     }
 
     bool areAllInformed()
@@ -114,6 +134,8 @@
     {
         auto const begin = now;
         mostReading = 0;
+        pollCount = 0;
+        remotePollCount = 0;
         while (now < begin + bound && !condition()) {
             now += stepTime;
             for (auto& each : daemons) {
@@ -252,6 +274,48 @@
     CHECK(mostReading <= 6);
 }
 
+// Guards against: when the store turns a whole data centre away, each of its daemons gets the objects from another data centre.
+TEST(StoreRoles, DataCentreWithoutTheStoreIsSuppliedThroughItsReaders)
+{
+    settle({ 9, 9, 8 });
+    for (auto& each : daemons)
+        each.reachesStore = each.record.dataCentre != "dc0";
+    CHECK(runUntil([this] { return areAllInformed(); }, 5s) <= 1s);
+    run(10s);
+    CHECK(areAllInformed());
+    auto const polledInOtherDataCentre = std::count_if(daemons.begin(), daemons.end(), [&](auto const& each) { return each.roles->reader() && at(*each.roles->reader()).record.dataCentre != each.record.dataCentre; });
+    LONGS_EQUAL(2, polledInOtherDataCentre);
+    // Two held polls a second, and a look for a source in the own data centre each 5 s.
+    CHECK(remotePollCount <= 26);
+    for (auto& each : daemons)
+        each.reachesStore = true;
+    run(3s);
+    CHECK(areAllInformed());
+    run(5s);
+    LONGS_EQUAL(0, remotePollCount);
+    LONGS_EQUAL(6, countReading());
+}
+
+// Guards against: daemons that all read the store and that the store turns away do not find those that it serves, or poll them all the time.
+TEST(StoreRoles, DaemonsThatTheStoreTurnsAwayUseOneThatReachesIt)
+{
+    settle({ 3, 2, 1 });
+    for (auto& each : daemons)
+        each.reachesStore = each.record.name == "d3";
+    CHECK(runUntil([this] { return areAllInformed(); }, 5s) <= 3500ms);
+    LONGS_EQUAL(6, countReading());
+    run(5s);
+    CHECK(areAllInformed());
+    CHECK(pollCount <= 40);
+    at({ "10.0.0.3", 7380 }).reachesStore = false;
+    run(3s);
+    // Nobody reaches the store: a held poll of one daemon, and a round to all in 2 s.
+    run(10s);
+    CHECK(pollCount <= 6 * (10 + 5 * 5));
+    at({ "10.0.0.5", 7380 }).reachesStore = true;
+    CHECK(runUntil([this] { return areAllInformed(); }, 5s) <= 3s);
+}
+
 // Guards against: while no reader reaches the store, a subscriber that does gets nothing; and all go on reading after the outage.
 TEST(StoreRoles, SubscribersReadTheStoreWhileNoReaderReachesIt)
 {
