Fleet: Tell subscribers of evacuations in the answers to their polls

The polls now have a part for them, and a daemon that has lost only its link for evacuations counts as one without the store. A daemon of an earlier build, whose answers have no evacuations, is not used as a reader.

The new test has six daemons, one of them without the store: all know of an evacuation and of its end within 2 s.

--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -137,9 +137,6 @@
 {
     m_workerThread.start();
     bool const isPosted = m_workerThread.post([this] {
-        // Evacuations are rare and must be known at once, so that subscribers read them too.
-        if (auto* const evacuations = m_evacuationLink.link())
-            evacuations->resume(false);
         tellReaderLink();
         m_readerLink.start();
         m_registrationLink.registerDaemon(m_settings.name, boost::json::parse(membership::formatDaemonRecord(makeDaemonRecord())));
@@ -223,8 +220,11 @@
 void fleet_service::handleEvacuationsChanged()
 {
     sendToTraffic(traffic::evacuations_changed { m_evacuationLink.dataCentres() });
+    if (m_evacuationLink.isConnected())
+        m_knownGenerations.erase(evacuationsPart);
     m_evacuationHistory.update(m_evacuationLink.snapshot().value_or(object_snapshot {}).objects);
     shareDigest();
+    handleStoreReached();
     m_pollServer.answerDuePolls();
     sendLeafsToTraffic();
 }
@@ -401,9 +401,8 @@
 
 void fleet_service::runPeriodicTasks()
 {
-    // Polls supply what changes, except evacuations to subscribers.
-    bool const lacksObjects = !isStoreConnected() && (!m_routeTable || m_leafRegistrations.empty());
-    if (lacksObjects || (!m_readerLink.roles().isStoreLost() && !m_evacuationLink.isConnected()))
+    // Polls supply what changes.
+    if (!isStoreConnected() && (!m_routeTable || m_leafRegistrations.empty()))
         requestSnapshotFromRandomPeer();
     sendLeafsToTraffic();
     reconcileRegistrations();
--- a/Services/fleet/fleet_snapshots.cpp
+++ b/Services/fleet/fleet_snapshots.cpp
@@ -83,7 +83,7 @@
 
 void fleet_service::handleDifference(model::endpoint const& endpoint)
 {
-    bool const hasOwnSource = (isStoreConnected() && m_evacuationLink.isConnected()) || (m_readerLink.hasReader() && m_evacuationLink.isConnected());
+    bool const hasOwnSource = isStoreConnected() || m_readerLink.hasReader();
     m_differences.recordDifference(endpoint, isInThisDataCentre(endpoint), hasOwnSource, std::chrono::steady_clock::now());
     requestDueDifference();
 }
@@ -123,6 +123,8 @@
             adoptConfiguration(*answer->routes, endpoint);
         if (auto const told = answer->parts.find(evacuationsPart); told != answer->parts.end())
             m_evacuationLink.adopt(object_snapshot { told->second.position.position, told->second.changes.objects }, endpoint);
+        if (!answer->tellsEvacuations && m_settings.readsEvacuations)
+            requestSnapshot(endpoint);
         startServingWhenReady();
     });
 }
@@ -169,7 +171,7 @@
 
 bool fleet_service::isStoreConnected() const
 {
-    return m_routeLink.mirror().isConnected() && m_leafLink.mirror().isConnected();
+    return m_routeLink.mirror().isConnected() && m_leafLink.mirror().isConnected() && m_evacuationLink.isConnected();
 }
 
 void fleet_service::handleStoreReached()
@@ -212,7 +214,7 @@
 {
     m_origin = 0;
     m_knownGenerations.clear();
-    for (auto* const link : { &m_routeLink, &m_leafLink, &m_daemonLink }) {
+    for (auto* const link : storeLinks()) {
         if (readsStore)
             link->resume(m_readerLink.roles().hasHeardOfOutage());
         else
--- a/Services/fleet/poll_codec.cpp
+++ b/Services/fleet/poll_codec.cpp
@@ -95,6 +95,9 @@
         answer.state.isReader = reader->at("is_reader").as_bool();
         auto const* const hasSource = reader->as_object().if_contains("has_source");
         answer.state.hasSource = hasSource && hasSource->as_bool();
+        // A subscriber would not hear of evacuations from a reader of an earlier version.
+        answer.tellsEvacuations = hasSource;
+        answer.state.readsStore &= answer.tellsEvacuations;
         if (auto const* const routes = value.as_object().if_contains("routes"))
             answer.routes = parseObjects(*routes);
         for (auto const& [name, part] : value.at("parts").as_object()) {
--- a/Services/fleet/poll_codec.h
+++ b/Services/fleet/poll_codec.h
@@ -27,6 +27,8 @@
     zinnialedge::fleet::reader_state state;
     std::optional<object_snapshot> routes;
     std::map<std::string, polled_part> parts;
+    /// False for a daemon of an earlier version, which answers polls without evacuations.
+    bool tellsEvacuations { true };
 };
 
 /// Returns the request target of a poll. Daemons of an earlier version ignore its query string.
--- a/Tests/Faults/edge_evacuation_test.cpp
+++ b/Tests/Faults/edge_evacuation_test.cpp
@@ -1,5 +1,6 @@
 // Real daemons that learn of an evacuation from the store or from each other.
 
+#include "Tests/Support/http_call.h"
 #include "Tests/Support/small_edge_fleet.h"
 #include <CppUTest/TestHarness.h>
 #include <boost/json/object.hpp>
@@ -80,3 +81,40 @@
     CHECK(fleet.daemon(1).process->waitForLine("event=evacuation_ended data_centre=there", 5s).has_value());
     STRCMP_EQUAL("0", fleet.get(1, "/gather/a", "a9").header("Zinnialedge-Missing-Parts").c_str());
 }
+
+// Guards against: subscribers and a daemon that the store turns away do not hear of an evacuation and its end from other daemons.
+TEST(EdgeEvacuation, PollsTellSubscribersOfEvacuations)
+{
+    constexpr std::size_t daemons = 6;
+    edge_fleet fleet { daemons };
+    scripted_leaf leaf { replySuccessfully };
+    fleet.registerLeaf("desk0", "desk", leaf.place());
+    fleet.declare(1, 1, true);
+    for (std::size_t index = 0; index < daemons; ++index)
+        fleet.replaceSetting(index, "evacuations", true);
+    // Nothing listens there.
+    fleet.replaceSetting(daemons - 1, "store", "127.0.0.1:1");
+    for (std::size_t index = 0; index < daemons; ++index)
+        fleet.start(index);
+    CHECK(fleet.waitUntilReady());
+    auto const stateOf = [&](std::size_t index) { return tests::getJson(fleet.daemon(index).operators, "/state").at("services").at("fleet").as_object(); };
+    auto const countReading = [&] {
+        std::size_t count = 0;
+        for (std::size_t index = 0; index < daemons; ++index)
+            count += stateOf(index).at("reads_store").as_bool() ? 1 : 0;
+        return count;
+    };
+    CHECK(tests::waitUntil([&] { return countReading() <= 3; }, 15s));
+    auto const allKnow = [&](std::size_t evacuations) {
+        for (std::size_t index = 0; index < daemons; ++index) {
+            if (stateOf(index).at("evacuations").as_array().size() != evacuations)
+                return false;
+        }
+        return true;
+    };
+    fleet.store().put("evacuations", "there", boost::json::object {});
+    CHECK(tests::waitUntil([&] { return allKnow(1); }, 2s));
+    fleet.store().erase("evacuations", "there");
+    CHECK(tests::waitUntil([&] { return allKnow(0); }, 2s));
+    CHECK(countReading() <= 3);
+}
