Membership: Send most probes to members of the own data centre

With fewer than 32 members in a data centre its daemons probed all members evenly, so that in three data centres two of three probes crossed, and bytes between data centres have a price. From 4 other members on, three of four probes now stay inside. While a member of another data centre is suspect, probes are even as before, so that a cut is found for all members. What is told at once is sent as before.

--- a/Libraries/zinnialedge/membership/member_table.cpp
+++ b/Libraries/zinnialedge/membership/member_table.cpp
@@ -7,6 +7,8 @@
 /// With at least `sufficientLocalMembers` members in the local data centre, only one in `remoteProbeInterval` probes goes to a
 /// member of another data centre.
 static constexpr std::size_t sufficientLocalMembers = 32;
+/// The same for probes. Traffic between data centres is charged, and the members of a data centre find a dead one together.
+static constexpr std::size_t sufficientLocalTargets = 4;
 static constexpr std::uint64_t remoteProbeInterval = 4;
 static constexpr int selectionAttempts = 8;
 
@@ -63,6 +65,10 @@
     // What other members report says nothing about the member's links and strength.
     auto const& declared = isSelfDeclared(update.status) ? update : member;
     member = { std::move(record), update.version, update.status, declared.reachesLeafs, declared.strength };
+    if (update.status == member_status::suspect && member.record.dataCentre != localDataCentre)
+        m_remoteSuspects.insert(name);
+    else
+        m_remoteSuspects.erase(name);
     if (update.status == member_status::dead) {
         m_deadNames.insert(name);
         m_namesByDeathTime.emplace(now, name);
@@ -103,9 +109,9 @@
     return std::nullopt;
 }
 
-bool member_table::shouldChooseLocal() const
+bool member_table::shouldChooseLocal(std::size_t sufficientCount) const
 {
-    if (m_localOrder.names.size() >= sufficientLocalMembers)
+    if (m_localOrder.names.size() >= sufficientCount)
         return m_random() % remoteProbeInterval != 0;
     auto const total = m_localOrder.names.size() + m_remoteOrder.names.size();
     return total > 0 && m_random() % total < m_localOrder.names.size();
@@ -113,7 +119,8 @@
 
 std::optional<std::string> member_table::takeNextToProbe()
 {
-    bool const isLocal = shouldChooseLocal();
+    // A remote suspect may be the first sign of a cut, which must be found for all members beyond it.
+    bool const isLocal = shouldChooseLocal(m_remoteSuspects.empty() ? sufficientLocalTargets : sufficientLocalMembers);
     auto name = takeNextLive(isLocal ? m_localOrder : m_remoteOrder);
     return name ? name : takeNextLive(isLocal ? m_remoteOrder : m_localOrder);
 }
@@ -121,7 +128,7 @@
 std::optional<std::string> member_table::pickRandomLive(std::string const& excluded)
 {
     for (int attempt = 0; attempt < selectionAttempts; ++attempt) {
-        auto const& names = shouldChooseLocal() ? m_localOrder.names : m_remoteOrder.names;
+        auto const& names = shouldChooseLocal(sufficientLocalMembers) ? m_localOrder.names : m_remoteOrder.names;
         if (names.empty())
             continue;
         auto const& name = names[m_random() % names.size()];
--- a/Libraries/zinnialedge/membership/member_table.h
+++ b/Libraries/zinnialedge/membership/member_table.h
@@ -43,7 +43,7 @@
     };
 
     std::optional<std::string> takeNextLive(probe_order&);
-    bool shouldChooseLocal() const;
+    bool shouldChooseLocal(std::size_t sufficientCount) const;
     void insertAtRandomIndex(probe_order&, std::string const& name);
     bool isLive(std::string const& name) const;
 
@@ -51,6 +51,7 @@
     std::map<std::string, member_update> m_members;
     std::map<model::endpoint, std::string> m_namesByEndpoint;
     std::set<std::string> m_deadNames;
+    std::set<std::string> m_remoteSuspects;
     /// Names of members by the time at which their death was recorded.
     std::multimap<kernel::time_point, std::string> m_namesByDeathTime;
     probe_order m_localOrder;
--- a/Tests/Support/membership_network.cpp
+++ b/Tests/Support/membership_network.cpp
@@ -75,8 +75,13 @@
 {
     auto& node = m_nodes.at(from);
     ++node.sentDatagramCount;
-    if (shouldCountBytes)
-        node.sentByteCount += wire::encodeDatagram(sentDatagram.content).size();
+    if (shouldCountBytes) {
+        auto const bytes = wire::encodeDatagram(sentDatagram.content).size();
+        node.sentByteCount += bytes;
+        auto const receiver = m_nodes.find(sentDatagram.endpoint.port);
+        bool const isRemote = receiver != m_nodes.end() && receiver->second.engine->self().record.dataCentre != node.engine->self().record.dataCentre;
+        node.remoteByteCount += isRemote ? bytes : 0;
+    }
     auto const content = std::make_shared<datagram const>(sentDatagram.content);
     int const deliveryCount = drawUniform() < duplicates ? 2 : 1;
     for (int deliveryIndex = 0; deliveryIndex < deliveryCount; ++deliveryIndex) {
--- a/Tests/Support/membership_network.h
+++ b/Tests/Support/membership_network.h
@@ -22,6 +22,8 @@
         int side { 0 };
         std::uint64_t sentDatagramCount { 0 };
         std::uint64_t sentByteCount { 0 };
+        /// Bytes to daemons of other data centres.
+        std::uint64_t remoteByteCount { 0 };
         std::uint64_t reportedDeathCount { 0 };
     };
 
--- a/Tests/Unit/membership_test.cpp
+++ b/Tests/Unit/membership_test.cpp
@@ -303,3 +303,23 @@
     network.give(1, leaf_reach_changed { true });
     CHECK(network.runUntil([&] { return allKnow(true); }, 4s).has_value());
 }
+
+// Guards against: most of the bytes between data centres are probes, which most daemons could send to their neighbours.
+// Load: 26 daemons in 3 data centres.
+TEST(Membership, FewBytesPassBetweenDataCentresInSteadyState)
+{
+    for (std::uint16_t index = 1; index <= 26; ++index)
+        network.start(nameOf(index), index, { 1, 2 }, "suva-" + std::to_string(index % 3));
+    CHECK(network.runUntil([&] { return allServing(); }, 20s).has_value());
+    network.run(20s);
+    network.shouldCountBytes = true;
+    network.run(10s);
+    std::uint64_t remoteBytes = 0;
+    for (auto const& [index, node] : network.nodes())
+        remoteBytes += node.remoteByteCount;
+    CHECK(remoteBytes <= 60'000);
+    // A cut is found although few probes cross it.
+    for (auto& [index, node] : network.nodes())
+        node.side = index % 3 == 0 ? 1 : 0;
+    CHECK(network.runUntil([&] { return std::all_of(network.nodes().begin(), network.nodes().end(), [](auto const& each) { return each.second.engine->members().deadNames().size() == (each.first % 3 == 0 ? 18 : 8); }); }, 9s).has_value());
+}
