--- a/Services/traffic/traffic_hooks.cpp
+++ b/Services/traffic/traffic_hooks.cpp
@@ -44,6 +44,10 @@
         if (m_leafReachReceiver)
             m_leafReachReceiver(reachesLeafs);
     };
+    hooks.reportDaemonWithoutLeafs = [this](model::endpoint const& relayEndpoint) {
+        if (m_daemonWithoutLeafsReceiver)
+            m_daemonWithoutLeafsReceiver(relayEndpoint);
+    };
     hooks.logLeafLimit = [this](std::string const& leaf, std::string_view event, forwarding::leaf_rate_limit const& limit) { m_requestLog.logLeafLimit(leaf, event, limit); };
     hooks.logEvacuation = [this](forwarding::evacuation_report const& report) { m_requestLog.logEvacuation(report); };
     hooks.logLeafPhase = [this](forwarding::leaf_phase_report const& report) { m_requestLog.logLeafPhase(report); };
--- a/Services/traffic/traffic_implementation.h
+++ b/Services/traffic/traffic_implementation.h
@@ -45,6 +45,7 @@
     void setSuspectsReceiver(std::function<void(std::vector<quarantine::suspect>)> receiver) { m_suspectsReceiver = std::move(receiver); }
     void setUsageReceiver(std::function<void(std::vector<allowances::addressed_report>)> receiver) { m_usageReceiver = std::move(receiver); }
     void setLeafReachReceiver(std::function<void(bool)> receiver) { m_leafReachReceiver = std::move(receiver); }
+    void setDaemonWithoutLeafsReceiver(std::function<void(model::endpoint const&)> receiver) { m_daemonWithoutLeafsReceiver = std::move(receiver); }
 
     void handleEvent(traffic_event&& event);
     std::size_t drainConnections();
@@ -80,6 +81,7 @@
     void apply(suspects_told&& told);
     void apply(quota_tolerance_changed&& changed);
     void apply(usage_told&& told);
+    void apply(link_loss_told&& told);
     void apply(leaving_started&&);
     void apply(registrations_delivered&& changed) { m_engine.setRegistrationsCurrent(changed.areDelivered); }
 
@@ -105,6 +107,7 @@
     callers::latency_metrics m_latencies;
     std::function<void(std::vector<quarantine::suspect>)> m_suspectsReceiver;
     std::function<void(bool)> m_leafReachReceiver;
+    std::function<void(model::endpoint const&)> m_daemonWithoutLeafsReceiver;
     std::function<void(std::vector<allowances::addressed_report>)> m_usageReceiver;
     forwarding::request_engine m_engine;
 };
--- a/Services/traffic/traffic_metrics.cpp
+++ b/Services/traffic/traffic_metrics.cpp
@@ -76,6 +76,8 @@
     metrics.counter("parts_held_total", counters.partsHeld);
     metrics.counter("leaf_link_losses_total", counters.linkLosses);
     metrics.counter("leaf_probes_total", counters.probes);
+    metrics.counter("leaf_check_probes_total", counters.checkProbes);
+    metrics.counter("daemons_marked_without_leafs_total", counters.daemonsMarked);
     metrics.counter("detours_total", counters.detours);
     metrics.counter("detours_failed_total", counters.detoursFailed);
     metrics.counter("detoured_requests_total", counters.detouredRequests);
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -62,6 +62,12 @@
     m_engine.mergeUsage(told.report, now());
 }
 
+void traffic_service::implementation::apply(link_loss_told&& told)
+{
+    m_engine.handleLinkLossNews(told.daemonCount, now());
+    armTimer();
+}
+
 void traffic_service::implementation::apply(leaving_started&&)
 {
     m_isLeaving = true;
@@ -100,6 +106,11 @@
     m_implementation->setLeafReachReceiver(std::move(receiver));
 }
 
+void traffic_service::setDaemonWithoutLeafsReceiver(std::function<void(model::endpoint const&)> receiver)
+{
+    m_implementation->setDaemonWithoutLeafsReceiver(std::move(receiver));
+}
+
 std::uint16_t traffic_service::port() const
 {
     return m_implementation->port();
