--- a/Tests/Unit/cut_off_daemons_test.cpp
+++ b/Tests/Unit/cut_off_daemons_test.cpp
@@ -152,6 +152,7 @@
     daemon.loseLinks();
     fleet::reach_marks marks;
     std::vector<fleet::serving_daemon> members;
+    members.reserve(12);
     for (int index = 0; index < 12; ++index)
         members.push_back({ "daemon" + std::to_string(index), "here", { "10.0.1." + std::to_string(index), 7395 }, true, {} });
     auto const shareGroup = [&] {
