Fleet: Keep polling a reader when a poll becomes due during a turn

What callers saw: requests reached a leaf 5.3 s after it had said that it leaves (DRAIN; bound 5 s), from one subscriber of 91 daemons.

Cause: the reader link read the clock twice in one turn. When the pause after a poll ended between the check for a due poll and the setting of the timer, as on a weak VM that writes a log line in between, neither happened, and the subscriber polled no more until the members changed. Its log ends with the choice of a reader; the configuration came from other daemons by digests.

Change: the timer is set by the time of the check.

No test without the network: the link owns its clock and timer; to be added with a clock hook.

--- a/Services/fleet/reader_link.cpp
+++ b/Services/fleet/reader_link.cpp
@@ -59,7 +59,7 @@
         if (auto const poll = m_roles.takePoll(now))
             sendPoll(*poll);
     }
-    armTimer();
+    armTimer(now);
 }
 
 void reader_link::logChanges()
@@ -73,10 +73,10 @@
         m_hooks.readerChanged();
 }
 
-void reader_link::armTimer()
+void reader_link::armTimer(kernel::time_point now)
 {
     auto next = m_roles.nextTime();
-    auto const now = std::chrono::steady_clock::now();
+    // The time is that of the check for a due poll. A poll that became due in between would have no timer, and polling would stop.
     if (m_nextPollAt > now)
         next = next ? std::min(*next, m_nextPollAt) : m_nextPollAt;
     if (!next) {
--- a/Services/fleet/reader_link.h
+++ b/Services/fleet/reader_link.h
@@ -39,7 +39,8 @@
     void sendPoll(zinnialedge::fleet::reader_poll const&);
     void handleResult(model::endpoint const&, wire::http_result const&);
     void logChanges();
-    void armTimer();
+    /// `now` is the time at which polls were last checked for being due.
+    void armTimer(kernel::time_point now);
 
     boost::asio::io_context& m_context;
     zinnialedge::fleet::store_roles m_roles;
