--- a/Tests/Unit/store_roles_test.cpp
+++ b/Tests/Unit/store_roles_test.cpp
@@ -311,7 +311,7 @@
     run(3s);
     // Nobody reaches the store: a held poll of one daemon, and a round to all in 2 s.
     run(10s);
-    CHECK(pollCount <= 6 * (10 + 5 * 5));
+    CHECK(pollCount <= std::size_t { 6 } * (std::size_t { 10 } + std::size_t { 5 } * 5));
     at({ "10.0.0.5", 7380 }).reachesStore = true;
     CHECK(runUntil([this] { return areAllInformed(); }, 5s) <= 3s);
 }
