Fleet: Let the store roles decide when the next poll is due

Cause: the pause between polls was kept by the reader link, beside the times of store_roles, and had no test without a network.

Change: store_roles keeps the pause and names the time of every next poll, also with a reader; the link arms its timer for that time and decides nothing.

--- a/Libraries/zinnialedge/fleet/store_roles.cpp
+++ b/Libraries/zinnialedge/fleet/store_roles.cpp
@@ -11,6 +11,8 @@
 /// Time for which membership must show another role before this daemon changes its role. Members come and go in groups when VMs are
 /// replaced, and each change costs calls to the store.
 static constexpr std::chrono::milliseconds roleChangeDelay { 3000 };
+/// Pause after a poll. It bounds the polls of a subscriber whose reader always has news.
+static constexpr std::chrono::milliseconds pollPause { 50 };
 /// Time between two rounds of polls to all candidates.
 static constexpr std::chrono::milliseconds searchInterval { 300 };
 /// Time per possible daemon over which the daemons that start together begin to read the store, unless they find a reader.
@@ -189,8 +191,8 @@
     auto const consider = [&next](time_point time) { next = next ? std::min(*next, time) : time; };
     if (m_role == store_role::subscriber && !m_reader && !m_readsInstead && m_ownReadingAt)
         consider(*m_ownReadingAt);
-    if (!m_polled && !m_reader && mayPoll())
-        consider(m_nextRoundAt);
+    if (!m_polled && mayPoll())
+        consider(m_reader ? m_nextPollAt : std::max(m_nextPollAt, m_nextRoundAt));
     return next;
 }
 
@@ -264,7 +266,7 @@
 
 std::optional<reader_poll> store_roles::takePoll(time_point now)
 {
-    if (m_polled || !mayPoll())
+    if (m_polled || !mayPoll() || now < m_nextPollAt)
         return std::nullopt;
     if (m_reader) {
         if (now >= m_homeCheckAt && !isLocalReader(*m_reader)) {
@@ -290,9 +292,15 @@
     return std::nullopt;
 }
 
-void store_roles::handleAnswer(model::endpoint const& place, reader_state state, time_point now)
+void store_roles::endPoll(time_point now)
 {
     m_polled.reset();
+    m_nextPollAt = now + pollPause;
+}
+
+void store_roles::handleAnswer(model::endpoint const& place, reader_state state, time_point now)
+{
+    endPoll(now);
     if (m_role == store_role::reader && !m_isStoreLost)
         return;
     // A reader's source must reach the store itself, or two readers without the store could be each other's source.
@@ -326,7 +334,7 @@
 
 void store_roles::handleFailure(model::endpoint const& place, time_point now)
 {
-    m_polled.reset();
+    endPoll(now);
     m_avoidedUntil[place] = now + failureAvoidanceTime;
     if (m_reader == place)
         loseReader(now);
--- a/Libraries/zinnialedge/fleet/store_roles.h
+++ b/Libraries/zinnialedge/fleet/store_roles.h
@@ -90,7 +90,7 @@
     void setSeeds(std::vector<model::endpoint> seeds) { m_settings.seeds = std::move(seeds); }
     /// Performs the changes that are due.
     void advance(kernel::time_point now);
-    /// Returns the time of the next change or poll that is not due yet.
+    /// Returns the time of the next change or poll, which may be due already; nothing while a poll is open and no change is to come.
     std::optional<kernel::time_point> nextTime() const;
 
     /// Returns the poll to send now, if any. Each poll must be followed by handleAnswer() or handleFailure() before the next one.
@@ -116,6 +116,7 @@
     bool seeksSource() const { return m_isStoreLost && readsStore(); }
     bool mayPoll() const { return seeksSource() || (m_role == store_role::subscriber && !(shouldRead() && m_readsInstead)); }
     std::optional<reader_poll> takeHeldPoll(kernel::time_point now);
+    void endPoll(kernel::time_point now);
     void changeRole(store_role, kernel::time_point now);
     void loseReader(kernel::time_point now);
     void finishRound(kernel::time_point now);
@@ -138,6 +139,8 @@
     std::optional<kernel::time_point> m_roleChangeAt;
     std::optional<model::endpoint> m_reader;
     std::optional<model::endpoint> m_polled;
+    /// Time before which no poll follows the last one.
+    kernel::time_point m_nextPollAt;
     std::size_t m_nextCandidate { 0 };
     std::size_t m_nextHeldCandidate { 0 };
     /// Number of held polls that are left before the next round to all candidates.
--- a/Services/fleet/reader_link.cpp
+++ b/Services/fleet/reader_link.cpp
@@ -12,8 +12,6 @@
 using zinnialedge::fleet::toString;
 
 static constexpr int statusOk = 200;
-/// Pause after an answer. It bounds the polls of a subscriber whose reader always has news.
-static constexpr std::chrono::milliseconds pollPause { 50 };
 
 reader_link::reader_link(boost::asio::io_context& context, zinnialedge::fleet::role_settings settings, reader_link_hooks hooks)
     : m_context(context)
@@ -55,11 +53,9 @@
         m_readsStore = m_roles.readsStore();
         m_hooks.readingChanged(m_readsStore);
     }
-    if (now >= m_nextPollAt) {
-        if (auto const poll = m_roles.takePoll(now))
-            sendPoll(*poll);
-    }
-    armTimer(now);
+    if (auto const poll = m_roles.takePoll(now))
+        sendPoll(*poll);
+    armTimer();
 }
 
 void reader_link::logChanges()
@@ -73,12 +69,9 @@
         m_hooks.readerChanged();
 }
 
-void reader_link::armTimer(kernel::time_point now)
+void reader_link::armTimer()
 {
-    auto next = m_roles.nextTime();
-    // The time is that of the check for a due poll. A poll that became due in between would have no timer, and polling would stop.
-    if (m_nextPollAt > now)
-        next = next ? std::min(*next, m_nextPollAt) : m_nextPollAt;
+    auto const next = m_roles.nextTime();
     if (!next) {
         m_timer.cancel();
         return;
@@ -119,7 +112,6 @@
 {
     auto const now = std::chrono::steady_clock::now();
     auto const answer = parseResult(result);
-    m_nextPollAt = now + pollPause;
     if (!answer) {
         if (m_roles.reader() == place)
             logEvent(log_level::warn, "reader_lost", { { "reader", model::toString(place) }, { "reason", answer.error().message } });
--- a/Services/fleet/reader_link.h
+++ b/Services/fleet/reader_link.h
@@ -39,8 +39,7 @@
     void sendPoll(zinnialedge::fleet::reader_poll const&);
     void handleResult(model::endpoint const&, wire::http_result const&);
     void logChanges();
-    /// `now` is the time at which polls were last checked for being due.
-    void armTimer(kernel::time_point now);
+    void armTimer();
 
     boost::asio::io_context& m_context;
     zinnialedge::fleet::store_roles m_roles;
@@ -48,7 +47,6 @@
     std::unique_ptr<wire::http_client> m_client;
     model::endpoint m_clientPlace;
     boost::asio::steady_timer m_timer;
-    kernel::time_point m_nextPollAt;
     zinnialedge::fleet::store_role m_loggedRole { zinnialedge::fleet::store_role::subscriber };
     std::optional<model::endpoint> m_loggedReader;
     std::uint64_t m_pollCount { 0 };
--- a/Tests/Unit/store_roles_test.cpp
+++ b/Tests/Unit/store_roles_test.cpp
@@ -389,3 +389,31 @@
     CHECK(polls <= 1);
     CHECK(roles.readsStore());
 }
+
+// Load: a weak VM, on which a turn of the event loop takes as long as the pause between two polls.
+// Guards against: a poll that becomes due during a turn has no timer, so that the subscriber polls no more and calls leafs that have left.
+TEST(StoreRoles, SubscriberThatWakesAtTheTimesItAsksForNeverStopsPolling)
+{
+    settle({ 20 });
+    auto const found = std::find_if(daemons.begin(), daemons.end(), [](auto const& each) { return each.roles->role() == store_role::subscriber; });
+    auto& roles = *found->roles;
+    auto random = kernel::makeSeededRandom(1);
+    auto const passTurn = [&] { now += std::chrono::milliseconds { random() % 120 }; };
+    if (found->poll)
+        roles.handleAnswer(found->poll->place, { true, true, true, false }, now);
+    for (std::size_t polls = 0; polls < 500;) {
+        auto const wakeAt = roles.nextTime();
+        CHECK(wakeAt.has_value());
+        CHECK(*wakeAt <= now + 1s);
+        now = std::max(now, *wakeAt);
+        roles.advance(now);
+        auto const poll = roles.takePoll(now);
+        passTurn();
+        if (!poll)
+            continue;
+        ++polls;
+        passTurn();
+        roles.handleAnswer(poll->place, { true, true, true, false }, now);
+        passTurn();
+    }
+}
