Fleet: Start the wait after a loss of the store also soon after a return

Cause: the loss of the store looks at the expiry of its timer to see whether one is set, and a cancelled timer keeps its expiry. A store that was reached and lost again within 0.3 s got no timer, and the daemon sought no other source until a later failure was reported. Change: the expiry is reset when the wait ends.

--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -137,6 +137,8 @@
     void handleStoreFailure();
     /// Begins to poll a daemon that reaches the store, because this one has lost it.
     void seekSource();
+    /// Ends a wait after the loss of the store, so that the next loss begins one of its own.
+    void stopStoreLossTimer();
     void handleReadingChanged(bool readsStore);
     zinnialedge::fleet::snapshot_poll makePoll() const;
     zinnialedge::fleet::snapshot_state currentSnapshotState() const;
--- a/Services/fleet/fleet_snapshots.cpp
+++ b/Services/fleet/fleet_snapshots.cpp
@@ -185,7 +185,7 @@
 {
     if (!isStoreConnected())
         return;
-    m_storeLossTimer.cancel();
+    stopStoreLossTimer();
     m_isAwaitingSource = false;
     m_readerLink.setStoreLost(false);
     if (!std::exchange(m_isStoreReached, true))
@@ -203,6 +203,12 @@
     });
 }
 
+void fleet_service::stopStoreLossTimer()
+{
+    // cancel() leaves the expiry as it is, and a store that is lost again before that time would seem to have a timer already.
+    m_storeLossTimer.expires_at(std::chrono::steady_clock::time_point::min());
+}
+
 void fleet_service::seekSource()
 {
     m_isAwaitingSource = std::exchange(m_isStoreReached, false);
@@ -231,7 +237,7 @@
         m_storeProbe.start();
     } else {
         m_storeProbe.stop();
-        m_storeLossTimer.cancel();
+        stopStoreLossTimer();
         m_isStoreReached = false;
         m_isAwaitingSource = false;
     }
