Forwarding: Count the objective from the time when the caller began

Change: the usual time limit of a route is learned, and what a request lacks of it counts as its age. AnswersToOlderRequestsComeEarlier fails without it.

--- a/Libraries/zinnialedge/forwarding/engine_state.h
+++ b/Libraries/zinnialedge/forwarding/engine_state.h
@@ -6,6 +6,7 @@
 #include "Libraries/zinnialedge/limits/admission_queue.h"
 #include "Libraries/zinnialedge/limits/moving_quantile.h"
 #include "Libraries/zinnialedge/limits/return_schedule.h"
+#include "Libraries/zinnialedge/limits/typical_time_limit.h"
 #include <deque>
 
 // State of the request engine that is not part of one request: timers, open calls, and what is kept for routes, services and daemons.
@@ -99,6 +100,8 @@
 /// State of a route that is kept across configuration versions.
 struct route_state {
     limits::moving_quantile callDurationQuantile;
+    /// Tells how old requests are when they arrive.
+    limits::typical_time_limit timeLimit {};
 };
 
 struct service_state {
--- a/Libraries/zinnialedge/forwarding/request_arrival.cpp
+++ b/Libraries/zinnialedge/forwarding/request_arrival.cpp
@@ -126,8 +126,20 @@
     return to.services.back().service;
 }
 
+kernel::duration request_engine::ageOf(caller_request const& request, route const& to) const
+{
+    // Another daemon has already taken the age into account.
+    if (!request.timeLimit || request.relayed || request.detoured)
+        return kernel::duration::zero();
+    auto const known = m_routeStates.find(to.name);
+    // An answer to an older request can hardly meet the objective, so that it is not shortened for the sake of the objective.
+    return known == m_routeStates.end() ? kernel::duration::zero() : known->second.timeLimit.ageOf(*request.timeLimit, to.objective / 2);
+}
+
 active_request* request_engine::createRequest(request_token token, caller_request request, route const& to, time_point now)
 {
+    if (request.timeLimit && !request.relayed && !request.detoured)
+        stateOf(to).timeLimit.record(*request.timeLimit);
     auto& created = m_requests[token];
     created.token = token;
     describeRequest(created, std::move(request), to, now);
@@ -145,7 +157,7 @@
     created.startedAt = now;
     created.lastReplyAt = now;
     auto const transit = request.roundTripTime.value_or(m_settings.defaultRoundTripTime);
-    auto const objectiveMargin = transit + answerReserve + std::chrono::duration_cast<kernel::duration>(to.objective * answerReserveShare);
+    auto const objectiveMargin = std::max(transit, ageOf(request, to) + transit / 2) + answerReserve + std::chrono::duration_cast<kernel::duration>(to.objective * answerReserveShare);
     created.objectiveAt = now + std::max<kernel::duration>(to.objective - objectiveMargin, to.objective / 2);
     auto timeLimit = to.timeout;
     if (request.timeLimit) {
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -127,6 +127,8 @@
     void countAdmission(active_request const&);
     /// Sets the weight of tenants without a quota to the mean of the others.
     void setShareWeights();
+    /// Returns the time that had passed at the caller before it sent the request, as far as its time limit tells.
+    kernel::duration ageOf(caller_request const&, route const&) const;
     active_request* createRequest(request_token, caller_request, route const&, kernel::time_point now);
 
     /// Counts the request for the budget of extra calls of its services, unless another daemon has counted it.
