--- a/Libraries/zinnialedge/forwarding/request_arrival.cpp
+++ b/Libraries/zinnialedge/forwarding/request_arrival.cpp
@@ -132,7 +132,7 @@
     if (!request.timeLimit || request.relayed || request.detoured)
         return kernel::duration::zero();
     auto const known = m_routeStates.find(to.name);
-    // An answer to an older request can hardly meet the objective, so that it is not shortened for the sake of the objective.
+    // The answer to a request older than half of the objective can hardly meet it, so it is given the complete objective to be whole.
     return known == m_routeStates.end() ? kernel::duration::zero() : known->second.timeLimit.ageOf(*request.timeLimit, to.objective / 2);
 }
 
