--- a/review/support/edge_process.cpp
+++ b/review/support/edge_process.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -31,8 +32,7 @@
     ::waitpid(m_pid, nullptr, 0);
 }
 
-// As platform/settings.template fills it in for a machine of a small deployment. The field leaf_calls_from stands for the address that a
-// machine's calls come from anyway.
+// As platform/settings.template fills it in for a machine of a small deployment.
 void edge_process::writeSettings() const
 {
     auto const place = [this](unsigned offset) { return "\"" + m_options.address + ":" + std::to_string(m_options.firstPort + offset) + "\""; };
@@ -50,7 +50,6 @@
                                      << R"("relays": )" << place(4) << ",\n"
                                      << R"("operators": )" << place(5) << ",\n"
                                      << R"("store": ")" << m_options.store << "\",\n"
-                                     << R"("leaf_calls_from": ")" << m_options.address << "\",\n"
                                      << R"("seeds": [)" << seeds << "],\n"
                                      << R"("extra_calls": { "ratio": 0.2, "window_s": 10, "slack": 54 },)" << '\n'
                                      << R"("store_rates": { "reads_per_s": 2000, "writes_per_s": 400 },)" << '\n'
@@ -68,6 +67,8 @@
     m_pid = ::fork();
     if (m_pid != 0)
         return m_pid > 0;
+    // The process must not outlive a driver that is killed.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     int const output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     if (output < 0)
         ::_exit(127);
