Review: Show that a mute watch lets machines call leafs that have left

The store is silent to two of five machines for 1 s. Machines whose watch of the leafs lost its answer meanwhile wait for it for up to 20.8 s and send requests to leafs 4 s after the store has accepted that they leave, while they count as in touch.

--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -35,8 +35,10 @@
     std::vector<std::string> seeds;
     for (std::size_t index = 0; index < machines && index < 3; ++index)
         seeds.push_back(machineAddress(index) + ":" + std::to_string(firstPort));
-    for (std::size_t index = 0; index < machines; ++index)
-        m_machines.push_back(std::make_unique<edge_process>(edge_options { .name = "front-" + zone(index) + "-" + std::to_string(index / 4 + 1), .address = machineAddress(index), .zone = zone(index), .store = m_store.address(), .seeds = seeds, .folder = folder, .firstPort = firstPort }));
+    for (std::size_t index = 0; index < machines; ++index) {
+        m_storeAddresses.push_back(m_store.addAddress(loopback(storeGroup, 1 + index)));
+        m_machines.push_back(std::make_unique<edge_process>(edge_options { .name = "front-" + zone(index) + "-" + std::to_string(index / 4 + 1), .address = machineAddress(index), .zone = zone(index), .store = m_storeAddresses.back(), .seeds = seeds, .folder = folder, .firstPort = firstPort }));
+    }
 }
 
 void small_deployment::configure(int version, std::vector<single_route> const& singles, std::vector<gather_route> const& gathers)
@@ -65,10 +67,11 @@
 {
     for (std::size_t index = 0; index < count; ++index) {
         auto options = like;
-        options.id = "i-" + service + std::to_string(index);
+        options.id = "i-" + service + std::to_string(m_leafs.size());
         options.service = service;
         options.address = leafAddress(m_leafs.size());
-        options.zone = zone(index);
+        if (options.zone.empty())
+            options.zone = zone(index);
         m_leafs.emplace_back(std::make_unique<leaf>(std::move(options), m_store, to));
     }
 }
--- a/review/support/deployment.h
+++ b/review/support/deployment.h
@@ -29,13 +29,15 @@
 public:
     /// Starts no process yet.
     small_deployment(std::size_t machines, std::string const& folder);
+    /// Address of the store that only this machine uses.
+    std::string const& storeAddressOf(std::size_t index) const { return m_storeAddresses[index]; }
 
     store& platform() { return m_store; }
     edge_process& machine(std::size_t index) { return *m_machines[index]; }
     std::size_t size() const { return m_machines.size(); }
     /// Writes the configuration as the operator does.
     void configure(int version, std::vector<single_route> const& singles, std::vector<gather_route> const& gathers);
-    /// Starts a leaf of the service in each of as many zones.
+    /// Starts a leaf of the service in each of as many zones, or all in the zone that the options name.
     void addLeafs(std::string const& service, std::size_t count, leaf_options const& like, record&);
     std::vector<std::unique_ptr<leaf>>& leafs() { return m_leafs; }
     /// Returns the runs of all leafs.
@@ -51,6 +53,7 @@
 
 private:
     store m_store;
+    std::vector<std::string> m_storeAddresses;
     std::vector<std::unique_ptr<edge_process>> m_machines;
     std::vector<std::unique_ptr<leaf>> m_leafs;
 };
--- a/review/support/leaf.cpp
+++ b/review/support/leaf.cpp
@@ -18,8 +18,9 @@
     , m_record(to)
     , m_listener(listenOn(m_options.address, 0))
     , m_address(boundAddress(m_listener))
+    , m_born(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
 {
-    registerInStore();
+    writeEntry();
     m_acceptor = std::thread { [this] {
         while (!m_isStopping) {
             pollfd waiting { m_listener, POLLIN, 0 };
@@ -34,7 +35,13 @@
 
 leaf::~leaf()
 {
-    m_isStopping = true;
+    stop();
+}
+
+void leaf::stop()
+{
+    if (m_isStopping.exchange(true))
+        return;
     m_slotFreed.notify_all();
     m_acceptor.join();
     for (auto& each : m_threads)
@@ -42,9 +49,20 @@
     ::close(m_listener);
 }
 
-void leaf::registerInStore()
+void leaf::writeEntry()
+{
+    m_store.put("servers", m_options.id, { { "service", m_options.service }, { "address", m_address }, { "zone", m_options.zone }, { "version", "v1" }, { "max_concurrency", m_options.slots }, { "state", m_isLeaving ? "draining" : "ready" }, { "warmup_left_ms", 0 }, { "sequence", ++m_sequence }, { "born", m_born } });
+}
+
+void leaf::beat()
+{
+    writeEntry();
+}
+
+void leaf::drain()
 {
-    m_store.put("servers", m_options.id, { { "service", m_options.service }, { "address", m_address }, { "zone", m_options.zone }, { "version", "v1" }, { "max_concurrency", m_options.slots }, { "state", "ready" }, { "warmup_left_ms", 0 }, { "sequence", 1 } });
+    m_isLeaving = true;
+    writeEntry();
 }
 
 std::vector<leaf_run> leaf::runs()
@@ -77,13 +95,15 @@
     std::multimap<std::string, std::string> headers { { "Zinnialedge-Instance-Id", m_options.id }, { "Keep-Alive", "timeout=15" } };
     if (!attemptId.empty())
         headers.emplace("Zinnialedge-Attempt-Id", attemptId);
+    if (m_isLeaving)
+        headers.emplace("Server-Leaving", "1");
     auto const target = request.header("zinnialedge-target-instance");
     if (!target.empty() && target != m_options.id) {
         headers.emplace("Zinnialedge-Not-Executed", "1");
         return formatResponse(421, headers, {});
     }
     if (request.target() == "/health")
-        return formatResponse(200, headers, {});
+        return formatResponse(m_isLeaving ? 503 : 200, headers, {});
     std::size_t index = 0;
     {
         std::unique_lock lock(m_mutex);
--- a/review/support/leaf.h
+++ b/review/support/leaf.h
@@ -43,11 +43,20 @@
 
     std::string const& address() const { return m_address; }
     std::vector<leaf_run> runs();
+    std::string const& id() const { return m_options.id; }
+    std::string const& zone() const { return m_options.zone; }
+    bool isLeaving() const { return m_isLeaving; }
+    /// Writes the leaf's entry again, as leafs do at each heartbeat.
+    void beat();
+    /// Reports that the leaf leaves. It goes on serving, and says so in its answers.
+    void drain();
+    /// Ends the leaf, as when its process exits.
+    void stop();
 
 private:
     void serve(connection client);
     std::string handle(connection& client, http_message const& request);
-    void registerInStore();
+    void writeEntry();
 
     leaf_options m_options;
     store& m_store;
@@ -59,6 +68,9 @@
     unsigned m_running { 0 };
     unsigned m_waiting { 0 };
     std::vector<leaf_run> m_runs;
+    std::int64_t m_born { 0 };
+    std::atomic<std::int64_t> m_sequence { 0 };
+    std::atomic<bool> m_isLeaving { false };
     std::atomic<bool> m_isStopping { false };
     std::thread m_acceptor;
     std::mutex m_threadsMutex;
--- a/review/support/store.cpp
+++ b/review/support/store.cpp
@@ -19,31 +19,62 @@
     : m_listener(listenOn(address, 0))
     , m_address(boundAddress(m_listener))
 {
-    m_acceptor = std::thread { [this] {
-        while (!m_isStopping) {
-            pollfd waiting { m_listener, POLLIN, 0 };
-            if (::poll(&waiting, 1, static_cast<int>(stopCheckInterval.count())) <= 0)
-                continue;
-            int const accepted = ::accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-            std::lock_guard const lock(m_threadsMutex);
-            m_threads.emplace_back([this, accepted] { serve(connection { accepted }); });
-        }
-    } };
+    m_acceptors.emplace_back([this] { acceptAt(m_listener, m_address); });
 }
 
 store::~store()
 {
     m_isStopping = true;
     m_changed.notify_all();
-    m_acceptor.join();
+    for (auto& each : m_acceptors)
+        each.join();
     for (auto& each : m_threads)
         each.join();
     ::close(m_listener);
+    for (auto const each : m_furtherListeners)
+        ::close(each);
+}
+
+std::string store::addAddress(std::string const& address)
+{
+    auto const listener = listenOn(address, 0);
+    auto bound = boundAddress(listener);
+    m_furtherListeners.push_back(listener);
+    m_acceptors.emplace_back([this, listener, bound] { acceptAt(listener, bound); });
+    return bound;
+}
+
+void store::acceptAt(int listener, std::string const& address)
+{
+    while (!m_isStopping) {
+        pollfd waiting { listener, POLLIN, 0 };
+        if (::poll(&waiting, 1, static_cast<int>(stopCheckInterval.count())) <= 0)
+            continue;
+        int const accepted = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        std::lock_guard const lock(m_threadsMutex);
+        m_threads.emplace_back([this, accepted, address] { serve(connection { accepted }, address); });
+    }
+}
+
+void store::setSilent(std::string const& address, bool isSilent)
+{
+    std::lock_guard const lock(m_mutex);
+    if (isSilent)
+        m_silentAddresses.insert(address);
+    else
+        m_silentAddresses.erase(address);
+}
+
+bool store::isSilent(std::string const& address)
+{
+    std::lock_guard const lock(m_mutex);
+    return m_silentAddresses.contains(address);
 }
 
-void store::serve(connection client)
+void store::serve(connection client, std::string const& address)
 {
     auto const idleUntil = clock::now() + idleTime;
+    bool isMute = false;
     while (!m_isStopping && clock::now() < idleUntil) {
         auto const request = client.read(clock::now() + stopCheckInterval);
         if (!request) {
@@ -53,7 +84,12 @@
         }
         if (onRequest && !onRequest(*request))
             return;
-        if (!client.write(answer(*request)))
+        isMute = isMute || isSilent(address);
+        if (isMute)
+            continue;
+        auto const response = answer(*request);
+        isMute = isSilent(address);
+        if (!isMute && !client.write(response))
             return;
     }
 }
@@ -204,6 +240,12 @@
     recordChange(kind, name, nullptr, true);
 }
 
+bool store::contains(std::string const& kind, std::string const& name)
+{
+    std::lock_guard const lock(m_mutex);
+    return m_objects[kind].contains(name);
+}
+
 std::size_t store::count(std::string const& kind)
 {
     std::lock_guard const lock(m_mutex);
