Review: Stand-ins read requests to their end

On a busy machine a leaf or the store could take the first part of a large body for the whole request.

--- a/review/support/http_message.cpp
+++ b/review/support/http_message.cpp
@@ -147,6 +147,13 @@
     }
 }
 
+std::optional<http_message> connection::readNext(milliseconds wait, milliseconds completeWithin)
+{
+    if (m_buffer.empty() && !fill(clock::now() + wait))
+        return std::nullopt;
+    return read(clock::now() + completeWithin);
+}
+
 std::optional<http_message> connection::read(time_point until)
 {
     std::size_t headEnd = 0;
--- a/review/support/http_message.h
+++ b/review/support/http_message.h
@@ -46,6 +46,8 @@
     /// Reads the next message. Returns nothing when the connection ends or the time is over before any byte of it; a message that ends
     /// early is returned as incomplete.
     std::optional<http_message> read(time_point until);
+    /// Waits for the first byte of a message as long as told and then for the rest of it up to `completeWithin`.
+    std::optional<http_message> readNext(milliseconds wait, milliseconds completeWithin);
     /// Returns whether the peer has closed the connection, without reading from it.
     bool isClosedByPeer() const;
     /// True when the last read ended because the peer closed or reset the connection.
--- a/review/support/leaf.cpp
+++ b/review/support/leaf.cpp
@@ -8,6 +8,8 @@
 namespace review {
 
 static constexpr milliseconds stopCheckInterval { 100 };
+/// Time for the rest of a request whose first bytes have come.
+static constexpr milliseconds messageTime { 5000 };
 static constexpr milliseconds workStep { 10 };
 static constexpr unsigned queueLength = 16;
 static constexpr milliseconds idleTimeout { 15'000 };
@@ -75,7 +77,7 @@
 {
     auto idleUntil = clock::now() + idleTimeout;
     while (!m_isStopping && clock::now() < idleUntil) {
-        auto const request = client.read(clock::now() + stopCheckInterval);
+        auto const request = client.readNext(stopCheckInterval, messageTime);
         if (!request) {
             if (client.hasEnded())
                 return;
--- a/review/support/store.cpp
+++ b/review/support/store.cpp
@@ -13,6 +13,8 @@
 static constexpr std::size_t pageSize = 500;
 /// Time between two looks at whether the stand-in stops.
 static constexpr milliseconds stopCheckInterval { 100 };
+/// Time for the rest of a request whose first bytes have come.
+static constexpr milliseconds messageTime { 5000 };
 static constexpr std::chrono::minutes idleTime { 5 };
 
 store::store(std::string const& address)
@@ -76,7 +78,7 @@
     auto const idleUntil = clock::now() + idleTime;
     bool isMute = false;
     while (!m_isStopping && clock::now() < idleUntil) {
-        auto const request = client.read(clock::now() + stopCheckInterval);
+        auto const request = client.readNext(stopCheckInterval, messageTime);
         if (!request) {
             if (client.hasEnded())
                 return;
