--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -13,6 +13,10 @@
 /// The longest work of this kind of request in the site file.
 static constexpr milliseconds workTime { 540 };
 static constexpr milliseconds deadline { 6000 };
+/// Validity of a directory answer.
+static constexpr milliseconds directoryValidity { 2000 };
+/// One in this many requests is of a client that keeps a directory answer for three times its validity.
+static constexpr std::size_t patientClients = 2;
 /// Three times the validity of a directory answer, for which some clients keep it.
 static constexpr milliseconds directoryKept { 6000 };
 static constexpr milliseconds requestInterval { 40 };
@@ -21,7 +25,7 @@
 static constexpr milliseconds excusedTime { 3000 };
 static constexpr std::size_t machineCount = 3;
 static constexpr std::size_t leafCount = 4;
-static constexpr std::size_t stopCount = 9;
+static constexpr std::size_t stopCount = 14;
 static constexpr milliseconds readyLimit { 5000 };
 static constexpr milliseconds checkInterval { 100 };
 
@@ -56,7 +60,8 @@
     std::size_t count = 0;
     for (std::size_t stop = 0; stop < stopCount; ++stop) {
         auto& stopped = deployment.machine(stop % machineCount);
-        auto const addresses = resolveUntilNamed(deployment.machine((stop + 1) % machineCount), stopped);
+        auto const& other = deployment.machine((stop + 1) % machineCount);
+        auto const addresses = resolveUntilNamed(other, stopped);
         auto const resolvedAt = clock::now();
         if (addresses.empty()) {
             std::cerr << "the directory does not name the machine\n";
@@ -69,8 +74,13 @@
             to.write("SIGTERM to " + stopped.name() + " at " + stopped.callers());
         }
         std::vector<std::thread> clients;
+        std::vector<std::string> newAddresses;
         for (; clock::now() < resolvedAt + directoryKept; ++count) {
-            auto const& machine = addresses[count % addresses.size()];
+            if (newAddresses.empty() && clock::now() >= resolvedAt + directoryValidity)
+                newAddresses = resolve(other.directory(), small_deployment::host, small_deployment::zone(0));
+            bool const isPatient = count % patientClients == 0 || newAddresses.empty();
+            auto const& known = isPatient ? addresses : newAddresses;
+            auto const machine = known[count / patientClients % known.size()];
             auto const id = "a" + std::to_string(count);
             if (machine == stopped.callers())
                 stops[id] = stopAt;
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -27,6 +27,7 @@
 {
     std::mutex mutex;
     std::vector<std::thread> clients;
+    clients.reserve(machineCount);
     for (std::size_t machine = 0; machine < machineCount; ++machine) {
         clients.emplace_back([&, machine] {
             connection kept;
