Traffic: Log the requests that the end of the process interrupts

The line 'stopped' now tells why and when the drain ended, and is a warning when requests were interrupted. Each of them has a line 'request_interrupted' with its id, its age and whether a leaf may have got it. Decisions are as they were.

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -112,14 +112,20 @@
         logEvent(log_level::error, "settings_not_taken", { { "service", fleet_service::serviceName } });
 }
 
+/// Requests a number from a service and waits for it. Returns nothing when the service does not answer in time.
+static std::optional<std::size_t> requestNumberAndWait(std::function<bool(std::function<void(std::size_t)>)> const& request)
+{
+    auto const number = std::make_shared<std::promise<std::size_t>>();
+    auto answer = number->get_future();
+    if (!request([number](std::size_t value) { number->set_value(value); }) || answer.wait_for(serviceAnswerTimeout) != std::future_status::ready)
+        return std::nullopt;
+    return answer.get();
+}
+
 /// Returns the number of caller connections with a request, or one when the traffic service does not answer in time.
 static std::size_t countConnectionsToDrain(traffic_service& traffic)
 {
-    auto const count = std::make_shared<std::promise<std::size_t>>();
-    auto answer = count->get_future();
-    if (!traffic.drainConnections([count](std::size_t connections) { count->set_value(connections); }))
-        return 0;
-    return answer.wait_for(serviceAnswerTimeout) == std::future_status::ready ? answer.get() : 1;
+    return requestNumberAndWait([&](auto receiver) { return traffic.drainConnections(std::move(receiver)); }).value_or(1);
 }
 
 void edge_daemon::stopGracefully(std::function<bool()> const& shouldStopNow)
@@ -135,14 +141,21 @@
     while (!shouldStopNow() && now() < callersGoneAt)
         std::this_thread::sleep_for(idleCheckInterval);
     // Some callers go on to use this daemon. They get no new connections, so that the last request is answered at some time.
-    while (!shouldStopNow() && now() < latestStopAt && countConnectionsToDrain(traffic) > 0)
+    std::string_view drainEnd = "drained";
+    while (countConnectionsToDrain(traffic) > 0) {
+        if (shouldStopNow() || now() >= latestStopAt) {
+            drainEnd = now() >= latestStopAt ? "time" : "signal";
+            break;
+        }
         std::this_thread::sleep_for(idleCheckInterval);
+    }
     auto const announced = std::make_shared<std::promise<void>>();
     if (!fleet.announceStop([announced] { announced->set_value(); }) || announced->get_future().wait_for(serviceAnswerTimeout) != std::future_status::ready)
         logEvent(log_level::warn, "stop_step_failed", { { "step", "announce_stop" } });
-    auto const interruptedCount = traffic.requestsInFlight();
+    auto const interruptedCount = requestNumberAndWait([&](auto receiver) { return traffic.reportInterruptedRequests(std::move(receiver)); }).value_or(traffic.requestsInFlight());
     m_registry.stopAll();
-    logEvent(log_level::info, "stopped", { { "requests_interrupted", interruptedCount } });
+    auto const sinceSignal = std::chrono::duration_cast<std::chrono::milliseconds>(now() - stopStartedAt);
+    logEvent(interruptedCount > 0 ? log_level::warn : log_level::info, "stopped", { { "requests_interrupted", interruptedCount }, { "since_signal_ms", sinceSignal.count() }, { "drain_end", drainEnd } });
 }
 
 }
--- a/Libraries/zinnialedge/forwarding/engine_interface.h
+++ b/Libraries/zinnialedge/forwarding/engine_interface.h
@@ -83,6 +83,15 @@
     std::size_t evacuatedDataCentreCount { 0 };
 };
 
+/// A request that waits for its answer.
+struct open_request {
+    std::string attemptId;
+    kernel::duration age {};
+    /// True when a leaf may have got it.
+    bool mayHaveRun { false };
+    bool isRepeatable { false };
+};
+
 /// Reason in the rejections of a daemon that reaches no leafs, by which other daemons recognize them.
 inline constexpr std::string_view linksLostReason = "links_lost";
 /// Time for which a daemon that has refused a detour is taken to reach no leafs, unless membership tells more: about the time in which the
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -148,6 +148,16 @@
     m_requests.erase(request.token);
 }
 
+std::vector<open_request> request_engine::openRequests(time_point now) const
+{
+    std::vector<open_request> open;
+    for (auto const& [token, each] : m_requests) {
+        if (!each.isCallerDisconnected)
+            open.push_back({ each.request->attemptId, now - each.arrivedAt, each.mayHaveRun(), each.matchedRoute->isRepeatable });
+    }
+    return open;
+}
+
 std::optional<time_point> request_engine::nextTimerTime() const
 {
     if (m_timers.empty())
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -68,6 +68,7 @@
     access::tenant_counts const& tenantCounts() const { return m_tenantCounts; }
     limits::admission_counts const& admissionCounts() const { return m_admissionCounts; }
     std::size_t requestsInFlight() const { return m_requests.size(); }
+    std::vector<open_request> openRequests(kernel::time_point now) const;
     std::size_t callsInFlight() const { return m_calls.size(); }
     leaf_roster const& leafs() const { return m_leafs; }
     route_table_pointer const& routes() const { return m_routes; }
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -61,6 +61,11 @@
             { "retry_after_ms", report.retryAfter.value_or(std::chrono::milliseconds { 0 }).count() }, { "in_flight", report.admittedInFlight }, { "limit", report.admissionLimit }, { "detour", report.detour }, { "for_daemon", report.isForOtherDaemon ? 1 : 0 } });
 }
 
+void request_log::logInterrupted(forwarding::open_request const& request)
+{
+    logEvent(log_level::warn, "request_interrupted", { { "id", request.attemptId }, { "age_ms", toMilliseconds(request.age) }, { "may_have_run", request.mayHaveRun ? 1 : 0 }, { "repeatable", request.isRepeatable ? 1 : 0 } });
+}
+
 void request_log::logLeafEvent(std::string const& attemptId, std::string const& leafId, std::string_view event, kernel::duration age)
 {
     if (tryCountLine(m_callLineCount, callLinesPerSecond))
--- a/Services/traffic/request_log.h
+++ b/Services/traffic/request_log.h
@@ -10,6 +10,8 @@
     explicit request_log(kernel::clock_hook);
 
     void logRequest(forwarding::request_report const&);
+    /// Logs a request that gets no answer since the process ends.
+    static void logInterrupted(forwarding::open_request const&);
     void logLeafEvent(std::string const& attemptId, std::string const& leafId, std::string_view event, kernel::duration age);
     void logConnectFailure(std::string const& leafId, std::string_view reason, std::size_t leafsRepliedLately);
     void logBrokenCall(forwarding::broken_call_report const&);
--- a/Services/traffic/traffic_connections.cpp
+++ b/Services/traffic/traffic_connections.cpp
@@ -45,6 +45,14 @@
     return remaining;
 }
 
+std::size_t traffic_service::implementation::reportInterruptedRequests() const
+{
+    auto const open = m_engine.openRequests(now());
+    for (auto const& each : open)
+        request_log::logInterrupted(each);
+    return open.size();
+}
+
 void traffic_service::implementation::acceptNext(tcp::acceptor& acceptor, forwarding::edge_protocol const& protocol)
 {
     acceptor.async_accept([this, &acceptor, &protocol](boost::system::error_code failure, tcp::socket accepted) {
--- a/Services/traffic/traffic_implementation.h
+++ b/Services/traffic/traffic_implementation.h
@@ -49,6 +49,8 @@
 
     void handleEvent(traffic_event&& event);
     std::size_t drainConnections();
+    /// Logs the requests that wait for their answers, and returns their number.
+    std::size_t reportInterruptedRequests() const;
     std::string describeState() const;
     std::string describeMetrics() const;
     errors::error_or<std::string> explain(std::map<std::string, std::string> const& parameters) const;
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -121,6 +121,11 @@
     return m_workerThread.post([this, receiver = std::move(receiver)] { receiver(m_implementation->drainConnections()); });
 }
 
+bool traffic_service::reportInterruptedRequests(std::function<void(std::size_t)> receiver)
+{
+    return m_workerThread.post([this, receiver = std::move(receiver)] { receiver(m_implementation->reportInterruptedRequests()); });
+}
+
 bool traffic_service::requestExplanation(std::map<std::string, std::string> const& parameters, std::function<void(errors::error_or<std::string>)> receiver)
 {
     return m_workerThread.post([this, parameters, receiver = std::move(receiver)] { receiver(m_implementation->explain(parameters)); });
--- a/Services/traffic/traffic_service.h
+++ b/Services/traffic/traffic_service.h
@@ -103,6 +103,10 @@
     /// Returns false when the service has stopped.
     bool drainConnections(std::function<void(std::size_t)> receiver);
 
+    /// Logs each request that waits for its answer as interrupted, and passes their number to `receiver` on the service's thread. Returns false
+    /// when the service has stopped.
+    bool reportInterruptedRequests(std::function<void(std::size_t)> receiver);
+
     /// Passes an explanation of what would become of the request now, as a JSON object, to the receiver on the service's thread. `parameters`
     /// are those of GET /route. Returns false when the service has stopped.
     bool requestExplanation(std::map<std::string, std::string> const& parameters, std::function<void(errors::error_or<std::string>)> receiver);
