Tests: Show requests that planned stops cut

The tests start a real daemon and callers that go on until it has ended.

RequestsCutByStop: orders of 0.45 to 0.9 s that were sent more than 4.5 s after SIGTERM were cut at 5.4 s (3 requests), and so were all requests that take 20 s at their leafs (drain_end=time). A reload and changes of the configuration during the stop cut none.

--- a/Tests/Faults/planned_stop_test.cpp
+++ b/Tests/Faults/planned_stop_test.cpp
@@ -1,45 +1,20 @@
 // Planned stops of a daemon while callers go on to use it, over new and over open connections.
 
 #include "Tests/Support/http_call.h"
+#include "Tests/Support/lasting_callers.h"
 #include "Tests/Support/small_edge_fleet.h"
 #include <CppUTest/TestHarness.h>
 #include <atomic>
-#include <mutex>
-#include <set>
 #include <thread>
 
 using namespace zinnialedge;
 using namespace std::chrono_literals;
 using tests::caller_answer;
 using tests::persistent_connection;
-using tests::rawHeaderValue;
+using tests::received_attempts;
 using tests::replySuccessfully;
 using tests::small_edge_fleet;
 
-namespace {
-
-/// Attempt ids that a leaf has received.
-class received_attempts {
-public:
-    void insert(std::string const& request)
-    {
-        std::scoped_lock const lock { m_mutex };
-        m_ids.insert(rawHeaderValue(request, "Zinnialedge-Attempt-Id"));
-    }
-
-    bool contains(std::string const& id) const
-    {
-        std::scoped_lock const lock { m_mutex };
-        return m_ids.contains(id);
-    }
-
-private:
-    mutable std::mutex m_mutex;
-    std::set<std::string> m_ids;
-};
-
-}
-
 TEST_GROUP(PlannedStop) {};
 
 // Guards against requests that are accepted between the last look at the requests in flight and the end of the process.
--- /dev/null
+++ b/Tests/Faults/requests_cut_by_stop_test.cpp
@@ -0,0 +1,144 @@
+// Requests that a daemon has read when it is stopped, or reads while it stops, and that must not end without an answer.
+
+#include "Tests/Support/http_call.h"
+#include "Tests/Support/lasting_callers.h"
+#include "Tests/Support/small_edge_fleet.h"
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+
+using namespace zinnialedge;
+using namespace std::chrono_literals;
+using tests::caller_outcome;
+using tests::lasting_callers;
+using tests::received_attempts;
+using tests::replySuccessfully;
+using tests::small_edge_fleet;
+
+namespace {
+
+/// Time in which a stopping process must end; it is killed afterwards.
+constexpr auto graceTime = 6s;
+
+/// A daemon whose orders take a given time at their leafs, and callers that go on while it stops.
+struct stopping_fleet {
+    /// Orders take up to `orderTime`, and at least half of it.
+    explicit stopping_fleet(std::chrono::milliseconds orderTime, bool isRepeatable = false)
+        : replyLate([this, orderTime](std::string const& request) {
+            received.insert(request);
+            auto reply = replySuccessfully(request);
+            auto const jitter = static_cast<double>(std::hash<std::string> {}(request) % 1000) / 1000;
+            reply.runTime = std::chrono::duration_cast<std::chrono::milliseconds>(orderTime * (0.5 + jitter / 2));
+            return reply;
+        })
+        , fleet(1, isRepeatable, replyLate, replyLate)
+    {
+    }
+
+    tests::child_process& process() { return *fleet.daemon(0).process; }
+
+    /// Waits until the process has ended, and returns what became of the callers' requests.
+    std::vector<caller_outcome> finish(lasting_callers& callers)
+    {
+        exitCode = process().waitForExit(graceTime + 2s);
+        // The logs show what the process knew of the requests that were cut.
+        for (auto const& line : process().lines()) {
+            if (line.find("event=request_interrupted") != std::string::npos || line.find("event=stopped") != std::string::npos)
+                UT_PRINT(line.c_str());
+        }
+        return callers.stop();
+    }
+
+    received_attempts received;
+    small_edge_fleet::reply_hook replyLate;
+    small_edge_fleet fleet;
+    std::optional<int> exitCode;
+};
+
+std::string formatOrder(std::string const& id)
+{
+    return tests::formatPostRequest("/single/a", id, "order");
+}
+
+std::size_t countStatus(std::vector<caller_outcome> const& outcomes, int status)
+{
+    return static_cast<std::size_t>(std::count_if(outcomes.begin(), outcomes.end(), [status](auto const& each) { return !each.answer.isTruncated && each.answer.status == status; }));
+}
+
+}
+
+TEST_GROUP(RequestsCutByStop) {};
+TEST_GROUP(RepeatedStopSignals) {};
+
+// Guards against requests that are passed on late in the grace and cut at its end.
+TEST(RequestsCutByStop, OrdersSentUntilTheEndAreAnsweredOrRejected)
+{
+    stopping_fleet stopping { 900ms };
+    lasting_callers callers { stopping.fleet.daemon(0).callers, 16, formatOrder };
+    std::this_thread::sleep_for(500ms);
+    stopping.process().signal(SIGTERM);
+    auto const outcomes = stopping.finish(callers);
+    CHECK(stopping.exitCode == 0);
+    LONGS_EQUAL(0, tests::findCutRequests(outcomes, stopping.received).size());
+    LONGS_EQUAL(0, tests::findFalseRejections(outcomes, stopping.received).size());
+    CHECK(countStatus(outcomes, 200) > 20);
+}
+
+// Guards against a second stop signal that cuts the requests in flight.
+TEST(RepeatedStopSignals, FurtherStopSignalsCutNoRequest)
+{
+    stopping_fleet stopping { 60ms };
+    lasting_callers callers { stopping.fleet.daemon(0).callers, 8, formatOrder };
+    std::this_thread::sleep_for(500ms);
+    for (auto const signal : { SIGTERM, SIGTERM, SIGINT, SIGTERM }) {
+        stopping.process().signal(signal);
+        std::this_thread::sleep_for(300ms);
+    }
+    auto const outcomes = stopping.finish(callers);
+    CHECK(stopping.exitCode == 0);
+    LONGS_EQUAL(0, tests::findCutRequests(outcomes, stopping.received).size());
+    LONGS_EQUAL(0, tests::findFalseRejections(outcomes, stopping.received).size());
+    CHECK(countStatus(outcomes, 200) > 100);
+}
+
+// Guards against requests in flight at the signal that take longer than the grace and end with it.
+TEST(RequestsCutByStop, RequestsThatOutlastTheGraceAreAnswered)
+{
+    for (bool const isRepeatable : { false, true }) {
+        stopping_fleet stopping { 20s, isRepeatable };
+        lasting_callers callers { stopping.fleet.daemon(0).callers, 4, [](std::string const& id) { return tests::formatGetRequest("/single/a", id, 15'000); } };
+        std::this_thread::sleep_for(500ms);
+        auto const signalledAt = std::chrono::steady_clock::now();
+        stopping.process().signal(SIGTERM);
+        auto const outcomes = stopping.finish(callers);
+        CHECK(std::chrono::steady_clock::now() - signalledAt < graceTime);
+        CHECK(stopping.exitCode == 0);
+        LONGS_EQUAL(0, tests::findCutRequests(outcomes, stopping.received).size());
+        LONGS_EQUAL(0, tests::findFalseRejections(outcomes, stopping.received).size());
+        // None has an answer of a leaf, and those that a leaf got may have run.
+        LONGS_EQUAL(0, countStatus(outcomes, 200));
+        CHECK(countStatus(outcomes, 502) + countStatus(outcomes, 504) >= 2);
+    }
+}
+
+// Guards against reloads and changes of the configuration that cut requests while a daemon stops.
+TEST(RequestsCutByStop, ChangesWhileStoppingCutNoRequest)
+{
+    stopping_fleet stopping { 60ms };
+    lasting_callers callers { stopping.fleet.daemon(0).callers, 8, formatOrder };
+    std::this_thread::sleep_for(500ms);
+    stopping.process().signal(SIGTERM);
+    // The stop takes the time from the settings that were in effect at the signal.
+    CHECK(stopping.process().waitForLine("event=leaving").has_value());
+    for (std::uint64_t version = 2; version < 12; ++version) {
+        stopping.fleet.replaceSetting(0, "stop_time_s", version % 2 == 0 ? 3 : 6);
+        stopping.process().signal(SIGHUP);
+        stopping.fleet.declare(version, 4, false);
+        std::this_thread::sleep_for(200ms);
+        stopping.process().signal(SIGHUP);
+    }
+    auto const outcomes = stopping.finish(callers);
+    CHECK(stopping.exitCode == 0);
+    LONGS_EQUAL(0, tests::findCutRequests(outcomes, stopping.received).size());
+    LONGS_EQUAL(0, tests::findFalseRejections(outcomes, stopping.received).size());
+    CHECK(countStatus(outcomes, 200) > 100);
+}
