Daemons: Cut no requests when a stop signal is repeated

Callers of a daemon that was being stopped got a closed connection and no answer to all requests in flight, when the process received SIGTERM or SIGINT a second time.

Cause: the second signal ended the planned stop at once. Whoever stops a deployment signals the processes that are still stopping again, and a process manager may signal a process group and its leader.

zinnialedge-edge now ignores further stop signals, since its stop has a time limit of its own. zinnialedged, whose drain may take longer, goes from serving to draining at once, and still finishes what is in flight. Each further signal is logged (stop_signal_repeated).

--- a/Daemons/planned_stop.h
+++ b/Daemons/planned_stop.h
@@ -1,22 +1,34 @@
 #pragma once
 
+#include "Kernel/event_log.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <functional>
 
 namespace zinnialedge::daemons {
 
-/// Runs `signals` until the handler of the stop signal stops the event loop, then performs the daemon's planned stop.
-/// A second stop signal ends the planned stop early.
+/// Runs `signals` until the handler of the stop signal stops the event loop, then performs the daemon's planned stop. The hook that the daemon
+/// gets handles further signals, and returns whether another stop signal has arrived. Such a signal must not cut requests: a process manager
+/// that stops many processes may signal one twice.
 template <typename Daemon>
 void runUntilStopSignal(boost::asio::io_context& signals, boost::asio::signal_set& stop, Daemon& daemon)
 {
     signals.run();
-    bool shouldStopNow = false;
-    stop.async_wait([&](boost::system::error_code, int) { shouldStopNow = true; });
+    bool isRepeated = false;
+    std::function<void()> const awaitStopSignal = [&] {
+        stop.async_wait([&](boost::system::error_code failure, int number) {
+            if (failure)
+                return;
+            isRepeated = true;
+            kernel::logEvent(kernel::log_level::info, "stop_signal_repeated", { { "signal", number } });
+            awaitStopSignal();
+        });
+    };
+    awaitStopSignal();
     signals.restart();
     daemon.stopGracefully([&] {
         signals.poll();
-        return shouldStopNow;
+        return isRepeated;
     });
 }
 
--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -128,7 +128,7 @@
     return requestNumberAndWait([&](auto receiver) { return traffic.drainConnections(std::move(receiver)); }).value_or(1);
 }
 
-void edge_daemon::stopGracefully(std::function<bool()> const& shouldStopNow)
+void edge_daemon::stopGracefully(std::function<bool()> const& isStopRepeated)
 {
     auto& fleet = m_registry.find<fleet_service>(fleet_service::serviceName);
     auto& traffic = m_registry.find<traffic_service>(traffic_service::serviceName);
@@ -138,16 +138,21 @@
     auto const latestStopAt = stopStartedAt + m_settings.stopTimeLimit - stopMargin;
     auto const callersGoneAt = std::min(stopStartedAt + directoryValidity * callerValidityFactor + directorySlack, latestStopAt - minimumDrainTime);
     auto const now = [] { return std::chrono::steady_clock::now(); };
-    while (!shouldStopNow() && now() < callersGoneAt)
+    auto const pause = [&] {
+        // The stop is short, so that a further signal is only logged.
+        std::ignore = isStopRepeated();
         std::this_thread::sleep_for(idleCheckInterval);
+    };
+    while (now() < callersGoneAt)
+        pause();
     // Some callers go on to use this daemon. They get no new connections, so that the last request is answered at some time.
     std::string_view drainEnd = "drained";
     while (countConnectionsToDrain(traffic) > 0) {
-        if (shouldStopNow() || now() >= latestStopAt) {
-            drainEnd = now() >= latestStopAt ? "time" : "signal";
+        if (now() >= latestStopAt) {
+            drainEnd = "time";
             break;
         }
-        std::this_thread::sleep_for(idleCheckInterval);
+        pause();
     }
     auto const announced = std::make_shared<std::promise<void>>();
     if (!fleet.announceStop([announced] { announced->set_value(); }) || announced->get_future().wait_for(serviceAnswerTimeout) != std::future_status::ready)
--- a/Daemons/zinnialedge-edge/edge_daemon.h
+++ b/Daemons/zinnialedge-edge/edge_daemon.h
@@ -25,8 +25,9 @@
     /// Applies the settings that can change while the daemon runs, and logs the changed settings that need a restart.
     void applySettings(configuration::edge_settings const&);
     /// Performs the planned stop: withdraws the daemon from the directory and from readiness, keeps serving while callers may
-    /// still use its address, and stops all services when no request is in flight, or as soon as `shouldStopNow` returns true.
-    void stopGracefully(std::function<bool()> const& shouldStopNow);
+    /// still use its address, and stops all services when no request is in flight. Calls `isStopRepeated` regularly, so that further signals
+    /// are handled.
+    void stopGracefully(std::function<bool()> const& isStopRepeated);
 
 private:
     explicit edge_daemon(configuration::edge_settings);
--- a/Daemons/zinnialedged/daemon.cpp
+++ b/Daemons/zinnialedged/daemon.cpp
@@ -143,20 +143,24 @@
     logIfStepFailed(isAnnounced && isSent, "announce_stop");
 }
 
-void daemon::stopGracefully(std::function<bool()> const& shouldStopNow)
+void daemon::stopGracefully(std::function<bool()> const& isStopRepeated)
 {
     logEvent(log_level::info, "leaving");
     announceLeaving();
     auto const stopStartedAt = std::chrono::steady_clock::now();
     auto const waitUntil = [&](std::chrono::steady_clock::time_point end, std::function<bool()> const& isDone) {
-        while (!shouldStopNow() && !isDone() && std::chrono::steady_clock::now() < end)
+        while (!isDone() && std::chrono::steady_clock::now() < end)
             std::this_thread::sleep_for(idleCheckInterval);
     };
     // Callers use a directory answer for its validity, and other daemons may issue such answers until they receive the
     // announcement: hence twice the validity.
-    waitUntil(stopStartedAt + 2 * membership::directoryValidity, [] { return false; });
+    waitUntil(stopStartedAt + 2 * membership::directoryValidity, isStopRepeated);
     rejectNewRequests();
-    waitUntil(stopStartedAt + maximumDrainTime, [this] { return isIdle(); });
+    waitUntil(stopStartedAt + maximumDrainTime, [&] {
+        // Further signals are handled, and change nothing.
+        std::ignore = isStopRepeated();
+        return isIdle();
+    });
     bool const isInterrupted = !isIdle();
     announceStop();
     m_registry.stopAll();
--- a/Daemons/zinnialedged/daemon.h
+++ b/Daemons/zinnialedged/daemon.h
@@ -15,9 +15,9 @@
 
     void start();
     /// Performs the planned stop: announces that the daemon is leaving, keeps serving until callers no longer use its address,
-    /// rejects new requests, waits until all requests in flight are answered, and stops every service. Skips the remaining
-    /// delays as soon as `shouldStopNow` returns true.
-    void stopGracefully(std::function<bool()> const& shouldStopNow);
+    /// rejects new requests, waits until all requests in flight are answered, and stops every service. Rejects new requests as soon as
+    /// `isStopRepeated` returns true.
+    void stopGracefully(std::function<bool()> const& isStopRepeated);
 
 private:
     explicit daemon(configuration::daemon_settings);
