Traffic: Answer every request that a stopping daemon has read

Callers of a daemon that was being stopped got a closed connection and no answer to requests that were sent late in its grace, or that took long at their leafs. Leafs had run them; callers of orders never learned what became of them.

Cause: the stop had an end, and requests did not know it. A daemon took requests until 4.9 s after SIGTERM, whatever time they would need, and ended at 5.4 s with whatever was in flight. Nothing answered what was open.

Now the engine knows when all answers are due. Until then a request is accepted only if it can be expected to be served in time: the route's objective, and twice the duration of recent calls (four times for requests that may run once), must fit. Others are rejected at once as not run ('leaving', with retry-after 0, since other daemons have room). Requests that are open when the answers are due are answered without their leafs: as not run if no leaf can have got them, otherwise as 502. The listeners stay open until the end, so that late requests get a rejection too, and a connection that is accepted while its listener closes is served. A daemon whose detour is rejected by a stopping daemon asks another one. The traffic service is told of the stop directly, and no longer by way of the fleet service.

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -27,10 +27,14 @@
 static constexpr int callerValidityFactor = 3;
 /// Time for requests that were sent on a directory answer just before that answer expired.
 static constexpr std::chrono::milliseconds directorySlack { 300 };
-/// Part of the stop time that is reserved for the last answers to reach their callers before the process is killed.
+/// Part of the stop time that is reserved for the end of the process before it is killed.
 static constexpr std::chrono::milliseconds stopMargin { 600 };
-/// Time for the requests in flight after the last connection was accepted.
+/// Time in which the last answers are written before the process ends.
+static constexpr std::chrono::milliseconds answerWriteTime { 150 };
+/// Time for the requests in flight after the last request was accepted.
 static constexpr std::chrono::milliseconds minimumDrainTime { 500 };
+/// Time in which the requests of the last accepted connections arrive.
+static constexpr std::chrono::milliseconds lastRequestTime { 40 };
 static constexpr std::chrono::milliseconds serviceAnswerTimeout { 200 };
 
 edge_daemon::edge_daemon(configuration::edge_settings settings)
@@ -122,41 +126,42 @@
     return answer.get();
 }
 
-/// Returns the number of caller connections with a request, or one when the traffic service does not answer in time.
-static std::size_t countConnectionsToDrain(traffic_service& traffic)
+static void logIfStepFailed(bool isDone, std::string_view step)
 {
-    return requestNumberAndWait([&](auto receiver) { return traffic.drainConnections(std::move(receiver)); }).value_or(1);
+    if (!isDone)
+        logEvent(log_level::warn, "stop_step_failed", { { "step", step } });
 }
 
 void edge_daemon::stopGracefully(std::function<bool()> const& isStopRepeated)
 {
     auto& fleet = m_registry.find<fleet_service>(fleet_service::serviceName);
     auto& traffic = m_registry.find<traffic_service>(traffic_service::serviceName);
-    auto const stopStartedAt = std::chrono::steady_clock::now();
-    if (!fleet.announceLeaving())
-        logEvent(log_level::warn, "stop_step_failed", { { "step", "leaving" } });
-    auto const latestStopAt = stopStartedAt + m_settings.stopTimeLimit - stopMargin;
-    auto const callersGoneAt = std::min(stopStartedAt + directoryValidity * callerValidityFactor + directorySlack, latestStopAt - minimumDrainTime);
     auto const now = [] { return std::chrono::steady_clock::now(); };
-    auto const pause = [&] {
-        // The stop is short, so that a further signal is only logged.
-        std::ignore = isStopRepeated();
-        std::this_thread::sleep_for(idleCheckInterval);
-    };
-    while (now() < callersGoneAt)
-        pause();
-    // Some callers go on to use this daemon. They get no new connections, so that the last request is answered at some time.
-    std::string_view drainEnd = "drained";
-    while (countConnectionsToDrain(traffic) > 0) {
-        if (now() >= latestStopAt) {
-            drainEnd = "time";
-            break;
+    auto const stopStartedAt = now();
+    auto const latestStopAt = stopStartedAt + std::max<kernel::duration>(m_settings.stopTimeLimit - stopMargin, answerWriteTime);
+    auto const answersDueAt = latestStopAt - answerWriteTime;
+    auto const callersGoneAt = std::min(stopStartedAt + directoryValidity * callerValidityFactor + directorySlack, answersDueAt - minimumDrainTime);
+    auto const waitUntil = [&](kernel::time_point end, std::function<bool()> const& isDone) {
+        while (!isDone() && now() < end) {
+            // The stop is short, so that a further signal is only logged.
+            std::ignore = isStopRepeated();
+            std::this_thread::sleep_for(idleCheckInterval);
         }
-        pause();
-    }
+    };
+    auto const isNeverDone = [] { return false; };
+    // Without an answer of the service, a request may be open.
+    auto const isDrained = [&] { return requestNumberAndWait([&](auto receiver) { return traffic.drainConnections(std::move(receiver)); }).value_or(1) == 0; };
+    logIfStepFailed(fleet.announceLeaving(), "leaving");
+    logIfStepFailed(traffic.announceLeaving(answersDueAt), "leaving_traffic");
+    waitUntil(callersGoneAt, isNeverDone);
+    logIfStepFailed(traffic.rejectNewRequests(), "reject_requests");
+    waitUntil(latestStopAt, isDrained);
+    auto const drainEnd = now() < latestStopAt ? "drained" : "time";
+    logIfStepFailed(traffic.stopAccepting(), "stop_accepting");
+    // Requests may still arrive over connections that have just opened.
+    waitUntil(now() + lastRequestTime, isNeverDone);
     auto const announced = std::make_shared<std::promise<void>>();
-    if (!fleet.announceStop([announced] { announced->set_value(); }) || announced->get_future().wait_for(serviceAnswerTimeout) != std::future_status::ready)
-        logEvent(log_level::warn, "stop_step_failed", { { "step", "announce_stop" } });
+    logIfStepFailed(fleet.announceStop([announced] { announced->set_value(); }) && announced->get_future().wait_for(serviceAnswerTimeout) == std::future_status::ready, "announce_stop");
     auto const interruptedCount = requestNumberAndWait([&](auto receiver) { return traffic.reportInterruptedRequests(std::move(receiver)); }).value_or(traffic.requestsInFlight());
     m_registry.stopAll();
     auto const sinceSignal = std::chrono::duration_cast<std::chrono::milliseconds>(now() - stopStartedAt);
--- a/Daemons/zinnialedge-edge/edge_daemon.h
+++ b/Daemons/zinnialedge-edge/edge_daemon.h
@@ -25,8 +25,8 @@
     /// Applies the settings that can change while the daemon runs, and logs the changed settings that need a restart.
     void applySettings(configuration::edge_settings const&);
     /// Performs the planned stop: withdraws the daemon from the directory and from readiness, keeps serving while callers may
-    /// still use its address, and stops all services when no request is in flight. Calls `isStopRepeated` regularly, so that further signals
-    /// are handled.
+    /// still use its address, and stops all services when each request that was read has its answer. Calls `isStopRepeated` regularly, so that
+    /// further signals are handled.
     void stopGracefully(std::function<bool()> const& isStopRepeated);
 
 private:
--- a/Libraries/zinnialedge/forwarding/engine_interface.h
+++ b/Libraries/zinnialedge/forwarding/engine_interface.h
@@ -255,6 +255,10 @@
     std::uint64_t leafPaceLowered { 0 };
     /// Number of requests rejected because their tenants have exhausted their quotas.
     std::uint64_t rejectionsForQuotas { 0 };
+    /// Number of requests rejected because the daemon stops before they could be served.
+    std::uint64_t rejectionsForStop { 0 };
+    /// Number of requests that were open when the daemon stopped, and were answered without their leafs.
+    std::uint64_t requestsEndedByStop { 0 };
     /// Number of requests that were taken off the counts again because they reached no leaf.
     std::uint64_t quotaRefunds { 0 };
     /// Number of requests that came back before the time that their rejection named.
--- a/Libraries/zinnialedge/forwarding/request_arrival.cpp
+++ b/Libraries/zinnialedge/forwarding/request_arrival.cpp
@@ -53,6 +53,11 @@
     }
     if (!resolveAccess(token, request, *to))
         return;
+    if (isPreventedByStop(request, *to, now)) {
+        ++m_counters.rejectionsForStop;
+        reject(token, request, makeStopRejection(), to);
+        return;
+    }
     if (m_requests.size() >= m_settings.capacity) {
         reject(token, request, makeRejection(errors::error_kind::overloaded, "at_capacity", atCapacityRetryAfter), to);
         return;
@@ -169,6 +174,8 @@
         created.objectiveAt = now + std::max<kernel::duration>(request.detoured->objectiveLeft - transit - answerReserve, kernel::duration::zero());
     auto const endMargin = std::max<kernel::duration>(minimumEndMargin, transit + answerReserve);
     created.endAt = now + std::max<kernel::duration>(timeLimit - endMargin, timeLimit / 2);
+    if (m_answersDueAt)
+        created.endAt = std::min(created.endAt, *m_answersDueAt);
     created.request = std::make_shared<caller_request const>(std::move(request));
     created.evidence = std::make_shared<quarantine::request_evidence>([request = created.request] { return digestsOf(*request); });
 }
--- a/Libraries/zinnialedge/forwarding/request_detours.cpp
+++ b/Libraries/zinnialedge/forwarding/request_detours.cpp
@@ -235,7 +235,7 @@
         mergeSuspects({ quarantine::readNotice({ .request = request->evidence->digests().back(), .losses = result->losses }, now) }, now);
     if (isAnswer && result->detour->reason == linksLostReason)
         markWithoutLeafs(context.remoteDaemon, now);
-    bool const canServe = isAnswer && result->detour->reason != linksLostReason && result->detour->error != error_kind::not_configured;
+    bool const canServe = isAnswer && result->detour->reason != linksLostReason && result->detour->error != error_kind::not_configured && result->detour->error != error_kind::leaving;
     if (!canServe && !wasCancelled) {
         state.backoffUntil = now + relayBackoff;
         ++m_counters.detoursFailed;
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -41,8 +41,11 @@
     void handleLinkLossNews(std::size_t daemonCount, kernel::time_point now);
 
     void setQuotaTolerance(allowances::quota_tolerance);
-    /// Takes that the daemon gets no further callers and is about to stop.
-    void setLeaving() { m_quotas.setLeaving(); }
+    /// Takes that the daemon is about to stop. Requests that can't be expected to be served until `answersDueAt` are rejected, and those that
+    /// are open then are answered.
+    void setLeaving(kernel::time_point answersDueAt, kernel::time_point now);
+    /// Rejects all further requests.
+    void rejectNewRequests() { m_isRejectingRequests = true; }
     /// Takes another daemon's report of requests that count towards quotas.
     void mergeUsage(allowances::usage_report const&, kernel::time_point now);
 
@@ -85,6 +88,7 @@
     /// has been rejected.
     bool resolveAccess(request_token, caller_request&, route const& to);
     final_answer makeRejection(errors::error_kind, std::string reason, kernel::duration retryAfter);
+    final_answer makeStopRejection();
     route const* findRoute(caller_request const&) const;
     /// Fills in everything but the token and the parts.
     void describeRequest(active_request&, caller_request, route const&, kernel::time_point now) const;
@@ -135,6 +139,14 @@
     /// Counts the request for the budget of extra calls of its services, unless another daemon has counted it.
     void countRequest(active_request const&, kernel::time_point now);
 
+    // Planned stops.
+    /// Returns the time within which a request on the route can be expected to be served.
+    kernel::duration servingTimeOf(caller_request const&, route const&, kernel::time_point now) const;
+    /// Returns whether the daemon stops before the request can be expected to be served.
+    bool isPreventedByStop(caller_request const&, route const&, kernel::time_point now) const;
+    /// Answers a request that is open when all answers are due.
+    void settleAtStop(active_request&, kernel::time_point now);
+
     // Evacuations.
     /// Withholds calls and probes to leafs of evacuated data centres whose connections have not opened.
     void withholdUnsentCalls();
@@ -378,6 +390,9 @@
     std::priority_queue<timer, std::vector<timer>, std::greater<>> m_timers;
     /// Due time of the earliest dispatch timer.
     std::optional<kernel::time_point> m_nextDispatchAt;
+    /// Time at which all answers are due since the daemon stops; empty while it does not.
+    std::optional<kernel::time_point> m_answersDueAt;
+    bool m_isRejectingRequests { false };
     quarantine::quarantine_table m_quarantine;
     kernel::time_point m_nextSharingAt;
     kernel::time_point m_nextLeafReviewAt;
--- a/Libraries/zinnialedge/forwarding/request_settling.cpp
+++ b/Libraries/zinnialedge/forwarding/request_settling.cpp
@@ -101,7 +101,9 @@
         settleSingle(request, now);
         return;
     }
-    if (request.mayHaveRun())
+    if (m_answersDueAt && now >= *m_answersDueAt)
+        settleAtStop(request, now);
+    else if (request.mayHaveRun())
         settleWithError(request, errors::error_kind::deadline_exceeded, "timed_out", now);
     else
         settleUnavailable(request, errors::error_kind::overloaded, "no_room", now);
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -470,7 +470,6 @@
         m_membershipLink.step(membership::status_declared { member_status::leaving });
         m_registrationLink.unregisterDaemon();
         m_pollServer.answerDuePolls();
-        sendToTraffic(traffic::leaving_started {});
     });
 }
 
--- a/Services/traffic/caller_connection.h
+++ b/Services/traffic/caller_connection.h
@@ -44,8 +44,8 @@
     void enforceTimeLimits(kernel::time_point now);
     /// Closes the connection if it has waited for a request for at least `minimumAge` and none has arrived.
     void closeIfIdle(kernel::duration minimumAge, kernel::time_point now);
-    /// Returns whether the last answer has been written, or the connection is closed.
-    bool isDrained() const { return m_isClosed || (m_phase == phase::closing && !m_isWritePending); }
+    /// Returns whether a request is being read or has no complete answer yet.
+    bool hasOpenRequest() const { return !m_isClosed && (m_phase == phase::reading || m_phase == phase::answering || m_isWritePending); }
 
 private:
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
--- a/Services/traffic/traffic_connections.cpp
+++ b/Services/traffic/traffic_connections.cpp
@@ -34,17 +34,21 @@
 
 std::size_t traffic_service::implementation::drainConnections()
 {
-    stopAccepting(m_callerAcceptor, m_edgeProtocol);
-    stopAccepting(m_relayAcceptor, m_relayProtocol);
     auto const at = now();
     std::size_t remaining = 0;
     for (auto const& each : callerConnections()) {
         each->closeIfIdle(firstRequestTime, at);
-        remaining += each->isDrained() ? 0 : 1;
+        remaining += each->hasOpenRequest() ? 1 : 0;
     }
     return remaining;
 }
 
+void traffic_service::implementation::stopAccepting()
+{
+    closeAcceptor(m_callerAcceptor, m_edgeProtocol);
+    closeAcceptor(m_relayAcceptor, m_relayProtocol);
+}
+
 std::size_t traffic_service::implementation::reportInterruptedRequests() const
 {
     auto const open = m_engine.openRequests(now());
@@ -58,6 +62,12 @@
     acceptor.async_accept([this, &acceptor, &protocol](boost::system::error_code failure, tcp::socket accepted) {
         if (failure == asio::error::operation_aborted)
             return;
+        // A connection may have been accepted just before the acceptor was closed.
+        if (!acceptor.is_open()) {
+            if (!failure)
+                addConnection(std::move(accepted), protocol);
+            return;
+        }
         if (failure) {
             // The process is out of file descriptors, for example; open connections will release theirs.
             logEvent(log_level::warn, "accept_failed", { { "reason", failure.message() } });
@@ -70,7 +80,7 @@
     });
 }
 
-void traffic_service::implementation::stopAccepting(tcp::acceptor& acceptor, forwarding::edge_protocol const& protocol)
+void traffic_service::implementation::closeAcceptor(tcp::acceptor& acceptor, forwarding::edge_protocol const& protocol)
 {
     boost::system::error_code failure;
     if (!acceptor.is_open())
--- a/Services/traffic/traffic_implementation.h
+++ b/Services/traffic/traffic_implementation.h
@@ -48,7 +48,10 @@
     void setDaemonWithoutLeafsReceiver(std::function<void(model::endpoint const&)> receiver) { m_daemonWithoutLeafsReceiver = std::move(receiver); }
 
     void handleEvent(traffic_event&& event);
+    void announceLeaving(kernel::time_point answersDueAt);
+    void rejectNewRequests() { m_engine.rejectNewRequests(); }
     std::size_t drainConnections();
+    void stopAccepting();
     /// Logs the requests that wait for their answers, and returns their number.
     std::size_t reportInterruptedRequests() const;
     std::string describeState() const;
@@ -62,7 +65,7 @@
     leaf_pool_hooks makeLeafPoolHooks();
     void acceptNext(boost::asio::ip::tcp::acceptor& acceptor, forwarding::edge_protocol const& protocol);
     /// Accepts the connections that callers have already opened, and closes the acceptor.
-    void stopAccepting(boost::asio::ip::tcp::acceptor& acceptor, forwarding::edge_protocol const& protocol);
+    void closeAcceptor(boost::asio::ip::tcp::acceptor& acceptor, forwarding::edge_protocol const& protocol);
     std::vector<std::shared_ptr<caller_connection>> callerConnections() const;
     /// Peers relay requests within the callers' limits, plus the headers of the relay protocol.
     static forwarding::caller_limits relayLimits(forwarding::caller_limits limits);
@@ -84,7 +87,6 @@
     void apply(quota_tolerance_changed&& changed);
     void apply(usage_told&& told);
     void apply(link_loss_told&& told);
-    void apply(leaving_started&&);
     void apply(registrations_delivered&& changed) { m_engine.setRegistrationsCurrent(changed.areDelivered); }
 
     boost::asio::io_context& m_context;
--- a/Services/traffic/traffic_metrics.cpp
+++ b/Services/traffic/traffic_metrics.cpp
@@ -92,6 +92,8 @@
     metrics.gauge("leafs_evacuated", m_engine.leafs().evacuatedCount());
     metrics.counter("refusals_over_quota_total", counters.rejectionsForQuotas);
     metrics.counter("quota_refunds_total", counters.quotaRefunds);
+    metrics.counter("refusals_while_stopping_total", counters.rejectionsForStop);
+    metrics.counter("requests_ended_by_stop_total", counters.requestsEndedByStop);
     metrics.counter("usage_reports_sent_total", counters.usageReportsSent);
     metrics.counter("usage_reports_received_total", counters.usageReportsReceived);
     auto const quotas = m_engine.quotaState().value_or(forwarding::quota_report {});
--- a/Services/traffic/traffic_service.cpp
+++ b/Services/traffic/traffic_service.cpp
@@ -68,10 +68,11 @@
     armTimer();
 }
 
-void traffic_service::implementation::apply(leaving_started&&)
+void traffic_service::implementation::announceLeaving(kernel::time_point answersDueAt)
 {
     m_isLeaving = true;
-    m_engine.setLeaving();
+    m_engine.setLeaving(answersDueAt, now());
+    armTimer();
 }
 
 errors::error_or<std::shared_ptr<traffic_service>> traffic_service::create(traffic_settings settings, forwarding::edge_protocol protocol, kernel::random_hook random)
@@ -116,6 +117,21 @@
     return m_implementation->port();
 }
 
+bool traffic_service::announceLeaving(kernel::time_point answersDueAt)
+{
+    return m_workerThread.post([this, answersDueAt] { m_implementation->announceLeaving(answersDueAt); });
+}
+
+bool traffic_service::rejectNewRequests()
+{
+    return m_workerThread.post([this] { m_implementation->rejectNewRequests(); });
+}
+
+bool traffic_service::stopAccepting()
+{
+    return m_workerThread.post([this] { m_implementation->stopAccepting(); });
+}
+
 bool traffic_service::drainConnections(std::function<void(std::size_t)> receiver)
 {
     return m_workerThread.post([this, receiver = std::move(receiver)] { receiver(m_implementation->drainConnections()); });
--- a/Services/traffic/traffic_service.h
+++ b/Services/traffic/traffic_service.h
@@ -60,15 +60,12 @@
     std::size_t daemonCount { 0 };
 };
 
-/// Makes all further answers ask callers to close their connections.
-struct leaving_started { };
-
 /// Whether changes of the leafs' registrations are delivered at the moment.
 struct registrations_delivered {
     bool areDelivered { false };
 };
 
-using traffic_event = std::variant<forwarding::route_table_pointer, leafs_changed, evacuations_changed, fleet_share_changed, extra_calls_changed, suspects_told, quota_tolerance_changed, usage_told, link_loss_told, leaving_started, registrations_delivered>;
+using traffic_event = std::variant<forwarding::route_table_pointer, leafs_changed, evacuations_changed, fleet_share_changed, extra_calls_changed, suspects_told, quota_tolerance_changed, usage_told, link_loss_told, registrations_delivered>;
 
 /// Receives requests from callers and calls leafs, all on one event loop: a leaf's reply costs one wake-up and no hand-over between
 /// threads.
@@ -98,10 +95,18 @@
     /// Returns the number of requests that wait for an answer. Safe to call from any thread.
     std::size_t requestsInFlight() const { return m_requestsInFlight.load(); }
 
-    /// Stops accepting connections, closes idle ones, and passes the number of connections that may still carry a request to `receiver`
-    /// on the service's thread.
-    /// Returns false when the service has stopped.
+    // Planned stop. The functions return false when the service can't take the order.
+
+    /// Makes all further answers ask callers to close their connections. Requests that can't be expected to be served until `answersDueAt` are
+    /// rejected as not run, and those that are open then are answered without their leafs.
+    [[nodiscard]] bool announceLeaving(kernel::time_point answersDueAt);
+    /// Rejects all further requests as not run.
+    [[nodiscard]] bool rejectNewRequests();
+    /// Closes idle connections, and passes the number of those with a request that is not completely answered to `receiver` on the service's
+    /// thread.
     bool drainConnections(std::function<void(std::size_t)> receiver);
+    /// Accepts no further connections.
+    [[nodiscard]] bool stopAccepting();
 
     /// Logs each request that waits for its answer as interrupted, and passes their number to `receiver` on the service's thread. Returns false
     /// when the service has stopped.
--- a/Tests/Unit/request_quotas_test.cpp
+++ b/Tests/Unit/request_quotas_test.cpp
@@ -182,7 +182,7 @@
     desk.meetOtherDaemon();
     desk.pass(50ms);
     desk.hear(0, 4);
-    desk.engine.setLeaving();
+    desk.engine.setLeaving(desk.now() + 60s, desk.now());
     CHECK(!desk.isOverQuota(desk.send("paid")));
     for (int count = 0; count < 8; ++count) {
         desk.pass(500ms);
