Platform: Read the entries beside one that can't be read

An operator of another system saw daemons end, or stop following the list of leafs, after another writer had left one odd entry there. Here, after a restart of all daemons, none became ready while such an entry lay in the store; running daemons saw no change of the leafs any more.

Cause: the reply of the store was parsed as one JSON text, and an error anywhere in it (a lone surrogate, bytes that are no UTF-8, a number that is too large, more than 32 levels) rejected the whole reply, which then counted as a failure of the store, forever. A watch got such a reply again and again, also after the entry had been mended, since it went on from the revision before. Values out of range were converted without a check: slots to zero, times to an overflow, a port of 0 to an endpoint.

--- a/Libraries/zinnialedge/fleet/store_objects.h
+++ b/Libraries/zinnialedge/fleet/store_objects.h
@@ -14,6 +14,7 @@
     std::string name;
     /// Revision of the object's last change. Within an era, revisions increase across all objects of the store.
     std::uint64_t revision { 0 };
+    /// Null when the content can't be parsed.
     boost::json::value content;
     /// Start time of the process that the object describes, in Unix milliseconds; zero when the object tells none.
     std::int64_t startedAt { 0 };
@@ -32,6 +33,8 @@
     std::uint64_t asOf { 0 };
     /// Era in which the store sent the page; empty when the reply does not tell it.
     std::optional<std::uint64_t> era {};
+    /// Number of further objects that can't be identified.
+    std::size_t unreadableCount { 0 };
 };
 
 /// Change of an object that a watch reports.
@@ -47,6 +50,8 @@
     std::uint64_t asOf { 0 };
     /// Era in which the store sent the changes; empty when the reply does not tell it.
     std::optional<std::uint64_t> era {};
+    /// Number of further changes whose objects can't be identified.
+    std::size_t unreadableCount { 0 };
 };
 
 }
--- a/Services/fleet/poll_codec.cpp
+++ b/Services/fleet/poll_codec.cpp
@@ -82,7 +82,7 @@
 errors::error_or<poll_answer> parseAnswer(std::string_view text)
 {
     try {
-        auto const value = json::parse({ text.data(), text.size() });
+        auto const value = parseMessage(text);
         poll_answer answer;
         auto const* const reader = value.as_object().if_contains("reader");
         answer.state.holdsPolls = reader;
--- a/Services/fleet/snapshot_codec.cpp
+++ b/Services/fleet/snapshot_codec.cpp
@@ -6,6 +6,9 @@
 
 namespace json = boost::json;
 
+/// Messages contain the contents of objects, which daemons of earlier versions pass on whatever their depth.
+static constexpr std::size_t maximumMessageDepth = 64;
+
 json::object formatObjects(object_snapshot const& part)
 {
     json::array objects;
@@ -30,6 +33,13 @@
     return found ? found->to_number<Number>() : Number {};
 }
 
+json::value parseMessage(std::string_view text)
+{
+    json::parse_options options;
+    options.max_depth = maximumMessageDepth;
+    return json::parse({ text.data(), text.size() }, {}, options);
+}
+
 object_snapshot parseObjects(json::value const& value)
 {
     object_snapshot part;
@@ -55,7 +65,7 @@
 errors::error_or<fleet_snapshot> parseSnapshot(std::string_view text)
 {
     try {
-        auto const value = json::parse({ text.data(), text.size() });
+        auto const value = parseMessage(text);
         return fleet_snapshot { parseObjects(value.at("routes")), parseObjects(value.at("leafs")), parseOptional(value, "evacuations") };
     } catch (std::exception const& failure) {
         return errors::makeError(errors::error_kind::malformed_request, std::string { "malformed snapshot: " } + failure.what());
--- a/Services/fleet/snapshot_codec.h
+++ b/Services/fleet/snapshot_codec.h
@@ -23,6 +23,8 @@
     std::optional<object_snapshot> evacuations {};
 };
 
+/// Parses a message of another daemon. Throws on malformed input.
+boost::json::value parseMessage(std::string_view text);
 boost::json::object formatObjects(object_snapshot const&);
 /// Throws on malformed input.
 object_snapshot parseObjects(boost::json::value const&);
--- a/Services/fleet/store_link.cpp
+++ b/Services/fleet/store_link.cpp
@@ -185,6 +185,7 @@
             return;
         }
         page->era = era;
+        logUnreadable(page->unreadableCount);
         m_mirror.handlePage(*page, now);
     } else {
         auto changes = m_protocol.parseChanges(reply.body);
@@ -193,11 +194,18 @@
             return;
         }
         changes->era = era;
+        logUnreadable(changes->unreadableCount);
         m_mirror.handleChanges(*changes, now);
     }
     notifyIfChanged(wasConnected, generation);
 }
 
+void store_link::logUnreadable(std::size_t count) const
+{
+    if (count > 0)
+        logEvent(log_level::info, "store_objects_unreadable", { { "kind", objectKindName(m_kind) }, { "objects", count } });
+}
+
 void store_link::notifyIfChanged(bool wasConnected, std::uint64_t generation)
 {
     if (!wasConnected)
--- a/Services/fleet/store_link.h
+++ b/Services/fleet/store_link.h
@@ -55,6 +55,8 @@
     void handleResult(zinnialedge::fleet::mirror_request const&, wire::http_result const&);
     void handleReply(zinnialedge::fleet::mirror_request const&, wire::http_response const&);
     void recordFailure(std::string const& reason);
+    /// Logs that a reply has objects which can't be identified.
+    void logUnreadable(std::size_t count) const;
     void notifyIfChanged(bool wasConnected, std::uint64_t generation);
 
     boost::asio::io_context& m_context;
--- /dev/null
+++ b/Tests/Faults/odd_store_entries_test.cpp
@@ -0,0 +1,91 @@
+// Entries of another writer among those of the leafs, which must neither end daemons nor keep them from following the list.
+
+#include "Tests/Support/http_call.h"
+#include "Tests/Support/small_edge_fleet.h"
+#include <CppUTest/TestHarness.h>
+
+using namespace zinnialedge;
+using namespace std::chrono_literals;
+using tests::small_edge_fleet;
+using tests::waitUntil;
+
+namespace {
+
+std::string nest(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/// Depths at and around the limits of the parsers, of the store's replies and of the messages between daemons.
+std::vector<std::string> makeOddContents()
+{
+    std::vector<std::string> contents { "1e999", R"({"address":"\udcff"})", "{\"address\":\"\xff\"}" };
+    for (std::size_t const depth : { 16, 17, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 100'000 })
+        contents.push_back(nest(depth));
+    for (auto const* const address : { R"("127.0.0.1:70000")", R"("127.0.0.1:0")", R"("127.0.0.1:1")" })
+        contents.push_back(std::string { R"({"service":"desk","address":)" } + address + R"(,"zone":"here","version":"v1","max_concurrency":18446744073709551615,"state":"ready","warmup_left_ms":1e300,"sequence":1})");
+    return contents;
+}
+
+}
+
+TEST_GROUP(OddStoreEntries)
+{
+    /// Daemons of one data centre, most of which hear of the leafs from those that read the store.
+    small_edge_fleet fleet { 5 };
+
+    std::string sealAt(std::size_t daemon, std::string const& id)
+    {
+        return fleet.post(daemon, "/single/a", id, "order").header("Zinnialedge-Server-Seal");
+    }
+
+    bool allUse(std::string const& leaf)
+    {
+        return waitUntil([&] {
+            for (std::size_t index = 0; index < fleet.daemonCount(); ++index) {
+                for (auto const* const id : { "a", "b", "c" }) {
+                    if (sealAt(index, id) != "seal-" + leaf)
+                        return false;
+                }
+            }
+            return true;
+        },
+            8s);
+    }
+
+    void putOddEntries()
+    {
+        std::size_t number = 0;
+        for (auto const& content : makeOddContents())
+            fleet.store().putText("servers", "desk-odd" + std::to_string(number++), content);
+    }
+};
+
+// Guards against daemons that end, or follow the list of leafs no longer, since one entry can't be read.
+TEST(OddStoreEntries, RunningDaemonsFollowTheList)
+{
+    for (auto const& content : makeOddContents()) {
+        fleet.store().putText("servers", "desk-odd", content);
+        fleet.removeLeaf("desk1");
+        CHECK_TEXT(allUse("desk0"), content.substr(0, 200).c_str());
+        fleet.registerLeaf("desk1", "desk", fleet.desk1.place());
+        fleet.removeLeaf("desk0");
+        CHECK_TEXT(allUse("desk1"), content.substr(0, 200).c_str());
+        fleet.registerLeaf("desk0", "desk", fleet.desk0.place());
+    }
+    for (std::size_t index = 0; index < fleet.daemonCount(); ++index)
+        CHECK_FALSE(fleet.daemon(index).process->waitForExit(0ms).has_value());
+}
+
+// Guards against daemons that do not become ready while such entries lie in the store.
+TEST(OddStoreEntries, DaemonsThatStartBecomeReady)
+{
+    putOddEntries();
+    for (std::size_t index = 0; index < fleet.daemonCount(); ++index)
+        fleet.daemon(index).process.reset();
+    for (std::size_t index = 0; index < fleet.daemonCount(); ++index)
+        fleet.start(index);
+    CHECK(waitUntil([&] { return fleet.waitUntilReady(); }, 10s));
+    fleet.removeLeaf("desk1");
+    CHECK(allUse("desk0"));
+}
--- a/Tests/Support/store_stand_in.cpp
+++ b/Tests/Support/store_stand_in.cpp
@@ -1,6 +1,7 @@
 #include "Tests/Support/store_stand_in.h"
 
 #include "Kernel/verify.h"
+#include <boost/algorithm/string/replace.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
@@ -61,6 +62,13 @@
     return found;
 }
 
+void store_stand_in::putText(std::string const& kind, std::string const& name, std::string const& text)
+{
+    auto const marker = "text-" + std::to_string(m_texts.size());
+    runOnStoreThread([&] { m_texts[marker] = text; });
+    put(kind, name, json::string { marker });
+}
+
 void store_stand_in::setFaultMode(trouble next)
 {
     runOnStoreThread([&] {
@@ -98,6 +106,8 @@
 wire::http_responder store_stand_in::addEra(wire::http_responder const& respond) const
 {
     return [this, respond](wire::http_response response) {
+        for (auto const& [marker, text] : m_texts)
+            boost::algorithm::replace_all(response.body, "\"" + marker + "\"", text);
         response.headers["Store-Era"] = std::to_string(m_era.load());
         respond(std::move(response));
     };
--- a/Tests/Support/store_stand_in.h
+++ b/Tests/Support/store_stand_in.h
@@ -29,6 +29,8 @@
     model::endpoint place() const { return { m_address, m_port }; }
     /// Creates or replaces an object.
     void put(std::string const& kind, std::string const& name, boost::json::value spec);
+    /// Creates or replaces an object whose content is sent as this text, which need not be valid JSON.
+    void putText(std::string const& kind, std::string const& name, std::string const& text);
     void erase(std::string const& kind, std::string const& name);
     std::optional<boost::json::value> find(std::string const& kind, std::string const& name);
     void setFaultMode(trouble);
@@ -72,7 +74,7 @@
 
     void runOnStoreThread(std::function<void()>);
     void handleRequest(wire::http_request const&, wire::http_responder const&);
-    /// Returns a responder that adds the era to each answer and closes no connection.
+    /// Returns a responder that adds the era to each answer, inserts the contents that are texts, and closes no connection.
     wire::http_responder addEra(wire::http_responder const&) const;
     void handleRead(std::string const& kind, std::map<std::string, std::string> const& parameters, wire::http_responder const&);
     void handleWrite(wire::http_request const&, std::string const& kind, std::string const& name, wire::http_responder const&);
@@ -88,6 +90,8 @@
     std::uint16_t m_port { 0 };
     std::map<std::string, std::map<std::string, object_entry>> m_objects;
     std::deque<recorded_change> m_history;
+    /// Contents that are texts, by the strings that stand for them.
+    std::map<std::string, std::string> m_texts;
     std::uint64_t m_revision { 1 };
     std::uint64_t m_oldestWatchableRevision { 0 };
     stored_copy m_copy;
