Tests: Check replies that are cut at any byte

Operators of another system saw leafs that stopped in the middle of a reply's head, and callers that got a 200 with an empty or short body, framed as whole. The client of the store and of zinnialedged's leafs reports each cut response as a failure (HttpClient.ResponseCutAtAnyByteIsReportedAsFailure). No code is changed.

--- a/Tests/Unit/http_client_test.cpp
+++ b/Tests/Unit/http_client_test.cpp
@@ -99,6 +99,20 @@
     CHECK_FALSE(m_client->isOpen());
 }
 
+// Guards against a response that looks complete although the server stopped in the middle of it.
+TEST(HttpClient, ResponseCutAtAnyByteIsReportedAsFailure)
+{
+    std::string const whole = "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 6\r\n\r\nanswer";
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        auto serverSocket = open();
+        auto const reply = send("question", longTimeout, [&] {
+            asio::write(serverSocket, asio::buffer(whole.substr(0, length)));
+            serverSocket.shutdown(tcp::socket::shutdown_send);
+        });
+        CHECK_FALSE_TEXT(reply.has_value(), std::to_string(length).c_str());
+    }
+}
+
 TEST(HttpClient, TimeoutClosesConnection)
 {
     auto const serverSocket = open();
