Soak: Stop daemons in series, with further signals, and find cut requests

The soak stopped daemons and checked their exit codes only, so that requests which a planned stop cut went unnoticed. All runs now check that a daemon that was neither killed nor paused cuts no request which a leaf ran, or which the daemon had 0.2 s to read, and that it ends with no request interrupted.

--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -15,6 +15,7 @@
 DEFINE_bool(tenants, false, "whether configurations have tenants with keys that come and go, and callers send keys");
 DEFINE_bool(quotas, false, "whether a tenant with a quota sends far more requests than that; implies --tenants");
 DEFINE_bool(evacuations, false, "whether data centres are evacuated");
+DEFINE_bool(planned_stops, false, "whether daemons are stopped again and again, overlapping, with further signals and reloads meanwhile, and some requests take up to a second at their leafs");
 DEFINE_string(old_programs, "", "folder of another build, whose program the first daemons run at the start; tenants and evacuations begin when all daemons are replaced");
 DEFINE_uint64(old_daemons, 0, "number of daemons that run the program of --old_programs at the start and are replaced one after the other");
 DEFINE_string(logs, "", "directory to which the daemons' logs are written if the run has findings");
--- a/Tests/Soak/soak_checker.cpp
+++ b/Tests/Soak/soak_checker.cpp
@@ -44,6 +44,15 @@
     ++m_executionCounts[attemptId];
 }
 
+void soak_checker::checkEnd(std::string const& attemptId, caller_answer const& answer, std::chrono::steady_clock::duration elapsed)
+{
+    std::lock_guard const lock(m_mutex);
+    // A connection that ends sooner may have been closed before the daemon read the request.
+    static constexpr std::chrono::milliseconds crossingTime { 200 };
+    if (answer.isTruncated && (m_executionCounts.contains(attemptId) || elapsed > crossingTime))
+        addFinding(attemptId, "LOST: cut after " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()) + " ms, " + (m_executionCounts.contains(attemptId) ? "executed" : "not executed"));
+}
+
 void soak_checker::checkSingle(std::string const& attemptId, caller_answer const& answer)
 {
     std::lock_guard const lock(m_mutex);
--- a/Tests/Soak/soak_checker.h
+++ b/Tests/Soak/soak_checker.h
@@ -17,6 +17,8 @@
     /// Records that a leaf starts to execute a request.
     void recordExecution(std::string const& attemptId);
 
+    /// Checks that a daemon which was neither killed nor paused has not cut a request that it had read.
+    void checkEnd(std::string const& attemptId, caller_answer const&, std::chrono::steady_clock::duration elapsed);
     void checkSingle(std::string const& attemptId, caller_answer const&);
     void checkGather(std::string const& attemptId, caller_answer const&);
     /// Checks the answer to a request that ends the leafs that run it.
--- a/Tests/Soak/soak_faults.cpp
+++ b/Tests/Soak/soak_faults.cpp
@@ -1,5 +1,7 @@
 #include "Tests/Soak/soak_run.h"
 
+#include <algorithm>
+
 namespace zinnialedge::tests::soak {
 
 using namespace std::chrono_literals;
@@ -30,6 +32,7 @@
     case 0:
         recordEvent("SIGKILL" + name);
         m_watches.faults.beginDaemonFault(index);
+        ++m_abruptFaults[index];
         daemon.process.reset();
         m_fleet.start(index);
         m_watches.faults.endDaemonFault(index);
@@ -40,6 +43,7 @@
     case 2:
         recordEvent("pause" + name);
         m_watches.faults.beginDaemonFault(index);
+        ++m_abruptFaults[index];
         daemon.process->pause();
         std::this_thread::sleep_for(std::chrono::milliseconds { 200 + m_random() % 1500 });
         daemon.process->signal(SIGCONT);
@@ -199,21 +203,39 @@
     registerInStore(leaf);
 }
 
-void soak_run::startPlannedStop(std::size_t index, std::function<void()> const& beforeStart)
+void soak_run::addPlannedStopFinding(std::string finding)
 {
-    recordEvent("SIGTERM daemon" + std::to_string(index));
+    std::lock_guard const lock(m_plannedStopFindingsMutex);
+    m_plannedStopFindings.push_back(std::move(finding));
+}
+
+void soak_run::startPlannedStop(std::size_t index, std::function<void()> const& beforeStart, std::vector<later_signal> const& signals)
+{
+    recordEvent("SIGTERM daemon" + std::to_string(index) + (signals.empty() ? "" : " and " + std::to_string(signals.size()) + " further signals"));
     m_isStopping[index] = true;
     m_watches.faults.beginDaemonFault(index);
-    m_plannedStopThreads.emplace_back([this, index, beforeStart] {
+    m_plannedStopThreads.emplace_back([this, index, beforeStart, signals] {
         auto& daemon = m_fleet.daemon(index);
         // Until its main function runs, a process has no signal handlers and no requests that could be lost.
         std::ignore = daemon.process->waitForLine("event=started");
         daemon.process->signal(SIGTERM);
-        auto const code = daemon.process->waitForExit(6s);
-        if (code != 0) {
-            std::lock_guard const lock(m_plannedStopFindingsMutex);
-            m_plannedStopFindings.push_back("LOST: exit code of a planned stop: " + (code ? std::to_string(*code) : std::string { "none within 6 s" }));
+        auto const signalledAt = std::chrono::steady_clock::now();
+        std::optional<int> code;
+        for (auto const& each : signals) {
+            code = daemon.process->waitForExit(each.delay);
+            if (code)
+                break;
+            if (each.number == SIGHUP)
+                m_fleet.replaceSetting(index, "stop_time_s", 5 + each.delay.count() % 2);
+            daemon.process->signal(each.number);
         }
+        if (!code)
+            code = daemon.process->waitForExit(std::chrono::duration_cast<std::chrono::milliseconds>(signalledAt + 6s - std::chrono::steady_clock::now()));
+        if (code != 0)
+            addPlannedStopFinding("LOST: exit code of a planned stop: " + (code ? std::to_string(*code) : std::string { "none within 6 s" }));
+        auto const lastLine = daemon.process->waitForLine("event=stopped", 100ms);
+        if (index >= FLAGS_old_daemons && (!lastLine || logFieldValue(*lastLine, "requests_interrupted") != "0"))
+            addPlannedStopFinding("LOST: daemon" + std::to_string(index) + " ended with: " + lastLine.value_or("no last line"));
         if (beforeStart)
             beforeStart();
         m_fleet.start(index);
@@ -222,6 +244,23 @@
     });
 }
 
+void soak_run::stopNextDaemon()
+{
+    static constexpr std::uint64_t stopInterval = 8;
+    static constexpr std::uint64_t maximumSignals = 6;
+    if (!FLAGS_planned_stops || m_stopRandom() % stopInterval != 0)
+        return;
+    auto const index = m_stopRandom() % FLAGS_daemons;
+    std::vector<later_signal> signals(m_stopRandom() % (maximumSignals + 1));
+    for (auto& each : signals) {
+        static constexpr std::array numbers { SIGTERM, SIGINT, SIGHUP };
+        each = { std::chrono::milliseconds { m_stopRandom() % 1500 }, numbers.at(m_stopRandom() % numbers.size()) };
+    }
+    auto const stoppingCount = static_cast<std::size_t>(std::count(m_isStopping.begin(), m_isStopping.begin() + static_cast<std::ptrdiff_t>(FLAGS_daemons), true));
+    if (!m_isStopping[index] && 2 * (stoppingCount + 1) <= FLAGS_daemons)
+        startPlannedStop(index, {}, signals);
+}
+
 void soak_run::joinPlannedStops()
 {
     for (auto& each : m_plannedStopThreads)
--- a/Tests/Soak/soak_flags.h
+++ b/Tests/Soak/soak_flags.h
@@ -13,6 +13,7 @@
 DECLARE_bool(tenants);
 DECLARE_bool(quotas);
 DECLARE_bool(evacuations);
+DECLARE_bool(planned_stops);
 DECLARE_string(old_programs);
 DECLARE_uint64(old_daemons);
 DECLARE_string(logs);
--- a/Tests/Soak/soak_leaf.cpp
+++ b/Tests/Soak/soak_leaf.cpp
@@ -1,5 +1,7 @@
 #include "Tests/Soak/soak_leaf.h"
 
+#include "Tests/Soak/soak_flags.h"
+
 namespace zinnialedge::tests::soak {
 
 soak_leaf::soak_leaf(boost::asio::io_context& context, std::string leafId, std::string leafService, std::string leafDataCentre, soak_watches& watches, std::uint64_t seed)
@@ -43,11 +45,15 @@
     }
     auto const body = service == "desk" ? makeBody(attempt) : makeRecords(service);
     auto bytes = "HTTP/1.1 200 OK\r\nZinnialedge-Server-Seal: " + makeSeal(service, attempt) + "\r\nZinnialedge-Attempt-Id: " + attempt + "\r\nContent-Length: " + std::to_string(body.size()) + (isLeaving ? "\r\nServer-Leaving: 1" : "") + (limit > 0 ? "\r\nServer-Limit: " + std::to_string(limit) : "") + "\r\n\r\n" + body;
+    scripted_reply reply { fault == 3 ? bytes + bytes : bytes, false, false };
+    // One in four requests takes most of the time that its caller waits.
+    if (FLAGS_planned_stops && service == "desk" && random() % 4 == 0)
+        reply.runTime = std::chrono::milliseconds { random() % 800 };
     if (fault == 1)
         return { {}, false, true };
     if (fault == 2)
         return { bytes.substr(0, bytes.size() - 3), true, false };
-    return { fault == 3 ? bytes + bytes : bytes, false, false };
+    return reply;
 }
 
 }
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -73,6 +73,7 @@
         }
         changeLinks();
         replaceOldDaemons();
+        stopNextDaemon();
         changeTenants();
         changeEvacuations();
         renewEndedLeafs();
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -43,8 +43,19 @@
     void registerInStore(soak_leaf&);
     void renewEndedLeafs();
     void restartLeaf(soak_leaf&);
+    /// A signal during a planned stop, some time after the one before.
+    struct later_signal {
+        std::chrono::milliseconds delay { 0 };
+        int number { 0 };
+    };
+
     /// Stops the daemon with SIGTERM and restarts it, on a separate thread, so that other faults continue to be injected.
-    void startPlannedStop(std::size_t index, std::function<void()> const& beforeStart = {});
+    void startPlannedStop(std::size_t index, std::function<void()> const& beforeStart = {}, std::vector<later_signal> const& signals = {});
+    /// Begins a planned stop of a daemon, unless half of the daemons are stopping.
+    void stopNextDaemon();
+    void addPlannedStopFinding(std::string);
+    /// Returns how often the daemon was killed or paused, which may cut requests.
+    unsigned abruptFaultsOf(std::size_t index) const { return m_abruptFaults[index]; }
     void joinPlannedStops();
     void removeFaults();
 
@@ -80,6 +91,7 @@
     soak_watches m_watches { FLAGS_seed + 5000, FLAGS_daemons };
     kernel::random_hook m_tenantRandom { kernel::makeSeededRandom(FLAGS_seed + 6000) };
     kernel::random_hook m_evacuationRandom { kernel::makeSeededRandom(FLAGS_seed + 7000) };
+    kernel::random_hook m_stopRandom { kernel::makeSeededRandom(FLAGS_seed + 8000) };
     std::atomic<bool> m_areMarkedRequestsSent { FLAGS_marked_requests };
     std::vector<std::unique_ptr<soak_leaf>> m_leafs;
     edge_fleet m_fleet;
@@ -89,6 +101,7 @@
     std::uint64_t m_version { 0 };
     std::vector<std::thread> m_plannedStopThreads;
     std::array<std::atomic<bool>, maxDaemons> m_isStopping {};
+    std::array<std::atomic<unsigned>, maxDaemons> m_abruptFaults {};
     std::mutex m_plannedStopFindingsMutex;
     std::vector<std::string> m_plannedStopFindings;
     /// Number of daemons whose replacement has begun, and of those that have been started again from this build.
