zinnialedged: Cut no queries on SIGHUP

A query in flight ended with a closed connection when zinnialedged got SIGHUP: it had no handler, and the signal ended the process. Process managers send SIGHUP to reload settings, and an operator who runs both daemons sends it to both.

SIGHUP and SIGPIPE are ignored now, and the handlers are installed before the services are created, so that a stop signal during the start leads to a planned stop too, as in zinnialedge-edge.

WholePath.AReloadSignalCutsNoQuery failed with the program from before and passes.

--- a/Daemons/zinnialedged/main.cpp
+++ b/Daemons/zinnialedged/main.cpp
@@ -19,6 +19,12 @@
     gflags::SetVersionString(ZINNIALEDGE_VERSION);
     gflags::SetUsageMessage("--settings FILE [--check_settings]");
     gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
+    // The handlers are installed first: a stop signal during startup leads to a planned stop, and SIGHUP does not end the process.
+    boost::asio::io_context signals;
+    boost::asio::signal_set stop { signals, SIGTERM, SIGINT };
+    stop.async_wait([&signals](boost::system::error_code, int) { signals.stop(); });
+    std::signal(SIGHUP, SIG_IGN);
+    std::signal(SIGPIPE, SIG_IGN);
     auto const settings = configuration::parseSettingsFile(FLAGS_settings, configuration::readTextFile(FLAGS_settings), configuration::parseDaemonSettings);
     if (!settings)
         return exitInvalidSettings;
@@ -32,9 +38,6 @@
         kernel::logEvent(kernel::log_level::error, "start_failed", { { "reason", createdDaemon.error().message } });
         return exitStartFailed;
     }
-    boost::asio::io_context signals;
-    boost::asio::signal_set stop { signals, SIGTERM, SIGINT };
-    stop.async_wait([](boost::system::error_code, int) { });
     (*createdDaemon)->start();
     daemons::runUntilStopSignal(signals, stop, **createdDaemon);
     return 0;
--- a/Tests/Faults/whole_path_test.cpp
+++ b/Tests/Faults/whole_path_test.cpp
@@ -23,6 +23,30 @@
         testCluster = nullptr;
     }
 
+    /// Sends the signals to the daemon while a query is in flight. Returns whether the query gets a complete answer.
+    bool answerAcrossSignals(std::vector<int> const& signals)
+    {
+        auto const& daemon = testCluster->daemon("suva-1");
+        for (auto const& leaf : testCluster->leafsOf("lunch-portal"))
+            testCluster->setLeafFaults(leaf, { { "slow_factor", 200 } });
+        model::answer_or_error answer = errors::makeError(errors::error_kind::internal, "query not sent");
+        std::thread caller { [&] {
+            model::query_request request;
+            request.id = "q1";
+            request.service = "lunch-portal";
+            request.requestKind = "search";
+            request.deadline = std::chrono::milliseconds { 5000 };
+            answer = query(daemon.callers, request);
+        } };
+        CHECK(waitUntil([&] { return getJson(daemon.operators, "/state").at("services").at("decisions").at("queries_in_flight").to_number<int>() == 1; }));
+        for (auto const signal : signals) {
+            daemon.process->signal(signal);
+            std::this_thread::sleep_for(std::chrono::milliseconds { 50 });
+        }
+        caller.join();
+        return answer.has_value() && answer->covered.isWhole();
+    }
+
     static std::uint64_t runCountOf(std::vector<running_leaf> const& leafs, std::string const& ticket)
     {
         std::uint64_t runs = 0;
@@ -125,22 +149,20 @@
 
 TEST(WholePath, APlannedStopAnswersQueriesInFlight)
 {
-    auto const& daemon = testCluster->daemon("suva-1");
-    for (auto const& leaf : testCluster->leafsOf("lunch-portal"))
-        testCluster->setLeafFaults(leaf, { { "slow_factor", 200 } });
-    model::answer_or_error answer = errors::makeError(errors::error_kind::internal, "query not sent");
-    std::thread caller { [&] {
-        model::query_request request;
-        request.id = "q1";
-        request.service = "lunch-portal";
-        request.requestKind = "search";
-        request.deadline = std::chrono::milliseconds { 5000 };
-        answer = query(daemon.callers, request);
-    } };
-    CHECK(waitUntil([&] { return getJson(daemon.operators, "/state").at("services").at("decisions").at("queries_in_flight").to_number<int>() == 1; }));
-    daemon.process->signal(SIGTERM);
-    caller.join();
-    CHECK(answer.has_value());
-    CHECK(answer->covered.isWhole());
-    LONGS_EQUAL(0, daemon.process->waitForExit().value_or(-1));
+    CHECK(answerAcrossSignals({ SIGTERM }));
+    LONGS_EQUAL(0, testCluster->daemon("suva-1").process->waitForExit().value_or(-1));
+}
+
+// Guards against a further stop signal that cuts the queries in flight.
+TEST(WholePath, RepeatedStopSignalsCutNoQuery)
+{
+    CHECK(answerAcrossSignals({ SIGTERM, SIGTERM, SIGINT, SIGTERM }));
+    LONGS_EQUAL(0, testCluster->daemon("suva-1").process->waitForExit().value_or(-1));
+}
+
+// Guards against a reload signal that ends the process.
+TEST(WholePath, AReloadSignalCutsNoQuery)
+{
+    CHECK(answerAcrossSignals({ SIGHUP, SIGHUP }));
+    CHECK(callHttp(testCluster->daemon("suva-1").callers, { "GET", "/health", {}, {} })->status == 200);
 }
