zinnialedged: Write all responses before a planned stop ends

A planned stop counted a caller as served when its answer was handed to the HTTP server. A large response, or one to a caller who reads slowly, could still be in the process then, and was cut with it.

The server now tells how many connections have a request whose response is not written completely, and the drain waits for them too.

--- a/Libraries/zinnialedge/wire/http_server.cpp
+++ b/Libraries/zinnialedge/wire/http_server.cpp
@@ -1,6 +1,7 @@
 #include "Libraries/zinnialedge/wire/http_server.h"
 
 #include "Libraries/zinnialedge/wire/tcp_listener.h"
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -38,6 +39,7 @@
     http_server_options const& limits() const { return m_limits; }
     http_handler const& handler() const { return m_handler; }
     std::size_t connectionCount() const { return m_openSessions.size(); }
+    std::size_t unansweredCount() const;
     std::uint64_t nextRequestNumber() { return ++m_lastRequestNumber; }
 
 private:
@@ -88,6 +90,8 @@
         m_stream.socket().close(ignored);
     }
 
+    bool isAnswering() const { return m_isAnswering; }
+
 private:
     static constexpr std::size_t initialReadBufferBytes = 4096;
 
@@ -110,6 +114,7 @@
         if (failure)
             return;
         m_stream.expires_never();
+        m_isAnswering = true;
         auto message = m_parser->release();
         m_shouldKeepAlive = message.keep_alive();
         m_httpVersion = message.version();
@@ -138,6 +143,7 @@
 
     void reject(errors::error const& error)
     {
+        m_isAnswering = true;
         m_shouldKeepAlive = false;
         m_httpVersion = 11;
         auto const& describe = m_server->limits().formatErrorBody;
@@ -162,6 +168,7 @@
 
     void handleWriteCompletion(beast::error_code failure)
     {
+        m_isAnswering = false;
         if (failure)
             return;
         if (m_shouldKeepAlive) {
@@ -181,8 +188,15 @@
     std::uint64_t m_currentRequestNumber { 0 };
     unsigned m_httpVersion { 11 };
     bool m_shouldKeepAlive { true };
+    /// True from the end of a request to that of its response.
+    bool m_isAnswering { false };
 };
 
+std::size_t http_server::implementation::unansweredCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_openSessions.begin(), m_openSessions.end(), [](auto const* session) { return session->isAnswering(); }));
+}
+
 void http_server::implementation::accept()
 {
     m_acceptor.async_accept([self = shared_from_this()](beast::error_code failure, tcp::socket socket) {
@@ -247,6 +261,11 @@
     return m_implementation->connectionCount();
 }
 
+std::size_t http_server::unansweredCount() const
+{
+    return m_implementation->unansweredCount();
+}
+
 void http_server::stopAccepting()
 {
     beast::error_code ignored;
--- a/Libraries/zinnialedge/wire/http_server.h
+++ b/Libraries/zinnialedge/wire/http_server.h
@@ -45,6 +45,8 @@
     /// Returns the port that the server listens on, also when port 0 was requested.
     std::uint16_t port() const;
     std::size_t connectionCount() const;
+    /// Returns the number of connections with a request whose response has not been written completely.
+    std::size_t unansweredCount() const;
     /// Stops accepting connections. Open connections are kept.
     void stopAccepting();
     /// Closes every open connection immediately.
--- a/Services/callers/caller_service.cpp
+++ b/Services/callers/caller_service.cpp
@@ -189,7 +189,7 @@
 
 bool caller_service::requestWaitingCallerCount(std::function<void(std::size_t)> receiver)
 {
-    return m_workerThread.post([this, receiver = std::move(receiver)] { receiver(m_waitingCallers.size()); });
+    return m_workerThread.post([this, receiver = std::move(receiver)] { receiver(std::max(m_waitingCallers.size(), m_server->unansweredCount())); });
 }
 
 bool caller_service::requestState(kernel::text_receiver receiver)
