Traffic: Give the last answer of a connection the time of any other

Callers who read a large answer slowly from a daemon that was leaving got a success with a short body: the connection was closed 1 s after the answer had begun, whatever was still to be written. Outside a stop the same happened to callers who ask to close the connection.

Cause: the time for which a connection lingers after its last answer was counted from the begin of that answer. It is counted from its end now, and until then the limit of other answers applies.

RequestsCutByStop.AnswersThatAreReadSlowlyAreComplete (7 MB, read from 2.5 s on) failed with the program from before and passes.

--- a/Services/traffic/caller_connection.cpp
+++ b/Services/traffic/caller_connection.cpp
@@ -236,6 +236,7 @@
     if (m_isClosed)
         return;
     if (isLast) {
+        m_phaseStartedAt = std::chrono::steady_clock::now();
         beast::error_code ignored;
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
         readMore();
@@ -274,7 +275,8 @@
             close();
         break;
     case phase::closing:
-        if (age > closingTimeout)
+        // The last answer has the same time to be written as any other.
+        if (age > (m_isWritePending ? limits.idleTimeout : closingTimeout))
             close();
         break;
     }
--- a/Tests/Faults/requests_cut_by_stop_test.cpp
+++ b/Tests/Faults/requests_cut_by_stop_test.cpp
@@ -3,6 +3,10 @@
 #include "Tests/Support/http_call.h"
 #include "Tests/Support/lasting_callers.h"
 #include "Tests/Support/small_edge_fleet.h"
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+// Included after the library headers, because CppUTest defines a macro `new` that breaks them.
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
 
@@ -142,3 +146,29 @@
     LONGS_EQUAL(0, tests::findFalseRejections(outcomes, stopping.received).size());
     CHECK(countStatus(outcomes, 200) > 100);
 }
+
+// Guards against an answer that is cut while a caller reads it slowly, since the daemon is leaving.
+TEST(RequestsCutByStop, AnswersThatAreReadSlowlyAreComplete)
+{
+    // More than the buffers of the connection hold.
+    static constexpr std::size_t bodyBytes = 7U << 20U;
+    auto const reply = [](std::string const& request) { return tests::scripted_reply { tests::sealedReply(request, std::string(bodyBytes, 'a')), false, false }; };
+    small_edge_fleet fleet { 1, false, reply, reply };
+    auto& process = *fleet.daemon(0).process;
+    process.signal(SIGTERM);
+    CHECK(process.waitForLine("event=leaving").has_value());
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket caller { context, boost::asio::ip::tcp::v4() };
+    caller.set_option(boost::asio::socket_base::receive_buffer_size { 65'536 });
+    caller.connect({ boost::asio::ip::make_address(fleet.daemon(0).callers.address), fleet.daemon(0).callers.port });
+    boost::asio::write(caller, boost::asio::buffer(formatOrder("slow")));
+    // Longer than a connection lingers after its last answer.
+    std::this_thread::sleep_for(2500ms);
+    std::string answer;
+    boost::system::error_code end;
+    boost::asio::read(caller, boost::asio::dynamic_buffer(answer), end);
+    CHECK(end == boost::asio::error::eof);
+    CHECK(answer.starts_with("HTTP/1.1 200 "));
+    CHECK(answer.size() > bodyBytes);
+    LONGS_EQUAL(0, process.waitForExit(graceTime).value_or(-1));
+}
