Traffic: Count answers that are being written as interrupted

'stopped requests_interrupted=N' counted the requests that wait in the engine. An answer that was still being written when the process ended belongs to none, so that the line, and the check of the soak that reads it, missed a cut answer. Found by the review.

The line now counts the connections whose request has no completely written answer.

--- a/Services/traffic/caller_connection.h
+++ b/Services/traffic/caller_connection.h
@@ -45,7 +45,9 @@
     /// Closes the connection if it has waited for a request for at least `minimumAge` and none has arrived.
     void closeIfIdle(kernel::duration minimumAge, kernel::time_point now);
     /// Returns whether a request is being read or has no complete answer yet.
-    bool hasOpenRequest() const { return !m_isClosed && (m_phase == phase::reading || m_phase == phase::answering || m_isWritePending); }
+    bool hasOpenRequest() const { return (!m_isClosed && m_phase == phase::reading) || isAnswering(); }
+    /// Returns whether a request has been read and has no complete answer yet.
+    bool isAnswering() const { return !m_isClosed && (m_phase == phase::answering || m_isWritePending); }
 
 private:
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
--- a/Services/traffic/traffic_connections.cpp
+++ b/Services/traffic/traffic_connections.cpp
@@ -4,6 +4,7 @@
 
 #include "Kernel/event_log.h"
 #include "Libraries/zinnialedge/wire/tcp_listener.h"
+#include <algorithm>
 
 namespace zinnialedge::services::traffic {
 
@@ -51,10 +52,10 @@
 
 std::size_t traffic_service::implementation::reportInterruptedRequests() const
 {
-    auto const open = m_engine.openRequests(now());
-    for (auto const& each : open)
+    for (auto const& each : m_engine.openRequests(now()))
         request_log::logInterrupted(each);
-    return open.size();
+    // An answer that is being written belongs to no request of the engine any more.
+    return static_cast<std::size_t>(std::count_if(m_callerConnections.begin(), m_callerConnections.end(), [](auto const& each) { return each.second->isAnswering(); }));
 }
 
 void traffic_service::implementation::acceptNext(tcp::acceptor& acceptor, forwarding::edge_protocol const& protocol)
--- a/Services/traffic/traffic_implementation.h
+++ b/Services/traffic/traffic_implementation.h
@@ -52,7 +52,7 @@
     void rejectNewRequests() { m_engine.rejectNewRequests(); }
     std::size_t drainConnections();
     void stopAccepting();
-    /// Logs the requests that wait for their answers, and returns their number.
+    /// Logs the requests that wait for their answers. Returns the number of requests whose answers are not written completely.
     std::size_t reportInterruptedRequests() const;
     std::string describeState() const;
     std::string describeMetrics() const;
--- a/Services/traffic/traffic_service.h
+++ b/Services/traffic/traffic_service.h
@@ -108,8 +108,8 @@
     /// Accepts no further connections.
     [[nodiscard]] bool stopAccepting();
 
-    /// Logs each request that waits for its answer as interrupted, and passes their number to `receiver` on the service's thread. Returns false
-    /// when the service has stopped.
+    /// Logs each request that waits for its answer as interrupted, and passes the number of requests whose answers are not written completely to
+    /// `receiver` on the service's thread. Returns false when the service has stopped.
     bool reportInterruptedRequests(std::function<void(std::size_t)> receiver);
 
     /// Passes an explanation of what would become of the request now, as a JSON object, to the receiver on the service's thread. `parameters`
