Platform: Don't end a listing on a page without a readable name

A page of which no entry can be identified counted as the last one, so that the leafs on later pages would have been removed. No caller has seen it; found by the review. Such a page is a malformed reply now, which keeps what is known. StoreEntries checks it.

--- a/Tests/Unit/store_entries_test.cpp
+++ b/Tests/Unit/store_entries_test.cpp
@@ -77,6 +77,8 @@
         CHECK(page.has_value());
         LONGS_EQUAL(1, page->objects.size());
         LONGS_EQUAL(1, page->unreadableCount);
+        // Without a name the listing can't go on, and must not count as complete.
+        CHECK_FALSE(protocol.parsePage(std::string { R"({"items":[)" } + odd + R"(],"more":true,"as_of":9})").has_value());
     }
 }
 
