Soak: Keep the log of a stop that fails, and count kills exactly

The log of the process that had ended was gone, and a request that was sent while a daemon was being killed could count as cut by a stop.

A failed stop adds the log of its process to the findings, and the count of kills and pauses is odd while one goes on.

--- a/Tests/Soak/soak_calls.cpp
+++ b/Tests/Soak/soak_calls.cpp
@@ -54,7 +54,7 @@
         auto const abruptFaults = abruptFaultsOf(index);
         auto answer = isReusingConnections ? connections[index]->ask(bytes) : sendOverNewConnection(m_fleet.daemon(index).callers, bytes);
         m_watches.tenants.checkAnswer(id, answer.status);
-        if (abruptFaults == abruptFaultsOf(index) && areDaemonsUpgraded())
+        if (abruptFaults % 2 == 0 && abruptFaults == abruptFaultsOf(index) && areDaemonsUpgraded())
             m_watches.checker.checkEnd(id, answer, std::chrono::steady_clock::now() - sentAt);
         // Marked requests and those without a valid key are meant to fail.
         if (isAccepted && bytes.find("/poison") == std::string::npos)
--- a/Tests/Soak/soak_faults.cpp
+++ b/Tests/Soak/soak_faults.cpp
@@ -35,6 +35,7 @@
         ++m_abruptFaults[index];
         daemon.process.reset();
         m_fleet.start(index);
+        ++m_abruptFaults[index];
         m_watches.faults.endDaemonFault(index);
         return;
     case 1:
@@ -47,6 +48,7 @@
         daemon.process->pause();
         std::this_thread::sleep_for(std::chrono::milliseconds { 200 + m_random() % 1500 });
         daemon.process->signal(SIGCONT);
+        ++m_abruptFaults[index];
         m_watches.faults.endDaemonFault(index);
         return;
     case 3:
@@ -231,14 +233,21 @@
         }
         if (!code)
             code = daemon.process->waitForExit(std::chrono::duration_cast<std::chrono::milliseconds>(signalledAt + 6s - std::chrono::steady_clock::now()));
-        if (code != 0)
-            addPlannedStopFinding("LOST: exit code of a planned stop: " + (code ? std::to_string(*code) : std::string { "none within 6 s" }));
+        if (code != 0) {
+            // The process is killed below.
+            ++m_abruptFaults[index];
+            addPlannedStopFinding("LOST: exit code of a planned stop: " + (code ? std::to_string(*code) : std::string { "none within 6 s" }) + " of daemon" + std::to_string(index));
+            for (auto const& line : daemon.process->lines())
+                addPlannedStopFinding("  " + line);
+        }
         auto const lastLine = daemon.process->waitForLine("event=stopped", 100ms);
         if (index >= FLAGS_old_daemons && (!lastLine || logFieldValue(*lastLine, "requests_interrupted") != "0"))
             addPlannedStopFinding("LOST: daemon" + std::to_string(index) + " ended with: " + lastLine.value_or("no last line"));
         if (beforeStart)
             beforeStart();
         m_fleet.start(index);
+        if (code != 0)
+            ++m_abruptFaults[index];
         m_watches.faults.endDaemonFault(index);
         m_isStopping[index] = false;
     });
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -54,7 +54,7 @@
     /// Begins a planned stop of a daemon, unless half of the daemons are stopping.
     void stopNextDaemon();
     void addPlannedStopFinding(std::string);
-    /// Returns how often the daemon was killed or paused, which may cut requests.
+    /// Returns a number that changes when the daemon is killed or paused, which may cut requests. It is odd while this goes on.
     unsigned abruptFaultsOf(std::size_t index) const { return m_abruptFaults[index]; }
     void joinPlannedStops();
     void removeFaults();
--- a/Tests/Support/lasting_callers.cpp
+++ b/Tests/Support/lasting_callers.cpp
@@ -8,7 +8,7 @@
 static constexpr auto crossingTime = 200ms;
 static constexpr int unavailableStatus = 503;
 
-lasting_callers::lasting_callers(model::endpoint const& endpoint, std::size_t count, std::function<std::string(std::string const& id)> makeRequest)
+lasting_callers::lasting_callers(model::endpoint const& endpoint, std::size_t count, std::function<std::string(std::string const& id)> const& makeRequest)
 {
     m_threads.reserve(count);
     for (std::size_t number = 0; number < count; ++number)
--- a/Tests/Support/lasting_callers.h
+++ b/Tests/Support/lasting_callers.h
@@ -43,7 +43,7 @@
 class lasting_callers {
 public:
     /// `makeRequest` returns the bytes of a request with the given attempt id.
-    lasting_callers(model::endpoint const&, std::size_t count, std::function<std::string(std::string const& id)> makeRequest);
+    lasting_callers(model::endpoint const&, std::size_t count, std::function<std::string(std::string const& id)> const& makeRequest);
     ~lasting_callers();
     lasting_callers(lasting_callers const&) = delete;
     lasting_callers& operator=(lasting_callers const&) = delete;
