Fleet: Read changes again when the reply to a watch was lost

A configuration whose watch replies were lost at all daemons took effect late, too.

Cause: a reply of the store that is lost leaves the connection open, and the connection returns nothing further. The daemon waited for it for up to 20.8 s. The probe used a connection of its own, so that its replies said nothing of the watch, and it failed only when a probe itself fell into the silence. TCP keep-alive sees a sound connection. Subscribers had the same old list from their reader.

Change: the probe asks for the changes since the position of a waiting watch, answered at once and from data that may be old, as before at a tenth of the price. If it shows changes and the watch has no reply 0.4 s later, the watch is sent again over a new connection (store_reply_lost, store_replies_lost_total).

--- a/Libraries/zinnialedge/fleet/store_protocol.h
+++ b/Libraries/zinnialedge/fleet/store_protocol.h
@@ -31,8 +31,9 @@
     std::function<errors::error_or<object_page>(std::string_view body)> parsePage;
     std::function<errors::error_or<change_page>(std::string_view body)> parseChanges;
 
-    /// Makes the cheapest request for a daemon object. The request only tests whether the store replies.
-    std::function<wire::http_request(std::string const& name)> probe;
+    /// Makes the cheapest request for the changes since `revision`, which the store answers at once. The reply is parsed by parseChanges() and
+    /// may lack changes of the last seconds.
+    std::function<wire::http_request(object_kind, std::uint64_t revision)> check;
     /// Makes a request that writes a daemon object. Without a revision, the request creates the object; with a revision, the
     /// request replaces that revision.
     std::function<wire::http_request(std::string const& name, boost::json::value const& content, std::optional<std::uint64_t> revision)> write;
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -48,7 +48,7 @@
     , m_leafLink(m_workerThread.context(), m_settings.storeEndpoint, object_kind::leafs, m_protocol, m_storeBudget, mirror_settings { .batchDelay = leafsBatchPause, .restoredObjectHold = restoredLeafHold }, watchHoldTime, makeLinkHooks([this] { handleLeafsChanged(); }))
     , m_daemonLink(m_workerThread.context(), m_settings.storeEndpoint, object_kind::daemons, m_protocol, m_storeBudget, mirror_settings { .renewalPeriod = std::chrono::milliseconds { 0 }, .relistInterval = daemonsRelistInterval, .returnSpread = daemonsReturnSpread }, watchHoldTime, makeLinkHooks([this] { handleDaemonsChanged(); }))
     , m_evacuationLink(m_workerThread.context(), m_settings.storeEndpoint, m_settings.readsEvacuations, m_protocol, m_storeBudget, makeLinkHooks([this] { handleEvacuationsChanged(); }))
-    , m_storeProbe(m_workerThread.context(), m_settings.storeEndpoint, m_protocol.probe(m_settings.name), m_storeBudget, [this] {
+    , m_storeProbe(m_workerThread.context(), m_settings.storeEndpoint, m_storeBudget, watchingLinks(), [this] {
         for (auto* const link : storeLinks())
             link->reconnect(); }, [this](wire::http_response const& reply) {
         if (auto const era = m_protocol.parseEra(reply))
@@ -162,6 +162,14 @@
     return links;
 }
 
+std::vector<store_link*> fleet_service::watchingLinks()
+{
+    std::vector<store_link*> links { &m_leafLink, &m_routeLink };
+    if (auto* const link = m_evacuationLink.link())
+        links.push_back(link);
+    return links;
+}
+
 void fleet_service::handleStoreEra(std::uint64_t era)
 {
     if (era <= m_storeEra)
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -91,6 +91,8 @@
     void shareDigest();
     /// Returns the links to the store.
     std::vector<store_link*> storeLinks();
+    /// Returns the links that watch the store.
+    std::vector<store_link*> watchingLinks();
     void handleDaemonsChanged();
     void handleMembersChanged();
     /// Tells the other daemons whether this daemon reaches leafs, and leaves or enters the directory.
--- a/Services/fleet/fleet_state.cpp
+++ b/Services/fleet/fleet_state.cpp
@@ -51,11 +51,15 @@
         kernel::metrics_text metrics;
         std::vector<std::pair<std::string_view, std::uint64_t>> calls;
         std::vector<std::pair<std::string_view, std::uint64_t>> failures;
+        std::vector<std::pair<std::string_view, std::uint64_t>> lostReplies;
         for (auto const* const link : storeLinks()) {
             calls.emplace_back(objectKindName(link->kind()), link->counters().callCount);
             failures.emplace_back(objectKindName(link->kind()), link->counters().failureCount);
+            lostReplies.emplace_back(objectKindName(link->kind()), link->counters().lostReplyCount);
         }
         metrics.counter("store_calls_total", "kind", calls);
+        metrics.counter("store_probes_total", m_storeProbe.callCount());
+        metrics.counter("store_replies_lost_total", "kind", lostReplies);
         metrics.counter("store_call_failures_total", "kind", failures);
         metrics.counter("store_calls_put_off_total", m_storeBudget.reads().refused() + m_storeBudget.writes().refused());
         metrics.gauge("store_era", m_storeEra);
--- a/Services/fleet/store_link.cpp
+++ b/Services/fleet/store_link.cpp
@@ -10,6 +10,7 @@
 using kernel::logEvent;
 using zinnialedge::fleet::mirror_request;
 using zinnialedge::fleet::object_kind;
+using zinnialedge::fleet::store_position;
 
 /// Time allowed for the reply to a watch beyond the watch's hold time.
 static constexpr std::chrono::milliseconds watchReplyMargin { 800 };
@@ -19,6 +20,8 @@
 static constexpr std::chrono::milliseconds listTimeout { 2000 };
 /// Shorter than `listTimeout`: a daemon without a first list cannot serve callers and retries sooner.
 static constexpr std::chrono::milliseconds firstListTimeout { 800 };
+/// Time for the reply of a watch after a check has shown changes. The replies of the two connections may arrive in either order.
+static constexpr std::chrono::milliseconds missedReplyGrace { 400 };
 
 std::string_view objectKindName(object_kind kind)
 {
@@ -46,6 +49,7 @@
     , m_store(std::move(store))
     , m_client(std::make_unique<wire::http_client>(context, m_store))
     , m_timer(context)
+    , m_missedReplyTimer(context)
 {
 }
 
@@ -84,6 +88,7 @@
 void store_link::sendRequest(mirror_request const& request)
 {
     m_isCallInFlight = true;
+    m_isWatchInFlight = !request.isListing && m_mirror.isConnected();
     m_isCallStale = false;
     ++m_counters.callCount;
     auto const holdTime = m_mirror.isConnected() ? m_watchHoldTime : std::min(m_watchHoldTime, recoveryHoldTime);
@@ -227,6 +232,46 @@
     processNextRequest();
 }
 
+wire::http_request store_link::beginCheck()
+{
+    VERIFY(isWatching());
+    m_checkedCallNumber = m_callNumber;
+    m_positionAtCheck = m_mirror.position();
+    return m_protocol.check(m_kind, m_positionAtCheck.revision);
+}
+
+std::optional<store_position> store_link::endCheck(wire::http_response const& reply)
+{
+    bool const isHistoryGone = reply.status == zinnialedge::fleet::statusHistoryGone;
+    auto const changes = reply.status == zinnialedge::fleet::statusOk ? m_protocol.parseChanges(reply.body) : tl::unexpected(errors::error { errors::error_kind::internal, {}, {} });
+    std::optional<store_position> shown;
+    if (changes)
+        shown = store_position { m_protocol.parseEra(reply).value_or(m_mirror.era()), changes->asOf };
+    // The watch has been answered in the meantime, or its position belongs to another era.
+    if (m_checkedCallNumber != m_callNumber || !isWatching() || m_positionAtCheck != m_mirror.position() || m_positionAtCheck.era != m_mirror.era())
+        return shown;
+    bool const showsChanges = isHistoryGone || (changes && changes->changes.size() + changes->unreadableCount > 0);
+    if (showsChanges)
+        awaitMissedReply();
+    else if (shown && shown->era == m_positionAtCheck.era)
+        m_checkedPosition = std::max(m_checkedPosition, *shown);
+    return shown;
+}
+
+void store_link::awaitMissedReply()
+{
+    m_missedReplyTimer.expires_after(missedReplyGrace);
+    m_missedReplyTimer.async_wait([this, number = m_callNumber](boost::system::error_code failure) {
+        if (failure || number != m_callNumber || !isWatching())
+            return;
+        ++m_counters.lostReplyCount;
+        logEvent(log_level::warn, "store_reply_lost", { { "kind", objectKindName(m_kind) }, { "as_of", m_mirror.asOf() } });
+        // A connection on which a reply was lost does not deliver further replies.
+        dropCall();
+        processNextRequest();
+    });
+}
+
 void store_link::dropCall()
 {
     ++m_callNumber;
--- a/Services/fleet/store_link.h
+++ b/Services/fleet/store_link.h
@@ -13,6 +13,8 @@
 struct store_link_counters {
     std::uint64_t callCount { 0 };
     std::uint64_t failureCount { 0 };
+    /// Number of watches whose reply was lost although the connection stayed open.
+    std::uint64_t lostReplyCount { 0 };
 };
 
 struct store_link_hooks {
@@ -43,6 +45,16 @@
     /// Lists the objects again because the store has begun a later era, and ignores the reply to the call in flight.
     void enterEra(std::uint64_t era);
 
+    /// Returns whether a watch waits for changes.
+    bool isWatching() const { return m_isCallInFlight && m_isWatchInFlight; }
+    /// Returns the request that asks, over another connection, whether the watch has missed changes. Must be called only while isWatching().
+    wire::http_request beginCheck();
+    /// Takes the reply to beginCheck(). If the watch does not report what the reply shows, it is sent again over a new connection. Returns
+    /// the store's position that the reply shows, if any.
+    std::optional<zinnialedge::fleet::store_position> endCheck(wire::http_response const&);
+    /// Returns the store's position up to which no change is missing.
+    zinnialedge::fleet::store_position checkedPosition() const { return std::max(m_checkedPosition, m_mirror.position()); }
+
     zinnialedge::fleet::object_kind kind() const { return m_kind; }
     zinnialedge::fleet::object_mirror const& mirror() const { return m_mirror; }
     store_link_counters const& counters() const { return m_counters; }
@@ -58,6 +70,8 @@
     /// Logs that a reply has objects which can't be identified.
     void logUnreadable(std::size_t count) const;
     void notifyIfChanged(bool wasConnected, std::uint64_t generation);
+    /// Sends the watch again unless it has been answered in the meantime.
+    void awaitMissedReply();
 
     boost::asio::io_context& m_context;
     zinnialedge::fleet::object_kind m_kind;
@@ -69,13 +83,20 @@
     model::endpoint m_store;
     std::unique_ptr<wire::http_client> m_client;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_missedReplyTimer;
     store_link_counters m_counters;
     /// Number of the current call; replies to earlier calls are ignored.
     std::uint64_t m_callNumber { 0 };
     bool m_isCallInFlight { false };
+    /// Whether the call in flight is a watch on which the store may wait for changes.
+    bool m_isWatchInFlight { false };
     /// Whether the call in flight began before a later state was taken over.
     bool m_isCallStale { false };
     bool m_isSuspended { true };
+    /// Number of the call, and position of the mirror, at the begin of the last check.
+    std::uint64_t m_checkedCallNumber { 0 };
+    zinnialedge::fleet::store_position m_positionAtCheck;
+    zinnialedge::fleet::store_position m_checkedPosition;
 };
 
 std::string_view objectKindName(zinnialedge::fleet::object_kind);
--- a/Tests/Support/store_stand_in.cpp
+++ b/Tests/Support/store_stand_in.cpp
@@ -86,6 +86,17 @@
     });
 }
 
+void store_stand_in::losePendingWatches(std::string const& kind)
+{
+    runOnStoreThread([&] {
+        for (auto const& each : m_pendingWatches) {
+            if (each.kind == kind)
+                m_unansweredResponders.push_back(each.respond);
+        }
+        std::erase_if(m_pendingWatches, [&](auto const& each) { return each.kind == kind; });
+    });
+}
+
 void store_stand_in::keepCopy()
 {
     runOnStoreThread([&] { m_copy = { m_objects, m_revision }; });
--- a/Tests/Support/store_stand_in.h
+++ b/Tests/Support/store_stand_in.h
@@ -34,6 +34,8 @@
     void erase(std::string const& kind, std::string const& name);
     std::optional<boost::json::value> find(std::string const& kind, std::string const& name);
     void setFaultMode(trouble);
+    /// Loses the replies to all pending watches of the kind. Their connections stay open and return nothing further; other calls are answered.
+    void losePendingWatches(std::string const& kind);
     /// Keeps a copy of all objects and of the revision, from which restoreCopy() continues.
     void keepCopy();
     /// Continues from the copy as in a new era: revisions go back and are assigned again. Calls that wait for an answer get none.
