Forwarding: Learn from the answers of detours which leafs are leaving

What callers saw: nothing yet; found by the review by reading. A daemon without links to leafs passes requests on. The answer that comes back may be of a leaf that is leaving, and the daemon that passed it on to the caller did not learn that: with its links back, it called the leaf (DRAIN by a leaf's own word). The same holds for the limits that leafs name.

Cause: only answers to relayed shards carried the ids of leaving leafs and the limits, and only handleRelayEnd() read them.

Change: answers to whole requests of other daemons carry both, and handleDetourEnd() applies them like handleRelayEnd(). Daemons of earlier builds ignore or lack the headers and behave as before.

Measured: the two new tests of LeafLeaving fail with the code from before and pass.

--- a/Libraries/zinnialedge/forwarding/relay_protocol.cpp
+++ b/Libraries/zinnialedge/forwarding/relay_protocol.cpp
@@ -283,15 +283,15 @@
     // A rejection of relayed shards needs the reason too: the requesting daemon avoids a daemon without links.
     if (answer.isForDetour || answer.error)
         writeDetourOutcome(answer, lines);
+    if (!answer.leavingLeafIds.empty())
+        appendHeader(lines, leavingHeader, boost::algorithm::join(answer.leavingLeafIds, ","));
+    if (!answer.leafLimits.empty())
+        appendHeader(lines, limitsHeader, formatLeafLimits(answer.leafLimits));
     if (!answer.isMerged)
         return;
     if (!answer.isForDetour)
         appendHeader(lines, shardsHeader, formatShardIndices(answer.partShards));
     appendHeader(lines, sealsHeader, boost::algorithm::join(answer.partSeals, ","));
-    if (!answer.leavingLeafIds.empty())
-        appendHeader(lines, leavingHeader, boost::algorithm::join(answer.leavingLeafIds, ","));
-    if (!answer.leafLimits.empty())
-        appendHeader(lines, limitsHeader, formatLeafLimits(answer.leafLimits));
 }
 
 edge_protocol makeRelayProtocol(decltype(edge_protocol::parseAccessHeader) const& parseAccessHeader)
--- a/Libraries/zinnialedge/forwarding/request_detours.cpp
+++ b/Libraries/zinnialedge/forwarding/request_detours.cpp
@@ -228,8 +228,10 @@
     // An answer without the marks of a detour does not come from the other daemon's engine.
     bool const isAnswer = result && result->detour;
     bool const wasCancelled = !result && result.error() == call_failure::cancelled;
-    if (isAnswer)
+    if (isAnswer) {
         state.lastAnswerAt = now;
+        applyLeafNotices(*result, now);
+    }
     auto* const request = findRequest(context.requestToken);
     if (isAnswer && request && !result->losses.empty())
         mergeSuspects({ quarantine::readNotice({ .request = request->evidence->digests().back(), .losses = result->losses }, now) }, now);
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -290,6 +290,8 @@
     /// Answers a request of another daemon at its time limit, or later while most of its shards are slow together.
     void settleRelayedAtLimit(active_request&, kernel::time_point dueAt, kernel::time_point now);
     void sendRelay(active_request&, relay const&, std::vector<std::size_t> partIndices, kernel::time_point now);
+    /// Applies what another daemon's reply tells of leafs: that they are leaving, or their limits.
+    void applyLeafNotices(leaf_reply const&, kernel::time_point now);
     void handleRelayEnd(call_number, relay_call_context const&, call_result, kernel::time_point now);
     void acceptRelayedAnswer(active_request&, relay_call_context const&, leaf_reply, kernel::time_point now);
     /// Calls leafs directly for the shards that are missing from another daemon's answer.
--- a/Libraries/zinnialedge/forwarding/request_relays.cpp
+++ b/Libraries/zinnialedge/forwarding/request_relays.cpp
@@ -117,6 +117,16 @@
     m_hooks.sendCall({ number, 0, {}, to.endpoint, request.callerDeadline, request.endAt, true, request.request, relayed_request { request.table->version(), std::move(partIndices), answerTimeLimit, latestAnswerTimeLimit }, std::nullopt, false });
 }
 
+void request_engine::applyLeafNotices(leaf_reply const& reply, time_point now)
+{
+    for (auto const& leafId : reply.leavingLeafIds)
+        m_counters.leafsLeaving += m_leafs.markLeaving(leafId) ? 1 : 0;
+    for (auto const& each : reply.leafLimits) {
+        if (auto const leaf = m_leafs.findLeaf(each.leafId))
+            setLeafLimit(*leaf, each.requestsPerSecond, now);
+    }
+}
+
 void request_engine::handleRelayEnd(call_number number, relay_call_context const& context, call_result result, time_point now)
 {
     static constexpr int statusOk = 200;
@@ -131,12 +141,7 @@
     if ((!result && result.error() != call_failure::cancelled) || hasLostLinks)
         state.backoffUntil = now + relayBackoff;
     if (result) {
-        for (auto const& leafId : result->leavingLeafIds)
-            m_counters.leafsLeaving += m_leafs.markLeaving(leafId) ? 1 : 0;
-        for (auto const& each : result->leafLimits) {
-            if (auto const leaf = m_leafs.findLeaf(each.leafId))
-                setLeafLimit(*leaf, each.requestsPerSecond, now);
-        }
+        applyLeafNotices(*result, now);
         if (!result->losses.empty())
             mergeSuspects({ quarantine::readNotice({ .request = context.evidence->digests().back(), .losses = result->losses }, now) }, now);
         if (isAnswer && !result->relayedShards.empty())
--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -208,10 +208,10 @@
 void request_engine::handleReply(active_request& request, call_context const& context, leaf_reply reply, time_point now)
 {
     auto& part = request.parts[context.partIndex];
-    // The requesting daemon calls leafs of this data centre too, and learns which of them are leaving.
-    if (reply.isLeaving && request.isRelayed())
+    // The requesting daemon calls these leafs too, and learns which of them are leaving.
+    if (reply.isLeaving && request.isFromDaemon())
         request.leavingLeafIds.push_back(m_leafs.at(context.leaf).registration().id);
-    if (auto const& limit = m_leafs.at(context.leaf).rateLimit(); limit.isInForce() && request.isRelayed())
+    if (auto const& limit = m_leafs.at(context.leaf).rateLimit(); limit.isInForce() && request.isFromDaemon())
         request.leafLimits.push_back({ m_leafs.at(context.leaf).registration().id, limit.requestsPerSecond() });
     if (reply.isSuccess()) {
         part.reply = std::move(reply);
--- a/Libraries/zinnialedge/forwarding/request_settling.cpp
+++ b/Libraries/zinnialedge/forwarding/request_settling.cpp
@@ -52,8 +52,6 @@
     answer.isMerged = true;
     answer.reason = std::move(reason);
     answer.attemptId = request.request->attemptId;
-    answer.leavingLeafIds = request.leavingLeafIds;
-    answer.leafLimits = request.leafLimits;
     std::vector<std::string const*> bodies;
     for (auto const& part : request.parts) {
         if (!part.isAnswered())
@@ -221,6 +219,8 @@
     if (request.isFromDaemon())
         answer.attemptId = request.request->attemptId;
     answer.version = std::max(answer.version, request.table->version());
+    answer.leavingLeafIds = request.leavingLeafIds;
+    answer.leafLimits = request.leafLimits;
     if (request.isFromDaemon() && !m_quarantine.isEmpty()) {
         if (auto const* const known = m_quarantine.find(request.evidence->digests().back()))
             answer.losses = quarantine::makeNotice(*known, now).losses;
--- a/Tests/Unit/leaf_leaving_test.cpp
+++ b/Tests/Unit/leaf_leaving_test.cpp
@@ -1,6 +1,7 @@
 // Load patterns: leafs that leave while requests arrive.
 
 #include "Libraries/zinnialedge/forwarding/relay_protocol.h"
+#include "Tests/Support/daemon_with_peers.h"
 #include "Tests/Support/noticing_fleet.h"
 
 using namespace zinnialedge;
@@ -172,3 +173,38 @@
     forwarding::makeRelayProtocol().parseReplyHeader("X-Relay-Leaving", leaving.leafId, parsed);
     CHECK(parsed.leavingLeafIds == std::vector<std::string> { leaving.leafId });
 }
+
+// Guards against calls to a leaving leaf from a daemon that has passed on its answer, which came over another daemon.
+TEST(LeafLeaving, AnswerToADetourNamesTheLeavingLeaf)
+{
+    noticing_fleet fleet;
+    auto const token = fleet.sendDetouredRequest("/single/1", { .minimumVersion = 1 });
+    auto const leaving = fleet.answerOnly("desk", sealedReply(true));
+    auto const* const answer = fleet.answerOf(token);
+    LONGS_EQUAL(200, answer->status);
+    CHECK(answer->leavingLeafIds == std::vector<std::string> { leaving.leafId });
+    std::string lines;
+    forwarding::makeRelayProtocol().writeAnswerHeaders(*answer, lines);
+    CHECK(lines.find("X-Relay-Leaving: " + leaving.leafId + "\r\n") != std::string::npos);
+}
+
+TEST(LeafLeaving, DaemonThatGetsAnAnswerOfAnotherOneLeavesTheLeaf)
+{
+    tests::daemon_with_peers daemon;
+    daemon.loseLinks();
+    daemon.arrive("/single/first");
+    auto passedOn = sealedReply(false);
+    passedOn.detour = forwarding::detour_outcome { .reason = "answered", .version = 3 };
+    passedOn.leavingLeafIds = { "desk/0" };
+    daemon.reply(daemon.detourOf("/single/first").number, passedOn);
+    daemon.setProbesAnswered(true);
+    daemon.pass(10s);
+    CHECK(daemon.engine.linkState() == reachability::link_state::intact);
+    for (int count = 0; count < 10; ++count) {
+        daemon.arrive("/single/next");
+        auto const calls = daemon.leafCallsOf("/single/next");
+        LONGS_EQUAL(1, calls.size());
+        STRCMP_EQUAL("desk/1", calls.front().leafId.c_str());
+        daemon.succeed(calls.front().number);
+    }
+}
