Fleet: Find a returned store in time for deferred removals

Cause: after an outage, removals are deferred for 2.3 s from the first reply of the store, since entries may have lapsed. A request without a reply takes 1 s (a list 2 s), and the retry came up to 1.5 s after its end, so that the first reply came up to 2.5 s after the end of the cut, and the removal 4.8 s after it. A machine counts as in touch 4 s after a cut.

Change: the delay of a retry counts from the time at which the request was sent, with a random pause of up to 0.1 s after its end at least; a list has 1.4 s while the store is not reached. The first reply comes 1.5 s after the store's return at the latest, and the removal 3.8 s after it. Refused requests are repeated as seldom as before.

Measured: the new test of ObjectMirror fails with the code from before and passes.

--- a/Libraries/zinnialedge/fleet/object_mirror.cpp
+++ b/Libraries/zinnialedge/fleet/object_mirror.cpp
@@ -19,6 +19,7 @@
 {
     if (now < m_nextRequestAt)
         return std::nullopt;
+    m_requestedAt = now;
     return mirror_request { m_isListing, m_listCursor, m_position.revision, m_settings.relistInterval && m_hasCompletedListing };
 }
 
@@ -222,8 +223,10 @@
     ++m_consecutiveFailures;
     auto const maximumDelay = m_hasCompletedListing ? m_settings.maximumRetryDelay : m_settings.maximumStartRetryDelay;
     auto const delay = std::min(m_settings.firstRetryDelay * (1U << doublings), maximumDelay);
-    // Half of the delay is random, so that daemons that lost the store at the same time do not retry at the same time.
-    m_nextRequestAt = now + delay / 2 + randomDelay(delay / 2);
+    // Half of the delay is random, so that daemons that lost the store at the same time do not retry at the same time. The time that the
+    // request took counts as well: removals are deferred from the first reply on, so requests that hang must not find a returned store late.
+    auto const randomized = [this](std::chrono::milliseconds longest) { return longest / 2 + randomDelay(longest / 2); };
+    m_nextRequestAt = std::max<time_point>(now + randomized(std::min(delay, m_settings.firstRetryDelay)), m_requestedAt.value_or(now) + randomized(delay));
 }
 
 bool object_mirror::adopt(std::vector<store_object> const& objects, store_position position, time_point now)
--- a/Libraries/zinnialedge/fleet/object_mirror.h
+++ b/Libraries/zinnialedge/fleet/object_mirror.h
@@ -11,7 +11,7 @@
 struct mirror_settings {
     /// Delay between a watch reply with changes and the next watch request, so that changes arrive in batches.
     std::chrono::milliseconds batchDelay { 100 };
-    /// Delay before the first retry; the delay doubles with each further failure.
+    /// Time from a failed request to the first retry; it doubles with each further failure.
     std::chrono::milliseconds firstRetryDelay { 100 };
     std::chrono::milliseconds maximumRetryDelay { 1500 };
     /// Maximum retry delay until the first complete listing, before which nothing can be served.
@@ -138,6 +138,8 @@
     std::uint64_t m_listAsOf { 0 };
     std::uint64_t m_generation { 0 };
     kernel::time_point m_nextRequestAt;
+    /// Time at which the last request was sent.
+    std::optional<kernel::time_point> m_requestedAt;
     std::optional<kernel::time_point> m_outageBeganAt;
     std::optional<kernel::time_point> m_removalsDeferredUntil;
     unsigned m_consecutiveFailures { 0 };
--- a/Services/fleet/store_link.cpp
+++ b/Services/fleet/store_link.cpp
@@ -18,6 +18,8 @@
 static constexpr std::chrono::milliseconds recoveryHoldTime { 200 };
 /// The store answers a list within milliseconds, or within hundreds of milliseconds while the store is slow.
 static constexpr std::chrono::milliseconds listTimeout { 2000 };
+/// While the store is not reached. Together with the deferral of removals it stays below the platform's stable window.
+static constexpr std::chrono::milliseconds recoveryListTimeout { 1400 };
 /// Shorter than `listTimeout`: a daemon without a first list cannot serve callers and retries sooner.
 static constexpr std::chrono::milliseconds firstListTimeout { 800 };
 /// Time for the reply of a watch after a check has shown changes. The replies of the two connections may arrive in either order.
@@ -93,8 +95,11 @@
     ++m_counters.callCount;
     auto const holdTime = m_mirror.isConnected() ? m_watchHoldTime : std::min(m_watchHoldTime, recoveryHoldTime);
     auto const message = request.isListing ? m_protocol.list(m_kind, request.after, request.isStaleAllowed) : m_protocol.watch(m_kind, request.revision, holdTime);
-    auto const timeout = !request.isListing ? holdTime + watchReplyMargin : m_mirror.hasCompletedListing() ? listTimeout
-                                                                                                           : firstListTimeout;
+    auto timeout = holdTime + watchReplyMargin;
+    if (request.isListing && !m_mirror.hasCompletedListing())
+        timeout = firstListTimeout;
+    else if (request.isListing)
+        timeout = m_mirror.isConnected() ? listTimeout : recoveryListTimeout;
     m_client->connectAndSend(message, timeout, [this, request, number = ++m_callNumber](wire::http_result const& result) {
         if (number != m_callNumber)
             return;
--- a/Tests/Unit/object_mirror_test.cpp
+++ b/Tests/Unit/object_mirror_test.cpp
@@ -79,6 +79,37 @@
     CHECK(!mirror.objects().contains("a"));
 }
 
+// Guards against requests to leafs that have left, because a daemon that was cut off for long finds the store late and then defers the
+// removals.
+TEST(ObjectMirror, DeferredRemovalsTakeEffectWithinTheStableWindowOfTheStoresReturn)
+{
+    static constexpr auto stableWindow = 4s;
+    // Time limit of a call without a reply.
+    for (auto const callTime : { 0ms, 400ms, 1000ms, 1400ms }) {
+        for (auto outage = 3000ms; outage < 9000ms; outage += 70ms) {
+            object_mirror cutOff { {}, kernel::makeSeededRandom(static_cast<std::uint64_t>(outage.count())) };
+            auto time = now;
+            cutOff.nextRequest(time);
+            cutOff.handlePage(page({ object("a", 1), object("b", 2) }, 2), time);
+            auto const returnsAt = time + outage;
+            // A call is answered if it is sent after the return.
+            while (time < returnsAt) {
+                if (cutOff.nextRequest(time)) {
+                    time += callTime;
+                    cutOff.handleFailure(time);
+                }
+                time = std::max(time, cutOff.nextRequestTime());
+            }
+            CHECK(cutOff.nextRequest(time).has_value());
+            cutOff.handleChanges(removal("a", 3), time);
+            auto const removedAt = cutOff.deferredChangeTime().value_or(time);
+            cutOff.performDeferredChanges(removedAt);
+            CHECK(!cutOff.objects().contains("a"));
+            CHECK(removedAt < returnsAt + stableWindow);
+        }
+    }
+}
+
 TEST(ObjectMirror, DroppedHistoryCausesNewListing)
 {
     mirror.handlePage(page({ object("a", 1), object("b", 2) }, 2), now);
