Daemons: End a planned stop although nobody reads the log

What callers saw: requests on open connections without an answer until the process was killed (LOST, planned stop), possible wherever the reader of a daemon's standard output stands still or is slow.

Cause: the end of the process waited for the thread that writes the log, without a limit. That thread blocks in write() when the pipe is full. While the daemon runs this costs lines only; at its end it kept the process, with the connections that the kernel still held for it.

Change: closeLog() waits for 200 ms at most, and the process then ends without it. zinnialedged ends in the same way; its static destructors joined the thread.

Measured: PlannedStop.ReaderOfTheLogThatStandsStillKeepsNoProcessFromEnding fails with the program from before (no end within 6 s) and passes. The test waits for the end of the process itself and no longer for the end of its output, which also tells the two apart in the soak.

--- a/Daemons/planned_stop.h
+++ b/Daemons/planned_stop.h
@@ -3,6 +3,8 @@
 #include "Kernel/event_log.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <cstdlib>
 #include <functional>
 
 namespace zinnialedge::daemons {
@@ -32,4 +34,15 @@
     });
 }
 
+/// Time for the last log lines at the end of the process.
+inline constexpr std::chrono::milliseconds lastLinesTime { 200 };
+
+/// Ends the process after all services have stopped. A normal exit could block: destructors of static objects in libraries may wait for library
+/// threads, and the thread that writes the log for its reader.
+[[noreturn]] inline void endProcess()
+{
+    kernel::closeLog(lastLinesTime);
+    std::quick_exit(0);
+}
+
 }
--- a/Daemons/zinnialedge-edge/main.cpp
+++ b/Daemons/zinnialedge-edge/main.cpp
@@ -7,7 +7,6 @@
 #include "platform/store_codec.h"
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
 
@@ -85,8 +84,6 @@
     armSettingsTimer();
     (*createdDaemon)->start();
     daemons::runUntilStopSignal(signals, stop, **createdDaemon);
-    // All services have stopped. A normal exit could block: destructors of static objects in libraries may wait for library threads.
     createdDaemon->reset();
-    kernel::closeLog();
-    std::quick_exit(0);
+    daemons::endProcess();
 }
--- a/Daemons/zinnialedged/main.cpp
+++ b/Daemons/zinnialedged/main.cpp
@@ -40,5 +40,6 @@
     }
     (*createdDaemon)->start();
     daemons::runUntilStopSignal(signals, stop, **createdDaemon);
-    return 0;
+    createdDaemon->reset();
+    daemons::endProcess();
 }
--- a/Kernel/event_log.cpp
+++ b/Kernel/event_log.cpp
@@ -9,6 +9,7 @@
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/spi/loggingevent.h>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace zinnialedge::kernel {
@@ -32,18 +33,24 @@
     {
     }
 
-    ~log_writer() { stop(); }
+    ~log_writer() { stop({}); }
 
-    /// Writes the buffered log lines and ends the thread. Lines pushed later are dropped.
-    void stop()
+    /// Writes the buffered log lines and ends the thread. After the time limit, if there is one, the thread is left to itself. Lines pushed
+    /// later are dropped.
+    void stop(std::optional<std::chrono::milliseconds> limit)
     {
+        if (!m_thread.joinable())
+            return;
         {
-            std::lock_guard const lock(m_mutex);
+            std::unique_lock lock(m_mutex);
             m_isStopping = true;
+            m_wakeCondition.notify_one();
+            if (limit && !m_endCondition.wait_for(lock, *limit, [this] { return m_hasEnded; })) {
+                m_thread.detach();
+                return;
+            }
         }
-        m_wakeCondition.notify_one();
-        if (m_thread.joinable())
-            m_thread.join();
+        m_thread.join();
     }
 
     log_writer(log_writer const&) = delete;
@@ -89,17 +96,22 @@
             if (dropped > 0)
                 target.callAppenders({ target.getName(), log4cplus::WARN_LOG_LEVEL, "event=log_lines_dropped count=" + std::to_string(dropped), nullptr, 0 });
             lock.lock();
-            if (isLast && m_bufferedLines.empty())
-                return;
+            if (!isLast || !m_bufferedLines.empty())
+                continue;
+            m_hasEnded = true;
+            m_endCondition.notify_one();
+            return;
         }
     }
 
     std::mutex m_mutex;
     std::condition_variable m_wakeCondition;
+    std::condition_variable m_endCondition;
     std::deque<log4cplus::spi::InternalLoggingEvent> m_bufferedLines;
     std::uint64_t m_unreportedDroppedLines { 0 };
     std::uint64_t m_reportedDroppedLines { 0 };
     bool m_isStopping { false };
+    bool m_hasEnded { false };
     std::thread m_thread;
 };
 
@@ -131,9 +143,9 @@
     writer();
 }
 
-void closeLog()
+void closeLog(std::chrono::milliseconds limit)
 {
-    writer().stop();
+    writer().stop(limit);
 }
 
 std::uint64_t droppedLogLineCount()
--- a/Kernel/event_log.h
+++ b/Kernel/event_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -40,8 +41,9 @@
 /// Sets up logging to standard output. Must be called once, before any other function of this header. A dedicated thread
 /// writes the lines, so that logging never blocks the caller on output.
 void openLog(std::string_view process, std::string_view level);
-/// Writes all buffered log lines. Lines logged afterwards are dropped.
-void closeLog();
+/// Writes the buffered log lines, for `limit` at most: a reader of standard output that stands still must not keep the process from ending. Lines
+/// logged afterwards are dropped. The process must then end without running the destructors of static objects.
+void closeLog(std::chrono::milliseconds limit);
 /// Returns false when no log level has this name.
 bool setLogLevel(std::string_view level);
 std::string logLevel();
--- a/Tests/Faults/planned_stop_test.cpp
+++ b/Tests/Faults/planned_stop_test.cpp
@@ -62,3 +62,16 @@
     CHECK(answered > 100);
     LONGS_EQUAL(0, cutAfterCall);
 }
+
+// Guards against a daemon that goes on after its planned stop, with open connections, because nobody reads its log.
+TEST(PlannedStop, ReaderOfTheLogThatStandsStillKeepsNoProcessFromEnding)
+{
+    small_edge_fleet fleet { 1 };
+    auto& process = *fleet.daemon(0).process;
+    process.stopReading();
+    // Each of these requests has a line in the log.
+    for (int count = 0; count < 200; ++count)
+        LONGS_EQUAL(400, tests::sendOverNewConnection(fleet.daemon(0).callers, "GET / HTTP/1.1\r\n\r\n").status);
+    process.signal(SIGTERM);
+    LONGS_EQUAL(0, process.waitForExit(6s).value_or(-1));
+}
--- a/Tests/Support/child_process.cpp
+++ b/Tests/Support/child_process.cpp
@@ -1,10 +1,15 @@
 #include "Tests/Support/child_process.h"
 
 #include "Kernel/verify.h"
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <poll.h>
 #include <spawn.h>
+#include <sys/syscall.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -42,7 +47,8 @@
     if (spawnError != 0)
         std::fprintf(stderr, "failed to start %s\n", path.c_str());
     VERIFY(spawnError == 0);
-    m_outputReader = std::thread([this, descriptor = pipeEnds[0]] { readOutputLines(descriptor); });
+    m_outputDescriptor = pipeEnds[0];
+    m_outputReader = std::thread([this] { readOutputLines(m_outputDescriptor); });
 }
 
 child_process::~child_process()
@@ -64,9 +70,10 @@
         std::string text { line };
         if (text.ends_with('\n'))
             text.pop_back();
-        std::lock_guard const lock(m_mutex);
+        std::unique_lock lock(m_mutex);
         m_outputLines.push_back(std::move(text));
         m_outputChanged.notify_all();
+        m_outputChanged.wait(lock, [this] { return !m_isReadingStopped || m_exitCode; });
     }
     std::free(line);
     std::fclose(stream);
@@ -110,24 +117,60 @@
         ::kill(m_processId, signalNumber);
 }
 
+void child_process::stopReading()
+{
+    static constexpr int smallPipeBytes = 4096;
+    std::lock_guard const lock(m_mutex);
+    ::fcntl(m_outputDescriptor, F_SETPIPE_SZ, smallPipeBytes);
+    m_isReadingStopped = true;
+}
+
+std::vector<std::string> child_process::threadStates() const
+{
+    std::vector<std::string> states;
+    std::error_code failure;
+    for (auto const& thread : std::filesystem::directory_iterator { "/proc/" + std::to_string(m_processId) + "/task", failure }) {
+        std::string line;
+        for (auto const* const name : { "stat", "wchan", "syscall" }) {
+            std::string text;
+            std::getline(std::ifstream { thread.path() / name }, text);
+            // The fields after the state and the parents are numbers of no use here.
+            line += std::string { line.empty() ? "" : " | " } + text.substr(0, 60);
+        }
+        states.push_back(std::move(line));
+    }
+    return states;
+}
+
 void child_process::reap()
 {
     int status = 0;
     ::waitpid(m_processId, &status, 0);
+    std::lock_guard const lock(m_mutex);
     m_exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    m_outputChanged.notify_all();
+}
+
+void child_process::awaitOutputEnd()
+{
+    std::unique_lock lock(m_mutex);
+    m_outputChanged.wait(lock, [this] { return m_hasOutputEnded; });
 }
 
 std::optional<int> child_process::waitForExit(std::chrono::milliseconds timeout)
 {
     if (m_exitCode)
         return m_exitCode;
-    {
-        // The output pipe reaches its end when the process exits.
-        std::unique_lock lock(m_mutex);
-        if (!m_outputChanged.wait_for(lock, timeout, [&] { return m_hasOutputEnded; }))
-            return std::nullopt;
-    }
+    auto const descriptor = static_cast<int>(::syscall(SYS_pidfd_open, m_processId, 0));
+    VERIFY(descriptor >= 0);
+    pollfd ended { descriptor, POLLIN, 0 };
+    auto const count = ::poll(&ended, 1, static_cast<int>(std::max<std::int64_t>(timeout.count(), 0)));
+    ::close(descriptor);
+    if (count <= 0)
+        return std::nullopt;
     reap();
+    // The last lines are read after the end.
+    awaitOutputEnd();
     return m_exitCode;
 }
 
--- a/Tests/Support/child_process.h
+++ b/Tests/Support/child_process.h
@@ -34,12 +34,17 @@
     /// runs after the timeout.
     std::optional<int> waitForExit(std::chrono::milliseconds timeout = defaultTimeout);
     int id() const { return m_processId; }
+    /// Reads no output until the end of the process, which can write only a few lines more.
+    void stopReading();
+    /// Returns the name, the state and the place in the kernel of each thread, a line each.
+    std::vector<std::string> threadStates() const;
 
     static constexpr std::chrono::milliseconds defaultTimeout { 30'000 };
 
 private:
     void readOutputLines(int descriptor);
     void reap();
+    void awaitOutputEnd();
 
     int m_processId { -1 };
     std::optional<int> m_exitCode;
@@ -47,7 +52,9 @@
     std::mutex m_mutex;
     std::condition_variable m_outputChanged;
     std::vector<std::string> m_outputLines;
+    int m_outputDescriptor { -1 };
     bool m_hasOutputEnded { false };
+    bool m_isReadingStopped { false };
 };
 
 /// Returns the value of `key` in a log line of "key=value" fields, or an empty string.
