Soak: Show what the threads of a stop that does not end wait for

The finding had the daemon's log only, which ends with 'stopped'. The state, the place in the kernel and the system call of each thread tell whether it waits in a destructor, for the writer of the log, or for the processor.

--- a/Tests/Soak/soak_faults.cpp
+++ b/Tests/Soak/soak_faults.cpp
@@ -236,9 +236,13 @@
         if (code != 0) {
             // The process is killed below.
             ++m_abruptFaults[index];
+            // What its threads wait for shows why it has not ended.
+            auto const threadStates = code ? std::vector<std::string> {} : daemon.process->threadStates();
             addPlannedStopFinding("LOST: exit code of a planned stop: " + (code ? std::to_string(*code) : std::string { "none within 6 s" }) + " of daemon" + std::to_string(index));
             for (auto const& line : daemon.process->lines())
                 addPlannedStopFinding("  " + line);
+            for (auto const& state : threadStates)
+                addPlannedStopFinding("  thread " + state);
         }
         auto const lastLine = daemon.process->waitForLine("event=stopped", 100ms);
         if (index >= FLAGS_old_daemons && (!lastLine || logFieldValue(*lastLine, "requests_interrupted") != "0"))
