Traffic: Read pipelined requests once each

Cause: a read is always pending, and its space was in the buffer from which pipelined requests are consumed. When the buffer ran empty it started again at the begin of its memory, and the bytes of the pending read, which lay behind, were counted from there: the old request was read again.

Change: the pending read has memory of its own, and its bytes are appended when it completes. The other readers consume only in the handler of their read.

--- a/Services/traffic/caller_connection.cpp
+++ b/Services/traffic/caller_connection.cpp
@@ -13,7 +13,6 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-static constexpr std::size_t readChunkBytes = 4096;
 /// Maximum number of pipelined bytes that are buffered while a request waits for its answer.
 static constexpr std::size_t maximumPipelinedBytes = 65'536;
 /// Time allowed for the caller to close the connection after the last answer.
@@ -38,7 +37,7 @@
     if (m_isReadPending || m_isClosed)
         return;
     m_isReadPending = true;
-    m_socket.async_read_some(m_buffer.prepare(readChunkBytes), [self = shared_from_this()](beast::error_code failure, std::size_t bytes) {
+    m_socket.async_read_some(asio::buffer(m_readChunk), [self = shared_from_this()](beast::error_code failure, std::size_t bytes) {
         self->m_isReadPending = false;
         self->handleRead(failure, bytes);
     });
@@ -52,7 +51,7 @@
         close();
         return;
     }
-    m_buffer.commit(bytes);
+    m_buffer.commit(asio::buffer_copy(m_buffer.prepare(bytes), asio::buffer(m_readChunk, bytes)));
     switch (m_phase) {
     case phase::idle:
         m_phase = phase::reading;
--- a/Services/traffic/caller_connection.h
+++ b/Services/traffic/caller_connection.h
@@ -2,6 +2,7 @@
 
 #include "Libraries/zinnialedge/forwarding/edge_protocol.h"
 #include "Libraries/zinnialedge/forwarding/route.h"
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -73,6 +74,9 @@
 
     socket m_socket;
     caller_connection_hooks m_hooks;
+    static constexpr std::size_t readChunkBytes = 4096;
+    /// Target of the pending read. Not the buffer of unparsed bytes, from which requests are consumed while a read is pending.
+    std::array<char, readChunkBytes> m_readChunk {};
     boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
     std::optional<forwarding::request_token> m_requestToken;
