Wire: Reject requests whose end is not certain

Cause: the parser takes a transfer coding that does not end with chunked for no body and leaves the rejection to its user. The connection dispatched the request and dropped the header as one that concerns the connection only.

Change: a request is rejected with 400 and its connection closed unless it has no Transfer-Encoding, or exactly one "chunked", without Content-Length, in HTTP/1.1. Folded header lines are rejected too.

--- a/Services/traffic/caller_connection.cpp
+++ b/Services/traffic/caller_connection.cpp
@@ -81,10 +81,13 @@
         m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         m_parser->body_limit(limits.bodyBytes);
         m_hasSentContinue = false;
+        m_foldedLines = {};
+        m_isHeadChecked = false;
     }
     while (!m_parser->is_done() && m_buffer.size() > 0) {
         beast::error_code failure;
         auto const consumed = m_parser->put(m_buffer.data(), failure);
+        m_foldedLines.add({ static_cast<char const*>(m_buffer.data().data()), consumed });
         m_buffer.consume(consumed);
         if (failure == http::error::need_more)
             break;
@@ -99,6 +102,10 @@
         if (consumed == 0)
             break;
     }
+    if (m_parser->is_header_done() && !std::exchange(m_isHeadChecked, true) && !isHeadSound()) {
+        rejectRequest(errors::error_kind::malformed_request);
+        return;
+    }
     if (m_parser->is_done()) {
         dispatchRequest();
         return;
@@ -112,6 +119,16 @@
     readMore();
 }
 
+bool caller_connection::isHeadSound() const
+{
+    auto const& head = m_parser->get();
+    std::vector<std::string_view> transferEncodings;
+    auto const [first, last] = head.equal_range(http::field::transfer_encoding);
+    for (auto each = first; each != last; ++each)
+        transferEncodings.emplace_back(each->value().data(), each->value().size());
+    return !m_foldedLines.hasFound() && wire::isFramingCertain({ transferEncodings, head.count(http::field::content_length) > 0, head.version() });
+}
+
 /// Returns true for a header that the request's Connection header lists: such a header applies to this connection only.
 static bool isNamedByConnection(beast::string_view connection, beast::string_view name)
 {
--- a/Services/traffic/caller_connection.h
+++ b/Services/traffic/caller_connection.h
@@ -2,6 +2,7 @@
 
 #include "Libraries/zinnialedge/forwarding/edge_protocol.h"
 #include "Libraries/zinnialedge/forwarding/route.h"
+#include "Libraries/zinnialedge/wire/request_framing.h"
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -66,6 +67,8 @@
     void readMore();
     void handleRead(boost::system::error_code, std::size_t bytes);
     void parseRequest();
+    /// Returns whether the head of the request that is being parsed leaves no doubt where the request ends.
+    bool isHeadSound() const;
     void dispatchRequest();
     void rejectRequest(errors::error_kind);
     void writeAnswer(std::string bytes, bool isLast);
@@ -79,6 +82,7 @@
     std::array<char, readChunkBytes> m_readChunk {};
     boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
+    wire::folded_line_finder m_foldedLines;
     std::optional<forwarding::request_token> m_requestToken;
     phase m_phase { phase::idle };
     kernel::time_point m_phaseStartedAt;
@@ -90,6 +94,7 @@
     /// True while a part of an answer is still to be written.
     bool m_isWritePending { false };
     bool m_hasSentContinue { false };
+    bool m_isHeadChecked { false };
     bool m_isClosed { false };
 };
 
--- a/Tests/Faults/edge_traffic_test.cpp
+++ b/Tests/Faults/edge_traffic_test.cpp
@@ -163,3 +163,39 @@
     LONGS_EQUAL(400, answer.status);
     LONGS_EQUAL(0, fixture.leaf.requests().size());
 }
+
+// Guards against requests that are smuggled in bodies whose end is not certain, and against bodies that are lost.
+TEST(EdgeTraffic, NothingBehindAnUncertainBodyIsRun)
+{
+    static constexpr auto smuggled = "GET /single/smuggled HTTP/1.1\r\nHost: host\r\nZinnialedge-Attempt-Id: inner\r\n\r\n";
+    for (auto const* const lines : {
+             "Transfer-Encoding: gzip\r\n",
+             "Transfer-Encoding: identity\r\n",
+             "Transfer-Encoding: chunked, gzip\r\n",
+             "Transfer-Encoding: gzip, chunked\r\n",
+             "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+             "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+             "Transfer-Encoding: xchunked\r\n",
+             "Transfer-Encoding : chunked\r\n",
+             "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+             "Content-Length: 4\r\nTransfer-Encoding: gzip\r\n",
+             "Content-Length: 4\r\nContent-Length: 5\r\n",
+             "Content-Length: +4\r\n",
+             "Content-Length: -4\r\n",
+             "Content-Length: 4 4\r\n",
+             "Content-Length: 4, 5\r\n",
+             "Content-Length: 0x4\r\n",
+             "Content-Length: 99999999999999999999\r\n",
+             "Content-Length: 4\r\nX: a\r\n b\r\n",
+             "X: a\nContent-Length: 4\r\n",
+             "X: a\rContent-Length: 4\r\n",
+             " Content-Length: 4\r\n",
+         }) {
+        one_leaf_fixture fixture { replySuccessfully };
+        auto const answer = fixture.traffic.send(std::string { "POST /single/a HTTP/1.1\r\nHost: host\r\nZinnialedge-Attempt-Id: outer\r\n" } + lines + "\r\n" + smuggled);
+        CHECK_TEXT(answer.status >= 400 && answer.status < 500, lines);
+        STRCMP_EQUAL_TEXT("close", answer.header("Connection").c_str(), lines);
+        std::this_thread::sleep_for(std::chrono::milliseconds { 20 });
+        LONGS_EQUAL_TEXT(0, fixture.leaf.requests().size(), lines);
+    }
+}
--- a/Tests/Unit/caller_connection_test.cpp
+++ b/Tests/Unit/caller_connection_test.cpp
@@ -26,7 +26,7 @@
         services::traffic::caller_connection_hooks hooks;
         hooks.protocol = &protocol;
         hooks.limits = [] { return forwarding::caller_limits {}; };
-        hooks.requestReceived = [this](auto const& origin, forwarding::caller_request request) {
+        hooks.requestReceived = [this](auto const& origin, forwarding::caller_request const& request) {
             origin->setRequestToken(received.size());
             received.push_back(request.method + " " + request.target + " " + request.body);
             isAnswerDue = true;
