Forwarding: Let the error rate of an idle leaf decay

Cause: the error rate of a leaf fell with its own successes only, and a leaf with one error of late ranks as 2.5 times slower, so that it got no call with which to succeed.

Change: the error rate halves for each second in which the leaf has no call in flight, as the deviation of its latency does.

--- a/Libraries/zinnialedge/forwarding/leaf_record.cpp
+++ b/Libraries/zinnialedge/forwarding/leaf_record.cpp
@@ -21,9 +21,9 @@
 static constexpr unsigned failuresBeforeBackoff = 2;
 /// Back-off after a leaf shed a call: time in which a full leaf completes at least one call.
 static constexpr std::chrono::milliseconds shedBackoff { 20 };
-/// Half-life of the latency deviation of an idle leaf from the typical latency, so that a slow leaf is eventually called
-/// again.
-static constexpr std::chrono::duration<double> latencyHalfLife { 1.0 };
+/// Half-life of the latency deviation of an idle leaf from the typical latency, and of its error rate, so that a leaf that was slow or
+/// had errors is eventually called again.
+static constexpr std::chrono::duration<double> idleHalfLife { 1.0 };
 static constexpr double maximumHalvings = 5;
 
 leaf_record::leaf_record(leaf_registration registration, std::uint32_t connectionLimit, time_point now)
@@ -50,6 +50,8 @@
     if (isCold(now))
         m_coldShare.recordCall(now);
     m_lastSentAt = now;
+    // What has decayed while the leaf was idle must not come back with its next call.
+    m_errorRate = recentErrorRate(now);
     m_inFlightSentAt.push_back(now);
 }
 
@@ -126,11 +128,20 @@
     return now < m_backoffUntil || unresponsiveTime(now) > timeLimit;
 }
 
+double leaf_record::idleHalfLives(time_point now) const
+{
+    return m_inFlightSentAt.empty() ? std::max(std::chrono::duration<double> { now - m_lastReplyAt } / idleHalfLife, 0.0) : 0.0;
+}
+
 double leaf_record::recentReplyLatency(time_point now, double typicalMicroseconds) const
 {
-    auto const idleHalfLives = m_inFlightSentAt.empty() ? std::chrono::duration<double> { now - m_lastReplyAt } / latencyHalfLife : 0.0;
     auto const averageMicroseconds = m_averageLatencyMicroseconds == 0 ? typicalMicroseconds : m_averageLatencyMicroseconds;
-    return typicalMicroseconds + (averageMicroseconds - typicalMicroseconds) * std::exp2(-std::clamp(idleHalfLives, 0.0, maximumHalvings));
+    return typicalMicroseconds + (averageMicroseconds - typicalMicroseconds) * std::exp2(-std::min(idleHalfLives(now), maximumHalvings));
+}
+
+double leaf_record::recentErrorRate(time_point now) const
+{
+    return m_errorRate * std::exp2(-idleHalfLives(now));
 }
 
 kernel::duration leaf_record::recentCallDuration(time_point now, double typicalMicroseconds) const
@@ -148,7 +159,7 @@
     auto const warmupFactor = isCold(now) && !isMeasured ? coldLatencyFactor : 1;
     // Calls from other daemons are visible only through the load that the leaf reports.
     auto const waitingPerSlot = static_cast<double>(m_load.waiting) / slots;
-    return (recentReplyLatency(now, typicalMicroseconds) * machineFactorSinceReplies(now) + 1) * (1 + inFlightPerSlot + waitingPerSlot / 2) * warmupFactor * (1 + errorFactor * m_errorRate);
+    return (recentReplyLatency(now, typicalMicroseconds) * machineFactorSinceReplies(now) + 1) * (1 + inFlightPerSlot + waitingPerSlot / 2) * warmupFactor * (1 + errorFactor * recentErrorRate(now));
 }
 
 }
--- a/Libraries/zinnialedge/forwarding/leaf_record.h
+++ b/Libraries/zinnialedge/forwarding/leaf_record.h
@@ -123,7 +123,8 @@
     leaf_load const& load() const { return m_load; }
     /// Returns the time at which the leaf last reported its load, or the epoch of the clock.
     kernel::time_point loadReadAt() const { return m_loadReadAt; }
-    double errorRate() const { return m_errorRate; }
+    /// Returns the share of recent calls with errors. It decays while the leaf gets no calls.
+    double recentErrorRate(kernel::time_point now) const;
     kernel::time_point backoffEnd() const { return m_backoffUntil; }
     /// Returns the average latency of recent replies in microseconds, or zero before the first reply.
     double averageLatency() const { return m_averageLatencyMicroseconds; }
@@ -158,6 +159,8 @@
     /// Returns the average latency of recent replies in microseconds. The average decays towards the typical latency while the
     /// leaf gets no calls.
     double recentReplyLatency(kernel::time_point now, double typicalMicroseconds) const;
+    /// Returns the time for which the leaf has had no call in flight since its last reply, in half-lives of what was observed of it.
+    double idleHalfLives(kernel::time_point now) const;
     /// Returns how much longer work takes on the leaf's machine now than during the calls whose latency was averaged.
     double machineFactorSinceReplies(kernel::time_point now) const;
 
--- a/Libraries/zinnialedge/forwarding/request_explanation.cpp
+++ b/Libraries/zinnialedge/forwarding/request_explanation.cpp
@@ -287,7 +287,7 @@
     made.inFlightLimit = record.inFlightLimit(m_now);
     made.load = record.load();
     made.loadAge = ageOf(record.loadReadAt(), m_now);
-    made.errorRate = record.errorRate();
+    made.errorRate = record.recentErrorRate(m_now);
     made.backoffLeft = timeUntil(record.backoffEnd(), m_now);
     made.pauseLeft = timeUntil(record.currentPause().endsAt(), m_now);
     made.warmupLeft = timeUntil(record.warmupEnd(), m_now);
--- a/Tests/Unit/paused_leafs_test.cpp
+++ b/Tests/Unit/paused_leafs_test.cpp
@@ -31,6 +31,36 @@
     }
 }
 
+// Guards against a leaf that stays idle for long after it has shed one call, while another one serves all.
+TEST(LeafPauses, LeafThatShedACallIsCalledAgainWithOneRequestAtATime)
+{
+    engine_harness fleet;
+    fleet.declare(1, { engine_harness::singleRoute(true) });
+    leaf_registration const first { "desk/0", 1, "desk", { "10.0.0.1", 80 }, "here", 2, false, {} };
+    leaf_registration const second { "desk/1", 1, "desk", { "10.0.0.2", 80 }, "here", 2, false, {} };
+    fleet.engine.setLeafs({ first, second }, fleet.now());
+    std::size_t callsToIt = 0;
+    bool hasShed = false;
+    for (int count = 0; count < 200; ++count) {
+        fleet.arrive("/single/1");
+        // The leafs do not take exactly the same time for each call.
+        fleet.pass(std::chrono::milliseconds { 9 + count % 3 });
+        for (auto const& call : fleet.openCalls("desk")) {
+            bool const isToFirst = call.leafId == first.id;
+            bool const isShed = isToFirst && !hasShed && count > 20;
+            hasShed |= isShed;
+            callsToIt += isToFirst && hasShed && !isShed ? 1 : 0;
+            if (isShed)
+                fleet.reply(call.number, rejection({}));
+        }
+        for (auto const& call : fleet.openCalls("desk"))
+            fleet.succeed(call.number);
+        fleet.pass(50ms);
+    }
+    CHECK(hasShed);
+    CHECK(callsToIt > 0);
+}
+
 TEST(LeafPauses, PausedLeafIsCalledAgainAfterThePause)
 {
     noticing_fleet fleet;
