Forwarding: Move the decision on requests during a stop into a class of its own

No change of behaviour, but one: the wait for a place is that of the queued part itself, and no longer the age of its request. stop_admission decides, the engine estimates.

--- a/Libraries/zinnialedge/forwarding/active_request.cpp
+++ b/Libraries/zinnialedge/forwarding/active_request.cpp
@@ -18,6 +18,19 @@
     return (ofTenant << bitsPerPriority) | ofRoute;
 }
 
+std::string const& active_request::shareHolder() const
+{
+    static std::string const noHolder;
+    return matchedTenant ? matchedTenant->name : noHolder;
+}
+
+void active_request::addAllShards()
+{
+    auto const& shards = matchedRoute->gather.shards;
+    for (std::size_t shard = 0; shard < shards.size(); ++shard)
+        parts.push_back({ .service = &shards[shard], .shardIndex = shard });
+}
+
 bool active_request::mayHaveRun() const
 {
     return (detour && detour->mayHaveRun) || std::any_of(parts.begin(), parts.end(), [](auto const& part) { return part.mayHaveRun(); });
--- a/Libraries/zinnialedge/forwarding/active_request.h
+++ b/Libraries/zinnialedge/forwarding/active_request.h
@@ -127,6 +127,9 @@
     bool isRelayed() const { return request->relayed.has_value(); }
     /// Returns whether another daemon has sent the request, for some shards or as a whole.
     bool isFromDaemon() const { return isRelayed() || request->detoured; }
+    /// Returns the tenant whose share the request uses; empty for requests without a declared tenant.
+    std::string const& shareHolder() const;
+    void addAllShards();
     /// Returns the number of leafs that may be called for each part.
     std::size_t maximumAttempts() const { return matchedRoute->maximumAttempts - std::min(matchedRoute->maximumAttempts, request->detoured ? request->detoured->attemptsUsed : 0); }
     std::size_t settledPartCount() const { return answeredPartCount + missingPartCount; }
--- a/Libraries/zinnialedge/forwarding/engine_interface.h
+++ b/Libraries/zinnialedge/forwarding/engine_interface.h
@@ -7,6 +7,7 @@
 #include "Libraries/zinnialedge/forwarding/leaf_rate_limit.h"
 #include "Libraries/zinnialedge/forwarding/leaf_roster.h"
 #include "Libraries/zinnialedge/forwarding/messages.h"
+#include "Libraries/zinnialedge/forwarding/stop_admission.h"
 #include "Libraries/zinnialedge/quarantine/suspect.h"
 #include "Libraries/zinnialedge/reachability/link_monitor.h"
 #include <functional>
@@ -14,6 +15,8 @@
 
 namespace zinnialedge::forwarding {
 
+struct request_explanation;
+
 struct engine_settings {
     std::string dataCentre;
     /// Maximum number of requests in flight.
@@ -29,14 +32,6 @@
     leaf_start_settings leafStarts;
 };
 
-/// Why a stopping daemon takes a request for one that would not be served in time.
-struct stop_estimate {
-    kernel::duration expected {};
-    /// What the expectation is from.
-    std::string_view source;
-    kernel::duration timeLeft {};
-};
-
 /// Outcome of one request, for logs and metrics.
 struct request_report {
     std::string const& attemptId;
@@ -70,7 +65,7 @@
     /// Name of the tenant; empty when the request has none.
     std::string_view tenant {};
     /// Set for a request that was rejected because the daemon stops.
-    std::optional<stop_estimate> stop {};
+    std::optional<stop_conflict> stop {};
 };
 
 /// A change of what this daemon believes of its links to the leafs.
--- a/Libraries/zinnialedge/forwarding/engine_state.h
+++ b/Libraries/zinnialedge/forwarding/engine_state.h
@@ -3,6 +3,7 @@
 #include "Libraries/zinnialedge/forwarding/active_request.h"
 #include "Libraries/zinnialedge/forwarding/extra_call_budget.h"
 #include "Libraries/zinnialedge/forwarding/fleet_share.h"
+#include "Libraries/zinnialedge/forwarding/stop_admission.h"
 #include "Libraries/zinnialedge/limits/admission_queue.h"
 #include "Libraries/zinnialedge/limits/moving_quantile.h"
 #include "Libraries/zinnialedge/limits/return_schedule.h"
@@ -95,8 +96,14 @@
     request_token requestToken { 0 };
     std::size_t partIndex { 0 };
     std::uint32_t priority { 0 };
+    kernel::time_point queuedAt;
 };
 
+/// Returns the typical duration of a call before any has ended.
+std::chrono::microseconds initialCallDuration(route const&);
+/// Returns the time without a reply after which calls that are slow together are hedged.
+kernel::duration longestHedgeHold(route const&);
+
 /// State of a route that is kept across configuration versions.
 struct route_state {
     limits::moving_quantile callDurationQuantile;
--- a/Libraries/zinnialedge/forwarding/request_access.cpp
+++ b/Libraries/zinnialedge/forwarding/request_access.cpp
@@ -13,7 +13,7 @@
 /// Retry-after while daemons have configurations that differ in their tenants: about the time in which one of them reads the other's.
 static constexpr std::chrono::milliseconds otherConfigurationRetryAfter { 300 };
 
-void request_engine::reject(request_token token, caller_request const& request, final_answer answer, route const* to, std::optional<stop_estimate> const& stop)
+void request_engine::reject(request_token token, caller_request const& request, final_answer answer, route const* to, std::optional<stop_conflict> const& stop)
 {
     ++m_counters.rejections;
     answer.isForDetour = request.detoured.has_value();
--- a/Libraries/zinnialedge/forwarding/request_admission.cpp
+++ b/Libraries/zinnialedge/forwarding/request_admission.cpp
@@ -80,6 +80,12 @@
     return true;
 }
 
+static std::size_t countQueuedParts(std::unordered_map<std::string, service_state> const& services, std::string const& service)
+{
+    auto const found = services.find(service);
+    return found == services.end() ? 0 : found->second.queuedParts.size();
+}
+
 std::optional<service_wait> request_engine::leaveOutLimitedShards(active_request& request, time_point now) const
 {
     struct late_part {
@@ -91,7 +97,7 @@
     std::vector<late_part> lateParts;
     for (std::size_t partIndex = 0; partIndex < request.parts.size(); ++partIndex) {
         auto const& part = request.parts[partIndex];
-        auto const startsAt = part.isMissing ? std::nullopt : m_leafs.nextCallTime(*part.service, {}, queuedPartCount(*part.service), now);
+        auto const startsAt = part.isMissing ? std::nullopt : m_leafs.nextCallTime(*part.service, {}, countQueuedParts(m_serviceStates, *part.service), now);
         if (startsAt && *startsAt > latestStart)
             lateParts.push_back({ partIndex, *startsAt });
     }
@@ -114,12 +120,6 @@
     return std::nullopt;
 }
 
-std::size_t request_engine::queuedPartCount(std::string const& service) const
-{
-    auto const found = m_serviceStates.find(service);
-    return found == m_serviceStates.end() ? 0 : found->second.queuedParts.size();
-}
-
 std::uint64_t request_engine::fingerprintOf(active_request const& request) const
 {
     auto const& content = *request.request;
@@ -153,12 +153,6 @@
     m_usualShareWeight = count > 0 ? total / static_cast<double>(count) : 1;
 }
 
-std::string const& request_engine::shareHolderOf(active_request const& request)
-{
-    static std::string const noHolder;
-    return request.matchedTenant ? request.matchedTenant->name : noHolder;
-}
-
 void request_engine::countAdmission(active_request const& request)
 {
     m_admissionCounts.recordAdmission(request.priority());
@@ -214,9 +208,9 @@
     // The calls of a caller who has left end soon and free their leafs, so that another request can start at once. The duration
     // of a request without calls says nothing about the leafs.
     if (request.isCallerDisconnected || !request.hasSentCalls())
-        admission.queue.releaseAbandoned(now, shareHolderOf(request));
+        admission.queue.releaseAbandoned(now, request.shareHolder());
     else
-        admission.queue.release(now - request.startedAt, request.wasCongested || request.lacksManyReplies(), now, shareHolderOf(request));
+        admission.queue.release(now - request.startedAt, request.wasCongested || request.lacksManyReplies(), now, request.shareHolder());
     // Admits queued requests from a timer, because the ending request is still in use by the functions on the call stack.
     if (admission.queue.hasQueuedQueries())
         m_timers.push({ now, timer_kind::admit, admission.number });
--- a/Libraries/zinnialedge/forwarding/request_arrival.cpp
+++ b/Libraries/zinnialedge/forwarding/request_arrival.cpp
@@ -53,9 +53,9 @@
     }
     if (!resolveAccess(token, request, *to))
         return;
-    if (auto const estimate = findStopInTheWay(request, *to, now)) {
+    if (auto const conflict = m_stop.isUnderWay() ? m_stop.findConflict(estimateServingTime(request, *to, now), now) : std::nullopt) {
         ++m_counters.rejectionsForStop;
-        reject(token, request, makeStopRejection(), to, estimate);
+        reject(token, request, makeStopRejection(), to, conflict);
         return;
     }
     if (m_requests.size() >= m_settings.capacity) {
@@ -174,8 +174,8 @@
         created.objectiveAt = now + std::max<kernel::duration>(request.detoured->objectiveLeft - transit - answerReserve, kernel::duration::zero());
     auto const endMargin = std::max<kernel::duration>(minimumEndMargin, transit + answerReserve);
     created.endAt = now + std::max<kernel::duration>(timeLimit - endMargin, timeLimit / 2);
-    if (m_answersDueAt)
-        created.endAt = std::min(created.endAt, *m_answersDueAt);
+    if (auto const& answersDueAt = m_stop.answersDueAt())
+        created.endAt = std::min(created.endAt, *answersDueAt);
     created.request = std::make_shared<caller_request const>(std::move(request));
     created.evidence = std::make_shared<quarantine::request_evidence>([request = created.request] { return digestsOf(*request); });
 }
@@ -195,19 +195,12 @@
         m_timers.push({ request.objectiveAt, timer_kind::objective, request.token });
         return;
     } else {
-        addAllShards(request);
+        request.addAllShards();
         m_timers.push({ request.objectiveAt, timer_kind::objective, request.token });
         m_timers.push({ now + to.objective * objectivesUntilLate, timer_kind::accept_minimum_coverage, request.token });
     }
 }
 
-void request_engine::addAllShards(active_request& request)
-{
-    auto const& shards = request.matchedRoute->gather.shards;
-    for (std::size_t shard = 0; shard < shards.size(); ++shard)
-        request.parts.push_back({ .service = &shards[shard], .shardIndex = shard });
-}
-
 void request_engine::countRequest(active_request const& request, time_point now)
 {
     // The daemon that relays a request counts it, because it also sends the extra calls.
--- a/Libraries/zinnialedge/forwarding/request_calls.cpp
+++ b/Libraries/zinnialedge/forwarding/request_calls.cpp
@@ -35,7 +35,7 @@
     return std::chrono::duration_cast<kernel::duration>(std::clamp(hedgeDelay, objective * minimumHedgeDelayShare, objective * maximumHedgeDelayShare));
 }
 
-kernel::duration request_engine::longestHedgeHold(route const& to)
+kernel::duration longestHedgeHold(route const& to)
 {
     return std::chrono::duration_cast<kernel::duration>(to.objective * maximumHedgeDelayShare);
 }
@@ -129,7 +129,7 @@
     request.parts[partIndex].isQueued = true;
     auto const priority = request.priority();
     auto const position = std::find_if(queue.begin(), queue.end(), [&](auto const& each) { return each.priority > priority; });
-    queue.insert(position, { request.token, partIndex, priority });
+    queue.insert(position, { request.token, partIndex, priority, now });
     scheduleDispatch(*request.parts[partIndex].service, request.parts[partIndex].calledLeafs, now);
 }
 
--- a/Libraries/zinnialedge/forwarding/request_detours.cpp
+++ b/Libraries/zinnialedge/forwarding/request_detours.cpp
@@ -138,7 +138,7 @@
 {
     if (request.admission == admission_state::admitted) {
         auto& admission = admissionOf(*request.matchedRoute);
-        admission.queue.releaseAbandoned(now, shareHolderOf(request));
+        admission.queue.releaseAbandoned(now, request.shareHolder());
         m_timers.push({ now, timer_kind::admit, admission.number });
         request.admission = admission_state::none;
     }
@@ -230,7 +230,7 @@
     bool const wasCancelled = !result && result.error() == call_failure::cancelled;
     if (isAnswer) {
         state.lastAnswerAt = now;
-        applyLeafNotices(*result, now);
+        applyForwardedNotices(*result, now);
     }
     auto* const request = findRequest(context.requestToken);
     if (isAnswer && request && !result->losses.empty())
--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -78,7 +78,7 @@
     return m_routeStates.emplace(to.name, route_state { limits::moving_quantile { typicalQuantile, initialCallDuration(to) }, limits::moving_quantile { servingQuantile, to.objective } }).first->second;
 }
 
-std::chrono::microseconds request_engine::initialCallDuration(route const& to)
+std::chrono::microseconds initialCallDuration(route const& to)
 {
     static constexpr int initialCallTimeDivisor = 8;
     return to.objective / initialCallTimeDivisor;
--- a/Libraries/zinnialedge/forwarding/request_engine.h
+++ b/Libraries/zinnialedge/forwarding/request_engine.h
@@ -18,8 +18,6 @@
 
 namespace zinnialedge::forwarding {
 
-struct request_explanation;
-
 /// Decides for each request which leafs are called, when a hedge is sent, and which answer the caller gets. The engine performs
 /// no I/O: events are passed in together with the current time, and actions are executed through hooks.
 class request_engine {
@@ -45,7 +43,7 @@
     /// are open then are answered.
     void setLeaving(kernel::time_point answersDueAt, kernel::time_point now);
     /// Rejects all further requests.
-    void rejectNewRequests() { m_isRejectingRequests = true; }
+    void rejectNewRequests() { m_stop.rejectAll(); }
     /// Takes another daemon's report of requests that count towards quotas.
     void mergeUsage(allowances::usage_report const&, kernel::time_point now);
 
@@ -83,7 +81,7 @@
 
     // Arrival.
     /// Rejects a request that has not been created yet. `to` is null when no route is known.
-    void reject(request_token, caller_request const&, final_answer, route const* to = nullptr, std::optional<stop_estimate> const& stop = std::nullopt);
+    void reject(request_token, caller_request const&, final_answer, route const* to = nullptr, std::optional<stop_conflict> const& stop = std::nullopt);
     /// Sets the tenant of a request by its access key and removes the key. Returns whether the request may go on; otherwise the request
     /// has been rejected.
     bool resolveAccess(request_token, caller_request&, route const& to);
@@ -92,7 +90,6 @@
     route const* findRoute(caller_request const&) const;
     /// Fills in everything but the token and the parts.
     void describeRequest(active_request&, caller_request, route const&, kernel::time_point now) const;
-    static void addAllShards(active_request&);
     std::string const& chooseService(route const&);
     void makeParts(active_request&, kernel::time_point now);
     limits::shard_skip_input describeSlowShards(active_request const&, kernel::time_point now) const;
@@ -109,7 +106,6 @@
     /// Marks parts as the functions above do. Returns whether the request can be served without them, or the wait that prevents it.
     bool leaveOutPartsWithoutLeafs(active_request&, kernel::time_point now) const;
     std::optional<service_wait> leaveOutLimitedShards(active_request&, kernel::time_point now) const;
-    std::size_t queuedPartCount(std::string const& service) const;
     /// Serves a request that may call leafs: here, or by a detour.
     void startRequest(active_request&, kernel::time_point now);
     /// Sends the first calls of a request.
@@ -126,8 +122,6 @@
     shard_set_admission& admissionOf(route const&);
     /// Returns for whom the request asks for a slot, and takes note of its return if it was rejected before.
     limits::slot_claim claimOf(active_request const&, kernel::time_point now);
-    /// Returns the tenant whose share the request uses; empty for requests without a declared tenant.
-    static std::string const& shareHolderOf(active_request const&);
     std::uint64_t fingerprintOf(active_request const&) const;
     void countAdmission(active_request const&);
     /// Sets the weight of tenants without a quota to the mean of the others.
@@ -141,11 +135,7 @@
 
     // Planned stops.
     /// Returns the time within which a request on the route can be expected to be served.
-    stop_estimate estimateServingTime(caller_request const&, route const&, kernel::time_point now) const;
-    /// Returns the estimate that tells that the daemon stops before the request can be expected to be served, if it does.
-    std::optional<stop_estimate> findStopInTheWay(caller_request const&, route const&, kernel::time_point now) const;
-    /// Returns for how long the first part that is queued for the service has waited.
-    kernel::duration queueingTime(std::string const& service, kernel::time_point now) const;
+    serving_estimate estimateServingTime(caller_request const&, route const&, kernel::time_point now) const;
     /// Answers a request that is open when all answers are due.
     void settleAtStop(active_request&, kernel::time_point now);
 
@@ -235,9 +225,6 @@
     /// Returns the time after which a call is hedged and an unresponsive leaf is suspect.
     kernel::duration hedgeDelayOf(route const&) const;
 
-    /// Returns the time without a reply after which calls that are slow together are hedged.
-    static kernel::duration longestHedgeHold(route const&);
-
     // Quarantine.
     quarantine::verdict judge(quarantine::request_evidence&, kernel::time_point now) const;
     /// Returns the other daemon that alone tries the quarantined request again; empty when this daemon does.
@@ -292,8 +279,8 @@
     /// Answers a request of another daemon at its time limit, or later while most of its shards are slow together.
     void settleRelayedAtLimit(active_request&, kernel::time_point dueAt, kernel::time_point now);
     void sendRelay(active_request&, relay const&, std::vector<std::size_t> partIndices, kernel::time_point now);
-    /// Applies what another daemon's reply tells of leafs: that they are leaving, or their limits.
-    void applyLeafNotices(leaf_reply const&, kernel::time_point now);
+    /// Applies what leafs have told another daemon, as its reply says: that they are leaving, or their limits.
+    void applyForwardedNotices(leaf_reply const&, kernel::time_point now);
     void handleRelayEnd(call_number, relay_call_context const&, call_result, kernel::time_point now);
     void acceptRelayedAnswer(active_request&, relay_call_context const&, leaf_reply, kernel::time_point now);
     /// Calls leafs directly for the shards that are missing from another daemon's answer.
@@ -351,8 +338,6 @@
 
     route_state& stateOf(route const&);
     relay_state stateOf(relay const&) const;
-    /// Returns the typical duration of a call before any has ended.
-    static std::chrono::microseconds initialCallDuration(route const&);
     service_state& stateOf(std::string const& service);
     active_request* findRequest(request_token);
 
@@ -394,9 +379,7 @@
     std::priority_queue<timer, std::vector<timer>, std::greater<>> m_timers;
     /// Due time of the earliest dispatch timer.
     std::optional<kernel::time_point> m_nextDispatchAt;
-    /// Time at which all answers are due since the daemon stops; empty while it does not.
-    std::optional<kernel::time_point> m_answersDueAt;
-    bool m_isRejectingRequests { false };
+    stop_admission m_stop;
     quarantine::quarantine_table m_quarantine;
     kernel::time_point m_nextSharingAt;
     kernel::time_point m_nextLeafReviewAt;
--- a/Libraries/zinnialedge/forwarding/request_explanation.cpp
+++ b/Libraries/zinnialedge/forwarding/request_explanation.cpp
@@ -207,7 +207,7 @@
 
 void request_explainer::explainShards()
 {
-    request_engine::addAllShards(m_request);
+    m_request.addAllShards();
     auto const refusal = leaveOutParts();
     if (refusal && !m_made.quarantine.trialDaemon && !m_made.detour)
         refuse(*refusal);
--- a/Libraries/zinnialedge/forwarding/request_relays.cpp
+++ b/Libraries/zinnialedge/forwarding/request_relays.cpp
@@ -117,7 +117,7 @@
     m_hooks.sendCall({ number, 0, {}, to.endpoint, request.callerDeadline, request.endAt, true, request.request, relayed_request { request.table->version(), std::move(partIndices), answerTimeLimit, latestAnswerTimeLimit }, std::nullopt, false });
 }
 
-void request_engine::applyLeafNotices(leaf_reply const& reply, time_point now)
+void request_engine::applyForwardedNotices(leaf_reply const& reply, time_point now)
 {
     for (auto const& leafId : reply.leavingLeafIds)
         m_counters.leafsLeaving += m_leafs.markLeaving(leafId) ? 1 : 0;
@@ -141,7 +141,7 @@
     if ((!result && result.error() != call_failure::cancelled) || hasLostLinks)
         state.backoffUntil = now + relayBackoff;
     if (result) {
-        applyLeafNotices(*result, now);
+        applyForwardedNotices(*result, now);
         if (!result->losses.empty())
             mergeSuspects({ quarantine::readNotice({ .request = context.evidence->digests().back(), .losses = result->losses }, now) }, now);
         if (isAnswer && !result->relayedShards.empty())
--- a/Libraries/zinnialedge/forwarding/request_settling.cpp
+++ b/Libraries/zinnialedge/forwarding/request_settling.cpp
@@ -99,7 +99,7 @@
         settleSingle(request, now);
         return;
     }
-    if (m_answersDueAt && now >= *m_answersDueAt)
+    if (m_stop.areAnswersDue(now))
         settleAtStop(request, now);
     else if (request.mayHaveRun())
         settleWithError(request, errors::error_kind::deadline_exceeded, "timed_out", now);
--- a/Libraries/zinnialedge/forwarding/request_stop.cpp
+++ b/Libraries/zinnialedge/forwarding/request_stop.cpp
@@ -14,32 +14,24 @@
 void request_engine::setLeaving(time_point answersDueAt, time_point now)
 {
     m_quotas.setLeaving();
-    m_answersDueAt = std::max(answersDueAt, now);
+    auto const dueAt = std::max(answersDueAt, now);
+    m_stop.begin(dueAt);
     for (auto& [token, request] : m_requests) {
-        if (request.endAt <= *m_answersDueAt)
+        if (request.endAt <= dueAt)
             continue;
-        request.endAt = *m_answersDueAt;
-        m_timers.push({ request.endAt, timer_kind::end, token });
+        request.endAt = dueAt;
+        m_timers.push({ dueAt, timer_kind::end, token });
     }
 }
 
-kernel::duration request_engine::queueingTime(std::string const& service, time_point now) const
-{
-    auto const known = m_serviceStates.find(service);
-    if (known == m_serviceStates.end() || known->second.queuedParts.empty())
-        return {};
-    auto const first = m_requests.find(known->second.queuedParts.front().requestToken);
-    return first == m_requests.end() ? kernel::duration::zero() : now - first->second.arrivedAt;
-}
-
-stop_estimate request_engine::estimateServingTime(caller_request const& request, route const& to, time_point now) const
+serving_estimate request_engine::estimateServingTime(caller_request const& request, route const& to, time_point now) const
 {
     if (request.relayed)
         return { request.relayed->latestAnswerTimeLimit, "daemon" };
-    auto const known = m_routeStates.find(to.name);
-    stop_estimate estimate { to.objective, "objective" };
-    if (known != m_routeStates.end())
-        estimate = { known->second.servingTimeQuantile.value(), "served" };
+    auto const knownRoute = m_routeStates.find(to.name);
+    serving_estimate estimate { to.objective, "objective" };
+    if (knownRoute != m_routeStates.end())
+        estimate = { knownRoute->second.servingTimeQuantile.value(), "served" };
     // The quantile follows changes slowly, and a restarted daemon has seen few requests.
     auto const considerLonger = [&estimate](kernel::duration expected, std::string_view source) {
         if (expected > estimate.expected)
@@ -48,8 +40,9 @@
     for (auto const& each : to.services) {
         auto const callDuration = m_leafs.recentCallDuration(each.service, now).value_or(kernel::duration::zero());
         considerLonger(callDuration, "leafs");
-        if (auto const queueing = queueingTime(each.service, now); queueing > kernel::duration::zero())
-            considerLonger(queueing + callDuration, "queue");
+        auto const knownService = m_serviceStates.find(each.service);
+        if (knownService != m_serviceStates.end() && !knownService->second.queuedParts.empty())
+            considerLonger(now - knownService->second.queuedParts.front().queuedAt + callDuration, "queue");
     }
     // At its time limit the request is answered in any case.
     if (auto const limit = std::min<kernel::duration>(to.timeout, request.timeLimit.value_or(to.timeout)); limit < estimate.expected)
@@ -57,19 +50,6 @@
     return estimate;
 }
 
-std::optional<stop_estimate> request_engine::findStopInTheWay(caller_request const& request, route const& to, time_point now) const
-{
-    if (!m_answersDueAt && !m_isRejectingRequests)
-        return std::nullopt;
-    auto estimate = estimateServingTime(request, to, now);
-    estimate.timeLeft = m_answersDueAt.value_or(now) - now;
-    if (m_isRejectingRequests)
-        estimate.source = "drain";
-    else if (estimate.expected <= estimate.timeLeft)
-        return std::nullopt;
-    return estimate;
-}
-
 final_answer request_engine::makeStopRejection()
 {
     auto answer = makeRejection(error_kind::leaving, std::string { stoppingReason }, {});
--- a/Services/traffic/request_log.cpp
+++ b/Services/traffic/request_log.cpp
@@ -60,7 +60,7 @@
             { "missing_shards", report.missingShards }, { "elapsed_ms", toMilliseconds(report.elapsed) }, { "objective_ms", report.objective.count() },
             { "retry_after_ms", report.retryAfter.value_or(std::chrono::milliseconds { 0 }).count() }, { "in_flight", report.admittedInFlight }, { "limit", report.admissionLimit }, { "detour", report.detour }, { "for_daemon", report.isForOtherDaemon ? 1 : 0 } });
     if (report.stop)
-        logEvent(log_level::info, "request_too_late", { { "id", report.attemptId }, { "expected_ms", toMilliseconds(report.stop->expected) }, { "source", report.stop->source }, { "time_left_ms", toMilliseconds(report.stop->timeLeft) } });
+        logEvent(log_level::info, "request_too_late", { { "id", report.attemptId }, { "expected_ms", toMilliseconds(report.stop->estimate.expected) }, { "source", report.stop->estimate.source }, { "time_left_ms", toMilliseconds(report.stop->timeLeft) } });
 }
 
 void request_log::logInterrupted(forwarding::open_request const& request)
