--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -3,12 +3,9 @@
 #include "Kernel/event_log.h"
 #include "Kernel/metrics_text.h"
 #include "Libraries/zinnialedge/fleet/evacuations.h"
-#include "Libraries/zinnialedge/fleet/limit_shares.h"
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
-#include <random>
-#include <set>
 #include <sstream>
 
 namespace zinnialedge::services::fleet {
@@ -35,8 +32,6 @@
 static constexpr std::chrono::milliseconds periodicInterval { 500 };
 /// Interval between comparisons of the registrations with the live daemons.
 static constexpr std::chrono::milliseconds registrationCheckInterval { 5000 };
-static constexpr int statusOk = 200;
-static constexpr int statusUnavailable = 503;
 
 fleet_service::fleet_service(fleet_settings settings, zinnialedge::fleet::store_protocol protocol, traffic::traffic_service& traffic)
     : m_settings(std::move(settings))
@@ -85,18 +80,18 @@
     return created;
 }
 
-/// Includes the incarnation, because an earlier process on this VM counts as a different member: its clock may have been ahead.
-static std::string memberName(fleet_settings const& settings)
+std::string fleet_service::memberName() const
 {
+    // Includes the incarnation, because an earlier process on this VM counts as a different member: its clock may have been ahead.
     std::ostringstream name;
-    name << settings.name << "." << std::hex << settings.incarnation;
+    name << m_settings.name << "." << std::hex << m_settings.incarnation;
     return name.str();
 }
 
 membership::daemon_record fleet_service::makeDaemonRecord() const
 {
     return {
-        .name = memberName(m_settings),
+        .name = memberName(),
         .partner = "all",
         .region = m_settings.region,
         .dataCentre = m_settings.dataCentre,
@@ -330,69 +325,6 @@
     sendToTraffic(traffic::fleet_share_changed { std::move(share) });
 }
 
-forwarding::fleet_share fleet_service::computeFleetShare()
-{
-    std::set<model::endpoint> liveEndpoints { m_settings.callerEndpoint };
-    for (auto const& [name, member] : m_membershipLink.engine().members().members()) {
-        if (member.status != member_status::dead)
-            liveEndpoints.insert(member.record.callerEndpoint);
-    }
-    m_liveDaemonCount = liveEndpoints.size();
-    m_storeBudget.setDaemonCount(m_liveDaemonCount, std::chrono::steady_clock::now());
-    auto const daemons = servingDaemons();
-    auto const callable = zinnialedge::fleet::chooseServingGroup(zinnialedge::fleet::daemonsWithLeafs(daemons));
-    // Daemons that have lost their links keep their shares, since they and those that take their place may both use them meanwhile.
-    auto group = zinnialedge::fleet::chooseServingGroup(daemons);
-    std::copy_if(callable.begin(), callable.end(), std::back_inserter(group), [&](auto const& each) { return std::find(group.begin(), group.end(), each) == group.end(); });
-    forwarding::fleet_share share;
-    addQuotaMembers(share, group);
-    bool const isInGroup = std::any_of(group.begin(), group.end(), [this](auto const& each) { return each.place == m_settings.callerEndpoint; });
-    if (group.empty() || group.size() > liveEndpoints.size()) {
-        share.daemonsSharingConnections = liveEndpoints.size();
-        share.daemonsSharingSlack = liveEndpoints.size();
-        share.daemonsSharingLeafLimits = zinnialedge::fleet::countLimitShares(0, liveEndpoints.size(), false);
-        share.limitPhase = zinnialedge::fleet::limitPhaseAmong(liveEndpoints, m_settings.callerEndpoint);
-        return share;
-    }
-    share.daemonsSharingConnections = group.size() + (liveEndpoints.size() - group.size()) / zinnialedge::fleet::outsideDaemonsPerShare;
-    share.daemonsSharingLeafLimits = zinnialedge::fleet::countLimitShares(group.size(), liveEndpoints.size(), isInGroup);
-    auto equalEndpoints = liveEndpoints;
-    std::erase_if(equalEndpoints, [&](auto const& endpoint) { return isInGroup != std::any_of(group.begin(), group.end(), [&](auto const& each) { return each.place == endpoint; }); });
-    share.limitPhase = zinnialedge::fleet::limitPhaseAmong(equalEndpoints, m_settings.callerEndpoint);
-    // One extra holder is counted: a member that some daemons do not know yet must not make the sum of shares exceed the total.
-    share.daemonsSharingSlack = isInGroup ? std::max(group.size(), std::min(liveEndpoints.size(), group.size() + 1)) : 0;
-    for (auto const& each : callable) {
-        forwarding::relay const remote { each.dataCentre, { each.place.address, m_settings.relayEndpoint.port } };
-        if (each.dataCentre != m_settings.dataCentre)
-            share.relays.push_back(remote);
-        if (each.reachesLeafs && each.place != m_settings.callerEndpoint)
-            share.detours.push_back(remote);
-        else if (each.reachesLeafs)
-            share.self = remote;
-    }
-    return share;
-}
-
-void fleet_service::addQuotaMembers(forwarding::fleet_share& share, std::vector<zinnialedge::fleet::serving_daemon> const& group) const
-{
-    share.quotaMemberName = memberName(m_settings);
-    share.isServingCallers = false;
-    for (auto const& each : group) {
-        if (each.place == m_settings.callerEndpoint) {
-            share.isServingCallers = true;
-            continue;
-        }
-        // A restarted daemon counts as two members for a time, of which the later one sends reports.
-        membership::daemon_record const* latest = nullptr;
-        for (auto const& [name, member] : m_membershipLink.engine().members().members()) {
-            if (member.record.callerEndpoint == each.place && member.status != member_status::dead && (!latest || member.record.incarnation > latest->incarnation))
-                latest = &member.record;
-        }
-        if (latest)
-            share.quotaMembers.push_back({ latest->name, latest->peerEndpoint });
-    }
-}
-
 void fleet_service::startServingWhenReady()
 {
     if (m_isServing || m_isLeaving || !m_routeTable || m_leafRegistrations.empty() || m_areLeafsHeldBack)
@@ -420,40 +352,6 @@
     });
 }
 
-// The directory.
-
-std::vector<zinnialedge::fleet::serving_daemon> fleet_service::servingDaemons() const
-{
-    std::vector<zinnialedge::fleet::serving_daemon> daemons;
-    auto const now = std::chrono::steady_clock::now();
-    if (m_isServing && !m_isLeaving)
-        daemons.push_back({ m_settings.name, m_settings.dataCentre, m_settings.callerEndpoint, m_reachesLeafs, m_settings.strength });
-    for (auto const& [name, member] : m_membershipLink.engine().members().members()) {
-        // A restarted daemon counts as two members until its earlier incarnation is declared dead.
-        bool const isKnown = std::any_of(daemons.begin(), daemons.end(), [&](auto const& each) { return each.place == member.record.callerEndpoint; });
-        if (member.status == member_status::serving && !isKnown)
-            daemons.push_back({ name.substr(0, name.rfind('.')), member.record.dataCentre, member.record.callerEndpoint, member.reachesLeafs && !m_reachMarks.isMarked(member.record.callerEndpoint.address, now), member.strength });
-    }
-    return daemons;
-}
-
-void fleet_service::answerDirectory(std::string const& dataCentre, wire::http_responder const& respond)
-{
-    ++m_directoryAnswerCount;
-    auto addresses = zinnialedge::fleet::chooseEndpoints(zinnialedge::fleet::daemonsWithLeafs(servingDaemons()), dataCentre);
-    if (addresses.empty()) {
-        respond({ statusUnavailable, "{}", {} });
-        return;
-    }
-    std::shuffle(addresses.begin(), addresses.end(), std::minstd_rand { static_cast<std::uint32_t>(m_random()) });
-    respond({ statusOk, m_protocol.formatDirectory(addresses, m_settings.directoryValidity), {} });
-}
-
-void fleet_service::answerReadiness(wire::http_responder const& respond)
-{
-    respond({ m_isServing && !m_isLeaving ? statusOk : statusUnavailable, "{}", {} });
-}
-
 // Settings that may change at run time.
 
 bool fleet_service::applyRuntimeSettings(runtime_fleet_settings settings)
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -75,6 +75,8 @@
 private:
     fleet_service(fleet_settings, zinnialedge::fleet::store_protocol, traffic::traffic_service&);
     errors::error_or<void> listen();
+    /// Returns the name of this process among the members.
+    std::string memberName() const;
     membership::daemon_record makeDaemonRecord() const;
 
     store_link_hooks makeLinkHooks(std::function<void()> changed);
