--- a/Libraries/zinnialedge/wire/http_server.cpp
+++ b/Libraries/zinnialedge/wire/http_server.cpp
@@ -1,6 +1,6 @@
 #include "Libraries/zinnialedge/wire/http_server.h"
 
-#include "Libraries/zinnialedge/wire/request_framing.h"
+#include "Libraries/zinnialedge/wire/beast_framing.h"
 #include "Libraries/zinnialedge/wire/tcp_listener.h"
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -133,15 +133,6 @@
         m_server->handler()(std::move(request), [self = shared_from_this()](http_response response) { self->write(std::move(response)); });
     }
 
-    static bool isFramingCertain(http::request<http::string_body> const& request)
-    {
-        std::vector<std::string_view> transferEncodings;
-        auto const [first, last] = request.equal_range(http::field::transfer_encoding);
-        for (auto each = first; each != last; ++each)
-            transferEncodings.emplace_back(each->value().data(), each->value().size());
-        return wire::isFramingCertain({ transferEncodings, request.count(http::field::content_length) > 0, request.version() });
-    }
-
     /// Detects that the client closes the connection while its request is being handled, when no read is pending.
     void detectClientClose()
     {
--- a/Services/traffic/caller_connection.cpp
+++ b/Services/traffic/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "Services/traffic/caller_connection.h"
 
+#include "Libraries/zinnialedge/wire/beast_framing.h"
 #include "Libraries/zinnialedge/wire/tcp_round_trip.h"
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -121,12 +122,7 @@
 
 bool caller_connection::isHeadSound() const
 {
-    auto const& head = m_parser->get();
-    std::vector<std::string_view> transferEncodings;
-    auto const [first, last] = head.equal_range(http::field::transfer_encoding);
-    for (auto each = first; each != last; ++each)
-        transferEncodings.emplace_back(each->value().data(), each->value().size());
-    return !m_foldedLines.hasFound() && wire::isFramingCertain({ transferEncodings, head.count(http::field::content_length) > 0, head.version() });
+    return !m_foldedLines.hasFound() && wire::isFramingCertain(m_parser->get());
 }
 
 /// Returns true for a header that the request's Connection header lists: such a header applies to this connection only.
