--- a/Tests/Support/store_stand_in.cpp
+++ b/Tests/Support/store_stand_in.cpp
@@ -1,6 +1,7 @@
 #include "Tests/Support/store_stand_in.h"
 
 #include "Kernel/verify.h"
+#include <algorithm>
 #include <boost/algorithm/string/replace.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -86,6 +87,13 @@
     });
 }
 
+std::size_t store_stand_in::pendingWatchCount(std::string const& kind)
+{
+    std::size_t count = 0;
+    runOnStoreThread([&] { count = static_cast<std::size_t>(std::count_if(m_pendingWatches.begin(), m_pendingWatches.end(), [&](auto const& each) { return each.kind == kind; })); });
+    return count;
+}
+
 void store_stand_in::losePendingWatches(std::string const& kind)
 {
     runOnStoreThread([&] {
--- a/Tests/Support/store_stand_in.h
+++ b/Tests/Support/store_stand_in.h
@@ -34,6 +34,8 @@
     void erase(std::string const& kind, std::string const& name);
     std::optional<boost::json::value> find(std::string const& kind, std::string const& name);
     void setFaultMode(trouble);
+    /// Returns the number of watches of the kind that wait for changes.
+    std::size_t pendingWatchCount(std::string const& kind);
     /// Loses the replies to all pending watches of the kind. Their connections stay open and return nothing further; other calls are answered.
     void losePendingWatches(std::string const& kind);
     /// Keeps a copy of all objects and of the revision, from which restoreCopy() continues.
