--- a/Tests/Faults/whole_path_test.cpp
+++ b/Tests/Faults/whole_path_test.cpp
@@ -160,6 +160,18 @@
     LONGS_EQUAL(0, testCluster->daemon("suva-1").process->waitForExit().value_or(-1));
 }
 
+// Guards against a daemon that does not end after its planned stop, because nobody reads its log.
+TEST(WholePath, ReaderOfTheLogThatStandsStillKeepsNoProcessFromEnding)
+{
+    auto const& daemon = testCluster->daemon("suva-1");
+    daemon.process->stopReading();
+    // Each of these requests has a line in the log.
+    for (int count = 0; count < 200; ++count)
+        LONGS_EQUAL(200, callHttp(daemon.operators, { "POST", "/log-level", "info", {} })->status);
+    CHECK(answerAcrossSignals({ SIGTERM }));
+    LONGS_EQUAL(0, daemon.process->waitForExit().value_or(-1));
+}
+
 // Guards against a reload signal that ends the process.
 TEST(WholePath, AReloadSignalCutsNoQuery)
 {
