--- a/Tests/Soak/soak_faults.cpp
+++ b/Tests/Soak/soak_faults.cpp
@@ -205,6 +205,12 @@
     registerInStore(leaf);
 }
 
+void soak_run::recordExitTime(std::chrono::steady_clock::duration sinceLastLine)
+{
+    std::lock_guard const lock(m_plannedStopFindingsMutex);
+    m_longestExitTime = std::max(m_longestExitTime, sinceLastLine);
+}
+
 void soak_run::addPlannedStopFinding(std::string finding)
 {
     std::lock_guard const lock(m_plannedStopFindingsMutex);
@@ -233,6 +239,7 @@
         }
         if (!code)
             code = daemon.process->waitForExit(std::chrono::duration_cast<std::chrono::milliseconds>(signalledAt + 6s - std::chrono::steady_clock::now()));
+        auto const endedAfter = std::chrono::steady_clock::now() - signalledAt;
         if (code != 0) {
             // The process is killed below.
             ++m_abruptFaults[index];
@@ -247,6 +254,8 @@
         auto const lastLine = daemon.process->waitForLine("event=stopped", 100ms);
         if (index >= FLAGS_old_daemons && (!lastLine || logFieldValue(*lastLine, "requests_interrupted") != "0"))
             addPlannedStopFinding("LOST: daemon" + std::to_string(index) + " ended with: " + lastLine.value_or("no last line"));
+        if (code && lastLine)
+            recordExitTime(endedAfter - std::chrono::milliseconds { std::stoll(logFieldValue(*lastLine, "since_signal_ms")) });
         if (beforeStart)
             beforeStart();
         m_fleet.start(index);
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -143,7 +143,7 @@
     auto const servedShare = static_cast<double>(m_watches.checker.servedCount()) / static_cast<double>(std::max<std::size_t>(m_watches.checker.requestCount(), 1));
     if (servedShare < minimumServedShare)
         findings.push_back("RECOVER: " + std::to_string(m_watches.checker.servedCount()) + " of " + std::to_string(m_watches.checker.requestCount()) + " requests served after the faults");
-    std::cout << "soak: seed " << FLAGS_seed << ", " << m_events.size() << " faults, " << m_watches.checker.servedCount() << " of " << m_watches.checker.requestCount() << " requests served after them, " << (FLAGS_link_faults ? m_linkFaults.summary() + ", " : std::string {}) << (FLAGS_tenants ? m_watches.tenants.summary() + ", " : std::string {}) << (FLAGS_quotas ? m_watches.quotas.summary() + ", " : std::string {}) << (FLAGS_evacuations ? m_watches.evacuations.summary() + ", " : std::string {}) << findings.size() << " findings\n";
+    std::cout << "soak: seed " << FLAGS_seed << ", " << m_events.size() << " faults, " << m_watches.checker.servedCount() << " of " << m_watches.checker.requestCount() << " requests served after them, " << (FLAGS_link_faults ? m_linkFaults.summary() + ", " : std::string {}) << (FLAGS_tenants ? m_watches.tenants.summary() + ", " : std::string {}) << (FLAGS_quotas ? m_watches.quotas.summary() + ", " : std::string {}) << (FLAGS_evacuations ? m_watches.evacuations.summary() + ", " : std::string {}) << (FLAGS_planned_stops ? "longest exit " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_longestExitTime).count()) + " ms, " : std::string {}) << findings.size() << " findings\n";
     if (findings.empty())
         return 0;
     for (auto const& each : findings)
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -54,6 +54,7 @@
     /// Begins a planned stop of a daemon, unless half of the daemons are stopping.
     void stopNextDaemon();
     void addPlannedStopFinding(std::string);
+    void recordExitTime(std::chrono::steady_clock::duration sinceLastLine);
     /// Returns a number that changes when the daemon is killed or paused, which may cut requests. It is odd while this goes on.
     unsigned abruptFaultsOf(std::size_t index) const { return m_abruptFaults[index]; }
     void joinPlannedStops();
@@ -104,6 +105,8 @@
     std::array<std::atomic<unsigned>, maxDaemons> m_abruptFaults {};
     std::mutex m_plannedStopFindingsMutex;
     std::vector<std::string> m_plannedStopFindings;
+    /// Longest time from the last log line of a planned stop to the end of the process.
+    std::chrono::steady_clock::duration m_longestExitTime {};
     /// Number of daemons whose replacement has begun, and of those that have been started again from this build.
     std::size_t m_replacedCount { 0 };
     std::atomic<std::size_t> m_upgradedCount { 0 };
