--- a/review/support-2/stand_ins.cpp
+++ b/review/support-2/stand_ins.cpp
@@ -447,6 +447,8 @@
     if (m_process != 0)
         return;
     auto const log = ::open(m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    if (log < 0)
+        ::_exit(couldNotRun);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
     std::array<char*, 4> arguments { program.data(), option.data(), m_settingsFile.data(), nullptr };
@@ -484,6 +486,8 @@
 {
     auto const opened = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     auto place = makeAddress(address, port);
+    if (opened < 0)
+        return nullptr;
     if (::connect(opened, reinterpret_cast<sockaddr*>(&place), sizeof(place)) == 0)
         return std::make_unique<connection>(opened);
     ::close(opened);
@@ -528,6 +532,7 @@
     , m_folder(makeFolder())
 {
     std::vector<std::string> addresses;
+    addresses.reserve(daemonCount);
     for (std::size_t index = 0; index < daemonCount; ++index)
         addresses.push_back(makeLoopbackAddress(index));
     auto const& first = addresses.front();
