--- a/review/7/case-2.cpp
+++ b/review/7/case-2.cpp
@@ -11,6 +11,8 @@
 static constexpr milliseconds applyTime { 3500 };
 /// `grace_s` of the site, and a second.
 static constexpr milliseconds graceTime { 7000 };
+/// The route's timeout_ms, the half second of the rule, and a margin.
+static constexpr milliseconds answerBound { 2100 };
 static constexpr int requestsPerDaemon = 10;
 /// Requests on the new route for each daemon, one after the other.
 static constexpr int requestsOnNewRoute = 80;
@@ -39,8 +41,8 @@
     std::this_thread::sleep_for(applyTime);
 
     auto const ask = [&](std::size_t index, std::string const& target, std::string const& attemptId) {
-        auto const got = get(fleet.at(index), target, attemptId, {}, milliseconds { 1500 }, milliseconds { 2000 });
-        lines.add("request " + attemptId + " " + target + " to " + fleet.at(index).name() + ": " + (got.status == -1 ? "no answer within 2000 ms" : std::to_string(got.status)) + " after " + std::to_string(got.elapsed.count()) + " ms");
+        auto const got = get(fleet.at(index), target, attemptId, {}, milliseconds { 1500 }, answerBound);
+        lines.add("request " + attemptId + " " + target + " to " + fleet.at(index).name() + ": " + (got.status == -1 ? "no answer within 2100 ms" : std::to_string(got.status)) + " after " + std::to_string(got.elapsed.count()) + " ms");
         return got.status;
     };
     int unanswered = 0;
