--- a/Libraries/zinnialedge/configuration/edge_settings.h
+++ b/Libraries/zinnialedge/configuration/edge_settings.h
@@ -20,6 +20,10 @@
     double processor { 0 };
     /// Bandwidth of the VM's link in Mbit/s.
     double linkMegabits { 0 };
+    /// Memory that a process may use, in MiB.
+    std::size_t memoryMegabytes { 256 };
+    /// Number of descriptors that a process may have open.
+    std::size_t descriptors { 4096 };
 
     bool operator==(vm_capacity const&) const = default;
 };
