Tests: Crowds of clients that keep no rules, at each port

Callers saw a process end: clients that nobody controls sent trailers without an end behind a chunked body, and the process ran out of memory.

The tests start the real processes on a small VM (48 MiB, 700 descriptors of which 200 are not for sockets; 160 MiB for zinnialedged), run a small crowd, and check what does not depend on speed: the process lives, its peak memory and its sockets stay within those of the VM, and an ordinary request at each port is answered beside the crowd and afterwards.

--- /dev/null
+++ b/Tests/Faults/crowd_at_query_daemon_test.cpp
@@ -0,0 +1,123 @@
+// Crowds at the ports of zinnialedged.
+
+#include "Kernel/verify.h"
+#include "Tests/Support/cluster.h"
+#include "Tests/Support/crowd.h"
+#include "Tests/Support/process_watch.h"
+#include <boost/json.hpp>
+
+// CppUTest redefines `new`, so its header comes after the standard headers.
+#include <CppUTest/TestHarness.h>
+#include <sys/resource.h>
+
+using namespace zinnialedge;
+using namespace zinnialedge::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t machineMegabytes = 160;
+constexpr std::size_t machineDescriptors = 700;
+constexpr std::size_t callerConnections = 200;
+/// Descriptors that are not available to sockets on the users' platform.
+constexpr std::size_t fileDescriptors = 200;
+constexpr std::size_t endlessBytes = 64U << 20U;
+
+/// A daemon with one service, on a VM with few descriptors.
+struct query_daemon {
+    query_daemon()
+    {
+        plan = smallPlan("portal", "suva", 2);
+        processes.startService(plan);
+        daemon = processes.startDaemon("suva1", "suva", "suva-a", [](boost::json::object& settings) {
+            settings["limits"] = { { "caller_connections", callerConnections } };
+        });
+        VERIFY(processes.waitForLeafs(daemon, "portal"));
+        ::rlimit const limit { machineDescriptors, machineDescriptors };
+        ::prlimit(daemon.process->id(), RLIMIT_NOFILE, &limit, nullptr);
+    }
+
+    bool answersEverywhere() const
+    {
+        auto const isAnswered = [](model::endpoint const& endpoint, std::string const& target) {
+            return waitUntil([&] {
+                auto const answer = callHttp(endpoint, { "GET", target, {}, {} }, 3s);
+                return answer && answer->status == 200;
+            },
+                20s);
+        };
+        auto const isServed = [&] {
+            model::query_request request;
+            request.id = "ordinary";
+            request.service = "portal";
+            request.requestKind = "search";
+            request.deadline = 1000ms;
+            return query(daemon.callers, request).has_value();
+        };
+        return isAnswered(daemon.callers, "/health") && isAnswered(daemon.operators, "/metrics") && waitUntil(isServed, 20s);
+    }
+
+    void checkBears(crowd_plan const& plan)
+    {
+        process_watch const watch { daemon.process->id() };
+        {
+            crowd visitors { plan };
+            visitors.waitUntilSettled();
+            CHECK_TEXT(answersEverywhere(), "no answer beside the crowd");
+        }
+        CHECK_TEXT(!daemon.process->waitForExit(0ms), "the process has ended");
+        auto const memory = peakMemoryMegabytes(daemon.process->id());
+        CHECK_TEXT(memory < machineMegabytes, ("peak memory in MiB: " + std::to_string(memory)).c_str());
+        CHECK_TEXT(watch.peakSocketCount() <= machineDescriptors - fileDescriptors, ("open sockets: " + std::to_string(watch.peakSocketCount())).c_str());
+        CHECK_TEXT(answersEverywhere(), "no answer afterwards");
+    }
+
+    cluster processes;
+    service_plan plan;
+    running_daemon daemon;
+};
+
+std::string const trailerStart = "POST /query HTTP/1.1\r\nHost: host\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n";
+
+}
+
+TEST_GROUP(CrowdQueryTrailer) {};
+
+TEST(CrowdQueryTrailer, Fields)
+{
+    query_daemon daemon;
+    daemon.checkBears({ .endpoint = daemon.daemon.callers, .connectionCount = 8, .start = trailerStart, .repeated = "X-Trailer: x\r\n", .maximumRepeatedBytes = endlessBytes });
+}
+
+TEST_GROUP(CrowdQueryIdleCallers) {};
+
+TEST(CrowdQueryIdleCallers, WithoutARequest)
+{
+    query_daemon daemon;
+    daemon.checkBears({ .endpoint = daemon.daemon.callers, .connectionCount = machineDescriptors + 100 });
+}
+
+TEST_GROUP(CrowdQueryIdlePeers) {};
+
+TEST(CrowdQueryIdlePeers, WithoutAMessage)
+{
+    query_daemon daemon;
+    daemon.checkBears({ .endpoint = daemon.daemon.peers, .connectionCount = machineDescriptors + 100 });
+}
+
+TEST_GROUP(CrowdQueryPeerMessages) {};
+
+// Each connection announces a message of the permitted size, and sends nothing of it.
+TEST(CrowdQueryPeerMessages, AnnouncedOnly)
+{
+    query_daemon daemon;
+    daemon.checkBears({ .endpoint = daemon.daemon.peers, .connectionCount = 100, .start = std::string { '\x00', '\xf0', '\x00', '\x00' } });
+}
+
+TEST_GROUP(CrowdQueryUnfinishedPeerMessages) {};
+
+TEST(CrowdQueryUnfinishedPeerMessages, AllButTheLastBytes)
+{
+    query_daemon daemon;
+    daemon.checkBears({ .endpoint = daemon.daemon.peers, .connectionCount = 30, .start = std::string { '\x00', '\xf0', '\x00', '\x00' }, .repeated = "x", .maximumRepeatedBytes = 14U << 20U });
+}
--- a/Tests/Support/edge_fleet.cpp
+++ b/Tests/Support/edge_fleet.cpp
@@ -17,8 +17,6 @@
 static constexpr std::uint16_t readinessPort = 18108;
 static constexpr std::uint16_t directoryPort = 18100;
 static constexpr std::uint16_t operatorsPort = 19464;
-static constexpr std::uint16_t peersPort = 17380;
-static constexpr std::uint16_t relaysPort = 17381;
 
 static std::string allocateLoopbackAddress()
 {
--- a/Tests/Support/edge_fleet.h
+++ b/Tests/Support/edge_fleet.h
@@ -39,6 +39,9 @@
     void declare(std::uint64_t version, std::size_t shards, bool isSingleRepeatable, std::string const& desk = "desk");
     /// Sets a hook that completes each configuration before declare() writes it.
     void setConfigurationHook(std::function<void(boost::json::object&)> hook) { m_completeConfiguration = std::move(hook); }
+    /// Ports of all daemons for each other.
+    static constexpr std::uint16_t peersPort = 17380;
+    static constexpr std::uint16_t relaysPort = 17381;
     /// Start time of a leaf's first incarnation, in Unix milliseconds.
     static constexpr std::int64_t firstStartTime = 1'700'000'000'000;
 
