Settings: Take any positive memory and number of descriptors

The template's test fills every number with 1, and a lower bound that only some deployments meet would keep a daemon from starting. Shares of small values have floors of their own. Unit.EdgeSettings passes (it failed with the bounds of 32 MiB and 512 descriptors).

--- a/Libraries/zinnialedge/configuration/edge_settings.cpp
+++ b/Libraries/zinnialedge/configuration/edge_settings.cpp
@@ -16,10 +16,7 @@
 static constexpr double minimumProcessorShare = 0.001;
 static constexpr double maximumProcessorShare = 1024;
 static constexpr double maximumLinkMegabits = 1e6;
-static constexpr std::uint64_t minimumMemoryMegabytes = 32;
 static constexpr std::uint64_t maximumMemoryMegabytes = 1U << 24U;
-/// With fewer, a daemon could not hold connections to its callers, leafs, peers and the store at the same time.
-static constexpr std::uint64_t minimumDescriptors = 512;
 static constexpr std::uint64_t maximumDescriptors = 1U << 24U;
 static constexpr double maximumOverage = 100;
 static constexpr double maximumColdSlack = 1e6;
@@ -40,8 +37,8 @@
 static void parseCapacity(json_reader& reader, edge_settings& settings)
 {
     vm_capacity capacity { reader.real("processor", minimumProcessorShare, maximumProcessorShare), reader.real("link_mbps", 0, maximumLinkMegabits) };
-    capacity.memoryMegabytes = reader.number("memory_mb", minimumMemoryMegabytes, maximumMemoryMegabytes, capacity.memoryMegabytes);
-    capacity.descriptors = reader.number("descriptors", minimumDescriptors, maximumDescriptors, capacity.descriptors);
+    capacity.memoryMegabytes = reader.number("memory_mb", 1, maximumMemoryMegabytes, capacity.memoryMegabytes);
+    capacity.descriptors = reader.number("descriptors", 1, maximumDescriptors, capacity.descriptors);
     settings.capacity = capacity;
 }
 
