Wire: Limit what all connections of an HTTP server hold together

Cause: the parser limits the head and the body of a request, but neither trailers nor the extensions of chunks; each connection had a limit, all together had none; at the limit of connections new ones were refused while idle ones stayed for five minutes; a failed accept was repeated at once.

The server reads with its own loop now. A trailer or the line of a chunk has at most 16 KiB, and the encoding of a body at most 16 times its bytes. Incomplete requests and unwritten responses are charged to one budget; when it is exceeded, the oldest large ones are closed. At the limit of connections, the connection that has waited longest for its first request is closed for the new one. The fields of a trailer are dropped, since they must not be merged into the head (RFC 9110, section 6.5.1). Shares of the VM's descriptors and memory give each port of zinnialedge-edge its limits.

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -36,6 +36,8 @@
 /// Time in which the requests of the last accepted connections arrive.
 static constexpr std::chrono::milliseconds lastRequestTime { 40 };
 static constexpr std::chrono::milliseconds serviceAnswerTimeout { 200 };
+/// Operators send log levels.
+static constexpr std::size_t maximumOperatorBodyBytes = 65'536;
 
 edge_daemon::edge_daemon(configuration::edge_settings settings)
     : m_settings(std::move(settings))
@@ -56,6 +58,9 @@
     traffic.callers = m_settings.callers;
     traffic.relays = m_settings.relays;
     traffic.leafCallSource = m_settings.leafCallSource;
+    auto const capacity = m_settings.capacity.value_or(configuration::vm_capacity {});
+    auto const connections = limits::shareDescriptors(capacity.descriptors);
+    auto const memory = limits::shareMemory(capacity.memoryMegabytes);
     traffic.engine.dataCentre = m_settings.dataCentre;
     traffic.engine.extraCalls = m_settings.extraCalls;
     traffic.engine.quotaTolerance = m_settings.quotaTolerance;
@@ -80,12 +85,14 @@
         .seeds = m_settings.seeds,
         .directoryValidity = directoryValidity,
         .readsEvacuations = m_settings.readsEvacuations,
+        .connections = connections,
+        .memory = memory,
     };
     if (m_settings.capacity)
         fleet.strength = m_settings.capacity->processor;
     auto const fleetService = TRY(fleet_service::create(std::move(fleet), std::move(protocols.store), *trafficService));
     boost::json::object const daemonInfo { { "daemon", m_settings.name }, { "callers", toString(m_settings.callers) }, { "data_centre", m_settings.dataCentre }, { "incarnation", m_incarnation }, { "version", ZINNIALEDGE_VERSION } };
-    auto const operators = TRY(operator_service::create(m_settings.operators, boost::json::serialize(daemonInfo), TRY(configuration::partner_keys::load({})), m_registry));
+    auto const operators = TRY(operator_service::create(m_settings.operators, boost::json::serialize(daemonInfo), TRY(configuration::partner_keys::load({})), m_registry, { .bodyBytes = maximumOperatorBodyBytes, .connections = connections.operators, .memoryBytes = memory.otherPort }));
     operators->setRouteExplainer([traffic = trafficService](auto const& parameters, auto receiver) { return traffic->requestExplanation(parameters, std::move(receiver)); });
     // Services stop in reverse order: the traffic service last, since the other services send events to its inbox.
     m_registry.add(trafficService);
--- a/Libraries/zinnialedge/wire/http_server.cpp
+++ b/Libraries/zinnialedge/wire/http_server.cpp
@@ -1,5 +1,6 @@
 #include "Libraries/zinnialedge/wire/http_server.h"
 
+#include "Libraries/zinnialedge/limits/memory_budget.h"
 #include "Libraries/zinnialedge/wire/beast_framing.h"
 #include "Libraries/zinnialedge/wire/tcp_listener.h"
 #include <algorithm>
@@ -10,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <set>
+#include <vector>
 
 namespace zinnialedge::wire {
 
@@ -18,6 +20,17 @@
 namespace http = beast::http;
 using tcp = asio::ip::tcp;
 
+/// Delay before the next accept after a failed accept.
+static constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
+/// Maximum size of a chunk's line or a trailer.
+static constexpr std::size_t maximumFramingBytes = 16'384;
+/// Greatest ratio of the bytes in which a body is sent to those of the body.
+static constexpr std::size_t maximumEncodingRatio = 16;
+/// Memory of a header field besides its bytes, in the parser.
+static constexpr std::size_t fieldOverhead = 80;
+/// Connections with less memory are not given up for lack of memory, since their number is limited.
+static constexpr std::size_t smallBufferBytes = 8192;
+
 class http_connection_session;
 
 class http_server::implementation : public std::enable_shared_from_this<implementation> {
@@ -26,6 +39,7 @@
         : m_context(context)
         , m_acceptor(context)
         , m_limits(std::move(limits))
+        , m_memory(std::make_shared<limits::memory_budget>(limits::memory_budget { .limit = m_limits.memoryBytes }))
         , m_handler(std::move(handler))
     {
     }
@@ -34,6 +48,9 @@
     void accept();
     void remove(http_connection_session* session) { m_openSessions.erase(session); }
     void cutConnections();
+    /// Closes the oldest connections with large incomplete requests or unwritten responses, until the others fit into their memory.
+    void relieveMemory();
+    std::shared_ptr<limits::memory_budget> const& memory() const { return m_memory; }
 
     asio::io_context& context() { return m_context; }
     tcp::acceptor& acceptor() { return m_acceptor; }
@@ -45,10 +62,13 @@
 
 private:
     void admit(tcp::socket);
+    /// Closes a connection without a request for a new one. Returns false when all have requests.
+    bool closeWaitingSession();
 
     asio::io_context& m_context;
     tcp::acceptor m_acceptor;
     http_server_options m_limits;
+    std::shared_ptr<limits::memory_budget> m_memory;
     http_handler m_handler;
     std::set<http_connection_session*> m_openSessions;
     std::uint64_t m_lastRequestNumber { 0 };
@@ -60,6 +80,7 @@
     http_connection_session(tcp::socket socket, std::shared_ptr<http_server::implementation> server)
         : m_stream(std::move(socket))
         , m_server(std::move(server))
+        , m_memory(m_server->memory())
     {
     }
 
@@ -71,66 +92,150 @@
     {
         m_parser.emplace();
         m_parser->body_limit(m_server->limits().bodyBytes);
+        m_request = {};
+        m_receivedBytes = 0;
+        m_isHeadTaken = false;
+        m_memory.set(0);
+        m_stateSince = std::chrono::steady_clock::now();
         if (m_buffer.size() > 0) {
-            readRequest();
+            m_stream.expires_after(m_server->limits().readTimeout);
+            parseRequest();
             return;
         }
         m_stream.expires_after(m_server->limits().idleTimeout);
-        // The read timeout starts with the first bytes of a request, so these bytes are read separately under the idle timeout.
-        m_stream.async_read_some(m_buffer.prepare(initialReadBufferBytes), [self = shared_from_this()](beast::error_code failure, std::size_t bytes) {
-            if (failure)
-                return;
-            self->m_buffer.commit(bytes);
-            self->readRequest();
-        });
+        readMore();
     }
 
     void close()
     {
+        m_isClosed = true;
+        m_server->remove(this);
+        m_memory.set(0);
         beast::error_code ignored;
         m_stream.socket().close(ignored);
+        // Nothing reads the bytes any more, and the completion of the write may have to wait while other responses need the memory.
+        if (m_isWriting)
+            dropResponse();
     }
 
     bool isAnswering() const { return m_isAnswering; }
+    bool isWriting() const { return m_isWriting; }
+    bool hasAnswered() const { return m_hasAnswered; }
+    std::size_t heldBytes() const { return m_memory.bytes(); }
+    std::chrono::steady_clock::time_point stateSince() const { return m_stateSince; }
 
 private:
-    static constexpr std::size_t initialReadBufferBytes = 4096;
+    static constexpr std::size_t readBufferBytes = 4096;
 
-    void readRequest()
+    void readMore()
     {
-        m_stream.expires_after(m_server->limits().readTimeout);
-        http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code failure, std::size_t) { self->handleReadCompletion(failure); });
+        m_stream.async_read_some(m_buffer.prepare(readBufferBytes), [self = shared_from_this()](beast::error_code failure, std::size_t bytes) {
+            // Bytes may have arrived just before the connection was closed.
+            if (failure || self->m_isClosed)
+                return;
+            // The time limit of a request starts with its first bytes.
+            if (self->m_receivedBytes == 0) {
+                self->m_stream.expires_after(self->m_server->limits().readTimeout);
+                self->m_stateSince = std::chrono::steady_clock::now();
+            }
+            self->m_buffer.commit(bytes);
+            self->m_receivedBytes += bytes;
+            self->parseRequest();
+        });
     }
 
-    void handleReadCompletion(beast::error_code failure)
+    void parseRequest()
     {
-        if (failure == http::error::body_limit || failure == http::error::header_limit) {
-            reject({ errors::error_kind::request_too_large, "the request exceeds the limit of " + std::to_string(m_server->limits().bodyBytes) + " bytes", {} });
-            return;
+        while (!m_parser->is_done() && m_buffer.size() > 0) {
+            beast::error_code failure;
+            auto const consumed = m_parser->put(m_buffer.data(), failure);
+            m_buffer.consume(consumed);
+            if (failure && failure != http::error::need_more) {
+                handleReadFailure(failure);
+                return;
+            }
+            if (m_parser->is_header_done() && !m_isHeadTaken) {
+                if (!isFramingCertain(m_parser->get())) {
+                    reject({ errors::error_kind::malformed_request, "the request does not tell where its body ends", {} });
+                    return;
+                }
+                takeHead();
+                continue;
+            }
+            if (failure || consumed == 0)
+                break;
         }
-        if (failure.category() == http::make_error_code(http::error::end_of_stream).category() && failure != http::error::end_of_stream) {
-            reject({ errors::error_kind::malformed_request, "malformed HTTP request: " + failure.message(), {} });
+        if (m_parser->is_done()) {
+            handleRequest();
             return;
         }
-        if (failure)
-            return;
-        if (!isFramingCertain(m_parser->get())) {
-            reject({ errors::error_kind::malformed_request, "the request does not tell where its body ends", {} });
+        if (isFramingTooLong()) {
+            handleReadFailure(http::error::header_limit);
             return;
         }
-        m_stream.expires_never();
-        m_isAnswering = true;
-        auto message = m_parser->release();
-        m_shouldKeepAlive = message.keep_alive();
+        auto const& message = m_parser->get();
+        auto const fieldCount = static_cast<std::size_t>(std::distance(message.begin(), message.end())) + m_request.headers.size();
+        m_memory.set(m_buffer.capacity() + message.body().capacity() + fieldCount * fieldOverhead);
+        if (m_memory.isBudgetExceeded())
+            m_server->relieveMemory();
+        if (!m_isClosed)
+            readMore();
+    }
+
+    /// The parser limits the head and the body, but neither trailers nor the extensions of chunks.
+    bool isFramingTooLong() const
+    {
+        if (!m_isHeadTaken)
+            return false;
+        return m_buffer.size() > maximumFramingBytes || m_receivedBytes > 2 * maximumFramingBytes + maximumEncodingRatio * m_parser->get().body().size();
+    }
+
+    /// Takes the fields of the head before the parser adds those of a trailer, which are dropped.
+    void takeHead()
+    {
+        m_isHeadTaken = true;
+        m_shouldKeepAlive = m_parser->keep_alive();
+        auto& message = m_parser->get();
         m_httpVersion = message.version();
-        m_currentRequestNumber = m_server->nextRequestNumber();
-        http_request request { std::string { message.method_string() }, std::string { message.target() }, std::move(message.body()), {}, m_currentRequestNumber };
+        m_request.method = std::string { message.method_string() };
+        m_request.target = std::string { message.target() };
         for (auto const& field : message) {
             auto name = toLowerCase(field.name_string());
-            request.headers[std::move(name)] = std::string { field.value() };
+            m_request.headers[std::move(name)] = std::string { field.value() };
         }
+        message.clear();
+        m_parser->eager(true);
+    }
+
+    void handleReadFailure(beast::error_code failure)
+    {
+        if (failure == http::error::body_limit || failure == http::error::header_limit)
+            reject({ errors::error_kind::request_too_large, "the request exceeds the limit of " + std::to_string(m_server->limits().bodyBytes) + " bytes", {} });
+        else
+            reject({ errors::error_kind::malformed_request, "malformed HTTP request: " + failure.message(), {} });
+    }
+
+    void handleRequest()
+    {
+        m_stream.expires_never();
+        m_isAnswering = true;
+        m_memory.set(0);
+        m_stateSince = std::chrono::steady_clock::now();
+        m_currentRequestNumber = m_server->nextRequestNumber();
+        m_request.body = std::move(m_parser->get().body());
+        m_request.number = m_currentRequestNumber;
+        m_parser.reset();
+        if (m_buffer.size() == 0)
+            m_buffer.shrink_to_fit();
         detectClientClose();
-        m_server->handler()(std::move(request), [self = shared_from_this()](http_response response) { self->write(std::move(response)); });
+        m_server->handler()(std::move(m_request), [self = shared_from_this()](http_response response) { self->write(std::move(response)); });
+    }
+
+    void dropResponse()
+    {
+        // Assignment of an empty string would keep the memory.
+        m_response.body().clear();
+        m_response.body().shrink_to_fit();
     }
 
     /// Detects that the client closes the connection while its request is being handled, when no read is pending.
@@ -158,6 +263,8 @@
     void write(http_response response)
     {
         m_currentRequestNumber = 0;
+        if (m_isClosed)
+            return;
         m_response = {};
         m_response.version(m_httpVersion);
         m_response.result(static_cast<unsigned>(response.status));
@@ -168,12 +275,23 @@
         m_response.body() = std::move(response.body);
         m_response.prepare_payload();
         m_stream.expires_after(m_server->limits().readTimeout);
+        m_isWriting = true;
+        m_stateSince = std::chrono::steady_clock::now();
+        m_memory.set(m_response.body().size());
+        if (m_memory.isBudgetExceeded())
+            m_server->relieveMemory();
+        if (m_isClosed)
+            return;
         http::async_write(m_stream, m_response, [self = shared_from_this()](beast::error_code failure, std::size_t) { self->handleWriteCompletion(failure); });
     }
 
     void handleWriteCompletion(beast::error_code failure)
     {
         m_isAnswering = false;
+        m_isWriting = false;
+        m_hasAnswered = true;
+        dropResponse();
+        m_memory.set(0);
         if (failure)
             return;
         if (m_shouldKeepAlive) {
@@ -189,6 +307,16 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
     std::shared_ptr<http_server::implementation> m_server;
+    /// Memory of the incomplete request or of the response that is being written.
+    limits::memory_charge m_memory;
+    http_request m_request;
+    /// Number of bytes received since the start of the request, apart from those that came with the request before.
+    std::size_t m_receivedBytes { 0 };
+    std::chrono::steady_clock::time_point m_stateSince;
+    bool m_isHeadTaken { false };
+    bool m_isWriting { false };
+    bool m_isClosed { false };
+    bool m_hasAnswered { false };
     /// Number of the request that is being handled, or zero.
     std::uint64_t m_currentRequestNumber { 0 };
     unsigned m_httpVersion { 11 };
@@ -207,16 +335,53 @@
     m_acceptor.async_accept([self = shared_from_this()](beast::error_code failure, tcp::socket socket) {
         if (failure == asio::error::operation_aborted)
             return;
-        if (!failure)
+        if (!failure) {
             self->admit(std::move(socket));
-        self->accept();
+            self->accept();
+            return;
+        }
+        // The process is out of file descriptors, for example; open connections will release theirs.
+        auto const pause = std::make_shared<asio::steady_timer>(self->m_context, acceptRetryDelay);
+        pause->async_wait([self, pause](beast::error_code) {
+            if (self->m_acceptor.is_open())
+                self->accept();
+        });
     });
 }
 
+bool http_server::implementation::closeWaitingSession()
+{
+    auto const rankOf = [](http_connection_session const* session) { return std::pair { session->hasAnswered(), session->stateSince() }; };
+    http_connection_session* chosen = nullptr;
+    for (auto* const session : m_openSessions) {
+        if (!session->isAnswering() && (!chosen || rankOf(session) < rankOf(chosen)))
+            chosen = session;
+    }
+    if (chosen)
+        chosen->close();
+    return chosen;
+}
+
+void http_server::implementation::relieveMemory()
+{
+    std::vector<http_connection_session*> large;
+    for (auto* const session : m_openSessions) {
+        if ((!session->isAnswering() || session->isWriting()) && session->heldBytes() > smallBufferBytes)
+            large.push_back(session);
+    }
+    std::sort(large.begin(), large.end(), [](auto const* left, auto const* right) { return left->stateSince() < right->stateSince(); });
+    for (auto* const session : large) {
+        if (!m_memory->isExceeded())
+            return;
+        session->close();
+    }
+}
+
 void http_server::implementation::admit(tcp::socket socket)
 {
-    bool const isBelowConnectionLimit = m_openSessions.size() < m_limits.connections;
-    if (!isBelowConnectionLimit || (m_limits.shouldAcceptConnection && !m_limits.shouldAcceptConnection()))
+    if (m_openSessions.size() >= m_limits.connections && !closeWaitingSession())
+        return;
+    if (m_limits.shouldAcceptConnection && !m_limits.shouldAcceptConnection())
         return;
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
@@ -232,7 +397,7 @@
 
 void http_server::implementation::cutConnections()
 {
-    for (auto* session : m_openSessions)
+    for (auto* const session : std::set { m_openSessions })
         session->close();
 }
 
--- a/Libraries/zinnialedge/wire/http_server.h
+++ b/Libraries/zinnialedge/wire/http_server.h
@@ -19,7 +19,10 @@
 
 struct http_server_options {
     std::size_t bodyBytes { 1 << 20 };
+    /// Number of connections above which one without a request is closed for each new one. A new one is closed at once when all have requests.
     std::size_t connections { 4096 };
+    /// Memory of all incomplete requests and unwritten responses together, above which the oldest large ones are given up.
+    std::size_t memoryBytes { 32U << 20U };
     /// Time limit for receiving a complete request, counted from its first bytes, and for sending the response.
     std::chrono::milliseconds readTimeout { 10'000 };
     /// Time limit for a connection without a request.
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -30,6 +30,8 @@
 static constexpr std::chrono::milliseconds watchHoldTime { 20'000 };
 /// Interval between snapshot requests to peers while the store is unreachable.
 static constexpr std::chrono::milliseconds periodicInterval { 500 };
+/// Neither callers nor other daemons send requests with bodies to the fleet service.
+static constexpr std::size_t maximumBodyBytes = 4096;
 /// Interval between comparisons of the registrations with the live daemons.
 static constexpr std::chrono::milliseconds registrationCheckInterval { 5000 };
 
@@ -103,10 +105,10 @@
 
 errors::error_or<void> fleet_service::listen()
 {
-    auto const startListening = [this](model::endpoint const& endpoint, wire::http_handler handler) {
-        return wire::http_server::listen(m_workerThread.context(), endpoint, {}, std::move(handler));
+    auto const startListening = [this](model::endpoint const& endpoint, std::size_t connections, std::size_t memoryBytes, wire::http_handler handler) {
+        return wire::http_server::listen(m_workerThread.context(), endpoint, { .bodyBytes = maximumBodyBytes, .connections = connections, .memoryBytes = memoryBytes }, std::move(handler));
     };
-    auto directory = startListening(m_settings.directoryEndpoint, [this](wire::http_request const& request, wire::http_responder const& respond) {
+    auto directory = startListening(m_settings.directoryEndpoint, m_settings.connections.directory, m_settings.memory.otherPort, [this](wire::http_request const& request, wire::http_responder const& respond) {
         if (auto const dataCentre = m_protocol.parseDirectoryQuery(request))
             answerDirectory(*dataCentre, respond);
         else
@@ -115,7 +117,7 @@
     if (!directory)
         return tl::unexpected(directory.error());
     m_directoryServer = std::move(*directory);
-    auto readiness = startListening(m_settings.readinessEndpoint, [this](wire::http_request const& request, wire::http_responder const& respond) {
+    auto readiness = startListening(m_settings.readinessEndpoint, m_settings.connections.readiness, m_settings.memory.otherPort, [this](wire::http_request const& request, wire::http_responder const& respond) {
         if (m_protocol.isReadinessRequest(request))
             answerReadiness(respond);
         else
@@ -124,7 +126,7 @@
     if (!readiness)
         return tl::unexpected(readiness.error());
     m_readinessServer = std::move(*readiness);
-    auto peers = startListening(m_settings.peerEndpoint, [this](wire::http_request const& request, wire::http_responder const& respond) { answerSnapshotRequest(request, respond); });
+    auto peers = startListening(m_settings.peerEndpoint, m_settings.connections.peers, m_settings.memory.peers, [this](wire::http_request const& request, wire::http_responder const& respond) { answerSnapshotRequest(request, respond); });
     if (!peers)
         return tl::unexpected(peers.error());
     m_peerServer = std::move(*peers);
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -42,6 +42,8 @@
     std::optional<double> strength {};
     /// Whether evacuations of data centres are read from the store.
     bool readsEvacuations { false };
+    limits::connection_shares connections { limits::shareDescriptors(4096) };
+    limits::memory_shares memory { limits::shareMemory(256) };
 };
 
 /// Settings that may change while a daemon runs.
--- a/Services/operators/operator_service.cpp
+++ b/Services/operators/operator_service.cpp
@@ -38,10 +38,10 @@
     }
 };
 
-errors::error_or<std::shared_ptr<operator_service>> operator_service::create(model::endpoint const& endpoint, std::string processDescription, configuration::partner_keys keys, kernel::service_registry const& registry)
+errors::error_or<std::shared_ptr<operator_service>> operator_service::create(model::endpoint const& endpoint, std::string processDescription, configuration::partner_keys keys, kernel::service_registry const& registry, wire::http_server_options limits)
 {
     std::shared_ptr<operator_service> created { new operator_service(std::move(processDescription), std::move(keys), registry) };
-    if (auto listenResult = created->listen(endpoint); !listenResult)
+    if (auto listenResult = created->listen(endpoint, std::move(limits)); !listenResult)
         return tl::unexpected(listenResult.error());
     return created;
 }
@@ -54,9 +54,8 @@
 {
 }
 
-errors::error_or<void> operator_service::listen(model::endpoint const& endpoint)
+errors::error_or<void> operator_service::listen(model::endpoint const& endpoint, wire::http_server_options limits)
 {
-    wire::http_server_options limits;
     limits.formatErrorBody = [](errors::error const& reason) { return wire::formatError(reason); };
     auto server = wire::http_server::listen(m_workerThread.context(), endpoint, std::move(limits), [this](wire::http_request const& request, wire::http_responder const& respond) { handleRequest(request, respond); });
     if (!server)
--- a/Services/operators/operator_service.h
+++ b/Services/operators/operator_service.h
@@ -16,8 +16,9 @@
 /// HTTP service for operators: GET /state, GET /metrics, GET /route, POST /log-level, POST /commands.
 class operator_service final : public kernel::service {
 public:
-    /// `processDescription` is a JSON object with the constant properties of this process: name, version, incarnation.
-    static errors::error_or<std::shared_ptr<operator_service>> create(model::endpoint const&, std::string processDescription, configuration::partner_keys, kernel::service_registry const&);
+    /// `processDescription` is a JSON object with the constant properties of this process: name, version, incarnation. `limits` are those of
+    /// the port.
+    static errors::error_or<std::shared_ptr<operator_service>> create(model::endpoint const&, std::string processDescription, configuration::partner_keys, kernel::service_registry const&, wire::http_server_options limits = { .connections = defaultConnections });
 
     std::string const& name() const override { return m_workerThread.name(); }
     void start() override { m_workerThread.start(); }
@@ -28,12 +29,13 @@
     void setRouteExplainer(route_explainer explainer) { m_routeExplainer = std::move(explainer); }
 
     static constexpr char const* serviceName = "operators";
+    static constexpr std::size_t defaultConnections = 64;
 
 private:
     struct result_collection;
 
     operator_service(std::string processDescription, configuration::partner_keys, kernel::service_registry const&);
-    errors::error_or<void> listen(model::endpoint const&);
+    errors::error_or<void> listen(model::endpoint const&, wire::http_server_options limits);
     void handleRequest(wire::http_request const&, wire::http_responder const&);
     void collectState(wire::http_responder const&);
     void collectMetrics(wire::http_responder const&);
