Fleet: Limit the polls that are held and the answers that are kept

A client at the port of the other daemons could make a daemon take 397 MiB with 3,000 polls from different positions, and 60 MiB with 3,000 polls that it abandoned (48 MiB are there): an answer was kept for each position until the next change, and the number of held polls had no limit.

Answers are kept for at most four positions, since most subscribers are in one of a few. Above the number of connections of the port, the oldest held poll is answered at once; its subscriber asks again if it is still there.

Evidence: CrowdDistinctPolls and CrowdAbandonedPolls failed on the code before, with these figures, and pass now.

--- a/Services/fleet/poll_server.cpp
+++ b/Services/fleet/poll_server.cpp
@@ -10,6 +10,9 @@
 /// end within this time of each other are answered together, which saves wakes.
 static constexpr std::chrono::milliseconds answerBatch { 50 };
 
+/// Most subscribers are in one of a few positions. Others may claim any position.
+static constexpr std::size_t maximumKeptBodies = 4;
+
 poll_server::poll_server(boost::asio::io_context& context, poll_server_hooks hooks)
     : m_hooks(std::move(hooks))
     , m_timer(context)
@@ -24,6 +27,11 @@
         answer(selection, respond);
         return;
     }
+    // A subscriber may have closed its connection, which is noticed only when it is answered.
+    if (m_heldPolls.size() >= m_hooks.maximumHeldPolls && !m_heldPolls.empty()) {
+        auto const oldest = m_heldPolls.extract(m_heldPolls.begin()).mapped();
+        answer(selectParts(oldest.poll, m_hooks.currentState()), oldest.respond);
+    }
     auto const heldUntil = std::chrono::steady_clock::now() + poll.holdTime;
     m_heldPolls.emplace(heldUntil, held_poll { poll, heldUntil, std::move(respond) });
     if (m_heldPolls.begin()->second.heldUntil == heldUntil)
@@ -35,6 +43,8 @@
     std::string key { selection.hasConfiguration ? "c" : "" };
     for (auto const& [name, since] : selection.parts)
         key += "/" + name + "." + (since ? std::to_string(*since) : "all");
+    if (!m_bodies.contains(key) && m_bodies.size() >= maximumKeptBodies)
+        m_bodies.clear();
     auto& body = m_bodies[key];
     if (body.empty())
         body = m_hooks.formatAnswer(selection);
--- a/Services/fleet/poll_server.h
+++ b/Services/fleet/poll_server.h
@@ -11,6 +11,8 @@
 struct poll_server_hooks {
     std::function<zinnialedge::fleet::snapshot_state()> currentState;
     std::function<std::string(zinnialedge::fleet::snapshot_selection const&)> formatAnswer;
+    /// Number of held polls above which the oldest one is answered.
+    std::size_t maximumHeldPolls { 0 };
 };
 
 /// Holds the polls of subscribers until there is news for them.
--- a/Tests/Faults/crowd_at_ports_test.cpp
+++ b/Tests/Faults/crowd_at_ports_test.cpp
@@ -181,3 +181,22 @@
             connection.ask("GET /fleet/snapshot?wait_ms=0&origin=" + std::to_string(incarnation) + "&version=9&store=1&part_leafs=0.0." + std::to_string(number) + " HTTP/1.1\r\nHost: host\r\n\r\n");
     }));
 }
+
+TEST_GROUP(CrowdAbandonedPolls) {};
+
+// Polls with many parts, whose connections are closed while they are held.
+TEST(CrowdAbandonedPolls, WithManyParts)
+{
+    static constexpr int roundCount = 12;
+    std::string poll = "GET /fleet/snapshot?wait_ms=1000&version=9&era=9&store=1";
+    for (int part = 0; poll.size() < 7900; ++part)
+        poll += "&part_" + std::to_string(part) + "=1";
+    poll += " HTTP/1.1\r\nHost: host\r\n\r\n";
+    crowded_daemon daemon;
+    checkBears(daemon.watch([&] {
+        for (int round = 0; round < roundCount; ++round) {
+            tests::crowd const visitors { { .endpoint = daemon.peers(), .connectionCount = 250, .start = poll } };
+            std::this_thread::sleep_for(std::chrono::milliseconds { 60 });
+        }
+    }));
+}
