Membership: Limit the number of members, and look them up in a set

Datagrams are not authenticated, and each may bring names of daemons that nobody has started. The table of members had no limit, and each change of a member compared all members with each other.

--- a/Libraries/zinnialedge/membership/member_table.cpp
+++ b/Libraries/zinnialedge/membership/member_table.cpp
@@ -11,6 +11,8 @@
 static constexpr std::size_t sufficientLocalTargets = 4;
 static constexpr std::uint64_t remoteProbeInterval = 4;
 static constexpr int selectionAttempts = 8;
+/// About twice the number of daemons of a large deployment, since restarted daemons count as new members until the old ones are evicted.
+static constexpr std::size_t maximumMembers = 8192;
 
 member_table::member_table(kernel::random_hook random)
     : m_random(std::move(random))
@@ -40,6 +42,9 @@
     auto const* known = find(name);
     if (known ? !supersedes(update, *known) : !isSelfDeclared(update.status))
         return {};
+    // Datagrams are not authenticated, so the number of names that they bring is limited.
+    if (!known && m_members.size() >= maximumMembers)
+        return {};
     if (known && !isSelfDeclared(update.status) && update.record.incarnation > known->record.incarnation)
         return {}; // A suspect or dead update carries no endpoint, so a new incarnation can't be recorded from such an update.
     std::vector<std::string> changed;
--- a/Services/fleet/fleet_directory.cpp
+++ b/Services/fleet/fleet_directory.cpp
@@ -80,13 +80,15 @@
 std::vector<zinnialedge::fleet::serving_daemon> fleet_service::servingDaemons() const
 {
     std::vector<zinnialedge::fleet::serving_daemon> daemons;
+    std::set<model::endpoint> endpoints;
     auto const now = std::chrono::steady_clock::now();
-    if (m_isServing && !m_isLeaving)
+    if (m_isServing && !m_isLeaving) {
         daemons.push_back({ m_settings.name, m_settings.dataCentre, m_settings.callerEndpoint, m_reachesLeafs, m_settings.strength });
+        endpoints.insert(m_settings.callerEndpoint);
+    }
     for (auto const& [name, member] : m_membershipLink.engine().members().members()) {
         // A restarted daemon counts as two members until its earlier incarnation is declared dead.
-        bool const isKnown = std::any_of(daemons.begin(), daemons.end(), [&](auto const& each) { return each.place == member.record.callerEndpoint; });
-        if (member.status == member_status::serving && !isKnown)
+        if (member.status == member_status::serving && endpoints.insert(member.record.callerEndpoint).second)
             daemons.push_back({ name.substr(0, name.rfind('.')), member.record.dataCentre, member.record.callerEndpoint, member.reachesLeafs && !m_reachMarks.isMarked(member.record.callerEndpoint.address, now), member.strength });
     }
     return daemons;
--- a/Services/fleet/fleet_snapshots.cpp
+++ b/Services/fleet/fleet_snapshots.cpp
@@ -3,6 +3,7 @@
 #include "Kernel/event_log.h"
 #include "Services/fleet/snapshot_codec.h"
 #include <boost/asio/io_context.hpp>
+#include <set>
 
 namespace zinnialedge::services::fleet {
 
@@ -158,12 +159,14 @@
 void fleet_service::tellReaderLink()
 {
     std::vector<zinnialedge::fleet::serving_daemon> daemons;
-    if (!m_isLeaving)
+    std::set<model::endpoint> endpoints;
+    if (!m_isLeaving) {
         daemons.push_back({ m_settings.name, m_settings.dataCentre, m_settings.peerEndpoint, true, m_settings.strength });
+        endpoints.insert(m_settings.peerEndpoint);
+    }
     for (auto const& [name, member] : m_membershipLink.engine().members().members()) {
         // A restarted daemon counts as two members until its earlier incarnation is declared dead.
-        bool const isKnown = std::any_of(daemons.begin(), daemons.end(), [&](auto const& each) { return each.place == member.record.peerEndpoint; });
-        if (member.status != member_status::dead && member.status != member_status::leaving && !isKnown)
+        if (member.status != member_status::dead && member.status != member_status::leaving && endpoints.insert(member.record.peerEndpoint).second)
             daemons.push_back({ name.substr(0, name.rfind('.')), member.record.dataCentre, member.record.peerEndpoint, true, member.strength });
     }
     m_readerLink.setDaemons(std::move(daemons));
