Peers: Let the memory of a message grow with what has come

zinnialedged could be made to run out of memory or descriptors at the port of the other daemons: a message reserved the size that its first four bytes announced (16 MiB), for any number of connections; connections had no limit in number; a failed accept was repeated at once.

Messages are read in steps of 64 KiB. Incomplete messages of all incoming connections share 32 MiB, above which the oldest are closed. Above 256 connections, the idlest one without a relayed query is closed for the new one. A failed accept is repeated after 50 ms.

--- a/Services/peers/peer_connection.cpp
+++ b/Services/peers/peer_connection.cpp
@@ -1,5 +1,6 @@
 #include "Services/peers/peer_connection.h"
 
+#include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -9,9 +10,13 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+/// Greatest number of bytes that are read of a message at a time.
+static constexpr std::size_t readChunkBytes = 65'536;
+
 peer_connection::peer_connection(tcp::socket socket, peer_connection_hooks hooks)
     : m_socket(std::move(socket))
     , m_hooks(std::move(hooks))
+    , m_incompleteMessage(m_hooks.incompleteMessages)
 {
 }
 
@@ -44,6 +49,9 @@
     m_isClosed = true;
     error_code ignored;
     m_socket.close(ignored);
+    m_incompleteMessage.set(0);
+    m_bodyBuffer.clear();
+    m_bodyBuffer.shrink_to_fit();
     m_hooks.connectionClosed();
 }
 
@@ -83,16 +91,38 @@
 
 void peer_connection::readBody(std::size_t length)
 {
-    m_bodyBuffer.resize(length);
-    asio::async_read(m_socket, asio::buffer(m_bodyBuffer), [self = shared_from_this()](error_code failure, std::size_t) {
-        auto message = failure ? errors::makeError(errors::error_kind::internal, "connection closed while reading a message") : wire::decodePeerMessage(self->m_bodyBuffer);
-        if (!message) {
+    auto const receivedBytes = m_bodyBuffer.size();
+    if (receivedBytes == length) {
+        handleBody();
+        return;
+    }
+    m_bodyBuffer.resize(receivedBytes + std::min(length - receivedBytes, readChunkBytes));
+    m_incompleteMessage.set(m_bodyBuffer.capacity());
+    if (m_incompleteMessage.isBudgetExceeded() && m_hooks.memoryExceeded)
+        m_hooks.memoryExceeded();
+    if (m_isClosed)
+        return;
+    asio::async_read(m_socket, asio::buffer(m_bodyBuffer) + receivedBytes, [self = shared_from_this(), length](error_code failure, std::size_t) {
+        if (failure || self->m_isClosed)
             self->close();
-            return;
-        }
-        self->m_hooks.messageReceived(std::move(*message));
-        self->readLength();
+        else
+            self->readBody(length);
     });
 }
 
+void peer_connection::handleBody()
+{
+    auto message = wire::decodePeerMessage(m_bodyBuffer);
+    m_bodyBuffer.clear();
+    m_bodyBuffer.shrink_to_fit();
+    m_incompleteMessage.set(0);
+    m_idleSince = std::chrono::steady_clock::now();
+    if (!message) {
+        close();
+        return;
+    }
+    m_hooks.messageReceived(std::move(*message));
+    readLength();
+}
+
 }
--- a/Services/peers/peer_service.cpp
+++ b/Services/peers/peer_service.cpp
@@ -3,8 +3,11 @@
 #include "Kernel/try.h"
 #include "Libraries/zinnialedge/wire/membership_codec.h"
 #include "Libraries/zinnialedge/wire/tcp_listener.h"
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
+#include <set>
 
 namespace zinnialedge::services::peers {
 
@@ -17,6 +20,12 @@
 static constexpr std::size_t actionRingCapacity = 16'384;
 static constexpr int maximumBindAttempts = 20;
 static constexpr std::chrono::milliseconds overloadRetryAfter { 50 };
+/// Number of incoming connections above which the idlest one is closed for a new one; its daemon opens another when it needs one.
+static constexpr std::size_t maximumIncomingConnections = 256;
+/// Memory of the messages that have come in part, on all incoming connections together.
+static constexpr std::size_t incompleteMessageBytes = 32U << 20U;
+/// Delay before the next accept after a failed accept.
+static constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
 
 errors::error_or<std::shared_ptr<peer_service>> peer_service::create(model::endpoint const& endpoint, decisions::decision_service& decisionService)
 {
@@ -31,6 +40,7 @@
     , m_decisionService(decisionService)
     , m_acceptor(m_workerThread.context())
     , m_datagramSocket(m_workerThread.context())
+    , m_incompleteMessages(std::make_shared<limits::memory_budget>(limits::memory_budget { .limit = incompleteMessageBytes }))
 {
     m_decisionService.setPeerOutbox(m_workerThread.createInbox<decisions::peer_action>(actionRingCapacity, [this](decisions::peer_action&& action) { handle(std::move(action)); }));
 }
@@ -82,9 +92,14 @@
     m_acceptor.async_accept([this](error_code failure, tcp::socket socket) {
         if (failure == asio::error::operation_aborted)
             return;
-        if (!failure)
+        if (!failure) {
             startConnection(std::move(socket));
-        acceptNextConnection();
+            acceptNextConnection();
+            return;
+        }
+        // The process is out of file descriptors, for example; open connections will release theirs.
+        auto const pause = std::make_shared<asio::steady_timer>(m_workerThread.context(), acceptRetryDelay);
+        pause->async_wait([this, pause](error_code) { acceptNextConnection(); });
     });
 }
 
@@ -96,11 +111,47 @@
         if (auto const origin = self->lock())
             handlePeerRequest(origin, std::move(message));
     };
-    auto const created = std::make_shared<peer_connection>(std::move(socket), peer_connection_hooks { received, [] { } });
+    if (m_incomingConnections.size() >= maximumIncomingConnections)
+        closeIdlestConnection();
+    auto const pointer = std::make_shared<peer_connection*>(nullptr);
+    auto const created = std::make_shared<peer_connection>(std::move(socket), peer_connection_hooks { received, [this, pointer] { m_incomingConnections.erase(*pointer); }, m_incompleteMessages, [this] { relieveMemory(); } });
     *self = created;
+    *pointer = created.get();
+    m_incomingConnections.emplace(created.get(), created);
     created->startReading();
 }
 
+void peer_service::closeIdlestConnection()
+{
+    std::set<connection> busy;
+    for (auto const& [token, relay] : m_incomingRelays)
+        busy.insert(relay.origin.lock());
+    connection idlest;
+    for (auto const& [pointer, each] : m_incomingConnections) {
+        auto const candidate = each.lock();
+        if (candidate && !busy.contains(candidate) && (!idlest || candidate->idleSince() < idlest->idleSince()))
+            idlest = candidate;
+    }
+    if (idlest)
+        idlest->close();
+}
+
+void peer_service::relieveMemory()
+{
+    std::vector<connection> incomplete;
+    for (auto const& [pointer, each] : m_incomingConnections) {
+        if (pointer->incompleteBytes() > 0)
+            incomplete.push_back(each.lock());
+    }
+    std::sort(incomplete.begin(), incomplete.end(), [](auto const& left, auto const& right) { return left->idleSince() < right->idleSince(); });
+    for (auto const& each : incomplete) {
+        if (!m_incompleteMessages->isExceeded())
+            return;
+        if (each)
+            each->close();
+    }
+}
+
 template <typename T>
 void peer_service::forwardToDecisionService(T&& content)
 {
--- a/Services/peers/peer_service.h
+++ b/Services/peers/peer_service.h
@@ -49,6 +49,10 @@
     errors::error_or<void> bindSockets(model::endpoint const&);
     void acceptNextConnection();
     void startConnection(boost::asio::ip::tcp::socket);
+    /// Closes the incoming connection without a relayed query that has had no message for the longest time.
+    void closeIdlestConnection();
+    /// Closes incoming connections with incomplete messages, the oldest first, until the others fit into their memory.
+    void relieveMemory();
     connection findOrOpenConnection(model::endpoint const&);
     void handle(decisions::peer_action&&);
     void perform(queries::answer_caller const&);
@@ -74,6 +78,8 @@
     boost::asio::ip::udp::endpoint m_datagramSender;
     std::array<char, 2 * membership::maximumDatagramBytes> m_datagramBuffer {};
     std::map<model::endpoint, connection> m_connections;
+    std::unordered_map<peer_connection*, std::weak_ptr<peer_connection>> m_incomingConnections;
+    std::shared_ptr<limits::memory_budget> m_incompleteMessages;
     std::unordered_map<std::uint64_t, outgoing_relay> m_outgoingRelays;
     std::unordered_map<queries::caller_token, std::uint64_t> m_relayCallByCaller;
     std::unordered_map<queries::caller_token, incoming_relay> m_incomingRelays;
