Callers: Limit what all connections of callers hold together

Callers saw a process end: clients that sent trailers without an end behind a chunked body made it run out of memory (8 connections: 576 MiB, where the VM has 48). The same held for the extension or the size of a chunk without an end, for a long trailer with an end (436 MiB, since a field takes far more memory than its bytes), for 150 bodies that never end (154 MiB), 300 heads with many small fields (107 MiB), unread answers (123 MiB) and requests behind unread answers (258 MiB); also at the port of relays.

Cause: the parser limits the head and the body, but neither trailers nor the lines of chunks, and it added the fields of a trailer to those of the head. What one connection holds was limited, what all hold together was not. Beside that the allocator kept large buffers in its heap once freed.

A request is read by a class of its own. It takes the head before the parser reads on, so that a trailer is dropped; a trailer or the line of a chunk is limited like a head, and the encoding of a body to 16 times its bytes. An eighth of the VM's memory is for incomplete requests and unread answers; when they exceed it, the oldest large ones are given up: a request is rejected as not run (503 with Retry-After), the connection of an answer closed. Another eighth is for requests that wait for answers; a large one that does not fit is rejected in the same way. Pipelined bytes are read up to 16 KiB. An answer is written from its own string, without a copy. Large buffers are mappings of their own, which go back to the system when freed.

--- a/Daemons/zinnialedge-edge/main.cpp
+++ b/Daemons/zinnialedge-edge/main.cpp
@@ -1,6 +1,7 @@
 #include "Daemons/planned_stop.h"
 #include "Daemons/zinnialedge-edge/edge_daemon.h"
 #include "Kernel/event_log.h"
+#include "Kernel/memory.h"
 #include "Libraries/zinnialedge/configuration/settings_file.h"
 #include "Libraries/zinnialedge/configuration/settings_watch.h"
 #include "platform/edge_codec.h"
@@ -38,6 +39,7 @@
 
 int main(int argumentCount, char** arguments)
 {
+    kernel::limitRetainedMemory();
     gflags::SetVersionString(ZINNIALEDGE_VERSION);
     gflags::SetUsageMessage("--settings FILE [--check_settings]");
     gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
--- a/Daemons/zinnialedged/main.cpp
+++ b/Daemons/zinnialedged/main.cpp
@@ -1,6 +1,7 @@
 #include "Daemons/planned_stop.h"
 #include "Daemons/zinnialedged/daemon.h"
 #include "Kernel/event_log.h"
+#include "Kernel/memory.h"
 #include "Libraries/zinnialedge/configuration/settings_file.h"
 #include <csignal>
 #include <gflags/gflags.h>
@@ -16,6 +17,7 @@
 
 int main(int argumentCount, char** arguments)
 {
+    kernel::limitRetainedMemory();
     gflags::SetVersionString(ZINNIALEDGE_VERSION);
     gflags::SetUsageMessage("--settings FILE [--check_settings]");
     gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
--- a/Services/traffic/caller_connection.cpp
+++ b/Services/traffic/caller_connection.cpp
@@ -1,10 +1,10 @@
 #include "Services/traffic/caller_connection.h"
 
-#include "Libraries/zinnialedge/wire/beast_framing.h"
+#include "Libraries/zinnialedge/forwarding/retry_after.h"
 #include "Libraries/zinnialedge/wire/tcp_round_trip.h"
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -15,7 +15,11 @@
 namespace http = beast::http;
 
 /// Maximum number of pipelined bytes that are buffered while a request waits for its answer.
-static constexpr std::size_t maximumPipelinedBytes = 65'536;
+static constexpr std::size_t maximumPipelinedBytes = 16'384;
+/// A buffer of at most this size is kept while the connection waits for its next request.
+static constexpr std::size_t keptBufferBytes = 8192;
+/// Requests up to this size are accepted although larger ones fill the memory of open requests.
+static constexpr std::size_t smallRequestBytes = 4096;
 /// Time allowed for the caller to close the connection after the last answer.
 static constexpr std::chrono::milliseconds closingTimeout { 1000 };
 /// Time limit for a complete request with a body, as a multiple of the header timeout.
@@ -24,6 +28,8 @@
 caller_connection::caller_connection(socket accepted, caller_connection_hooks hooks)
     : m_socket(std::move(accepted))
     , m_hooks(std::move(hooks))
+    , m_buffers(m_hooks.buffers)
+    , m_openRequest(m_hooks.openRequests)
     , m_phaseStartedAt(std::chrono::steady_clock::now())
 {
 }
@@ -63,7 +69,7 @@
         break;
     case phase::answering:
         // Keeps reading, so that a closed connection is detected while a request waits for its answer.
-        if (m_buffer.size() < maximumPipelinedBytes)
+        if (m_buffer.size() < maximumPipelinedBytes && !m_buffers.isBudgetExceeded())
             readMore();
         break;
     case phase::closing:
@@ -71,48 +77,65 @@
         readMore();
         break;
     }
+    accountBuffers();
+}
+
+void caller_connection::accountBuffers()
+{
+    if (m_isClosed)
+        return;
+    auto const before = m_buffers.bytes();
+    m_buffers.set(m_buffer.capacity() + (m_reader ? m_reader->heldBytes() : 0) + m_unwrittenAnswer.capacity());
+    if (m_buffers.bytes() > before && m_buffers.isBudgetExceeded())
+        m_hooks.buffersExceeded();
+}
+
+void caller_connection::dropBuffers()
+{
+    m_reader.reset();
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    m_buffers.set(0);
+}
+
+void caller_connection::dropAnswer()
+{
+    // Assignment of an empty string would keep the memory.
+    m_unwrittenAnswer.clear();
+    m_unwrittenAnswer.shrink_to_fit();
+}
+
+bool caller_connection::releaseBuffers()
+{
+    if (m_isClosed)
+        return false;
+    if (m_isWritePending) {
+        close();
+        return true;
+    }
+    if (m_phase != phase::reading)
+        return false;
+    rejectRequest(errors::error_kind::overloaded, forwarding::atCapacityRetryAfter);
+    return true;
 }
 
 void caller_connection::parseRequest()
 {
-    if (!m_parser) {
-        auto const limits = m_hooks.limits();
-        m_parser.emplace();
-        m_parser->eager(true);
-        m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
-        m_parser->body_limit(limits.bodyBytes);
+    if (!m_reader) {
+        m_reader.emplace(*m_hooks.protocol, m_hooks.limits());
         m_hasSentContinue = false;
-        m_foldedLines = {};
-        m_isHeadChecked = false;
     }
-    while (!m_parser->is_done() && m_buffer.size() > 0) {
-        beast::error_code failure;
-        auto const consumed = m_parser->put(m_buffer.data(), failure);
-        m_foldedLines.add({ static_cast<char const*>(m_buffer.data().data()), consumed });
-        m_buffer.consume(consumed);
-        if (failure == http::error::need_more)
-            break;
-        if (failure == http::error::body_limit || failure == http::error::header_limit) {
-            rejectRequest(failure == http::error::body_limit ? errors::error_kind::request_too_large : errors::error_kind::headers_too_large);
-            return;
-        }
-        if (failure) {
-            rejectRequest(errors::error_kind::malformed_request);
-            return;
-        }
-        if (consumed == 0)
-            break;
-    }
-    if (m_parser->is_header_done() && !std::exchange(m_isHeadChecked, true) && !isHeadSound()) {
-        rejectRequest(errors::error_kind::malformed_request);
+    switch (m_reader->read(m_buffer)) {
+    case request_reader::status::failed:
+        rejectRequest(m_reader->failure());
         return;
-    }
-    if (m_parser->is_done()) {
+    case request_reader::status::complete:
         dispatchRequest();
         return;
+    case request_reader::status::incomplete:
+        break;
     }
-    if (m_parser->is_header_done() && !m_hasSentContinue && beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
-        m_hasSentContinue = true;
+    if (m_reader->expectsContinue() && !std::exchange(m_hasSentContinue, true)) {
         beast::error_code ignored;
         static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
         m_socket.write_some(asio::buffer(continueResponse), ignored);
@@ -120,40 +143,14 @@
     readMore();
 }
 
-bool caller_connection::isHeadSound() const
-{
-    return !m_foldedLines.hasFound() && wire::isFramingCertain(m_parser->get());
-}
-
-/// Returns true for a header that the request's Connection header lists: such a header applies to this connection only.
-static bool isNamedByConnection(beast::string_view connection, beast::string_view name)
-{
-    return !connection.empty() && http::token_list { connection }.exists(name);
-}
-
 void caller_connection::dispatchRequest()
 {
-    m_shouldKeepAlive = m_parser->keep_alive();
-    auto message = m_parser->release();
-    m_parser.reset();
+    m_shouldKeepAlive = m_reader->shouldKeepAlive();
+    auto request = m_reader->takeRequest();
+    m_reader.reset();
     m_phase = phase::answering;
     m_phaseStartedAt = std::chrono::steady_clock::now();
-    m_isHeadRequest = message.method() == http::verb::head;
-    forwarding::caller_request request;
-    request.method = std::string { message.method_string() };
-    request.target = std::string { message.target() };
-    auto const connection = message[http::field::connection];
-    for (auto const& field : message) {
-        std::string_view const name { field.name_string().data(), field.name_string().size() };
-        std::string_view const value { field.value().data(), field.value().size() };
-        if (field.name() == http::field::host)
-            request.host = std::string { value.substr(0, value.find(':')) };
-        if (forwarding::isHopByHopHeader(name) || isNamedByConnection(connection, field.name_string()))
-            continue;
-        if (m_hooks.protocol->parseRequestHeader(name, value, request))
-            request.headers.push_back({ std::string { name }, std::string { value } });
-    }
-    request.body = std::move(message.body());
+    m_isHeadRequest = request.method == "HEAD";
     // The caller's timeout starts before the connection is open, so the first request includes the TCP handshake.
     if (auto const roundTrip = wire::roundTripTimeOf(m_socket))
         request.roundTripTime = m_hasAnswered ? *roundTrip : 2 * *roundTrip;
@@ -161,6 +158,12 @@
         rejectRequest(errors::error_kind::malformed_request);
         return;
     }
+    auto const bytes = memoryOf(request);
+    if (bytes > smallRequestBytes && m_hooks.openRequests && !m_hooks.openRequests->hasRoom(bytes)) {
+        rejectRequest(errors::error_kind::overloaded, forwarding::atCapacityRetryAfter);
+        return;
+    }
+    m_openRequest.set(bytes);
     m_hooks.requestReceived(shared_from_this(), std::move(request));
     if (m_phase == phase::answering && m_requestToken)
         readMore();
@@ -184,6 +187,7 @@
 void caller_connection::sendAnswer(forwarding::final_answer const& finalAnswer)
 {
     m_requestToken.reset();
+    m_openRequest.set(0);
     if (m_isClosed)
         return;
     m_hasAnswered = true;
@@ -207,11 +211,12 @@
     writeAnswer(std::move(bytes), isLast);
 }
 
-void caller_connection::rejectRequest(errors::error_kind kind)
+void caller_connection::rejectRequest(errors::error_kind kind, std::optional<std::chrono::milliseconds> retryAfter)
 {
-    errors::error const error { kind, std::string { errors::propertiesOf(kind).description }, std::nullopt };
+    errors::error const error { kind, std::string { errors::propertiesOf(kind).description }, retryAfter };
     m_hooks.requestRejected(error);
     m_shouldKeepAlive = false;
+    dropBuffers();
     forwarding::final_answer refusal;
     refusal.status = errors::propertiesOf(kind).httpStatus;
     refusal.error = error;
@@ -232,15 +237,17 @@
         finishAnswer(isLast);
         return;
     }
-    auto const remainder = std::make_shared<std::string>(bytes.substr(written));
+    m_unwrittenAnswer = std::move(bytes);
     m_isWritePending = true;
-    asio::async_write(m_socket, asio::buffer(*remainder), [self = shared_from_this(), remainder, isLast](beast::error_code result, std::size_t) {
+    asio::async_write(m_socket, asio::buffer(m_unwrittenAnswer) + written, [self = shared_from_this(), isLast](beast::error_code result, std::size_t) {
         self->m_isWritePending = false;
+        self->dropAnswer();
         if (result)
             self->close();
         else
             self->finishAnswer(isLast);
     });
+    accountBuffers();
 }
 
 void caller_connection::finishAnswer(bool isLast)
@@ -256,6 +263,9 @@
     }
     m_phase = phase::idle;
     m_phaseStartedAt = std::chrono::steady_clock::now();
+    if (m_buffer.size() == 0 && m_buffer.capacity() > keptBufferBytes)
+        m_buffer.shrink_to_fit();
+    accountBuffers();
     if (m_buffer.size() == 0) {
         readMore();
         return;
@@ -263,8 +273,10 @@
     // A pipelined request is parsed in a separate turn of the event loop, so that many pipelined requests do not recurse.
     m_phase = phase::reading;
     asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-        if (!self->m_isClosed && self->m_phase == phase::reading)
-            self->parseRequest();
+        if (self->m_isClosed || self->m_phase != phase::reading)
+            return;
+        self->parseRequest();
+        self->accountBuffers();
     });
 }
 
@@ -278,7 +290,7 @@
             close();
         break;
     case phase::reading:
-        if (age > limits.headerTimeout * (m_parser && m_parser->is_header_done() ? bodyTimeoutFactor : 1))
+        if (age > limits.headerTimeout * (m_reader && m_reader->isHeadComplete() ? bodyTimeoutFactor : 1))
             rejectRequest(errors::error_kind::request_timeout);
         break;
     case phase::answering:
@@ -309,8 +321,12 @@
     if (m_requestToken)
         m_hooks.callerDisconnected(*m_requestToken);
     m_requestToken.reset();
+    m_openRequest.set(0);
+    dropBuffers();
     beast::error_code ignored;
     m_socket.close(ignored);
+    // Nothing reads the bytes any more, and the completion of the write may have to wait while other answers need the memory.
+    dropAnswer();
     m_hooks.connectionClosed(this);
 }
 
--- a/Services/traffic/caller_connection.h
+++ b/Services/traffic/caller_connection.h
@@ -1,14 +1,10 @@
 #pragma once
 
-#include "Libraries/zinnialedge/forwarding/edge_protocol.h"
-#include "Libraries/zinnialedge/forwarding/route.h"
-#include "Libraries/zinnialedge/wire/request_framing.h"
+#include "Libraries/zinnialedge/limits/memory_budget.h"
+#include "Services/traffic/request_reader.h"
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -29,6 +25,12 @@
     std::function<bool()> isLeaving;
     /// Called when a request is rejected before it reaches `requestReceived`, for example because it is malformed or too large.
     std::function<void(errors::error const&)> requestRejected;
+    /// Memory of the incomplete requests and unread answers of all connections.
+    std::shared_ptr<limits::memory_budget> buffers;
+    /// Memory of the requests of all connections that wait for their answers.
+    std::shared_ptr<limits::memory_budget> openRequests;
+    /// Called when `buffers` has been exceeded. The hook may call releaseBuffers() of any connection.
+    std::function<void()> buffersExceeded;
 };
 
 /// Connection of a caller: reads a request, waits for the answer, writes the answer, and reads the next request.
@@ -44,6 +46,13 @@
     void sendAnswer(forwarding::final_answer const&);
     /// Closes the connection or rejects the request when the caller exceeds a time limit.
     void enforceTimeLimits(kernel::time_point now);
+    /// Gives up an incomplete request or an answer that is not read. Returns false when the connection has neither.
+    bool releaseBuffers();
+    /// Returns the time since the connection has waited, read or written.
+    kernel::duration phaseAge(kernel::time_point now) const { return now - m_phaseStartedAt; }
+    void close();
+    /// Returns the memory of the incomplete request or of the answer that is being written, in bytes.
+    std::size_t bufferedBytes() const { return m_buffers.bytes(); }
     /// Closes the connection if it has waited for a request for at least `minimumAge` and none has arrived.
     void closeIfIdle(kernel::duration minimumAge, kernel::time_point now);
     /// Returns whether a request is being read or has no complete answer yet.
@@ -52,8 +61,6 @@
     bool isAnswering() const { return !m_isClosed && (m_phase == phase::answering || m_isWritePending); }
 
 private:
-    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
     enum class phase {
         idle,
         reading,
@@ -67,13 +74,14 @@
     void readMore();
     void handleRead(boost::system::error_code, std::size_t bytes);
     void parseRequest();
-    /// Returns whether the head of the request that is being parsed leaves no doubt where the request ends.
-    bool isHeadSound() const;
     void dispatchRequest();
-    void rejectRequest(errors::error_kind);
+    void rejectRequest(errors::error_kind, std::optional<std::chrono::milliseconds> retryAfter = {});
+    void accountBuffers();
+    /// Drops the request that is being read, and the bytes behind it.
+    void dropBuffers();
+    void dropAnswer();
     void writeAnswer(std::string bytes, bool isLast);
     void finishAnswer(bool isLast);
-    void close();
 
     socket m_socket;
     caller_connection_hooks m_hooks;
@@ -81,8 +89,11 @@
     /// Target of the pending read. Not the buffer of unparsed bytes, from which requests are consumed while a read is pending.
     std::array<char, readChunkBytes> m_readChunk {};
     boost::beast::flat_buffer m_buffer;
-    std::optional<parser> m_parser;
-    wire::folded_line_finder m_foldedLines;
+    std::optional<request_reader> m_reader;
+    limits::memory_charge m_buffers;
+    limits::memory_charge m_openRequest;
+    /// Answer that is being written.
+    std::string m_unwrittenAnswer;
     std::optional<forwarding::request_token> m_requestToken;
     phase m_phase { phase::idle };
     kernel::time_point m_phaseStartedAt;
@@ -94,7 +105,6 @@
     /// True while a part of an answer is still to be written.
     bool m_isWritePending { false };
     bool m_hasSentContinue { false };
-    bool m_isHeadChecked { false };
     bool m_isClosed { false };
 };
 
--- a/Services/traffic/traffic_connections.cpp
+++ b/Services/traffic/traffic_connections.cpp
@@ -18,6 +18,8 @@
 static constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
 /// Time in which the first request of a new connection arrives.
 static constexpr std::chrono::milliseconds firstRequestTime { 100 };
+/// Connections with less are not given up for lack of memory, since their number is limited.
+static constexpr std::size_t smallBufferBytes = 8192;
 /// Longer than the keep-alive timeout that the relay protocol announces.
 static constexpr std::chrono::milliseconds relayIdleTimeout { 60'000 };
 
@@ -135,6 +137,9 @@
         armTimer();
     };
     hooks.connectionClosed = [this](caller_connection* closed) { m_callerConnections.erase(closed); };
+    hooks.buffers = m_callerBuffers;
+    hooks.openRequests = m_openRequestMemory;
+    hooks.buffersExceeded = [this] { relieveBuffers(); };
     hooks.isLeaving = [this] { return m_isLeaving; };
     hooks.requestRejected = [](errors::error const& error) { logEvent(log_level::info, "request_rejected", { { "reason", errors::propertiesOf(error.kind).name } }); };
     auto const created = std::make_shared<caller_connection>(std::move(accepted), std::move(hooks));
@@ -142,6 +147,27 @@
     created->start();
 }
 
+void traffic_service::implementation::relieveBuffers()
+{
+    if (std::exchange(m_isRelievingBuffers, true))
+        return;
+    auto connections = callerConnections();
+    // A connection that has been in its state for long sends or reads more slowly than the others.
+    auto const at = now();
+    std::erase_if(connections, [](auto const& each) { return each->bufferedBytes() <= smallBufferBytes; });
+    std::sort(connections.begin(), connections.end(), [at](auto const& left, auto const& right) { return left->phaseAge(at) > right->phaseAge(at); });
+    for (auto const& each : connections) {
+        if (!m_callerBuffers->isExceeded())
+            break;
+        auto const bytes = each->bufferedBytes();
+        if (!each->releaseBuffers())
+            continue;
+        ++m_buffersGivenUp;
+        logEvent(log_level::info, "caller_buffers_given_up", { { "bytes", bytes }, { "limit", m_callerBuffers->limit } });
+    }
+    m_isRelievingBuffers = false;
+}
+
 void traffic_service::implementation::handleRequest(std::shared_ptr<caller_connection> const& origin, forwarding::caller_request request)
 {
     auto const token = ++m_lastRequestToken;
--- a/Services/traffic/traffic_implementation.h
+++ b/Services/traffic/traffic_implementation.h
@@ -27,6 +27,8 @@
         , m_relayAcceptor(context)
         , m_engineTimer(context)
         , m_sweepTimer(context)
+        , m_callerBuffers(std::make_shared<limits::memory_budget>(limits::memory_budget { .limit = m_settings.memory.callerBuffers }))
+        , m_openRequestMemory(std::make_shared<limits::memory_budget>(limits::memory_budget { .limit = m_settings.memory.openRequests }))
         , m_leafConnections(context, m_edgeProtocol, makeLeafPoolHooks(), m_settings.leafCallSource)
         , m_relayConnections(context, m_relayProtocol, { .handleCallEnd = [this](forwarding::call_number number, forwarding::call_result result) { endCall(number, std::move(result)); } })
         , m_requestLog(kernel::makeSteadyClock())
@@ -70,6 +72,8 @@
     /// Peers relay requests within the callers' limits, plus the headers of the relay protocol.
     static forwarding::caller_limits relayLimits(forwarding::caller_limits limits);
     void addConnection(boost::asio::ip::tcp::socket accepted, forwarding::edge_protocol const& protocol);
+    /// Gives up incomplete requests and unread answers, the oldest first, until the others fit into their memory.
+    void relieveBuffers();
     void handleRequest(std::shared_ptr<caller_connection> const& origin, forwarding::caller_request request);
     void deliverAnswer(forwarding::request_token token, forwarding::final_answer const& answer);
     void sendCall(forwarding::leaf_call const& call);
@@ -100,6 +104,10 @@
     boost::asio::steady_timer m_engineTimer;
     boost::asio::steady_timer m_sweepTimer;
     std::unordered_map<caller_connection*, std::shared_ptr<caller_connection>> m_callerConnections;
+    std::shared_ptr<limits::memory_budget> m_callerBuffers;
+    std::shared_ptr<limits::memory_budget> m_openRequestMemory;
+    bool m_isRelievingBuffers { false };
+    std::uint64_t m_buffersGivenUp { 0 };
     std::unordered_map<forwarding::request_token, std::shared_ptr<caller_connection>> m_connectionsByRequest;
     std::optional<kernel::time_point> m_engineTimerDue;
     forwarding::request_token m_lastRequestToken { 0 };
--- a/Services/traffic/traffic_service.h
+++ b/Services/traffic/traffic_service.h
@@ -4,6 +4,7 @@
 #include "Kernel/worker_thread.h"
 #include "Libraries/zinnialedge/forwarding/edge_protocol.h"
 #include "Libraries/zinnialedge/forwarding/request_engine.h"
+#include "Libraries/zinnialedge/limits/vm_shares.h"
 #include <atomic>
 #include <map>
 #include <memory>
@@ -19,6 +20,7 @@
     /// Local address of the connections to leafs; empty when the system chooses it.
     std::string leafCallSource;
     std::size_t maximumCallerConnections { 3000 };
+    limits::memory_shares memory { limits::shareMemory(256) };
     forwarding::engine_settings engine;
 };
 
