Callers: Close waiting connections for new ones

Ordinary callers got no answer beside clients that only opened connections: 800 of them took all descriptors of a VM with 700, so that connections to leafs, to the store and at all other ports failed too.

Cause: 3,000 connections of callers and daemons together were accepted whatever the VM's descriptors, and at the limit the new ones were refused while idle ones stayed.

At the limit a connection is closed for the new one: first those whose last answer has been sent, then those without a request, then kept ones, then those with an answer that is not read for a second, and the oldest of each kind. A connection for which a leaf works stays. Two counters and a log line tell.

--- a/Daemons/zinnialedge-edge/edge_daemon.cpp
+++ b/Daemons/zinnialedge-edge/edge_daemon.cpp
@@ -61,6 +61,7 @@
     auto const capacity = m_settings.capacity.value_or(configuration::vm_capacity {});
     auto const connections = limits::shareDescriptors(capacity.descriptors);
     auto const memory = limits::shareMemory(capacity.memoryMegabytes);
+    traffic.connections = connections;
     traffic.memory = memory;
     traffic.engine.dataCentre = m_settings.dataCentre;
     traffic.engine.extraCalls = m_settings.extraCalls;
--- a/Services/traffic/caller_connection.cpp
+++ b/Services/traffic/caller_connection.cpp
@@ -16,6 +16,8 @@
 
 /// Maximum number of pipelined bytes that are buffered while a request waits for its answer.
 static constexpr std::size_t maximumPipelinedBytes = 16'384;
+/// Time in which an answer may be written before its connection can be given up for another one.
+static constexpr std::chrono::milliseconds minimumWriteTime { 1000 };
 /// A buffer of at most this size is kept while the connection waits for its next request.
 static constexpr std::size_t keptBufferBytes = 8192;
 /// Requests up to this size are accepted although larger ones fill the memory of open requests.
@@ -306,6 +308,25 @@
     }
 }
 
+std::optional<expendable_state> caller_connection::expendability(kernel::time_point now) const
+{
+    auto const age = now - m_phaseStartedAt;
+    switch (m_phase) {
+    case phase::closing:
+        if (!m_isWritePending)
+            return expendable_state { expendable_state::rank::answered_last, age };
+        [[fallthrough]];
+    case phase::answering:
+        if (m_isWritePending && age > minimumWriteTime)
+            return expendable_state { expendable_state::rank::unread_answer, age };
+        return std::nullopt;
+    case phase::idle:
+    case phase::reading:
+        return expendable_state { m_hasAnswered ? expendable_state::rank::kept_open : expendable_state::rank::without_request, age };
+    }
+    return std::nullopt;
+}
+
 void caller_connection::closeIfIdle(kernel::duration minimumAge, kernel::time_point now)
 {
     beast::error_code ignored;
--- a/Services/traffic/caller_connection.h
+++ b/Services/traffic/caller_connection.h
@@ -33,6 +33,23 @@
     std::function<void()> buffersExceeded;
 };
 
+/// How well a connection can be given up; the greatest first.
+struct expendable_state {
+    enum class rank {
+        unread_answer,
+        kept_open,
+        /// No request of the connection has been answered.
+        without_request,
+        answered_last,
+    };
+
+    rank of { rank::kept_open };
+    /// Time since the connection has been in its state.
+    kernel::duration age {};
+
+    auto operator<=>(expendable_state const&) const = default;
+};
+
 /// Connection of a caller: reads a request, waits for the answer, writes the answer, and reads the next request.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
@@ -48,6 +65,9 @@
     void enforceTimeLimits(kernel::time_point now);
     /// Gives up an incomplete request or an answer that is not read. Returns false when the connection has neither.
     bool releaseBuffers();
+    /// Returns how well the connection can be given up for a new one, or nothing while a leaf works for it.
+    std::optional<expendable_state> expendability(kernel::time_point now) const;
+    bool isOf(forwarding::edge_protocol const& protocol) const { return m_hooks.protocol == &protocol; }
     /// Returns the time since the connection has waited, read or written.
     kernel::duration phaseAge(kernel::time_point now) const { return now - m_phaseStartedAt; }
     void close();
--- a/Services/traffic/traffic_connections.cpp
+++ b/Services/traffic/traffic_connections.cpp
@@ -116,10 +116,14 @@
 
 void traffic_service::implementation::addConnection(tcp::socket accepted, forwarding::edge_protocol const& protocol)
 {
-    if (m_callerConnections.size() >= m_settings.maximumCallerConnections) {
-        logEvent(log_level::warn, "caller_connection_refused", { { "open", m_callerConnections.size() } });
+    auto const limit = &protocol == &m_relayProtocol ? m_settings.connections.relays : m_settings.connections.callers;
+    auto& count = m_connectionCounts[&protocol];
+    if (count >= limit && !closeExpendableConnection(protocol)) {
+        ++m_connectionsRefused;
+        logEvent(log_level::warn, "caller_connection_refused", { { "open", count } });
         return;
     }
+    ++count;
     boost::system::error_code ignored;
     accepted.set_option(tcp::no_delay(true), ignored);
     accepted.non_blocking(true, ignored);
@@ -136,7 +140,7 @@
         m_engine.handleCallerDisconnect(token, now());
         armTimer();
     };
-    hooks.connectionClosed = [this](caller_connection* closed) { m_callerConnections.erase(closed); };
+    hooks.connectionClosed = [this, &count](caller_connection* closed) { count -= m_callerConnections.erase(closed); };
     hooks.buffers = m_callerBuffers;
     hooks.openRequests = m_openRequestMemory;
     hooks.buffersExceeded = [this] { relieveBuffers(); };
@@ -147,6 +151,26 @@
     created->start();
 }
 
+bool traffic_service::implementation::closeExpendableConnection(forwarding::edge_protocol const& protocol)
+{
+    std::shared_ptr<caller_connection> chosen;
+    std::optional<expendable_state> best;
+    auto const at = now();
+    for (auto const& [pointer, each] : m_callerConnections) {
+        auto const state = each->isOf(protocol) ? each->expendability(at) : std::nullopt;
+        if (state && (!best || *state > *best)) {
+            best = state;
+            chosen = each;
+        }
+    }
+    if (!chosen)
+        return false;
+    ++m_connectionsGivenUp;
+    logEvent(log_level::debug, "caller_connection_given_up", { { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(best->age).count() } });
+    chosen->close();
+    return true;
+}
+
 void traffic_service::implementation::relieveBuffers()
 {
     if (std::exchange(m_isRelievingBuffers, true))
--- a/Services/traffic/traffic_implementation.h
+++ b/Services/traffic/traffic_implementation.h
@@ -72,6 +72,8 @@
     /// Peers relay requests within the callers' limits, plus the headers of the relay protocol.
     static forwarding::caller_limits relayLimits(forwarding::caller_limits limits);
     void addConnection(boost::asio::ip::tcp::socket accepted, forwarding::edge_protocol const& protocol);
+    /// Closes a connection of the same port for a new one. Returns false when leafs work for all of them.
+    bool closeExpendableConnection(forwarding::edge_protocol const& protocol);
     /// Gives up incomplete requests and unread answers, the oldest first, until the others fit into their memory.
     void relieveBuffers();
     void handleRequest(std::shared_ptr<caller_connection> const& origin, forwarding::caller_request request);
@@ -104,9 +106,13 @@
     boost::asio::steady_timer m_engineTimer;
     boost::asio::steady_timer m_sweepTimer;
     std::unordered_map<caller_connection*, std::shared_ptr<caller_connection>> m_callerConnections;
+    /// Number of connections by their protocol.
+    std::map<forwarding::edge_protocol const*, std::size_t> m_connectionCounts;
     std::shared_ptr<limits::memory_budget> m_callerBuffers;
     std::shared_ptr<limits::memory_budget> m_openRequestMemory;
     bool m_isRelievingBuffers { false };
+    std::uint64_t m_connectionsGivenUp { 0 };
+    std::uint64_t m_connectionsRefused { 0 };
     std::uint64_t m_buffersGivenUp { 0 };
     std::unordered_map<forwarding::request_token, std::shared_ptr<caller_connection>> m_connectionsByRequest;
     std::optional<kernel::time_point> m_engineTimerDue;
--- a/Services/traffic/traffic_metrics.cpp
+++ b/Services/traffic/traffic_metrics.cpp
@@ -42,6 +42,8 @@
     metrics.counter("partial_answers_total", counters.partialAnswers);
     metrics.counter("refusals_total", counters.rejections);
     metrics.counter("failures_total", counters.failures);
+    metrics.counter("caller_connections_given_up_total", m_connectionsGivenUp);
+    metrics.counter("caller_connections_refused_total", m_connectionsRefused);
     metrics.counter("caller_buffers_given_up_total", m_buffersGivenUp);
     metrics.counter("callers_left_total", counters.callersDisconnected);
     metrics.counter("leaf_calls_total", counters.calls);
--- a/Services/traffic/traffic_service.h
+++ b/Services/traffic/traffic_service.h
@@ -19,7 +19,7 @@
     model::endpoint relays;
     /// Local address of the connections to leafs; empty when the system chooses it.
     std::string leafCallSource;
-    std::size_t maximumCallerConnections { 3000 };
+    limits::connection_shares connections { limits::shareDescriptors(4096) };
     limits::memory_shares memory { limits::shareMemory(256) };
     forwarding::engine_settings engine;
 };
