Leafs: Limit replies to the memory of the VM, and share request bodies

A leaf in trouble could make a daemon on a small VM run out of memory: one trailer of 6 MiB with small fields took 275 MiB, eight queries over shards with replies of 7 MiB 89 MiB, replies that do not end 76 MiB. Callers could do the same with large bodies on a route over shards, of which each call to a leaf held a copy (82 MiB).

Cause: a trailer was limited like the whole reply, the memory of unfinished replies was a constant, complete replies were held whole until the last shard had replied, and the bytes of a call were kept until its reply.

A chunk's line or a trailer has at most 64 KiB. A reply of a shard above 64 KiB is reduced to the greatest records that the answer may hold. Calls share a large body, and give their bytes up when they are written.

--- a/Libraries/zinnialedge/forwarding/request_replies.cpp
+++ b/Libraries/zinnialedge/forwarding/request_replies.cpp
@@ -1,5 +1,6 @@
 // Ends of calls: what a reply or a failure means for the leaf and for the request, and whether another leaf is called.
 
+#include "Libraries/zinnialedge/forwarding/record_merge.h"
 #include "Libraries/zinnialedge/forwarding/request_engine.h"
 
 #include <algorithm>
@@ -11,6 +12,8 @@
 
 /// Minimum remaining time for a retry; a retry with less time left could not be answered in time.
 static constexpr std::chrono::milliseconds minimumRetryTime { 5 };
+/// Larger replies are reduced to the records that the answer may hold, since they take memory until the last shard has replied.
+static constexpr std::size_t untrimmedPartBytes = 65'536;
 
 /// Returns true for statuses that callers accept as a guarantee that the request has not run and will not run.
 static bool guaranteesNotRun(int status)
@@ -214,6 +217,8 @@
     if (auto const& limit = m_leafs.at(context.leaf).rateLimit(); limit.isInForce() && request.isFromDaemon())
         request.leafLimits.push_back({ m_leafs.at(context.leaf).registration().id, limit.requestsPerSecond() });
     if (reply.isSuccess()) {
+        if (request.matchedRoute->isGather() && reply.body.size() > untrimmedPartBytes)
+            reply.body = mergeGreatestRecords(std::array<std::string const*, 1> { &reply.body }, request.matchedRoute->gather.recordLimit);
         part.reply = std::move(reply);
         ++request.answeredPartCount;
         settleIfDecided(request, now);
--- a/Services/traffic/leaf_connection.cpp
+++ b/Services/traffic/leaf_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <cerrno>
 #include <charconv>
@@ -22,8 +23,8 @@
 static constexpr std::size_t readChunkBytes = 8192;
 /// Misdirected Request: RFC 9110, section 15.5.20. Beast 1.81 defines no name for this status.
 static constexpr int misdirectedStatus = 421;
-/// Memory of all unfinished replies above which large ones are given up: an eighth of the memory of the smallest VM.
-static constexpr std::size_t maximumUnfinishedReplyBytes = 32U << 20U;
+/// Maximum size of a chunk's line or a trailer.
+static constexpr std::size_t maximumFramingBytes = 64U << 10U;
 /// Size above which an unfinished reply counts as large.
 static constexpr std::size_t largeReplyBytes = 64U << 10U;
 /// A leaf that sends no Keep-Alive timeout closes an idle connection within a second.
@@ -40,6 +41,7 @@
     , m_hooks(std::move(hooks))
     , m_socket(context)
     , m_idleTimeout(defaultIdleTimeout)
+    , m_unfinishedReply(m_hooks.unfinishedReplies)
 {
 }
 
@@ -136,20 +138,26 @@
     m_receivedBytes = 0;
     m_parser.reset();
     beast::error_code failure;
-    auto const written = m_socket.write_some(asio::buffer(m_call->bytes), failure);
+    auto const written = m_socket.write_some(m_call->buffers(), failure);
     if (failure && failure != asio::error::would_block) {
         asio::post(m_context, [self = shared_from_this()] { self->abort(call_failure::broken); });
         return;
     }
-    if (written < m_call->bytes.size())
+    if (written < asio::buffer_size(m_call->buffers()))
         writeRemainder(written);
+    else
+        m_call->dropBytes();
 }
 
 void leaf_connection::writeRemainder(std::size_t written)
 {
     m_isWritePending = true;
-    auto const bytes = std::make_shared<std::string>(m_call->bytes.substr(written));
-    asio::async_write(m_socket, asio::buffer(*bytes), [self = shared_from_this(), bytes](beast::error_code failure, std::size_t) {
+    // The call may end before its bytes have been written.
+    auto const call = std::make_shared<serialized_call>(std::move(*m_call));
+    m_call = serialized_call { call->number, call->attemptId, call->isHead, call->isRepeatable, {}, {}, call->replyLimit };
+    auto remainder = beast::buffers_suffix<serialized_call::buffer_list> { call->buffers() };
+    remainder.consume(written);
+    asio::async_write(m_socket, remainder, [self = shared_from_this(), call](beast::error_code failure, std::size_t) {
         self->m_isWritePending = false;
         if (failure && !self->m_isClosed && self->m_call)
             self->abort(call_failure::broken);
@@ -195,11 +203,13 @@
 
 bool leaf_connection::accountReplyBytes()
 {
-    auto const held = m_buffer.size() + (m_parser && m_parser->is_header_done() ? m_parser->get().body().size() : 0);
-    auto& total = m_hooks.unfinishedReplies->bytes;
-    total = total - m_accountedBytes + held;
-    m_accountedBytes = held;
-    return (!m_call || m_receivedBytes <= m_call->replyLimit) && (held <= largeReplyBytes || total <= maximumUnfinishedReplyBytes);
+    bool const isHeadRead = m_parser && m_parser->is_header_done();
+    auto const held = m_buffer.size() + (isHeadRead ? m_parser->get().body().size() : 0);
+    m_unfinishedReply.set(held);
+    if (!m_call)
+        return true;
+    // What is left is a part of the head, or the line of a chunk or a trailer, which the parser does not limit.
+    return m_buffer.size() <= maximumFramingBytes && m_receivedBytes <= m_call->replyLimit && (held <= largeReplyBytes || !m_unfinishedReply.isBudgetExceeded());
 }
 
 void leaf_connection::parseReplies()
@@ -315,7 +325,7 @@
         return;
     m_isClosed = true;
     m_isConnected = false;
-    m_hooks.unfinishedReplies->bytes -= std::exchange(m_accountedBytes, 0);
+    m_unfinishedReply.set(0);
     beast::error_code ignored;
     m_socket.close(ignored);
     m_hooks.connectionClosed();
--- a/Services/traffic/leaf_connection.h
+++ b/Services/traffic/leaf_connection.h
@@ -2,6 +2,9 @@
 
 #include "Kernel/clock.h"
 #include "Libraries/zinnialedge/forwarding/edge_protocol.h"
+#include "Libraries/zinnialedge/limits/memory_budget.h"
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -19,19 +22,28 @@
     std::string attemptId;
     bool isHead { false };
     bool isRepeatable { false };
+    /// Head of the call, which may also hold its body.
     std::string bytes;
+    /// Owner of the call's body; may be empty.
+    std::shared_ptr<forwarding::caller_request const> request {};
     /// Maximum number of bytes received for the call, interim replies and the framing of the body included.
     std::size_t replyLimit { maximumReplyBytes };
 
+    using buffer_list = std::array<boost::asio::const_buffer, 2>;
+
+    buffer_list buffers() const { return { boost::asio::buffer(bytes), request ? boost::asio::buffer(request->body) : boost::asio::const_buffer {} }; }
+    /// Gives up the bytes when they have been written.
+    void dropBytes()
+    {
+        bytes.clear();
+        bytes.shrink_to_fit();
+        request.reset();
+    }
+
     /// Valid replies have tens of kilobytes.
     static constexpr std::size_t maximumReplyBytes { 8U << 20U };
 };
 
-/// Memory that the unfinished replies of several connections take together.
-struct reply_memory {
-    std::size_t bytes { 0 };
-};
-
 /// Reason for which a connection was not opened.
 enum class connect_failure {
     refused,
@@ -44,7 +56,8 @@
 
 struct leaf_connection_hooks {
     forwarding::edge_protocol const* protocol { nullptr };
-    std::shared_ptr<reply_memory> unfinishedReplies { std::make_shared<reply_memory>() };
+    /// Memory of the unfinished replies of all connections.
+    std::shared_ptr<limits::memory_budget> unfinishedReplies;
     /// Called when a call has ended, but never from within connectAndSend() or send().
     std::function<void(forwarding::call_number, forwarding::call_result)> handleCallEnd;
     /// Returns whether a call that waited for the connection to open may still be sent; empty when every call may.
@@ -93,8 +106,8 @@
     void handleRead(boost::system::error_code, std::size_t bytes);
     void parseReplies();
     void finishReply();
-    /// Updates the memory of unfinished replies. Returns false when the reply is larger than a reply may be, alone or with the
-    /// other unfinished replies.
+    /// Updates the memory of unfinished replies. Returns false when the reply or the framing of its body is larger than it may be, alone
+    /// or with the other unfinished replies.
     bool accountReplyBytes();
     /// Reports the reply in the received bytes of a connection without a call, if there is one.
     void reportUnexpectedReply();
@@ -116,8 +129,7 @@
     unsigned m_discardedReplyCount { 0 };
     /// Number of bytes received since the call was sent.
     std::size_t m_receivedBytes { 0 };
-    /// This connection's part of the memory of unfinished replies.
-    std::size_t m_accountedBytes { 0 };
+    limits::memory_charge m_unfinishedReply;
     bool m_isConnected { false };
     bool m_isClosed { false };
     bool m_isWritePending { false };
--- a/Services/traffic/leaf_pools.cpp
+++ b/Services/traffic/leaf_pools.cpp
@@ -8,11 +8,12 @@
 /// Connecting takes a few milliseconds; a partitioned leaf never answers the handshake.
 static constexpr std::chrono::milliseconds connectTimeout { 400 };
 
-leaf_connection_pools::leaf_connection_pools(boost::asio::io_context& context, forwarding::edge_protocol const& protocol, leaf_pool_hooks hooks, std::string source)
+leaf_connection_pools::leaf_connection_pools(boost::asio::io_context& context, forwarding::edge_protocol const& protocol, std::shared_ptr<limits::memory_budget> unfinishedReplies, leaf_pool_hooks hooks, std::string source)
     : m_context(context)
     , m_protocol(protocol)
     , m_hooks(std::move(hooks))
     , m_source(std::move(source))
+    , m_unfinishedReplies(std::move(unfinishedReplies))
 {
 }
 
--- a/Services/traffic/leaf_pools.h
+++ b/Services/traffic/leaf_pools.h
@@ -29,8 +29,9 @@
 /// Connection pools of all leafs. A call reuses an idle connection to its leaf or opens a new connection.
 class leaf_connection_pools {
 public:
-    /// `source` is the local address of new connections; empty when the system chooses it.
-    leaf_connection_pools(boost::asio::io_context&, forwarding::edge_protocol const&, leaf_pool_hooks, std::string source = {});
+    /// `unfinishedReplies` is the memory of replies that are not complete. `source` is the local address of new connections; empty when the
+    /// system chooses it.
+    leaf_connection_pools(boost::asio::io_context&, forwarding::edge_protocol const&, std::shared_ptr<limits::memory_budget> unfinishedReplies, leaf_pool_hooks, std::string source = {});
 
     void send(std::uint32_t leaf, model::endpoint const&, serialized_call, kernel::time_point now);
     /// Sends a call over a new connection.
@@ -58,7 +59,7 @@
     forwarding::edge_protocol const& m_protocol;
     leaf_pool_hooks m_hooks;
     std::string m_source;
-    std::shared_ptr<reply_memory> m_unfinishedReplies { std::make_shared<reply_memory>() };
+    std::shared_ptr<limits::memory_budget> m_unfinishedReplies;
     std::unordered_map<std::uint32_t, std::vector<connection>> m_idleConnections;
     std::unordered_map<leaf_connection*, connection> m_connections;
     std::unordered_map<forwarding::call_number, std::weak_ptr<leaf_connection>> m_busyConnections;
--- a/Services/traffic/traffic_calls.cpp
+++ b/Services/traffic/traffic_calls.cpp
@@ -8,6 +8,8 @@
 
 /// Interval between checks of the connections' time limits.
 static constexpr std::chrono::milliseconds sweepInterval { 200 };
+/// A body up to this size is copied, since one buffer is written faster than two.
+static constexpr std::size_t maximumCopiedBodyBytes = 16'384;
 /// A status reply has a few hundred bytes.
 static constexpr std::size_t maximumProbeReplyBytes = 65'536;
 
@@ -18,7 +20,7 @@
     if (call.isProbe)
         message.replyLimit = maximumProbeReplyBytes;
     auto& bytes = message.bytes;
-    bytes.reserve(512 + call.request->body.size());
+    bytes.reserve(512);
     bytes += call.request->method + " " + call.request->target + " HTTP/1.1\r\n";
     bool const isToDaemon = call.relayed || call.detoured;
     for (auto const& each : call.request->headers) {
@@ -34,7 +36,11 @@
     if (hasBody)
         bytes += "Content-Length: " + std::to_string(call.request->body.size()) + "\r\n";
     bytes += "\r\n";
-    bytes += call.request->body;
+    // A large body is shared by the calls of all shards.
+    if (call.request->body.size() <= maximumCopiedBodyBytes)
+        bytes += call.request->body;
+    else
+        message.request = call.request;
     if (call.isProbe)
         m_leafConnections.sendOverNewConnection(call.leaf, call.endpoint, std::move(message));
     else if (isToDaemon)
--- a/Services/traffic/traffic_implementation.h
+++ b/Services/traffic/traffic_implementation.h
@@ -29,8 +29,9 @@
         , m_sweepTimer(context)
         , m_callerBuffers(std::make_shared<limits::memory_budget>(limits::memory_budget { .limit = m_settings.memory.callerBuffers }))
         , m_openRequestMemory(std::make_shared<limits::memory_budget>(limits::memory_budget { .limit = m_settings.memory.openRequests }))
-        , m_leafConnections(context, m_edgeProtocol, makeLeafPoolHooks(), m_settings.leafCallSource)
-        , m_relayConnections(context, m_relayProtocol, { .handleCallEnd = [this](forwarding::call_number number, forwarding::call_result result) { endCall(number, std::move(result)); } })
+        , m_leafReplies(std::make_shared<limits::memory_budget>(limits::memory_budget { .limit = m_settings.memory.leafReplies }))
+        , m_leafConnections(context, m_edgeProtocol, m_leafReplies, makeLeafPoolHooks(), m_settings.leafCallSource)
+        , m_relayConnections(context, m_relayProtocol, m_leafReplies, { .handleCallEnd = [this](forwarding::call_number number, forwarding::call_result result) { endCall(number, std::move(result)); } })
         , m_requestLog(kernel::makeSteadyClock())
         , m_engine(m_settings.engine, makeHooks(), std::move(random), now())
     {
@@ -118,6 +119,8 @@
     std::optional<kernel::time_point> m_engineTimerDue;
     forwarding::request_token m_lastRequestToken { 0 };
     bool m_isLeaving { false };
+    /// Memory of the replies of leafs and of other daemons that are not complete.
+    std::shared_ptr<limits::memory_budget> m_leafReplies;
     leaf_connection_pools m_leafConnections;
     leaf_connection_pools m_relayConnections;
     std::map<model::endpoint, std::uint32_t> m_relayPoolKeys;
