Wire: Limit trailers and the lines of chunks in responses

The client that reads responses of the store and of other daemons counted only the bytes of a whole response, 16 MiB. The line of a chunk or a trailer has at most 64 KiB now, as for leafs. Found by reading: its memory was limited before, but with each read the end of a long line was sought again, and the fields of a trailer take far more memory than their bytes. HttpClient and CutReplies pass; no test failed before.

--- a/Libraries/zinnialedge/wire/http_client.cpp
+++ b/Libraries/zinnialedge/wire/http_client.cpp
@@ -97,6 +97,8 @@
     static constexpr std::size_t readBufferBytes = 8192;
     /// Maximum number of bytes received for one response, the framing of the body included.
     static constexpr std::size_t maximumResponseBytes = 16U << 20U;
+    /// Maximum size of a response's head, and of a chunk's line or a trailer.
+    static constexpr std::size_t maximumFramingBytes = 64U << 10U;
     static constexpr int keepAliveIdleSeconds = 1;
     static constexpr int keepAliveIntervalSeconds = 1;
     static constexpr int keepAliveProbeCount = 2;
@@ -188,6 +190,9 @@
             m_buffer.consume(m_parser->put(m_buffer.data(), failure));
             if (failure == http::error::need_more)
                 failure = {};
+            // What is left is a part of the head, or the line of a chunk or a trailer.
+            if (!failure && !m_parser->is_done() && m_buffer.size() > maximumFramingBytes)
+                failure = http::error::body_limit;
         }
         if (failure) {
             fail("read", failure);
