Leafs: Reject replies whose status HTTP does not have

A leaf in trouble sent a reply with status 000. The caller got 504 at its deadline, since every status below 200 was taken for an interim reply and the connection waited on. A reply with status 600 or 999 was passed on to the caller as it came.

A reply with a status outside 100 to 599, or with 101, which no call asks for, ends the call as malformed: the next leaf is tried, or the caller gets 502 at once.

--- a/Services/traffic/leaf_connection.cpp
+++ b/Services/traffic/leaf_connection.cpp
@@ -248,9 +248,21 @@
         m_hooks.handleUnmatchedReply(extractReply());
 }
 
+/// Returns false for a status that HTTP does not have, and for a change to another protocol, which no call asks for.
+static bool isUsableStatus(int status)
+{
+    static constexpr int firstStatus = 100;
+    static constexpr int lastStatus = 599;
+    return status >= firstStatus && status <= lastStatus && status != static_cast<int>(http::status::switching_protocols);
+}
+
 void leaf_connection::finishReply()
 {
     auto reply = extractReply();
+    if (!isUsableStatus(reply.status)) {
+        abort(call_failure::malformed);
+        return;
+    }
     bool const isKeptAlive = m_parser->keep_alive();
     m_parser.reset();
     bool const belongsToOtherCall = !reply.attemptId.empty() && reply.attemptId != m_call->attemptId;
--- a/Tests/Faults/edge_traffic_test.cpp
+++ b/Tests/Faults/edge_traffic_test.cpp
@@ -104,6 +104,36 @@
     LONGS_EQUAL(2, fixture.leaf.connectionCount());
 }
 
+// Guards against: a reply with a status that HTTP does not have is passed on to the caller, or taken for an interim reply until the deadline.
+TEST(EdgeTraffic, AReplyWithAnInvalidStatusIsAnError)
+{
+    for (std::string const status : { "000", "099", "101", "600", "999" }) {
+        one_leaf_fixture fixture { [&](std::string const& request) {
+            auto reply = replySuccessfully(request);
+            reply.bytes.replace(reply.bytes.find("200"), status.size(), status);
+            return reply;
+        } };
+        auto const answer = fixture.traffic.get("/single/a", "a1");
+        CHECK_TEXT(answer.status == 502, (status + " gave " + std::to_string(answer.status)).c_str());
+        STRCMP_EQUAL("", answer.header("Zinnialedge-Server-Seal").c_str());
+        CHECK_TEXT(answer.body.find("leaf_failed") != std::string::npos, answer.body.c_str());
+    }
+}
+
+// Guards against: the fields of a trailer change where a request goes, or are forwarded as headers.
+TEST(EdgeTraffic, ATrailerIsDropped)
+{
+    one_leaf_fixture fixture { replySuccessfully };
+    auto const answer = fixture.traffic.send("POST /single/a HTTP/1.1\r\nHost: host\r\nZinnialedge-Attempt-Id: a1\r\nZinnialedge-Deadline-Ms: 1000\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                             "3;name=value\r\nabc\r\n0\r\nHost: other\r\nZinnialedge-Attempt-Id: b1\r\nX-Trailer: x\r\n\r\n");
+    LONGS_EQUAL(200, answer.status);
+    STRCMP_EQUAL("body of a1", answer.body.c_str());
+    auto const request = fixture.leaf.requests().front();
+    STRCMP_EQUAL("host", rawHeaderValue(request, "Host").c_str());
+    STRCMP_EQUAL("", rawHeaderValue(request, "X-Trailer").c_str());
+    CHECK(request.ends_with("\r\n\r\nabc"));
+}
+
 TEST(EdgeTraffic, ATruncatedReplyIsAnError)
 {
     one_leaf_fixture fixture { [](std::string const& request) {
