Fleet: Limit the memory of answers of other daemons

Any process that can send a datagram can make a daemon ask it for its configuration.

Cause: the size of an answer was limited for all VMs alike, and a value of JSON takes far more memory than its bytes.

A message with more than a value for each five bytes is malformed; those that daemons send have eight bytes and more for each (8.3 in the sample configuration of the users' pages, 8.9 in a leaf's entry).

--- a/Libraries/zinnialedge/wire/http_client.cpp
+++ b/Libraries/zinnialedge/wire/http_client.cpp
@@ -22,11 +22,12 @@
 /// Reads and writes the socket directly, because the layers of a Beast stream cost more than the system calls.
 class http_client::implementation : public std::enable_shared_from_this<implementation> {
 public:
-    implementation(asio::io_context& context, model::endpoint endpoint)
+    implementation(asio::io_context& context, model::endpoint endpoint, std::size_t maximumResponseBytes)
         : m_context(context)
         , m_socket(context)
         , m_timer(context)
         , m_endpoint(std::move(endpoint))
+        , m_maximumResponseBytes(maximumResponseBytes)
     {
         m_request.version(httpVersion);
         m_request.set(http::field::host, m_endpoint.address);
@@ -95,8 +96,6 @@
 
     static constexpr unsigned httpVersion = 11;
     static constexpr std::size_t readBufferBytes = 8192;
-    /// Maximum number of bytes received for one response, the framing of the body included.
-    static constexpr std::size_t maximumResponseBytes = 16U << 20U;
     /// Maximum size of a response's head, and of a chunk's line or a trailer.
     static constexpr std::size_t maximumFramingBytes = 64U << 10U;
     static constexpr int keepAliveIdleSeconds = 1;
@@ -180,7 +179,7 @@
         m_buffer.commit(bytes);
         m_receivedBytes += bytes;
         // The parser limits the head and the body, but not the extensions of chunks and the trailer.
-        if (!failure && m_receivedBytes > maximumResponseBytes)
+        if (!failure && m_receivedBytes > m_maximumResponseBytes)
             failure = http::error::body_limit;
         if (failure == asio::error::eof && m_parser->got_some()) {
             // A response body without Content-Length ends when the server closes the connection.
@@ -245,6 +244,7 @@
     beast::flat_buffer m_buffer;
     std::size_t m_receivedBytes { 0 };
     model::endpoint m_endpoint;
+    std::size_t m_maximumResponseBytes { 0 };
     http::request<http::string_body> m_request;
     std::vector<std::string> m_requestHeaderNames;
     std::string m_serializedRequest;
@@ -254,8 +254,8 @@
     bool m_isTimedOut { false };
 };
 
-http_client::http_client(asio::io_context& context, model::endpoint endpoint)
-    : m_implementation(std::make_shared<implementation>(context, std::move(endpoint)))
+http_client::http_client(asio::io_context& context, model::endpoint endpoint, std::size_t maximumResponseBytes)
+    : m_implementation(std::make_shared<implementation>(context, std::move(endpoint), maximumResponseBytes))
 {
 }
 
--- a/Libraries/zinnialedge/wire/http_client.h
+++ b/Libraries/zinnialedge/wire/http_client.h
@@ -26,7 +26,8 @@
 /// One client connection with at most one request in flight. Must be used only on the thread of its event loop.
 class http_client {
 public:
-    http_client(boost::asio::io_context&, model::endpoint);
+    /// `maximumResponseBytes` limits what is received for one response, the framing of the body included.
+    http_client(boost::asio::io_context&, model::endpoint, std::size_t maximumResponseBytes = defaultMaximumResponseBytes);
     ~http_client();
 
     /// Opens the connection. The callback receives true on success.
@@ -41,6 +42,8 @@
     bool isUsable();
     void close();
 
+    static constexpr std::size_t defaultMaximumResponseBytes { 16U << 20U };
+
 private:
     class implementation;
     std::shared_ptr<implementation> m_implementation;
--- a/Services/fleet/fleet_snapshots.cpp
+++ b/Services/fleet/fleet_snapshots.cpp
@@ -64,7 +64,7 @@
     if (m_isSnapshotRequestInFlight)
         return;
     m_isSnapshotRequestInFlight = true;
-    auto const client = std::make_shared<wire::http_client>(m_workerThread.context(), endpoint);
+    auto const client = std::make_shared<wire::http_client>(m_workerThread.context(), endpoint, m_settings.memory.peers);
     client->connectAndSend({ "GET", snapshotPath, {}, {}, 0 }, snapshotTimeout, [this, client, endpoint](wire::http_result const& result) {
         m_isSnapshotRequestInFlight = false;
         if (result && result->status == statusOk)
@@ -110,7 +110,7 @@
         poll.parts[evacuationsPart] = { known->position, 0 };
     else if (m_settings.readsEvacuations)
         poll.parts[evacuationsPart] = {};
-    auto const client = std::make_shared<wire::http_client>(m_workerThread.context(), endpoint);
+    auto const client = std::make_shared<wire::http_client>(m_workerThread.context(), endpoint, m_settings.memory.peers);
     client->connectAndSend({ "GET", formatPoll(poll), {}, {}, 0 }, snapshotTimeout, [this, client, endpoint](wire::http_result const& result) {
         if (!result || result->status != statusOk)
             return;
--- a/Services/fleet/reader_link.cpp
+++ b/Services/fleet/reader_link.cpp
@@ -86,7 +86,7 @@
 void reader_link::sendPoll(reader_poll const& poll)
 {
     if (!m_client || m_clientPlace != poll.place) {
-        m_client = std::make_unique<wire::http_client>(m_context, poll.place);
+        m_client = std::make_unique<wire::http_client>(m_context, poll.place, m_hooks.maximumAnswerBytes);
         m_clientPlace = poll.place;
     }
     ++m_pollCount;
--- a/Services/fleet/reader_link.h
+++ b/Services/fleet/reader_link.h
@@ -17,7 +17,8 @@
     /// Called when the daemon that supplies changes is another one, or none.
     std::function<void()> readerChanged;
     /// Called when this daemon must begin or stop to read the store.
-    std::function<void(bool readsStore)> readingChanged;
+    std::function<void(bool readsStore)> readingChanged;    /// Greatest size of an answer of another daemon, in bytes.
+    std::size_t maximumAnswerBytes { wire::http_client::defaultMaximumResponseBytes };
 };
 
 /// Performs what `store_roles` decides: polls a reader while this daemon is a subscriber.
--- a/Services/fleet/snapshot_codec.cpp
+++ b/Services/fleet/snapshot_codec.cpp
@@ -1,6 +1,8 @@
 #include "Services/fleet/snapshot_codec.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
+#include <stdexcept>
 
 namespace zinnialedge::services::fleet {
 
@@ -8,6 +10,10 @@
 
 /// Messages contain the contents of objects, which daemons of earlier versions pass on whatever their depth.
 static constexpr std::size_t maximumMessageDepth = 64;
+/// Messages of daemons have eight bytes and more for each value.
+static constexpr std::size_t minimumBytesPerValue = 5;
+/// Number of values that a short message may have in any case.
+static constexpr std::size_t permittedValues = 4096;
 
 json::object formatObjects(object_snapshot const& part)
 {
@@ -33,8 +39,18 @@
     return found ? found->to_number<Number>() : Number {};
 }
 
+/// Returns whether a text has so many values for its length that they would take far more memory than the text.
+static bool isDense(std::string_view text)
+{
+    static constexpr std::string_view separators = ",:[{";
+    auto const count = std::count_if(text.begin(), text.end(), [](char character) { return separators.find(character) != std::string_view::npos; });
+    return static_cast<std::size_t>(count) > permittedValues + text.size() / minimumBytesPerValue;
+}
+
 json::value parseMessage(std::string_view text)
 {
+    if (isDense(text))
+        throw std::length_error("a message has too many values");
     json::parse_options options;
     options.max_depth = maximumMessageDepth;
     return json::parse({ text.data(), text.size() }, {}, options);
--- a/Tests/Faults/crowd_of_peers_test.cpp
+++ b/Tests/Faults/crowd_of_peers_test.cpp
@@ -138,3 +138,32 @@
         }
     }));
 }
+
+TEST_GROUP(CrowdPeerAnswers) {};
+
+// The JSON of an answer takes far more memory than its bytes.
+TEST(CrowdPeerAnswers, WithManyValues)
+{
+    static constexpr std::size_t answerBytes = 7U << 20U;
+    static constexpr std::size_t askedCount = 3;
+    auto const body = "[" + repeat("[],", answerBytes) + "[]]";
+    tests::scripted_leaf peer { [&](std::string const&) { return scripted_reply { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body }; } };
+    crowded_daemon daemon;
+    checkBears(daemon.watch([&] {
+        boost::asio::io_context context;
+        boost::asio::ip::udp::socket socket { context, { boost::asio::ip::make_address(peer.place().address), peer.place().port } };
+        membership::datagram content;
+        content.kind = membership::datagram_kind::acknowledgement;
+        content.sender.record = { .name = "peer.1", .partner = "all", .region = "region", .dataCentre = "here", .incarnation = 1, .callerEndpoint = peer.place(), .peerEndpoint = peer.place() };
+        content.sender.version = 1;
+        content.sender.status = membership::member_status::serving;
+        // A daemon with another configuration is asked for it.
+        CHECK(tests::waitUntil([&] {
+            ++content.configurationDigest;
+            socket.send_to(boost::asio::buffer(wire::encodeDatagram(content)), { boost::asio::ip::make_address(daemon.peers().address), daemon.peers().port });
+            std::this_thread::sleep_for(100ms);
+            return peer.requests().size() >= askedCount;
+        }));
+        std::this_thread::sleep_for(2s);
+    }));
+}
