Wire: Read requests of HTTP servers in a class of its own

No change of behaviour, apart from the text of the error for a chunk's line or a trailer that is too long. Unit tests pass.

--- a/Libraries/zinnialedge/wire/http_server.cpp
+++ b/Libraries/zinnialedge/wire/http_server.cpp
@@ -1,7 +1,7 @@
 #include "Libraries/zinnialedge/wire/http_server.h"
 
 #include "Libraries/zinnialedge/limits/memory_budget.h"
-#include "Libraries/zinnialedge/wire/beast_framing.h"
+#include "Libraries/zinnialedge/wire/http_request_reader.h"
 #include "Libraries/zinnialedge/wire/tcp_listener.h"
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -22,12 +22,6 @@
 
 /// Delay before the next accept after a failed accept.
 static constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
-/// Maximum size of a chunk's line or a trailer.
-static constexpr std::size_t maximumFramingBytes = 16'384;
-/// Greatest ratio of the bytes in which a body is sent to those of the body.
-static constexpr std::size_t maximumEncodingRatio = 16;
-/// Memory of a header field besides its bytes, in the parser.
-static constexpr std::size_t fieldOverhead = 80;
 /// Connections with less memory are not given up for lack of memory, since their number is limited.
 static constexpr std::size_t smallBufferBytes = 8192;
 
@@ -90,11 +84,8 @@
 
     void awaitRequest()
     {
-        m_parser.emplace();
-        m_parser->body_limit(m_server->limits().bodyBytes);
-        m_request = {};
-        m_receivedBytes = 0;
-        m_isHeadTaken = false;
+        m_reader.emplace(m_server->limits().bodyBytes);
+        m_hasReceivedBytes = false;
         m_memory.set(0);
         m_stateSince = std::chrono::steady_clock::now();
         if (m_buffer.size() > 0) {
@@ -134,87 +125,34 @@
             if (failure || self->m_isClosed)
                 return;
             // The time limit of a request starts with its first bytes.
-            if (self->m_receivedBytes == 0) {
+            if (!std::exchange(self->m_hasReceivedBytes, true)) {
                 self->m_stream.expires_after(self->m_server->limits().readTimeout);
                 self->m_stateSince = std::chrono::steady_clock::now();
             }
             self->m_buffer.commit(bytes);
-            self->m_receivedBytes += bytes;
             self->parseRequest();
         });
     }
 
     void parseRequest()
     {
-        while (!m_parser->is_done() && m_buffer.size() > 0) {
-            beast::error_code failure;
-            auto const consumed = m_parser->put(m_buffer.data(), failure);
-            m_buffer.consume(consumed);
-            if (failure && failure != http::error::need_more) {
-                handleReadFailure(failure);
-                return;
-            }
-            if (m_parser->is_header_done() && !m_isHeadTaken) {
-                if (!isFramingCertain(m_parser->get())) {
-                    reject({ errors::error_kind::malformed_request, "the request does not tell where its body ends", {} });
-                    return;
-                }
-                takeHead();
-                continue;
-            }
-            if (failure || consumed == 0)
-                break;
-        }
-        if (m_parser->is_done()) {
+        switch (m_reader->read(m_buffer)) {
+        case http_request_reader::status::complete:
             handleRequest();
             return;
-        }
-        if (isFramingTooLong()) {
-            handleReadFailure(http::error::header_limit);
+        case http_request_reader::status::failed:
+            reject(m_reader->failure());
             return;
+        case http_request_reader::status::incomplete:
+            break;
         }
-        auto const& message = m_parser->get();
-        auto const fieldCount = static_cast<std::size_t>(std::distance(message.begin(), message.end())) + m_request.headers.size();
-        m_memory.set(m_buffer.capacity() + message.body().capacity() + fieldCount * fieldOverhead);
+        m_memory.set(m_buffer.capacity() + m_reader->heldBytes());
         if (m_memory.isBudgetExceeded())
             m_server->relieveMemory();
         if (!m_isClosed)
             readMore();
     }
 
-    /// The parser limits the head and the body, but neither trailers nor the extensions of chunks.
-    bool isFramingTooLong() const
-    {
-        if (!m_isHeadTaken)
-            return false;
-        return m_buffer.size() > maximumFramingBytes || m_receivedBytes > 2 * maximumFramingBytes + maximumEncodingRatio * m_parser->get().body().size();
-    }
-
-    /// Takes the fields of the head before the parser adds those of a trailer, which are dropped.
-    void takeHead()
-    {
-        m_isHeadTaken = true;
-        m_shouldKeepAlive = m_parser->keep_alive();
-        auto& message = m_parser->get();
-        m_httpVersion = message.version();
-        m_request.method = std::string { message.method_string() };
-        m_request.target = std::string { message.target() };
-        for (auto const& field : message) {
-            auto name = toLowerCase(field.name_string());
-            m_request.headers[std::move(name)] = std::string { field.value() };
-        }
-        message.clear();
-        m_parser->eager(true);
-    }
-
-    void handleReadFailure(beast::error_code failure)
-    {
-        if (failure == http::error::body_limit || failure == http::error::header_limit)
-            reject({ errors::error_kind::request_too_large, "the request exceeds the limit of " + std::to_string(m_server->limits().bodyBytes) + " bytes", {} });
-        else
-            reject({ errors::error_kind::malformed_request, "malformed HTTP request: " + failure.message(), {} });
-    }
-
     void handleRequest()
     {
         m_stream.expires_never();
@@ -222,13 +160,15 @@
         m_memory.set(0);
         m_stateSince = std::chrono::steady_clock::now();
         m_currentRequestNumber = m_server->nextRequestNumber();
-        m_request.body = std::move(m_parser->get().body());
-        m_request.number = m_currentRequestNumber;
-        m_parser.reset();
+        m_shouldKeepAlive = m_reader->shouldKeepAlive();
+        m_httpVersion = m_reader->httpVersion();
+        auto request = m_reader->takeRequest();
+        request.number = m_currentRequestNumber;
+        m_reader.reset();
         if (m_buffer.size() == 0)
             m_buffer.shrink_to_fit();
         detectClientClose();
-        m_server->handler()(std::move(m_request), [self = shared_from_this()](http_response response) { self->write(std::move(response)); });
+        m_server->handler()(std::move(request), [self = shared_from_this()](http_response response) { self->write(std::move(response)); });
     }
 
     void dropResponse()
@@ -304,16 +244,14 @@
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::optional<http_request_reader> m_reader;
     http::response<http::string_body> m_response;
     std::shared_ptr<http_server::implementation> m_server;
     /// Memory of the incomplete request or of the response that is being written.
     limits::memory_charge m_memory;
-    http_request m_request;
-    /// Number of bytes received since the start of the request, apart from those that came with the request before.
-    std::size_t m_receivedBytes { 0 };
     std::chrono::steady_clock::time_point m_stateSince;
-    bool m_isHeadTaken { false };
+    /// True from the first bytes of a request on that are read after the request before.
+    bool m_hasReceivedBytes { false };
     bool m_isWriting { false };
     bool m_isClosed { false };
     bool m_hasAnswered { false };
--- a/Services/fleet/reader_link.h
+++ b/Services/fleet/reader_link.h
@@ -17,7 +17,7 @@
     /// Called when the daemon that supplies changes is another one, or none.
     std::function<void()> readerChanged;
     /// Called when this daemon must begin or stop to read the store.
-    std::function<void(bool readsStore)> readingChanged;    /// Greatest size of an answer of another daemon, in bytes.
+    std::function<void(bool readsStore)> readingChanged; /// Greatest size of an answer of another daemon, in bytes.
     std::size_t maximumAnswerBytes { wire::http_client::defaultMaximumResponseBytes };
 };
 
