Queries: Reserve no memory for records that have not come

The merge reserves room for the records of the parts, if they are fewer.

OddConfigurations.AVeryLargeNumberOfRecordsIsServed got no answer before, and passes now.

--- a/Libraries/zinnialedge/forwarding/record_merge.cpp
+++ b/Libraries/zinnialedge/forwarding/record_merge.cpp
@@ -15,7 +15,10 @@
 {
     // Min-heap of the greatest records so far; the smallest record is at the front.
     std::vector<char const*> greatest;
-    greatest.reserve(limit + 1);
+    std::size_t recordCount = 0;
+    for (auto const* part : parts)
+        recordCount += part->size() / recordBytes;
+    greatest.reserve(std::min(limit, recordCount) + 1);
     for (auto const* part : parts) {
         for (std::size_t offset = 0; offset + recordBytes <= part->size(); offset += recordBytes) {
             auto const* const record = part->data() + offset;
--- /dev/null
+++ b/Tests/Faults/odd_configuration_test.cpp
@@ -0,0 +1,63 @@
+// Values of a configuration that the store accepts, although no operator would be expected to write them.
+
+#include "Tests/Support/http_call.h"
+#include "Tests/Support/small_edge_fleet.h"
+#include <CppUTest/TestHarness.h>
+#include <boost/json.hpp>
+#include <csignal>
+
+using namespace zinnialedge;
+using namespace std::chrono_literals;
+using tests::callHttp;
+using tests::small_edge_fleet;
+using tests::waitUntil;
+
+namespace {
+
+/// The platform's bound on the time until a configuration version is in force.
+constexpr auto configurationTime = 5s;
+
+/// Writes another version of the configuration, and waits until it is in force.
+void changeConfiguration(small_edge_fleet& fleet, std::uint64_t version, std::function<void(boost::json::object&)> const& change)
+{
+    auto configuration = fleet.store().find("config", "main")->as_object();
+    configuration["version"] = version;
+    change(configuration);
+    fleet.store().put("config", "main", configuration);
+    CHECK(waitUntil([&] {
+        auto const metrics = callHttp(fleet.daemon(0).operators, { "GET", "/metrics", {}, {} }, 1s);
+        return metrics && metrics->body.find("configuration_version " + std::to_string(version) + "\n") != std::string::npos;
+    },
+        configurationTime));
+}
+
+void changeRoutes(small_edge_fleet& fleet, std::uint64_t version, std::string const& field, boost::json::value const& value)
+{
+    changeConfiguration(fleet, version, [&](boost::json::object& configuration) {
+        for (auto& each : configuration["routes"].as_array()) {
+            if (each.as_object().contains(field))
+                each.as_object()[field] = value;
+        }
+    });
+}
+
+/// Returns the status of the answer, or zero when there is none.
+int statusOf(small_edge_fleet& fleet, std::string const& path, std::string const& attemptId, std::string const& key = "none")
+{
+    auto const answer = callHttp(fleet.daemon(0).callers, { "GET", path, {}, { { "Host", "host" }, { "Zinnialedge-Attempt-Id", attemptId }, { "Zinnialedge-Deadline-Ms", "1000" }, { "X-Api-Key", key } } }, 3s);
+    return answer ? answer->status : 0;
+}
+
+}
+
+TEST_GROUP(OddConfigurations) {};
+
+// Guards against: the number of records that an answer may have reserves memory for all of them.
+TEST(OddConfigurations, AVeryLargeNumberOfRecordsIsServed)
+{
+    small_edge_fleet fleet { 1 };
+    changeRoutes(fleet, 2, "top_k", 9'007'199'254'740'991);
+    LONGS_EQUAL(200, statusOf(fleet, "/gather/a", "a1"));
+    LONGS_EQUAL(200, statusOf(fleet, "/gather/a", "a2"));
+    CHECK(!fleet.daemon(0).process->waitForExit(0ms));
+}
