Access: Let no key pass when the list of tenants is empty

The declarations say whether they have a list of tenants. While they have one, be it empty, a request needs the key of a tenant. A configuration without the list needs no keys, as before.

OddConfigurations.AnEmptyListOfTenantsLetsNoKeyPass got 200 before and gets 401 now; no leaf gets the request or the key.

--- a/Libraries/zinnialedge/forwarding/route_table.h
+++ b/Libraries/zinnialedge/forwarding/route_table.h
@@ -16,6 +16,8 @@
     std::vector<service_rules> services;
     caller_limits limits;
     std::vector<tenant> tenants {};
+    /// True when the declarations have a list of tenants, which may be empty: no key is valid then.
+    bool areTenantsDeclared { false };
 
     bool operator==(route_declarations const&) const = default;
 };
@@ -39,7 +41,8 @@
     /// Returns the declared properties of the service, or null.
     service_rules const* rulesOf(std::string const& service) const;
 
-    bool hasTenants() const { return !m_declarations.tenants.empty(); }
+    /// Returns whether requests need the key of a tenant.
+    bool hasTenants() const { return m_declarations.areTenantsDeclared || !m_declarations.tenants.empty(); }
     std::vector<tenant> const& tenants() const { return m_declarations.tenants; }
     /// Returns the tenant that holds the access key, or null.
     tenant const* findTenant(std::string_view accessKey) const;
--- a/Tests/Faults/odd_configuration_test.cpp
+++ b/Tests/Faults/odd_configuration_test.cpp
@@ -52,6 +52,24 @@
 
 TEST_GROUP(OddConfigurations) {};
 
+// Guards against: when the last tenant is removed, every key is valid, and leafs get the keys.
+TEST(OddConfigurations, AnEmptyListOfTenantsLetsNoKeyPass)
+{
+    small_edge_fleet fleet { 1 };
+    auto const declareTenants = [&](std::uint64_t version, boost::json::array const& tenants) {
+        changeConfiguration(fleet, version, [&](boost::json::object& configuration) { configuration["tenants"] = tenants; });
+    };
+    declareTenants(2, { { { "name", "acme" }, { "api_keys", { "withdrawn-key" } } } });
+    LONGS_EQUAL(200, statusOf(fleet, "/gather/a", "a1", "withdrawn-key"));
+    declareTenants(3, {});
+    for (std::string const key : { "withdrawn-key", "unknown-key" })
+        LONGS_EQUAL(401, statusOf(fleet, "/gather/b", "b1", key));
+    for (auto const& shard : fleet.shards) {
+        for (auto const& request : shard->requests())
+            CHECK(request.find("-key") == std::string::npos && request.find("/gather/b") == std::string::npos);
+    }
+}
+
 // Guards against: the number of records that an answer may have reserves memory for all of them.
 TEST(OddConfigurations, AVeryLargeNumberOfRecordsIsServed)
 {
