Timers: Let input and output have their turn between due timers

The fraction was cut off, so that the latency was zero; a copy of a call was then due again at the moment at which it had been put off, and the engine ran due timers until there were none.

A run of due timers ends at those that were due when it began.

OddConfigurations.ATargetLatencyBelowAMillisecondIsServed got no answer before (from the second value on) and passes now.

--- a/Libraries/zinnialedge/forwarding/request_engine.cpp
+++ b/Libraries/zinnialedge/forwarding/request_engine.cpp
@@ -168,9 +168,13 @@
 
 void request_engine::runTimers(time_point now)
 {
+    // Timers that are set meanwhile run in a later turn of the event loop, even if they are due at once, so that input and output get their turn.
+    std::vector<timer> dueTimers;
     while (!m_timers.empty() && m_timers.top().dueAt <= now) {
-        auto const due = m_timers.top();
+        dueTimers.push_back(m_timers.top());
         m_timers.pop();
+    }
+    for (auto const& due : dueTimers) {
         if (due.kind == timer_kind::abandon_call) {
             if (m_calls.contains(due.subject) || m_relayCalls.contains(due.subject) || m_detourCalls.contains(due.subject) || m_probes.contains(due.subject) || m_lossProbes.contains(due.subject))
                 m_hooks.cancelCall(due.subject, call_failure::timed_out);
--- a/Tests/Faults/odd_configuration_test.cpp
+++ b/Tests/Faults/odd_configuration_test.cpp
@@ -70,6 +70,23 @@
     }
 }
 
+// Guards against: timers that are due again at once keep the event loop from everything else.
+TEST(OddConfigurations, ATargetLatencyBelowAMillisecondIsServed)
+{
+    small_edge_fleet fleet { 1 };
+    std::uint64_t version = 2;
+    for (double const milliseconds : { 0.5, 0.0 }) {
+        changeRoutes(fleet, version++, "target_latency_ms", milliseconds);
+        for (int number = 0; number < 40; ++number) {
+            auto const id = "a" + std::to_string(version) + "-" + std::to_string(number);
+            auto const status = statusOf(fleet, number % 2 == 0 ? "/gather/a" : "/single/a", id);
+            CHECK_TEXT(status != 0, (id + " got no answer").c_str());
+        }
+    }
+    fleet.daemon(0).process->signal(SIGTERM);
+    CHECK(fleet.daemon(0).process->waitForExit() == 0);
+}
+
 // Guards against: the number of records that an answer may have reserves memory for all of them.
 TEST(OddConfigurations, AVeryLargeNumberOfRecordsIsServed)
 {
