--- a/Libraries/zinnialedge/wire/http_server.cpp
+++ b/Libraries/zinnialedge/wire/http_server.cpp
@@ -74,7 +74,7 @@
     http_connection_session(tcp::socket socket, std::shared_ptr<http_server::implementation> server)
         : m_stream(std::move(socket))
         , m_server(std::move(server))
-        , m_memory(m_server->memory())
+        , m_memoryCharge(m_server->memory())
     {
     }
 
@@ -86,7 +86,7 @@
     {
         m_reader.emplace(m_server->limits().bodyBytes);
         m_hasReceivedBytes = false;
-        m_memory.set(0);
+        m_memoryCharge.set(0);
         m_stateSince = std::chrono::steady_clock::now();
         if (m_buffer.size() > 0) {
             m_stream.expires_after(m_server->limits().readTimeout);
@@ -101,7 +101,7 @@
     {
         m_isClosed = true;
         m_server->remove(this);
-        m_memory.set(0);
+        m_memoryCharge.set(0);
         beast::error_code ignored;
         m_stream.socket().close(ignored);
         // Nothing reads the bytes any more, and the completion of the write may have to wait while other responses need the memory.
@@ -112,7 +112,7 @@
     bool isAnswering() const { return m_isAnswering; }
     bool isWriting() const { return m_isWriting; }
     bool hasAnswered() const { return m_hasAnswered; }
-    std::size_t heldBytes() const { return m_memory.bytes(); }
+    std::size_t heldBytes() const { return m_memoryCharge.bytes(); }
     std::chrono::steady_clock::time_point stateSince() const { return m_stateSince; }
 
 private:
@@ -146,8 +146,8 @@
         case http_request_reader::status::incomplete:
             break;
         }
-        m_memory.set(m_buffer.capacity() + m_reader->heldBytes());
-        if (m_memory.isBudgetExceeded())
+        m_memoryCharge.set(m_buffer.capacity() + m_reader->heldBytes());
+        if (m_memoryCharge.isBudgetExceeded())
             m_server->relieveMemory();
         if (!m_isClosed)
             readMore();
@@ -157,7 +157,7 @@
     {
         m_stream.expires_never();
         m_isAnswering = true;
-        m_memory.set(0);
+        m_memoryCharge.set(0);
         m_stateSince = std::chrono::steady_clock::now();
         m_currentRequestNumber = m_server->nextRequestNumber();
         m_shouldKeepAlive = m_reader->shouldKeepAlive();
@@ -217,8 +217,8 @@
         m_stream.expires_after(m_server->limits().readTimeout);
         m_isWriting = true;
         m_stateSince = std::chrono::steady_clock::now();
-        m_memory.set(m_response.body().size());
-        if (m_memory.isBudgetExceeded())
+        m_memoryCharge.set(m_response.body().size());
+        if (m_memoryCharge.isBudgetExceeded())
             m_server->relieveMemory();
         if (m_isClosed)
             return;
@@ -231,7 +231,7 @@
         m_isWriting = false;
         m_hasAnswered = true;
         dropResponse();
-        m_memory.set(0);
+        m_memoryCharge.set(0);
         if (failure)
             return;
         if (m_shouldKeepAlive) {
@@ -248,7 +248,7 @@
     http::response<http::string_body> m_response;
     std::shared_ptr<http_server::implementation> m_server;
     /// Memory of the incomplete request or of the response that is being written.
-    limits::memory_charge m_memory;
+    limits::memory_charge m_memoryCharge;
     std::chrono::steady_clock::time_point m_stateSince;
     /// True from the first bytes of a request on that are read after the request before.
     bool m_hasReceivedBytes { false };
--- a/Services/peers/peer_connection.cpp
+++ b/Services/peers/peer_connection.cpp
@@ -16,7 +16,7 @@
 peer_connection::peer_connection(tcp::socket socket, peer_connection_hooks hooks)
     : m_socket(std::move(socket))
     , m_hooks(std::move(hooks))
-    , m_incompleteMessage(m_hooks.incompleteMessages)
+    , m_incompleteMessageCharge(m_hooks.incompleteMessages)
 {
 }
 
@@ -49,7 +49,7 @@
     m_isClosed = true;
     error_code ignored;
     m_socket.close(ignored);
-    m_incompleteMessage.set(0);
+    m_incompleteMessageCharge.set(0);
     m_bodyBuffer.clear();
     m_bodyBuffer.shrink_to_fit();
     m_hooks.connectionClosed();
@@ -97,8 +97,8 @@
         return;
     }
     m_bodyBuffer.resize(receivedBytes + std::min(length - receivedBytes, readChunkBytes));
-    m_incompleteMessage.set(m_bodyBuffer.capacity());
-    if (m_incompleteMessage.isBudgetExceeded() && m_hooks.memoryExceeded)
+    m_incompleteMessageCharge.set(m_bodyBuffer.capacity());
+    if (m_incompleteMessageCharge.isBudgetExceeded() && m_hooks.memoryExceeded)
         m_hooks.memoryExceeded();
     if (m_isClosed)
         return;
@@ -115,7 +115,7 @@
     auto message = wire::decodePeerMessage(m_bodyBuffer);
     m_bodyBuffer.clear();
     m_bodyBuffer.shrink_to_fit();
-    m_incompleteMessage.set(0);
+    m_incompleteMessageCharge.set(0);
     m_idleSince = std::chrono::steady_clock::now();
     if (!message) {
         close();
--- a/Services/peers/peer_connection.h
+++ b/Services/peers/peer_connection.h
@@ -36,7 +36,7 @@
     /// Returns the time at which the last message was complete, or the connection was opened.
     std::chrono::steady_clock::time_point idleSince() const { return m_idleSince; }
     /// Returns the memory of the incomplete message, in bytes.
-    std::size_t incompleteBytes() const { return m_incompleteMessage.bytes(); }
+    std::size_t incompleteBytes() const { return m_incompleteMessageCharge.bytes(); }
 
 private:
     void readLength();
@@ -49,7 +49,7 @@
     peer_connection_hooks m_hooks;
     std::array<char, wire::peerLengthPrefixBytes> m_lengthBuffer {};
     std::string m_bodyBuffer;
-    limits::memory_charge m_incompleteMessage;
+    limits::memory_charge m_incompleteMessageCharge;
     std::chrono::steady_clock::time_point m_idleSince { std::chrono::steady_clock::now() };
     std::deque<std::string> m_sendQueue;
     bool m_isOpen { false };
--- a/Services/traffic/caller_connection.cpp
+++ b/Services/traffic/caller_connection.cpp
@@ -30,8 +30,8 @@
 caller_connection::caller_connection(socket accepted, caller_connection_hooks hooks)
     : m_socket(std::move(accepted))
     , m_hooks(std::move(hooks))
-    , m_buffers(m_hooks.buffers)
-    , m_openRequest(m_hooks.openRequests)
+    , m_bufferCharge(m_hooks.buffers)
+    , m_openRequestCharge(m_hooks.openRequests)
     , m_phaseStartedAt(std::chrono::steady_clock::now())
 {
 }
@@ -71,7 +71,7 @@
         break;
     case phase::answering:
         // Keeps reading, so that a closed connection is detected while a request waits for its answer.
-        if (m_buffer.size() < maximumPipelinedBytes && !m_buffers.isBudgetExceeded())
+        if (m_buffer.size() < maximumPipelinedBytes && !m_bufferCharge.isBudgetExceeded())
             readMore();
         break;
     case phase::closing:
@@ -86,9 +86,9 @@
 {
     if (m_isClosed)
         return;
-    auto const before = m_buffers.bytes();
-    m_buffers.set(m_buffer.capacity() + (m_reader ? m_reader->heldBytes() : 0) + m_unwrittenAnswer.capacity());
-    if (m_buffers.bytes() > before && m_buffers.isBudgetExceeded())
+    auto const before = m_bufferCharge.bytes();
+    m_bufferCharge.set(m_buffer.capacity() + (m_reader ? m_reader->heldBytes() : 0) + m_unwrittenAnswer.capacity());
+    if (m_bufferCharge.bytes() > before && m_bufferCharge.isBudgetExceeded())
         m_hooks.buffersExceeded();
 }
 
@@ -97,7 +97,7 @@
     m_reader.reset();
     m_buffer.clear();
     m_buffer.shrink_to_fit();
-    m_buffers.set(0);
+    m_bufferCharge.set(0);
 }
 
 void caller_connection::dropAnswer()
@@ -165,7 +165,7 @@
         rejectRequest(errors::error_kind::overloaded, forwarding::atCapacityRetryAfter);
         return;
     }
-    m_openRequest.set(bytes);
+    m_openRequestCharge.set(bytes);
     m_hooks.requestReceived(shared_from_this(), std::move(request));
     if (m_phase == phase::answering && m_requestToken)
         readMore();
@@ -189,7 +189,7 @@
 void caller_connection::sendAnswer(forwarding::final_answer const& finalAnswer)
 {
     m_requestToken.reset();
-    m_openRequest.set(0);
+    m_openRequestCharge.set(0);
     if (m_isClosed)
         return;
     m_hasAnswered = true;
@@ -342,7 +342,7 @@
     if (m_requestToken)
         m_hooks.callerDisconnected(*m_requestToken);
     m_requestToken.reset();
-    m_openRequest.set(0);
+    m_openRequestCharge.set(0);
     dropBuffers();
     beast::error_code ignored;
     m_socket.close(ignored);
--- a/Services/traffic/caller_connection.h
+++ b/Services/traffic/caller_connection.h
@@ -72,7 +72,7 @@
     kernel::duration phaseAge(kernel::time_point now) const { return now - m_phaseStartedAt; }
     void close();
     /// Returns the memory of the incomplete request or of the answer that is being written, in bytes.
-    std::size_t bufferedBytes() const { return m_buffers.bytes(); }
+    std::size_t bufferedBytes() const { return m_bufferCharge.bytes(); }
     /// Closes the connection if it has waited for a request for at least `minimumAge` and none has arrived.
     void closeIfIdle(kernel::duration minimumAge, kernel::time_point now);
     /// Returns whether a request is being read or has no complete answer yet.
@@ -110,8 +110,8 @@
     std::array<char, readChunkBytes> m_readChunk {};
     boost::beast::flat_buffer m_buffer;
     std::optional<request_reader> m_reader;
-    limits::memory_charge m_buffers;
-    limits::memory_charge m_openRequest;
+    limits::memory_charge m_bufferCharge;
+    limits::memory_charge m_openRequestCharge;
     /// Answer that is being written.
     std::string m_unwrittenAnswer;
     std::optional<forwarding::request_token> m_requestToken;
--- a/Services/traffic/leaf_connection.cpp
+++ b/Services/traffic/leaf_connection.cpp
@@ -41,7 +41,7 @@
     , m_hooks(std::move(hooks))
     , m_socket(context)
     , m_idleTimeout(defaultIdleTimeout)
-    , m_unfinishedReply(m_hooks.unfinishedReplies)
+    , m_unfinishedReplyCharge(m_hooks.unfinishedReplies)
 {
 }
 
@@ -205,11 +205,11 @@
 {
     bool const isHeadRead = m_parser && m_parser->is_header_done();
     auto const held = m_buffer.size() + (isHeadRead ? m_parser->get().body().size() : 0);
-    m_unfinishedReply.set(held);
+    m_unfinishedReplyCharge.set(held);
     if (!m_call)
         return true;
     // What is left is a part of the head, or the line of a chunk or a trailer, which the parser does not limit.
-    return m_buffer.size() <= maximumFramingBytes && m_receivedBytes <= m_call->replyLimit && (held <= largeReplyBytes || !m_unfinishedReply.isBudgetExceeded());
+    return m_buffer.size() <= maximumFramingBytes && m_receivedBytes <= m_call->replyLimit && (held <= largeReplyBytes || !m_unfinishedReplyCharge.isBudgetExceeded());
 }
 
 void leaf_connection::parseReplies()
@@ -337,7 +337,7 @@
         return;
     m_isClosed = true;
     m_isConnected = false;
-    m_unfinishedReply.set(0);
+    m_unfinishedReplyCharge.set(0);
     beast::error_code ignored;
     m_socket.close(ignored);
     m_hooks.connectionClosed();
--- a/Services/traffic/leaf_connection.h
+++ b/Services/traffic/leaf_connection.h
@@ -129,7 +129,7 @@
     unsigned m_discardedReplyCount { 0 };
     /// Number of bytes received since the call was sent.
     std::size_t m_receivedBytes { 0 };
-    limits::memory_charge m_unfinishedReply;
+    limits::memory_charge m_unfinishedReplyCharge;
     bool m_isConnected { false };
     bool m_isClosed { false };
     bool m_isWritePending { false };
