Tests: Guard the turn between due timers by itself

Change: RequestEngine.ATimerThatIsDueAgainAtOnceWaitsForALaterTurn sets the timer of an engine whose route has a target latency of zero.

Measured: it passes, and without the change to runTimers() it ends by its alarm after 20 s.

--- a/Tests/Unit/request_engine_test.cpp
+++ b/Tests/Unit/request_engine_test.cpp
@@ -1,5 +1,6 @@
 #include "Tests/Support/engine_harness.h"
 #include <CppUTest/TestHarness.h>
+#include <unistd.h>
 
 using namespace zinnialedge;
 using namespace std::chrono_literals;
@@ -338,3 +339,19 @@
     CHECK(answer.error && answer.error->kind == error_kind::no_live_target && answer.error->retryAfter);
     LONGS_EQUAL(0, fleet.openCalls().size());
 }
+
+// Guards against: timers that are due again at the moment at which they run keep the event loop from everything else.
+TEST(RequestEngine, ATimerThatIsDueAgainAtOnceWaitsForALaterTurn)
+{
+    engine_harness fleet;
+    auto route = engine_harness::singleRoute(true);
+    route.objective = 0ms;
+    fleet.declare(1, { route });
+    fleet.registerLeafs({ "desk" }, 1);
+    (void)fleet.arrive("/single/1");
+    // Ends the process when the run has no end.
+    ::alarm(20);
+    fleet.engine.runTimers(fleet.now());
+    ::alarm(0);
+    CHECK(fleet.engine.nextTimerTime() == fleet.now());
+}
