Store: Take no empty page that has more for the end of a listing

Cause: such a page counted as the last one unless it had entries that can't be read, so that all objects that it lacks were removed. After an entry without a name the listing would have begun again from the first page.

A page with more and without a name is a failed read; the listing is repeated, and what is known stays. An entry without a name can't be identified.

--- a/Tests/Faults/odd_store_entries_test.cpp
+++ b/Tests/Faults/odd_store_entries_test.cpp
@@ -89,3 +89,22 @@
     fleet.removeLeaf("desk1");
     CHECK(allUse("desk0"));
 }
+
+// Guards against: daemons forget all leafs when the store answers a listing with an empty page that is not the last one.
+TEST(OddStoreEntries, AnEmptyPageThatHasMoreRemovesNoLeafs)
+{
+    auto const isServed = [&](std::string const& id) {
+        for (std::size_t index = 0; index < fleet.daemonCount(); ++index) {
+            if (fleet.post(index, "/single/a", id, "order").status != 200 || fleet.get(index, "/gather/a", id).status != 200)
+                return false;
+        }
+        return true;
+    };
+    CHECK(isServed("a"));
+    fleet.store().setFaultMode(tests::store_stand_in::trouble::empty_pages);
+    fleet.store().discardHistory();
+    CHECK_FALSE(waitUntil([&] { return !isServed("b"); }, 6s));
+    fleet.store().setFaultMode(tests::store_stand_in::trouble::none);
+    fleet.removeLeaf("desk1");
+    CHECK(allUse("desk0"));
+}
--- a/Tests/Support/store_stand_in.cpp
+++ b/Tests/Support/store_stand_in.cpp
@@ -182,6 +182,11 @@
 
 void store_stand_in::handleRead(std::string const& kind, std::map<std::string, std::string> const& parameters, wire::http_responder const& respond)
 {
+    if (m_currentTrouble == trouble::empty_pages) {
+        auto const page = json::serialize(json::object { { "items", json::array {} }, { "more", true }, { "as_of", m_revision } });
+        respond({ parameters.contains("watch") ? 410 : 200, page, {} });
+        return;
+    }
     if (auto const watch = parameters.find("watch"); watch != parameters.end()) {
         auto const sinceRevision = std::stoull(watch->second);
         if (sinceRevision < m_oldestWatchableRevision || (m_refusesUnknownRevisions && sinceRevision > m_revision)) {
--- a/Tests/Support/store_stand_in.h
+++ b/Tests/Support/store_stand_in.h
@@ -19,6 +19,8 @@
         silent,
         /// The store answers 503 to every call.
         busy,
+        /// The store answers each listing with a page that has no objects although there are more, and knows no revision to watch from.
+        empty_pages,
     };
 
     explicit store_stand_in(model::endpoint const& = { "127.0.0.1", 0 });
--- a/Tests/Unit/store_entries_test.cpp
+++ b/Tests/Unit/store_entries_test.cpp
@@ -118,3 +118,23 @@
     auto const request = protocol.list(fleet::object_kind::leafs, "a b&c=d/\xc3\xa4", false);
     STRCMP_EQUAL("/zinnialedge/objects/servers?after=a%20b%26c%3Dd%2F%C3%A4", request.target.c_str());
 }
+
+// Guards against: an empty page is taken for the end of a listing although there is more, so that all other entries seem to be removed.
+TEST(StoreEntries, AnEmptyPageThatHasMoreIsNoEndOfTheListing)
+{
+    CHECK_FALSE(protocol.parsePage(R"({"items":[],"more":true,"as_of":9})").has_value());
+    CHECK(protocol.parsePage(R"({"items":[],"more":false,"as_of":9})").has_value());
+    // The next page can't be asked for after an entry without a name.
+    CHECK_FALSE(protocol.parsePage(R"({"items":[)" + entry("", registration("sequence", "1")) + R"(],"more":true,"as_of":9})").has_value());
+}
+
+// Guards against: a list that an answer lacks is taken for an empty one.
+TEST(StoreEntries, AnAnswerWithoutAListIsNoEmptyList)
+{
+    CHECK_FALSE(protocol.parsePage(R"({"more":false,"as_of":9})").has_value());
+    CHECK_FALSE(protocol.parsePage(R"({"items":null,"more":false,"as_of":9})").has_value());
+    CHECK_FALSE(protocol.parsePage(R"({"items":[],"as_of":9})").has_value());
+    CHECK_FALSE(protocol.parsePage("{}").has_value());
+    CHECK_FALSE(protocol.parseChanges(R"({"as_of":9})").has_value());
+    CHECK_FALSE(protocol.parseChanges(R"({"events":[]})").has_value());
+}
