Routes: Reject requests on a route without services at once

What callers saw: a version in which one route has an empty `gather` or `split` was not used at all, so that withdrawn keys stayed valid and all other changes of that version were missing. With a `service` beside the empty list that service ran the requests.

A route without services rejects its requests with 503, "no_service", as not run; zlctl explain says the same.

--- a/Libraries/zinnialedge/forwarding/request_arrival.cpp
+++ b/Libraries/zinnialedge/forwarding/request_arrival.cpp
@@ -53,6 +53,10 @@
     }
     if (!resolveAccess(token, request, *to))
         return;
+    if (!to->hasService()) {
+        reject(token, request, makeRejection(errors::error_kind::no_live_target, "no_service", noLeafRetryAfter), to);
+        return;
+    }
     if (auto const conflict = m_stop.isUnderWay() ? m_stop.findConflict(estimateServingTime(request, *to, now), now) : std::nullopt) {
         ++m_counters.rejectionsForStop;
         reject(token, request, makeStopRejection(), to, conflict);
--- a/Libraries/zinnialedge/forwarding/request_explanation.cpp
+++ b/Libraries/zinnialedge/forwarding/request_explanation.cpp
@@ -97,6 +97,8 @@
 {
     if (m_engine.m_routes->hasTenants() && !to.isPublic && request.tenant.empty())
         refuse(makeRefusal(error_kind::unknown_access_key, "no_key"));
+    if (!to.hasService())
+        refuse(makeRefusal(error_kind::no_live_target, "no_service", noLeafRetryAfter));
     if (m_engine.m_requests.size() >= m_engine.m_settings.capacity)
         refuse(makeRefusal(error_kind::overloaded, "at_capacity", atCapacityRetryAfter));
     auto const* const tenant = request.tenant.empty() ? nullptr : m_engine.m_routes->tenantNamed(request.tenant);
--- a/Libraries/zinnialedge/forwarding/route.h
+++ b/Libraries/zinnialedge/forwarding/route.h
@@ -43,7 +43,7 @@
     std::uint32_t maximumAttempts { 1 };
     /// Priority of the requests; 0 is the most urgent.
     std::uint32_t priority { 0 };
-    /// Weighted destinations; at least one entry, except that the list is empty for a route over shards.
+    /// Weighted destinations; empty for a route over shards, and for a route that was declared without services.
     std::vector<weighted_service> services;
     /// Gather policy; its list of shards is empty for a route to a single service.
     gather_policy gather;
@@ -51,6 +51,8 @@
     bool isPublic { false };
 
     bool isGather() const { return !gather.shards.empty(); }
+    /// Returns whether there is a service that may get the requests.
+    bool hasService() const { return isGather() || !services.empty(); }
     auto operator<=>(route const&) const = default;
 };
 
--- a/Tests/Faults/odd_configuration_test.cpp
+++ b/Tests/Faults/odd_configuration_test.cpp
@@ -96,3 +96,35 @@
     LONGS_EQUAL(200, statusOf(fleet, "/gather/a", "a2"));
     CHECK(!fleet.daemon(0).process->waitForExit(0ms));
 }
+
+// Guards against: a route with an empty list of services makes the whole version unusable, or is served by another service.
+TEST(OddConfigurations, RequestsOnARouteWithoutServicesAreRejectedAtOnce)
+{
+    small_edge_fleet fleet { 1 };
+    std::uint64_t version = 2;
+    auto const noWeight = boost::json::array { { { "service", "desk" }, { "weight", 0 } } };
+    for (auto const& [field, services] : std::initializer_list<std::pair<std::string, boost::json::array>> { { "gather", {} }, { "split", {} }, { "split", noWeight } }) {
+        for (bool const hasService : { false, true }) {
+            auto const id = "a" + std::to_string(version);
+            changeConfiguration(fleet, version++, [&](boost::json::object& configuration) {
+                for (auto& each : configuration["routes"].as_array()) {
+                    auto& route = each.as_object();
+                    if (route["path_prefix"] != "/single/")
+                        continue;
+                    for (auto const* const destination : { "service", "split", "gather" })
+                        route.erase(destination);
+                    route[field] = services;
+                    route["top_k"] = 1;
+                    route["min_success_ratio"] = 0;
+                    if (hasService)
+                        route["service"] = "desk";
+                }
+            });
+            auto const startedAt = std::chrono::steady_clock::now();
+            LONGS_EQUAL(503, statusOf(fleet, "/single/a", id));
+            CHECK(std::chrono::steady_clock::now() - startedAt < 500ms);
+            LONGS_EQUAL(200, statusOf(fleet, "/gather/a", id));
+        }
+    }
+    LONGS_EQUAL(0, fleet.desk0.requests().size() + fleet.desk1.requests().size());
+}
--- a/Tests/Unit/request_explanation_test.cpp
+++ b/Tests/Unit/request_explanation_test.cpp
@@ -217,3 +217,13 @@
     auto const explained = cutOff.explain("/gather/a");
     CHECK(explained.detour && explained.detour == share.detours.front() && !explained.refusal);
 }
+
+// Guards against: an explanation that finds nothing wrong with a route that has no services.
+TEST(RequestExplanation, ARouteWithoutServicesIsRefused)
+{
+    explained_daemon daemon;
+    auto route = engine_harness::singleRoute(true);
+    route.services.clear();
+    daemon.declare(4, { route }, { { .name = "free", .accessKeys = { "key of free" } } });
+    daemon.checkRefusal("no_service", "/single/x");
+}
