--- a/Tests/Unit/store_entries_test.cpp
+++ b/Tests/Unit/store_entries_test.cpp
@@ -1,4 +1,6 @@
 #include "platform/store_codec.h"
+#include <boost/algorithm/string/replace.hpp>
+#include <boost/json.hpp>
 #include <CppUTest/TestHarness.h>
 
 using namespace zinnialedge;
@@ -138,3 +140,21 @@
     CHECK_FALSE(protocol.parseChanges(R"({"as_of":9})").has_value());
     CHECK_FALSE(protocol.parseChanges(R"({"events":[]})").has_value());
 }
+
+// Guards against: a number beyond 32 bits is cut to its lower half, so that a route of the last priority becomes the most urgent one.
+TEST(StoreEntries, NumbersBeyond32BitsAreHeldAtTheGreatestOne)
+{
+    static constexpr auto greatest = std::numeric_limits<std::uint32_t>::max();
+    for (auto const* const number : { "4294967296", "4294967297", "9223372036854775807" }) {
+        auto const text = boost::algorithm::replace_all_copy(std::string { R"({"version":1,"limits":{"max_header_bytes":#,"max_body_bytes":#,"header_timeout_ms":3000,"idle_timeout_ms":3000},
+            "routes":[{"name":"r","host":"h","path_prefix":"/","kind":"idempotent","timeout_ms":100,"target_latency_ms":10,"attempts":#,"priority":#,"service":"desk"}],
+            "services":[{"name":"desk","max_conns":#}],"tenants":[{"name":"t","api_keys":["k"],"priority":#}]})" }, "#", number);
+        auto const declared = protocol.parseRoutes({ .content = boost::json::parse(text) });
+        CHECK(declared.has_value());
+        UNSIGNED_LONGS_EQUAL(greatest, declared->routes.front().maximumAttempts);
+        UNSIGNED_LONGS_EQUAL(greatest, declared->routes.front().priority);
+        UNSIGNED_LONGS_EQUAL(greatest, declared->services.front().connectionCap);
+        UNSIGNED_LONGS_EQUAL(greatest, declared->tenants.front().priority.value_or(0));
+        CHECK(declared->limits.headerBytes >= greatest && declared->limits.bodyBytes >= greatest);
+    }
+}
