--- a/Tests/Faults/crowd_at_query_daemon_test.cpp
+++ b/Tests/Faults/crowd_at_query_daemon_test.cpp
@@ -114,6 +114,15 @@
     daemon.checkBears({ .endpoint = daemon.daemon.peers, .connectionCount = 100, .start = std::string { '\x00', '\xf0', '\x00', '\x00' } });
 }
 
+// Guards against: the number of elements that a message announces reserves memory for all of them.
+TEST(CrowdQueryPeerMessages, AnnouncedElements)
+{
+    // An answer with a list of 2^31 - 1 rows, none of which follows.
+    std::string const message { "\x3c\x79\xfc\xff\xff\xff\xff\x07" };
+    query_daemon daemon;
+    daemon.checkBears({ .endpoint = daemon.daemon.peers, .connectionCount = 10, .start = std::string { '\0', '\0', '\0', static_cast<char>(message.size()) } + message });
+}
+
 TEST_GROUP(CrowdQueryUnfinishedPeerMessages) {};
 
 TEST(CrowdQueryUnfinishedPeerMessages, AllButTheLastBytes)
--- a/Tests/Faults/crowd_of_peers_test.cpp
+++ b/Tests/Faults/crowd_of_peers_test.cpp
@@ -139,6 +139,24 @@
     }));
 }
 
+// Guards against: the number of elements that a datagram announces reserves memory for all of them.
+TEST(CrowdOfMembers, DatagramsThatAnnounceMoreThanTheyHave)
+{
+    // A list of 2^31 - 1 updates, suspect requests, or usages of a report, none of which follows.
+    std::string const announced { "\xfc\xff\xff\xff\xff\x07" };
+    crowded_daemon daemon;
+    checkBears(daemon.watch([&] {
+        boost::asio::io_context context;
+        boost::asio::ip::udp::socket socket { context, boost::asio::ip::udp::v4() };
+        boost::asio::ip::udp::endpoint const to { boost::asio::ip::make_address(daemon.peers().address), daemon.peers().port };
+        for (std::string const field : { "\x79", "\x99", "\xac\x69" }) {
+            boost::system::error_code ignored;
+            socket.send_to(boost::asio::buffer(field + announced), to, 0, ignored);
+            std::this_thread::sleep_for(500ms);
+        }
+    }));
+}
+
 TEST_GROUP(CrowdPeerAnswers) {};
 
 // The JSON of an answer takes far more memory than its bytes.
