Relays: Hold times of other daemons in range

What callers saw: nothing on a sound fleet.

Cause: the milliseconds of the headers between daemons had no bound, and overflowed when they were added to a point in time.

Change: such times are held between zero and an hour, as callers' are.

Measured: Relay.TimesOutOfRangeStayInTheFuture failed before and passes now.

--- a/Libraries/zinnialedge/forwarding/relay_protocol.cpp
+++ b/Libraries/zinnialedge/forwarding/relay_protocol.cpp
@@ -60,6 +60,13 @@
     return number;
 }
 
+/// Parses a time in milliseconds. Longer times than an hour, which no request takes, would overflow in arithmetic with points in time.
+static std::chrono::milliseconds parseTime(std::string_view text)
+{
+    static constexpr std::chrono::milliseconds longest { std::chrono::hours { 1 } };
+    return std::clamp(std::chrono::milliseconds { parseNumber<std::int64_t>(text) }, std::chrono::milliseconds::zero(), longest);
+}
+
 static std::vector<std::string> splitList(std::string_view text)
 {
     std::vector<std::string> items;
@@ -145,7 +152,7 @@
     if (iequals(name, minimumVersionHeader))
         detoured.minimumVersion = parseNumber<std::uint64_t>(value);
     else if (iequals(name, objectiveHeader))
-        detoured.objectiveLeft = std::chrono::milliseconds { parseNumber<std::int64_t>(value) };
+        detoured.objectiveLeft = parseTime(value);
     else if (iequals(name, attemptsUsedHeader))
         detoured.attemptsUsed = parseNumber<std::uint32_t>(value);
     else if (iequals(name, countedHeader))
@@ -162,9 +169,9 @@
 static bool parseRelayHeader(std::string_view name, std::string_view value, relayed_request& relayed)
 {
     if (iequals(name, answerWithinHeader))
-        relayed.answerTimeLimit = std::chrono::milliseconds { parseNumber<std::int64_t>(value) };
+        relayed.answerTimeLimit = parseTime(value);
     else if (iequals(name, latestAnswerHeader))
-        relayed.latestAnswerTimeLimit = std::chrono::milliseconds { parseNumber<std::int64_t>(value) };
+        relayed.latestAnswerTimeLimit = parseTime(value);
     else if (iequals(name, versionHeader))
         relayed.version = parseNumber<std::uint64_t>(value);
     else if (iequals(name, shardsHeader))
@@ -183,7 +190,7 @@
     if (iequals(name, attemptHeader))
         request.attemptId = std::string { value };
     else if (iequals(name, patienceHeader))
-        request.timeLimit = std::chrono::milliseconds { parseNumber<std::int64_t>(value) };
+        request.timeLimit = parseTime(value);
     else if (iequals(name, tenantHeader))
         request.tenant = std::string { value };
     else if (parseDetourHeader(name, value, detoured))
@@ -227,7 +234,7 @@
     else if (iequals(name, errorHeader))
         outcome.error = errors::parseErrorKind(value).value_or(errors::error_kind::internal);
     else if (iequals(name, retryAfterHeader))
-        outcome.retryAfter = std::chrono::milliseconds { parseNumber<std::int64_t>(value) };
+        outcome.retryAfter = parseTime(value);
     else if (iequals(name, missingHeader))
         outcome.missingParts = parseNumber<std::size_t>(value);
     else
--- a/Tests/Unit/relay_test.cpp
+++ b/Tests/Unit/relay_test.cpp
@@ -1,4 +1,5 @@
 #include "Libraries/zinnialedge/forwarding/relay_plan.h"
+#include "Libraries/zinnialedge/forwarding/relay_protocol.h"
 #include "Tests/Support/engine_harness.h"
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -297,3 +298,16 @@
     LONGS_EQUAL(remoteShardCount - 1, relayed.size());
     CHECK(std::find(relayed.begin(), relayed.end(), limitedShard) == relayed.end());
 }
+
+// Guards against: a time from another daemon that is out of range overflows, and seems to have passed already.
+TEST(Relay, TimesOutOfRangeStayInTheFuture)
+{
+    auto const protocol = forwarding::makeRelayProtocol();
+    for (std::string const time : { "9223372036854775807", "9223372036855" }) {
+        forwarding::caller_request request { .method = "GET", .target = "/gather/1", .host = "host" };
+        for (auto const* const name : { "X-Relay-Answer-Within-Ms", "X-Relay-Latest-Answer-Ms", "X-Relay-Patience-Ms", "X-Relay-Objective-Ms" })
+            protocol.parseRequestHeader(name, time, request);
+        for (auto const limit : { request.relayed->answerTimeLimit, request.relayed->latestAnswerTimeLimit, *request.timeLimit, request.detoured->objectiveLeft })
+            CHECK(limit >= 1h && limit <= 24h);
+    }
+}
