Quotas: Keep the wait of a very low rate in range

Cause: the seconds until the next request overflowed when they were turned into nanoseconds.

Change: such a wait is a year at most.

Measured: TenantQuotas.TheNextRequestOfAVeryLowRateIsFarAway failed before and passes now.

--- a/Libraries/zinnialedge/allowances/tenant_quotas.cpp
+++ b/Libraries/zinnialedge/allowances/tenant_quotas.cpp
@@ -24,6 +24,9 @@
 static constexpr double normalExcessTokens = 1;
 static constexpr double normalExcessSeconds = 0.2;
 
+/// Longer waits would overflow in arithmetic with points in time.
+static constexpr std::chrono::duration<double> longestWait { std::chrono::hours { 24 * 365 } };
+
 static double secondsOf(duration elapsed)
 {
     return std::chrono::duration<double> { elapsed }.count();
@@ -31,7 +34,7 @@
 
 static duration toDuration(double seconds)
 {
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double> { seconds });
+    return std::chrono::duration_cast<duration>(std::min(std::chrono::duration<double> { seconds }, longestWait));
 }
 
 tenant_quotas::tenant_quotas(time_point startedAt)
--- a/Tests/Unit/tenant_quotas_test.cpp
+++ b/Tests/Unit/tenant_quotas_test.cpp
@@ -279,4 +279,17 @@
     CHECK(!alone.nextReportTime());
 }
 
+// Guards against: the time until the next request of a very low rate is out of range, and seems to have passed already.
+TEST(TenantQuotas, TheNextRequestOfAVeryLowRateIsFarAway)
+{
+    tenant_quotas alone { fleet.now() };
+    alone.setQuotas({ { "rare", 1e-12, 1 } }, fleet.now());
+    alone.setMembers("alone", true, {}, fleet.now());
+    auto const later = fleet.now() + 10s;
+    CHECK(alone.tryConsume("rare", later));
+    CHECK_FALSE(alone.tryConsume("rare", later));
+    for (auto const wait : { alone.retryAfter("rare", later), alone.requestInterval("rare") })
+        CHECK(wait > 1h && later + wait + wait > later);
+}
+
 }
