Settings: Keep the fractions of times

Cause: the window was cut to whole seconds.

Change: windows and the time of a stop are read in one place, which keeps the milliseconds.

Measured: EdgeSettings.WindowsKeepTheirFractions got 1000 ms before and passes now.

--- a/Libraries/zinnialedge/configuration/edge_settings.cpp
+++ b/Libraries/zinnialedge/configuration/edge_settings.cpp
@@ -21,10 +21,16 @@
 static constexpr double maximumOverage = 100;
 static constexpr double maximumColdSlack = 1e6;
 
+/// Reads a time of at least a second. The fraction is kept to the millisecond.
+static std::chrono::milliseconds readSeconds(json_reader& reader, std::string_view name, double maximum)
+{
+    return std::chrono::round<std::chrono::milliseconds>(std::chrono::duration<double> { reader.real(name, 1, maximum) });
+}
+
 static void parseExtraCalls(json_reader& reader, edge_settings& settings)
 {
     settings.extraCalls.ratio = reader.real("ratio", 0, 1);
-    settings.extraCalls.window = std::chrono::seconds { static_cast<std::int64_t>(reader.real("window_s", 1, maximumWindowSeconds)) };
+    settings.extraCalls.window = readSeconds(reader, "window_s", maximumWindowSeconds);
     settings.extraCalls.slack = reader.real("slack", 0, maximumExtraCalls);
 }
 
@@ -50,7 +56,7 @@
 
 static void parseQuotas(json_reader& reader, edge_settings& settings)
 {
-    settings.quotaTolerance.window = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("window_s", 1, maximumWindowSeconds) * 1000) };
+    settings.quotaTolerance.window = readSeconds(reader, "window_s", maximumWindowSeconds);
     settings.quotaTolerance.overage = reader.real("overage", 0, maximumQuotaOverage);
     settings.quotaTolerance.slack = reader.real("slack", 0, maximumQuotaSlack);
 }
@@ -115,9 +121,9 @@
     reader.object("extra_calls", true, [&](json_reader& item) { parseExtraCalls(item, settings); });
     reader.object("store_rates", true, [&](json_reader& item) { parseStoreRates(item, settings); });
     reader.object("quotas", false, [&](json_reader& item) { parseQuotas(item, settings); });
-    settings.stopTimeLimit = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("stop_time_s", 1, maximumStopSeconds) * 1000) };
+    settings.stopTimeLimit = readSeconds(reader, "stop_time_s", maximumStopSeconds);
     if (reader.has("maximum_leaf_pause_s"))
-        settings.maximumLeafPause = std::chrono::milliseconds { static_cast<std::int64_t>(reader.real("maximum_leaf_pause_s", 1, maximumLeafPauseSeconds) * 1000) };
+        settings.maximumLeafPause = readSeconds(reader, "maximum_leaf_pause_s", maximumLeafPauseSeconds);
     reader.object("capacity", false, [&](json_reader& item) { parseCapacity(item, settings); });
     if (reader.has("leaf_calls_from")) {
         settings.leafCallSource = reader.text("leaf_calls_from");
--- a/Libraries/zinnialedge/forwarding/extra_call_budget.h
+++ b/Libraries/zinnialedge/forwarding/extra_call_budget.h
@@ -10,7 +10,7 @@
 struct extra_call_limits {
     /// Extra calls allowed for each request.
     double ratio { 0.2 };
-    std::chrono::seconds window { 10 };
+    std::chrono::milliseconds window { 10'000 };
     /// Further extra calls allowed in each window, independent of the requests; divided evenly among the daemons.
     double slack { 50 };
 
--- a/Tests/Unit/edge_settings_test.cpp
+++ b/Tests/Unit/edge_settings_test.cpp
@@ -152,3 +152,13 @@
         CHECK(settings->readsEvacuations == hasEvacuations);
     }
 }
+
+// Guards against: the fraction of a window is cut off, so that more extra calls are allowed in a time than declared.
+TEST(EdgeSettings, WindowsKeepTheirFractions)
+{
+    auto const settings = configuration::parseEdgeSettings(R"({ "name": "a", "region": "r", "data_centre": "d", "callers": "127.0.0.1:1", "readiness": "127.0.0.1:2", "directory": "127.0.0.1:3", "peers": "127.0.0.1:4", "relays": "127.0.0.1:5", "operators": "127.0.0.1:6", "store": "127.0.0.1:7",
+        "extra_calls": { "ratio": 0.1, "window_s": 1.5, "slack": 5 }, "store_rates": { "reads_per_s": 10, "writes_per_s": 10 }, "stop_time_s": 2.5 })");
+    CHECK(settings.has_value());
+    LONGS_EQUAL(1500, std::chrono::milliseconds { settings->extraCalls.window }.count());
+    LONGS_EQUAL(2500, settings->stopTimeLimit.count());
+}
