zinnialedged: End a run of timers at those that were due

Cause looked for: the pollers of the store, the readers, the polls of other daemons and the membership each set one timer of the event loop, so that input and output have their turn; a store that answers watches at once is held by the budget of reads.

Measured: the unit and differential tests of the engine pass as before.

--- a/Libraries/zinnialedge/queries/query_engine.cpp
+++ b/Libraries/zinnialedge/queries/query_engine.cpp
@@ -138,9 +138,13 @@
 void query_engine::handle(timer_due const&, time_point now)
 {
     dispatchAllQueues(now);
+    // Timers that are set meanwhile run in a later step, even if they are due at once, so that other events get their turn.
+    std::vector<timer> dueTimers;
     while (!m_timers.empty() && m_timers.top().dueAt <= now) {
-        auto const due = m_timers.top();
+        dueTimers.push_back(m_timers.top());
         m_timers.pop();
+    }
+    for (auto const& due : dueTimers) {
         if (due.kind == timer_kind::relay_deadline) {
             failRelayAtDeadline(due.caller);
             continue;
