Store: Ask a store that holds no watch at a moderate rate

What callers saw: nothing at once.

Cause: after an answer without changes, and after a refused watch, the next request was due at once. Only a store that holds its watches spaces them.

Change: an answer without changes is followed by the next watch 100 ms after that one was sent at the earliest, and a refused watch by another listing 100 ms after the latest one. Watches that were held for longer are followed at once, as before.

--- a/Libraries/zinnialedge/fleet/object_mirror.cpp
+++ b/Libraries/zinnialedge/fleet/object_mirror.cpp
@@ -167,6 +167,7 @@
     m_listCursor.clear();
     m_isListing = false;
     m_hasCompletedListing = true;
+    m_listedAt = now;
     // Pages may show different revisions, so the watch starts at the revision of the first page. A change that a later page
     // already contains is harmless when the watch delivers the change again. A listing that is older than what another daemon has read
     // may have brought back objects, whose removal the watch then delivers.
@@ -201,7 +202,8 @@
             put(std::move(object));
     }
     m_position = std::max(m_position, store_position { m_era, page.asOf });
-    m_nextRequestAt = now + (page.changes.empty() ? std::chrono::milliseconds { 0 } : m_settings.batchDelay);
+    // A store that does not hold the watch must not be asked again at once.
+    m_nextRequestAt = page.changes.empty() ? std::max<time_point>(now, m_requestedAt.value_or(now) + m_settings.firstRetryDelay) : now + m_settings.batchDelay;
 }
 
 void object_mirror::handleHistoryGone(std::optional<std::uint64_t> era, time_point now)
@@ -211,7 +213,8 @@
         return;
     m_isListing = true;
     m_listCursor.clear();
-    m_nextRequestAt = now;
+    // A store that refuses the revision of its own listing must not be asked for another one at once.
+    m_nextRequestAt = m_listedAt ? std::max<time_point>(now, *m_listedAt + m_settings.firstRetryDelay) : now;
 }
 
 void object_mirror::handleFailure(time_point now)
--- a/Tests/Faults/odd_store_entries_test.cpp
+++ b/Tests/Faults/odd_store_entries_test.cpp
@@ -108,3 +108,25 @@
     fleet.removeLeaf("desk1");
     CHECK(allUse("desk0"));
 }
+
+// Guards against: daemons that ask a store again at once, so that they spend all reads that the fleet may make.
+TEST(OddStoreEntries, AStoreThatHoldsNoWatchIsAskedAtAModerateRate)
+{
+    using trouble = tests::store_stand_in::trouble;
+    // A tenth of the rate that the settings of the fleet allow.
+    static constexpr std::size_t moderateReadsPerSecond = 200;
+    for (auto const mode : { trouble::hasty, trouble::forgetful }) {
+        fleet.store().setFaultMode(mode);
+        fleet.store().put("config", "other", mode == trouble::hasty ? "hasty" : "forgetful");
+        fleet.removeLeaf("desk1");
+        CHECK(allUse("desk0"));
+        auto const callCount = fleet.store().callCount();
+        std::this_thread::sleep_for(3s);
+        auto const readsPerSecond = (fleet.store().callCount() - callCount) / 3;
+        CHECK_TEXT(readsPerSecond <= moderateReadsPerSecond, ("reads per second: " + std::to_string(readsPerSecond)).c_str());
+        fleet.registerLeaf("desk1", "desk", fleet.desk1.place());
+        fleet.removeLeaf("desk0");
+        CHECK(allUse("desk1"));
+        fleet.registerLeaf("desk0", "desk", fleet.desk0.place());
+    }
+}
--- a/Tests/Support/store_stand_in.cpp
+++ b/Tests/Support/store_stand_in.cpp
@@ -189,12 +189,12 @@
     }
     if (auto const watch = parameters.find("watch"); watch != parameters.end()) {
         auto const sinceRevision = std::stoull(watch->second);
-        if (sinceRevision < m_oldestWatchableRevision || (m_refusesUnknownRevisions && sinceRevision > m_revision)) {
+        if (m_currentTrouble == trouble::forgetful || sinceRevision < m_oldestWatchableRevision || (m_refusesUnknownRevisions && sinceRevision > m_revision)) {
             respond({ 410, "{}", {} });
             return;
         }
         pending_watch const newWatch { kind, sinceRevision, std::chrono::steady_clock::now() + std::chrono::milliseconds { std::stoll(parameters.at("wait_ms")) }, respond };
-        if (!tryAnswerWatch(newWatch, false))
+        if (!tryAnswerWatch(newWatch, m_currentTrouble == trouble::hasty))
             m_pendingWatches.push_back(newWatch);
         return;
     }
--- a/Tests/Support/store_stand_in.h
+++ b/Tests/Support/store_stand_in.h
@@ -21,6 +21,10 @@
         busy,
         /// The store answers each listing with a page that has no objects although there are more, and knows no revision to watch from.
         empty_pages,
+        /// The store holds no watch: it answers each at once.
+        hasty,
+        /// The store knows no revision to watch from, not even that of its latest listing.
+        forgetful,
     };
 
     explicit store_stand_in(model::endpoint const& = { "127.0.0.1", 0 });
