zinnialedged: Limit the unfinished replies of all leafs together

What callers saw: leafs that answer status requests or calls with bytes without an end took the memory of zinnialedged: 397 MiB from 48 such leafs, on a VM of 160 MB. Their process would end, with the requests of all other services.

Change: the clients for leafs charge what they hold to one budget of 32 MiB. While it is exceeded, replies that are large already fail.

Measured: CrowdQueryEndlessLeafs.RepliesToStatusRequests failed before (397 MiB) and passes now (less than 160 MiB); an ordinary query is answered meanwhile.

--- a/Libraries/zinnialedge/wire/http_client.cpp
+++ b/Libraries/zinnialedge/wire/http_client.cpp
@@ -22,12 +22,13 @@
 /// Reads and writes the socket directly, because the layers of a Beast stream cost more than the system calls.
 class http_client::implementation : public std::enable_shared_from_this<implementation> {
 public:
-    implementation(asio::io_context& context, model::endpoint endpoint, std::size_t maximumResponseBytes)
+    implementation(asio::io_context& context, model::endpoint endpoint, std::size_t maximumResponseBytes, std::shared_ptr<limits::memory_budget> unfinishedResponses)
         : m_context(context)
         , m_socket(context)
         , m_timer(context)
         , m_endpoint(std::move(endpoint))
         , m_maximumResponseBytes(maximumResponseBytes)
+        , m_unfinishedResponseCharge(std::move(unfinishedResponses))
     {
         m_request.version(httpVersion);
         m_request.set(http::field::host, m_endpoint.address);
@@ -98,6 +99,8 @@
     static constexpr std::size_t readBufferBytes = 8192;
     /// Maximum size of a response's head, and of a chunk's line or a trailer.
     static constexpr std::size_t maximumFramingBytes = 64U << 10U;
+    /// Size above which an unfinished response counts as large.
+    static constexpr std::size_t largeResponseBytes = 64U << 10U;
     static constexpr int keepAliveIdleSeconds = 1;
     static constexpr int keepAliveIntervalSeconds = 1;
     static constexpr int keepAliveProbeCount = 2;
@@ -193,6 +196,8 @@
             if (!failure && !m_parser->is_done() && m_buffer.size() > maximumFramingBytes)
                 failure = http::error::body_limit;
         }
+        if (!failure && !m_parser->is_done() && !accountResponseBytes())
+            failure = http::error::body_limit;
         if (failure) {
             fail("read", failure);
             return;
@@ -204,6 +209,14 @@
         completeResponse();
     }
 
+    /// Returns whether the response may go on.
+    bool accountResponseBytes()
+    {
+        auto const held = m_buffer.capacity() + (m_parser->is_header_done() ? m_parser->get().body().capacity() : 0);
+        m_unfinishedResponseCharge.set(held);
+        return held <= largeResponseBytes || !m_unfinishedResponseCharge.isBudgetExceeded();
+    }
+
     void completeResponse()
     {
         bool const isKeptAlive = m_parser->keep_alive();
@@ -233,6 +246,7 @@
         if (!result.has_value())
             close();
         clearTimeLimit();
+        m_unfinishedResponseCharge.set(0);
         auto const callback = std::move(m_callback);
         m_callback = nullptr;
         callback(std::move(result));
@@ -245,6 +259,7 @@
     std::size_t m_receivedBytes { 0 };
     model::endpoint m_endpoint;
     std::size_t m_maximumResponseBytes { 0 };
+    limits::memory_charge m_unfinishedResponseCharge;
     http::request<http::string_body> m_request;
     std::vector<std::string> m_requestHeaderNames;
     std::string m_serializedRequest;
@@ -254,8 +269,8 @@
     bool m_isTimedOut { false };
 };
 
-http_client::http_client(asio::io_context& context, model::endpoint endpoint, std::size_t maximumResponseBytes)
-    : m_implementation(std::make_shared<implementation>(context, std::move(endpoint), maximumResponseBytes))
+http_client::http_client(asio::io_context& context, model::endpoint endpoint, std::size_t maximumResponseBytes, std::shared_ptr<limits::memory_budget> unfinishedResponses)
+    : m_implementation(std::make_shared<implementation>(context, std::move(endpoint), maximumResponseBytes, std::move(unfinishedResponses)))
 {
 }
 
--- a/Libraries/zinnialedge/wire/http_client.h
+++ b/Libraries/zinnialedge/wire/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Libraries/zinnialedge/limits/memory_budget.h"
 #include "Libraries/zinnialedge/wire/http_message.h"
 #include <chrono>
 #include <functional>
@@ -26,8 +27,9 @@
 /// One client connection with at most one request in flight. Must be used only on the thread of its event loop.
 class http_client {
 public:
-    /// `maximumResponseBytes` limits what is received for one response, the framing of the body included.
-    http_client(boost::asio::io_context&, model::endpoint, std::size_t maximumResponseBytes = defaultMaximumResponseBytes);
+    /// `maximumResponseBytes` limits what is received for one response, the framing of the body included. While the clients of one
+    /// `unfinishedResponses` exceed it together, large responses fail.
+    http_client(boost::asio::io_context&, model::endpoint, std::size_t maximumResponseBytes = defaultMaximumResponseBytes, std::shared_ptr<limits::memory_budget> unfinishedResponses = {});
     ~http_client();
 
     /// Opens the connection. The callback receives true on success.
--- a/Services/targets/leaf_pool.cpp
+++ b/Services/targets/leaf_pool.cpp
@@ -48,7 +48,7 @@
 void leaf_pool::openConnection()
 {
     ++m_openingCount;
-    auto const connection = std::make_shared<wire::http_client>(m_context, m_endpoint);
+    auto const connection = std::make_shared<wire::http_client>(m_context, m_endpoint, wire::http_client::defaultMaximumResponseBytes, m_hooks.unfinishedReplies);
     connection->connect(connectTimeout, [self = shared_from_this(), connection](bool isConnected) {
         --self->m_openingCount;
         if (isConnected) {
--- a/Services/targets/leaf_pool.h
+++ b/Services/targets/leaf_pool.h
@@ -17,6 +17,8 @@
     kernel::clock_hook clock;
     std::function<void(queries::leaf_call_ended)> handleCallEnd;
     std::function<void(queries::leaf_status_received)> statusReceived;
+    /// Memory for the unfinished replies of all leafs together.
+    std::shared_ptr<limits::memory_budget> unfinishedReplies {};
 };
 
 /// Connections to one leaf. Each new connection is verified with a status request before the connection carries calls.
--- a/Services/targets/target_service.cpp
+++ b/Services/targets/target_service.cpp
@@ -10,6 +10,8 @@
 namespace json = boost::json;
 
 static constexpr std::chrono::milliseconds refreshInterval { 1000 };
+/// Memory for the unfinished replies of all leafs together, a fifth of the smallest VM's.
+static constexpr std::size_t maximumUnfinishedReplyBytes = 32U << 20U;
 /// Ring slots per leaf call. A call needs at most two slots (send and cancel); the remaining slots are for connection changes.
 static constexpr std::size_t actionSlotsPerCall = 4;
 
@@ -43,6 +45,7 @@
     , m_clock(std::move(clock))
     , m_decisionService(decisionService)
     , m_leafCallCapacity(leafCallCapacity)
+    , m_unfinishedReplies(std::make_shared<limits::memory_budget>(limits::memory_budget { maximumUnfinishedReplyBytes }))
     , m_refreshTimer(std::make_unique<refresh_timer>(m_workerThread.context(), [this] { refreshPools(); }))
 {
     m_decisionService.setTargetOutbox(m_workerThread.createInbox<decisions::target_action>(actionSlotsPerCall * leafCallCapacity, [this](decisions::target_action&& action) { handle(std::move(action)); }));
@@ -88,6 +91,7 @@
             m_clock,
             [this](queries::leaf_call_ended ended) { forwardEvent(std::move(ended)); },
             [this](queries::leaf_status_received report) { forwardEvent(std::move(report)); },
+            m_unfinishedReplies,
         };
         pool = std::make_shared<leaf_pool>(m_workerThread.context(), action.change.handle, action.change.endpoint, m_callPrefix, std::move(hooks));
     }
--- a/Services/targets/target_service.h
+++ b/Services/targets/target_service.h
@@ -39,6 +39,7 @@
     kernel::clock_hook m_clock;
     decisions::decision_service& m_decisionService;
     std::size_t m_leafCallCapacity;
+    std::shared_ptr<limits::memory_budget> m_unfinishedReplies;
     std::map<routing::leaf_handle, std::shared_ptr<leaf_pool>> m_leafPools;
     std::unique_ptr<refresh_timer> m_refreshTimer;
     bool m_isWakeScheduled { false };
--- a/Tests/Faults/crowd_at_query_daemon_test.cpp
+++ b/Tests/Faults/crowd_at_query_daemon_test.cpp
@@ -4,6 +4,7 @@
 #include "Tests/Support/cluster.h"
 #include "Tests/Support/crowd.h"
 #include "Tests/Support/process_watch.h"
+#include "Tests/Support/scripted_leaf.h"
 #include <boost/json.hpp>
 
 // CppUTest redefines `new`, so its header comes after the standard headers.
@@ -130,3 +131,23 @@
     query_daemon daemon;
     daemon.checkBears({ .endpoint = daemon.daemon.peers, .connectionCount = 30, .start = std::string { '\x00', '\xf0', '\x00', '\x00' }, .repeated = "x", .maximumRepeatedBytes = 14U << 20U });
 }
+
+TEST_GROUP(CrowdQueryEndlessLeafs) {};
+
+// Guards against: many leafs that send bytes without an end, each within the limit of one reply, exceed the memory of the VM together.
+TEST(CrowdQueryEndlessLeafs, RepliesToStatusRequests)
+{
+    static constexpr std::uint32_t shardCount = 48;
+    query_daemon daemon;
+    std::vector<std::unique_ptr<scripted_leaf>> leafs;
+    auto service = smallPlan("endless", "suva", shardCount).declaration;
+    for (std::uint32_t shard = 0; shard < shardCount; ++shard) {
+        leafs.push_back(std::make_unique<scripted_leaf>([](std::string const&) { return scripted_reply { "HTTP/1.1 200 OK\r\n\r\n", false, false, std::string(65'536, 'x') }; }));
+        service.targets.push_back({ .name = "endless-" + std::to_string(shard), .place = leafs.back()->place(), .shard = shard, .slots = 2, .connectionCap = 25 });
+    }
+    daemon.processes.declare(service);
+    auto const haveAllSent = [&] { return std::all_of(leafs.begin(), leafs.end(), [](auto const& each) { return each->repeatedByteCount() > 0; }); };
+    CHECK(waitUntil(haveAllSent, 20s));
+    std::this_thread::sleep_for(3s);
+    daemon.checkBears({ .endpoint = daemon.daemon.callers, .connectionCount = 1 });
+}
