Tests: Show requests while the store has no leafs

What callers saw: nothing; an empty list of leafs is not taken for a list that has not come.

Change: EmptyStore.RequestsAreRejectedAtOnceWhileThereAreNoLeafs. Such a daemon rejects with 503 and Retry-After within half a second and uses the first leaf. It becomes ready with the first leaf, so that callers go to daemons that know some while there are any.

--- a/Tests/Faults/odd_store_entries_test.cpp
+++ b/Tests/Faults/odd_store_entries_test.cpp
@@ -130,3 +130,26 @@
         fleet.registerLeaf("desk0", "desk", fleet.desk0.place());
     }
 }
+
+TEST_GROUP(EmptyStore) {};
+
+// An empty list of leafs is an answer: requests are rejected as not run, and the first leaf is used as soon as it is there.
+TEST(EmptyStore, RequestsAreRejectedAtOnceWhileThereAreNoLeafs)
+{
+    tests::edge_fleet fleet { 1 };
+    fleet.declare(1, 4, true);
+    fleet.start(0);
+    tests::scripted_leaf leaf { tests::replySuccessfully };
+    for (int round = 0; round < 2; ++round) {
+        CHECK(waitUntil([&] { return fleet.get(0, "/single/a", "a").status == 503; }, 10s));
+        auto const startedAt = std::chrono::steady_clock::now();
+        auto const answer = fleet.get(0, "/single/b", "b");
+        LONGS_EQUAL(503, answer.status);
+        CHECK(!answer.header("Retry-After").empty());
+        CHECK(std::chrono::steady_clock::now() - startedAt < 500ms);
+        fleet.registerLeaf("leaf", "desk", leaf.place());
+        CHECK(fleet.waitUntilReady());
+        CHECK(waitUntil([&] { return fleet.get(0, "/single/c", "c").status == 200; }, 10s));
+        fleet.removeLeaf("leaf");
+    }
+}
