--- a/Tests/Unit/store_entries_test.cpp
+++ b/Tests/Unit/store_entries_test.cpp
@@ -1,6 +1,8 @@
 #include "platform/store_codec.h"
 #include <boost/algorithm/string/replace.hpp>
 #include <boost/json.hpp>
+
+// CppUTest redefines `new`, so its header comes after the standard headers.
 #include <CppUTest/TestHarness.h>
 
 using namespace zinnialedge;
@@ -148,7 +150,8 @@
     for (auto const* const number : { "4294967296", "4294967297", "9223372036854775807" }) {
         auto const text = boost::algorithm::replace_all_copy(std::string { R"({"version":1,"limits":{"max_header_bytes":#,"max_body_bytes":#,"header_timeout_ms":3000,"idle_timeout_ms":3000},
             "routes":[{"name":"r","host":"h","path_prefix":"/","kind":"idempotent","timeout_ms":100,"target_latency_ms":10,"attempts":#,"priority":#,"service":"desk"}],
-            "services":[{"name":"desk","max_conns":#}],"tenants":[{"name":"t","api_keys":["k"],"priority":#}]})" }, "#", number);
+            "services":[{"name":"desk","max_conns":#}],"tenants":[{"name":"t","api_keys":["k"],"priority":#}]})" },
+            "#", number);
         auto const declared = protocol.parseRoutes({ .content = boost::json::parse(text) });
         CHECK(declared.has_value());
         UNSIGNED_LONGS_EQUAL(greatest, declared->routes.front().maximumAttempts);
@@ -158,3 +161,11 @@
         CHECK(declared->limits.headerBytes >= greatest && declared->limits.bodyBytes >= greatest);
     }
 }
+
+// Guards against: status requests without a target, which is no HTTP.
+TEST(StoreEntries, AnEmptyHealthPathIsTheUsualOne)
+{
+    auto const declared = protocol.parseRoutes({ .content = boost::json::parse(R"({"version":1,"limits":{"max_header_bytes":1,"max_body_bytes":0,"header_timeout_ms":0,"idle_timeout_ms":0},"routes":[],"services":[{"name":"desk","max_conns":1,"health_path":""}]})") });
+    CHECK(declared.has_value());
+    STRCMP_EQUAL("/health", declared->services.front().statusTarget.c_str());
+}
