Tests: Show empty lists and times of zero in a configuration

Change: OddConfigurations.EmptyListsAreInForceAsTheyStand and RequestsOnARouteWithoutTimeAreAnsweredAtOnce.

Measured: both pass: 200 without declared services, 401 for a tenant without keys and for an empty key, 404 without routes, and 503 or 504 within half a second for a timeout of 0, -1 and 0.25 ms.

--- a/Tests/Faults/odd_configuration_test.cpp
+++ b/Tests/Faults/odd_configuration_test.cpp
@@ -128,3 +128,39 @@
     }
     LONGS_EQUAL(0, fleet.desk0.requests().size() + fleet.desk1.requests().size());
 }
+
+// Guards against: an empty list that is taken for an absent one, or makes the version unusable.
+TEST(OddConfigurations, EmptyListsAreInForceAsTheyStand)
+{
+    small_edge_fleet fleet { 1 };
+    changeConfiguration(fleet, 2, [](boost::json::object& configuration) { configuration["services"] = boost::json::array {}; });
+    LONGS_EQUAL(200, statusOf(fleet, "/single/a", "a1"));
+    LONGS_EQUAL(200, statusOf(fleet, "/gather/a", "a2"));
+    changeConfiguration(fleet, 3, [](boost::json::object& configuration) { configuration["tenants"] = { { { "name", "acme" }, { "api_keys", boost::json::array {} } } }; });
+    for (std::string const key : { "", "none" })
+        LONGS_EQUAL(401, statusOf(fleet, "/gather/a", "a3", key));
+    changeConfiguration(fleet, 4, [](boost::json::object& configuration) { configuration["tenants"] = { { { "name", "acme" }, { "api_keys", { "" } } } }; });
+    LONGS_EQUAL(401, statusOf(fleet, "/gather/a", "a4", ""));
+    changeConfiguration(fleet, 5, [](boost::json::object& configuration) {
+        configuration.erase("tenants");
+        configuration["routes"] = boost::json::array {};
+    });
+    LONGS_EQUAL(404, statusOf(fleet, "/single/a", "a5"));
+}
+
+// Guards against: times of zero or below that stop a daemon, or are taken for no limit.
+TEST(OddConfigurations, RequestsOnARouteWithoutTimeAreAnsweredAtOnce)
+{
+    small_edge_fleet fleet { 1 };
+    std::uint64_t version = 2;
+    for (double const milliseconds : { 0.0, -1.0, 0.25 }) {
+        changeRoutes(fleet, version, "timeout_ms", milliseconds);
+        auto const startedAt = std::chrono::steady_clock::now();
+        for (auto const* const path : { "/single/a", "/gather/a" }) {
+            auto const status = statusOf(fleet, path, "a" + std::to_string(version));
+            CHECK(status == 503 || status == 504);
+        }
+        CHECK(std::chrono::steady_clock::now() - startedAt < 500ms);
+        ++version;
+    }
+}
