--- a/Tests/Unit/directory_choice_test.cpp
+++ b/Tests/Unit/directory_choice_test.cpp
@@ -162,3 +162,9 @@
         each.reachesLeafs = false;
     LONGS_EQUAL(daemons.size(), fleet::daemonsWithLeafs(daemons).size());
 }
+
+TEST(DirectoryChoice, ACallerWithoutADataCentreGetsTheCompleteGroup)
+{
+    CHECK(fleet::chooseEndpoints(makeDaemons(16), "") == fleet::chooseEndpoints(makeDaemons(16), "elsewhere"));
+    LONGS_EQUAL(4, fleet::chooseEndpoints(makeDaemons(16), "").size());
+}
--- a/Tests/Unit/settings_test.cpp
+++ b/Tests/Unit/settings_test.cpp
@@ -1,4 +1,5 @@
 #include "Libraries/zinnialedge/configuration/daemon_settings.h"
+#include "Libraries/zinnialedge/configuration/partner_keys.h"
 #include "Libraries/zinnialedge/configuration/service_codec.h"
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -57,3 +58,12 @@
     CHECK(!parsed);
     STRCMP_CONTAINS("targets[0].shard: expected an integer from 0 to 1", parsed.error().message.c_str());
 }
+
+// Guards against: without declared partners every key, or none, is one of a partner.
+TEST(Settings, WithoutPartnersNoKeyIsValid)
+{
+    auto const keys = partner_keys::load({});
+    CHECK(keys.has_value());
+    CHECK_FALSE(keys->findPartner("").has_value());
+    CHECK_FALSE(keys->findPartner("any key that nobody has").has_value());
+}
