Configuration: One table of bounds, and zlctl check

Cause: each field had its own check, some had none, and the first fault hid the others.

Change: each number of a configuration and of a leaf's entry has a unit and bounds in one table, from which the checks come; a test holds the table in OPERATORS.md to it. A number is held at a bound where that serves callers as it was meant, with a log line, a metric and a count in the state; otherwise the version is unusable, with all reasons. Whole numbers written as fractions are taken. `zlctl check FILE` says the same before a version is written, with the path of each field, or the line and column, and exits with 1 if daemons would not use it. The numbers of the daemon's own settings keep their own checks and are not in the table.

--- a/Libraries/zinnialedge/forwarding/route_table.h
+++ b/Libraries/zinnialedge/forwarding/route_table.h
@@ -9,6 +9,16 @@
 
 namespace zinnialedge::forwarding {
 
+/// A declared number that lies beyond its bound, which is used in its place.
+struct held_number {
+    std::string field;
+    /// The number as it was declared.
+    std::string declared;
+    std::int64_t bound { 0 };
+
+    bool operator==(held_number const&) const = default;
+};
+
 /// Declarations from which a route table is built.
 struct route_declarations {
     std::uint64_t version { 0 };
@@ -18,6 +28,8 @@
     std::vector<tenant> tenants {};
     /// True when the declarations have a list of tenants, which may be empty: no key is valid then.
     bool areTenantsDeclared { false };
+    /// Numbers that were not taken as they were declared.
+    std::vector<held_number> heldNumbers {};
 
     bool operator==(route_declarations const&) const = default;
 };
@@ -44,6 +56,8 @@
     /// Returns whether requests need the key of a tenant.
     bool hasTenants() const { return m_declarations.areTenantsDeclared || !m_declarations.tenants.empty(); }
     std::vector<tenant> const& tenants() const { return m_declarations.tenants; }
+    /// Returns the declared numbers that lie beyond their bounds.
+    std::vector<held_number> const& heldNumbers() const { return m_declarations.heldNumbers; }
     /// Returns the tenant that holds the access key, or null.
     tenant const* findTenant(std::string_view accessKey) const;
     /// Returns the tenant with the name, or null.
--- a/Services/fleet/fleet_service.cpp
+++ b/Services/fleet/fleet_service.cpp
@@ -211,6 +211,7 @@
     m_routeTable = std::make_shared<forwarding::route_table const>(std::move(*declarations));
     m_configurationInForce = object;
     logEvent(log_level::info, "configuration_read", { { "version", m_routeTable->version() }, { "era", object.era }, { "revision", object.revision } });
+    logHeldNumbers();
     sendToTraffic(m_routeTable);
     shareDigest();
     m_pollServer.answerDuePolls();
--- a/Services/fleet/fleet_service.h
+++ b/Services/fleet/fleet_service.h
@@ -87,6 +87,7 @@
     void handleRoutesChanged();
     /// Puts a configuration object in force if its version is higher than the version in force. Returns whether it did.
     bool adoptIfNewer(zinnialedge::fleet::store_object const&);
+    void logHeldNumbers() const;
     void handleLeafsChanged();
     void handleEvacuationsChanged();
     /// Passes the leafs on, unless leafs must not be called before the evacuations are known.
--- a/Services/fleet/fleet_state.cpp
+++ b/Services/fleet/fleet_state.cpp
@@ -1,12 +1,19 @@
 #include "Services/fleet/fleet_service.h"
 
+#include "Kernel/event_log.h"
 #include "Kernel/metrics_text.h"
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace zinnialedge::services::fleet {
 
+using kernel::log_level;
+using kernel::logEvent;
 using zinnialedge::fleet::toString;
 
+/// Numbers of one configuration beyond their bounds that get a line each.
+static constexpr std::size_t maximumLoggedNumbers = 20;
+
 // State.
 
 bool fleet_service::requestState(kernel::text_receiver receiver)
@@ -27,6 +34,7 @@
             { "leaving", m_isLeaving },
             { "reaches_leafs", m_reachesLeafs },
             { "configuration_version", m_routeTable ? m_routeTable->version() : 0 },
+            { "configuration_numbers_held", m_routeTable ? m_routeTable->heldNumbers().size() : 0 },
             { "leafs", m_leafRegistrations.size() },
             { "store_reached", isStoreConnected() || m_readerLink.hasReader() },
             { "store_role", toString(roles.role()) },
@@ -77,8 +85,16 @@
         metrics.gauge("members_living", m_liveDaemonCount);
         metrics.counter("directory_answers_total", m_directoryAnswerCount);
         metrics.counter("malformed_objects_total", m_malformedObjectCount);
+        metrics.gauge("configuration_numbers_held", m_routeTable ? m_routeTable->heldNumbers().size() : 0);
         receiver(metrics.text());
     });
 }
 
+void fleet_service::logHeldNumbers() const
+{
+    auto const& held = m_routeTable->heldNumbers();
+    for (std::size_t index = 0; index < std::min(held.size(), maximumLoggedNumbers); ++index)
+        logEvent(log_level::warn, "configuration_number_held", { { "field", held[index].field }, { "declared", held[index].declared }, { "bound", held[index].bound }, { "version", m_routeTable->version() }, { "held", held.size() } });
+}
+
 }
--- a/Utilities/zlctl/main.cpp
+++ b/Utilities/zlctl/main.cpp
@@ -1,5 +1,6 @@
 #include "Libraries/zinnialedge/configuration/text_file.h"
 #include "Libraries/zinnialedge/wire/caller_codec.h"
+#include "Utilities/zlctl/check.h"
 #include "Utilities/zlctl/daemon_client.h"
 #include "Utilities/zlctl/exit_code.h"
 #include "Utilities/zlctl/explain.h"
@@ -29,6 +30,7 @@
                                      "  query SERVICE REQUEST [KEY] | state\n"
                                      "  route METHOD HOST PATH [--tenant NAME] : prints where a request would go now, without sending it\n"
                                      "  explain ID LOG... : prints the log lines of one request in chronological order; needs no daemon\n"
+                                     "  check FILE : prints what a daemon would not use of a configuration, or not as it stands; needs no daemon\n"
                                      "FILE may be - for standard input. Exit codes: 0 done, 1 rejected, 2 invalid input, 3 daemon unreachable,\n"
                                      "4 conflict, 5 diff found differences, 6 outcome unknown";
 
@@ -167,6 +169,16 @@
     return exit_code::success;
 }
 
+static exit_code check(std::vector<std::string> const& words)
+{
+    if (words.size() != 2)
+        return reportInvalidInput("expected check FILE");
+    auto const text = readText(words[1]);
+    if (!text)
+        return reportInvalidInput("can't read the file " + words[1]);
+    return checkConfigurationText(*text, std::cout) ? exit_code::success : exit_code::rejected;
+}
+
 int main(int argumentCount, char** arguments)
 {
     gflags::SetVersionString(ZINNIALEDGE_VERSION);
@@ -175,6 +187,8 @@
     std::vector<std::string> const words { arguments + 1, arguments + argumentCount };
     if (!words.empty() && words.front() == "explain")
         return static_cast<int>(explain(words));
+    if (!words.empty() && words.front() == "check")
+        return static_cast<int>(check(words));
     auto const endpoint = model::parseEndpoint(FLAGS_daemon);
     if (!endpoint || words.empty())
         return static_cast<int>(reportInvalidInput(std::string { "usage: zlctl " } + usage));
