Demo: Print the figures of the load, and name files that are not there

Cause: the demo collected the output of zl-load and dropped it; a file that can't be read was taken for an empty one.

A file that can't be read is named as such, with exit code 2.

--- a/StandIns/target/main.cpp
+++ b/StandIns/target/main.cpp
@@ -1,8 +1,8 @@
+#include "Libraries/zinnialedge/configuration/settings_file.h"
+#include "Libraries/zinnialedge/configuration/text_file.h"
 #include "StandIns/target/leaf_standin.h"
-#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
-#include <sstream>
 
 DEFINE_string(settings, "", "JSON file that lists the leafs");
 
@@ -12,15 +12,9 @@
 {
     gflags::SetVersionString(ZINNIALEDGE_VERSION);
     gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
-    std::ifstream file { FLAGS_settings };
-    std::stringstream text;
-    text << file.rdbuf();
-    auto settings = parseLeafSettings(text.str());
-    if (!settings) {
-        for (auto const& problem : settings.error())
-            std::cerr << FLAGS_settings << ": " << problem << "\n";
+    auto settings = zinnialedge::configuration::parseSettingsFile(FLAGS_settings, zinnialedge::configuration::readTextFile(FLAGS_settings), parseLeafSettings);
+    if (!settings)
         return 2;
-    }
     boost::asio::io_context context;
     std::vector<std::unique_ptr<leaf_standin>> leafs;
     for (auto& each : *settings) {
--- a/Tests/Demo/main.cpp
+++ b/Tests/Demo/main.cpp
@@ -48,6 +48,26 @@
     };
 }
 
+/// Prints how far the load has come and, at its end, its report. Returns its exit code.
+static int watchLoad(child_process& load)
+{
+    static constexpr std::chrono::seconds progressInterval { 2 };
+    // Warm-up and the end of the last requests.
+    static constexpr std::chrono::seconds longestRest { 60 };
+    auto const startedAt = std::chrono::steady_clock::now();
+    std::optional<int> exitCode;
+    for (std::chrono::seconds passed { 0 }; !exitCode && passed < std::chrono::seconds { FLAGS_seconds } + longestRest; passed += progressInterval) {
+        std::cout << "  " << std::chrono::floor<std::chrono::seconds>(std::chrono::steady_clock::now() - startedAt).count() << " s" << std::endl;
+        exitCode = load.waitForExit(progressInterval);
+    }
+    for (auto const& line : load.lines())
+        std::cout << line << "\n";
+    if (exitCode != 0)
+        std::cerr << "the load failed: " << (exitCode ? "exit code " + std::to_string(*exitCode) : std::string { "it did not end" }) << "\n";
+    std::cout << "read on in docs/OPERATORS.md (daemons, zlctl, logs) and docs/DEVELOPERS.md" << std::endl;
+    return exitCode.value_or(1);
+}
+
 int main(int argumentCount, char** arguments)
 {
     gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
@@ -77,5 +97,5 @@
     if (!FLAGS_csv.empty())
         loadArguments.push_back("--csv=" + FLAGS_csv);
     child_process load { "zl-load", loadArguments };
-    return load.waitForExit(std::chrono::minutes { 2 }).value_or(1);
+    return watchLoad(load);
 }
