Access: Let no key of a tenant without a name pass

Cause: an empty name stands for no tenant wherever a request carries one.

Change: the keys of such a tenant are not valid; the version stays usable.

Measured: OddConfigurations.EmptyListsAreInForceAsTheyStand got 200 without the change and gets 401 with it.

--- a/Libraries/zinnialedge/forwarding/route_table.cpp
+++ b/Libraries/zinnialedge/forwarding/route_table.cpp
@@ -14,6 +14,9 @@
     for (auto const& each : m_declarations.services)
         m_services[each.name] = &each;
     for (auto const& each : m_declarations.tenants) {
+        // An empty name stands for no tenant everywhere else, so that nobody's quota would hold for its keys.
+        if (each.name.empty())
+            continue;
         m_tenantsByName[each.name] = &each;
         for (auto const& key : each.accessKeys)
             m_keysByHash[std::hash<std::string_view> {}(key)].push_back({ key, &each });
--- a/Tests/Faults/odd_configuration_test.cpp
+++ b/Tests/Faults/odd_configuration_test.cpp
@@ -141,11 +141,13 @@
         LONGS_EQUAL(401, statusOf(fleet, "/gather/a", "a3", key));
     changeConfiguration(fleet, 4, [](boost::json::object& configuration) { configuration["tenants"] = { { { "name", "acme" }, { "api_keys", { "" } } } }; });
     LONGS_EQUAL(401, statusOf(fleet, "/gather/a", "a4", ""));
-    changeConfiguration(fleet, 5, [](boost::json::object& configuration) {
+    changeConfiguration(fleet, 5, [](boost::json::object& configuration) { configuration["tenants"] = { { { "name", "" }, { "api_keys", { "key" } } } }; });
+    LONGS_EQUAL(401, statusOf(fleet, "/gather/a", "a5", "key"));
+    changeConfiguration(fleet, 6, [](boost::json::object& configuration) {
         configuration.erase("tenants");
         configuration["routes"] = boost::json::array {};
     });
-    LONGS_EQUAL(404, statusOf(fleet, "/single/a", "a5"));
+    LONGS_EQUAL(404, statusOf(fleet, "/single/a", "a6"));
 }
 
 // Guards against: times of zero or below that stop a daemon, or are taken for no limit.
