Store: List at once after the first refused watch

Since a watch that the store refuses within 100 ms of a listing was followed by the next listing only after that time, and daemons knew changes later.

Cause: that change spaced each listing after a refused watch, also the first one. ObjectMirror.DroppedHistoryCausesNewListing saw it, but the ordinary build passed, since it reads an optional value that is not there; only the build with the sanitizers tells.

Change: only a store that refuses one watch after another is spaced.

Measured: with the sanitizers the test fails before and passes now; the test of the rate of reads (OddStoreEntries) passes as before.

--- a/Libraries/zinnialedge/fleet/object_mirror.cpp
+++ b/Libraries/zinnialedge/fleet/object_mirror.cpp
@@ -202,6 +202,7 @@
             put(std::move(object));
     }
     m_position = std::max(m_position, store_position { m_era, page.asOf });
+    m_isWatchRefused = false;
     // A store that does not hold the watch must not be asked again at once.
     m_nextRequestAt = page.changes.empty() ? std::max<time_point>(now, m_requestedAt.value_or(now) + m_settings.firstRetryDelay) : now + m_settings.batchDelay;
 }
@@ -213,8 +214,9 @@
         return;
     m_isListing = true;
     m_listCursor.clear();
-    // A store that refuses the revision of its own listing must not be asked for another one at once.
-    m_nextRequestAt = m_listedAt ? std::max<time_point>(now, *m_listedAt + m_settings.firstRetryDelay) : now;
+    // A store that refuses the revision of each of its listings must not be asked for another one at once.
+    bool const isRefusedAgain = std::exchange(m_isWatchRefused, true) && m_listedAt;
+    m_nextRequestAt = isRefusedAgain ? std::max<time_point>(now, *m_listedAt + m_settings.firstRetryDelay) : now;
 }
 
 void object_mirror::handleFailure(time_point now)
--- a/Libraries/zinnialedge/fleet/object_mirror.h
+++ b/Libraries/zinnialedge/fleet/object_mirror.h
@@ -138,6 +138,8 @@
     std::uint64_t m_listAsOf { 0 };
     std::uint64_t m_generation { 0 };
     kernel::time_point m_nextRequestAt;
+    /// Whether the store has refused the last watch.
+    bool m_isWatchRefused { false };
     /// Time at which the last listing was complete.
     std::optional<kernel::time_point> m_listedAt;
     /// Time at which the last request was sent.
