Review 3, case 13: a request over shards that crashes leafs is retried more than three times

BUDGET of the news page allows three retries that reach leafs later than the stable window after the third crash, without a limit of time. The trials of a quarantined request come after 0, 2, 4 and 64 s when the first leafs were lost together, so that the fourth retry crashes a leaf 85 to 110 s after the first try. Nothing else is disturbed.

--- a/review/support-3/deployment.cpp
+++ b/review/support-3/deployment.cpp
@@ -295,6 +295,11 @@
     return { { "name", name }, { "host", deployment::host }, { "path_prefix", prefix }, { "kind", kind }, { "timeout_ms", 6000 }, { "target_latency_ms", 400 }, { "priority", 2 }, { "service", service }, { "attempts", 2 } };
 }
 
+json::object gatherRoute(std::string const& name, std::string const& prefix, std::vector<std::string> const& shards)
+{
+    return { { "name", name }, { "host", deployment::host }, { "path_prefix", prefix }, { "kind", "idempotent" }, { "timeout_ms", 1500 }, { "target_latency_ms", 100 }, { "priority", 1 }, { "gather", json::array(shards.begin(), shards.end()) }, { "attempts", 2 }, { "top_k", 50 }, { "min_success_ratio", 0.89 } };
+}
+
 json::object makeConfiguration(std::uint64_t version, std::vector<json::object> const& routes, std::vector<std::string> const& services)
 {
     json::array serviceList;
--- a/review/support-3/deployment.h
+++ b/review/support-3/deployment.h
@@ -128,6 +128,8 @@
 
 /// Returns a route to one service.
 boost::json::object serviceRoute(std::string const& name, std::string const& prefix, std::string const& kind, std::string const& service);
+/// Returns a route over shards, with the figures of the most frequent request of the sample site.
+boost::json::object gatherRoute(std::string const& name, std::string const& prefix, std::vector<std::string> const& shards);
 /// Returns a configuration with these routes and the limits of the sample site.
 boost::json::object makeConfiguration(std::uint64_t version, std::vector<boost::json::object> const& routes, std::vector<std::string> const& services);
 
