--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and the programs of the cases 11 to 15, and of the finding large-answers, into target/review-3/. The build line of deploy/system.toml must have run.
+# Builds the stand-ins and the programs of the cases 11 to 14, and of the findings large-answers and restored-quota, into target/review-3/. The build line of deploy/system.toml must have run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=target/review-3
@@ -14,7 +14,7 @@
 compile Tests/Support/child_process.cpp child_process &
 compile review/support-3/deployment.cpp deployment &
 wait
-for folder in review/1[1-5] review/findings/large-answers; do
+for folder in review/1[1-5] review/findings/large-answers review/findings/restored-quota; do
     [ -e "$folder/case.cpp" ] || continue
     name="$(basename "$folder")"
     case "$name" in 1?) name="case-$name" ;; esac
